--- /dev/null
+++ b/eslint.config.mjs
@@ -0,0 +1,93 @@
+import { configs, plugins, rules } from 'eslint-config-airbnb-extended';
+import tseslint from 'typescript-eslint';
+
+const PACKAGE_ORDER = [
+  'model',
+  'log-client',
+  'config',
+  'peer',
+  'ledger',
+  'admission',
+  'placement',
+  'routing',
+  'daemon',
+  'cli',
+];
+
+/** Packages that may be imported by each package: only those further down. */
+const dependencyDirection = PACKAGE_ORDER.map((name, position) => ({
+  files: [`packages/${name}/src/**/*.ts`],
+  rules: {
+    'no-restricted-imports': [
+      'error',
+      {
+        patterns: [...PACKAGE_ORDER.slice(position), name === 'cli' ? '' : 'standins']
+          .filter((other) => other !== '')
+          .map((other) => ({ group: [`@wisteriapath/${other}`, `@wisteriapath/${other}/*`] })),
+      },
+    ],
+  },
+}));
+
+export default tseslint.config(
+  { ignores: ['**/dist/**', '**/generated/**', 'coverage/**', '.bench/**'] },
+  plugins.stylistic,
+  plugins.importX,
+  plugins.typescriptEslint,
+  ...configs.base.recommended,
+  ...configs.base.typescript,
+  {
+    rules: {
+      // Prettier owns the layout.
+      ...Object.fromEntries(
+        Object.keys({ ...rules.base.stylistic.rules, ...rules.typescript.stylistic.rules }).map(
+          (rule) => [rule, 'off'],
+        ),
+      ),
+      // The brief asks for one task per connection, written straight down: loops that await.
+      'no-await-in-loop': 'off',
+      'no-restricted-syntax': ['error', 'ForInStatement', 'LabeledStatement', 'WithStatement'],
+      'no-continue': 'off',
+      'no-void': ['error', { allowAsStatement: true }],
+      'import-x/prefer-default-export': 'error',
+      'import-x/no-extraneous-dependencies': 'off',
+      'import-x/extensions': 'off',
+      'import-x/no-rename-default': 'off',
+      'max-lines': ['error', { max: 320, skipBlankLines: true, skipComments: true }],
+    },
+  },
+  {
+    files: ['**/*.js', '**/*.mjs'],
+    languageOptions: { globals: { console: 'readonly', module: 'writable', process: 'readonly' } },
+    rules: { 'no-console': 'off' },
+  },
+  ...dependencyDirection,
+  {
+    files: ['packages/standins/src/**/*.ts'],
+    rules: {
+      'no-restricted-imports': [
+        'error',
+        {
+          patterns: PACKAGE_ORDER.slice(1).map((other) => ({ group: [`@wisteriapath/${other}`] })),
+        },
+      ],
+    },
+  },
+  {
+    files: ['**/src/**/*.ts'],
+    ignores: ['**/src/index.ts', '**/src/main.ts'],
+    rules: {
+      // One export a file.
+      'no-restricted-syntax': [
+        'error',
+        'ForInStatement',
+        'LabeledStatement',
+        'WithStatement',
+        {
+          selector: 'ExportNamedDeclaration',
+          message: 'One export a file: use a default export.',
+        },
+      ],
+    },
+  },
+);
--- /dev/null
+++ b/packages/admission/src/CheckedCall.ts
@@ -0,0 +1,12 @@
+import type { Pool, Route } from '@wisteriapath/model';
+import type Caller from './Caller';
+
+/** A call that may be made: its caller, route and pool. */
+interface CheckedCall {
+  readonly caller: Caller;
+  readonly routeName: string;
+  readonly route: Route;
+  readonly pool: Pool;
+}
+
+export default CheckedCall;
--- /dev/null
+++ b/packages/admission/src/bearerSecret.ts
@@ -0,0 +1,12 @@
+const BEARER = /^Bearer\s+(\S+)$/i;
+
+/**
+ * The secret of an `Authorization: Bearer` header, undefined if there is none.
+ *
+ * @example
+ * bearerSecret('Bearer s3cret'); // 's3cret'
+ */
+const bearerSecret = (header: string | undefined): string | undefined =>
+  BEARER.exec(header ?? '')?.[1];
+
+export default bearerSecret;
--- /dev/null
+++ b/packages/cli/src/serve.ts
@@ -0,0 +1,27 @@
+import { createLogger, startInstance } from '@wisteriapath/daemon';
+import ExitCode from './ExitCode';
+import readSettings from './readSettings';
+
+/**
+ * Runs an entry instance until SIGTERM or SIGINT; a second signal changes nothing.
+ *
+ * @example
+ * await serve('entry.ini');
+ */
+const serve = async (file: string): Promise<void> => {
+  const settings = readSettings(file);
+  const logger = createLogger(settings.log.level, (line) => process.stdout.write(line));
+  const instance = await startInstance(settings, logger);
+  const stop = () => {
+    void instance.stop().then(() => process.exit(ExitCode.Done));
+  };
+  let isStopping = false;
+  ['SIGTERM', 'SIGINT'].forEach((signal) => {
+    process.on(signal, () => {
+      if (!isStopping) stop();
+      isStopping = true;
+    });
+  });
+};
+
+export default serve;
--- /dev/null
+++ b/packages/cli/test/wholePath.test.ts
@@ -0,0 +1,302 @@
+/** The whole path in separate processes. */
+import { request } from 'undici';
+import ProcessSystem from './support/ProcessSystem';
+import call from './support/call';
+import eventually from './support/eventually';
+import rows from './support/rows';
+
+const IN_FORCE_MS = 4_000;
+const DOMAINS = ['khomas-a', 'khomas-b', 'khomas-c'];
+
+describe('the whole path', () => {
+  let system: ProcessSystem;
+  let instances: Awaited<ReturnType<ProcessSystem['instance']>>[];
+  let engineA: { url: string };
+  let shop: { url: string };
+
+  beforeAll(async () => {
+    system = await ProcessSystem.start(DOMAINS);
+    const [a, b, service] = await Promise.all([
+      system.standin('engine'),
+      system.standin('engine'),
+      system.standin('service'),
+    ]);
+    engineA = a;
+    shop = service;
+    instances = await Promise.all(
+      DOMAINS.map((failureDomain, index) =>
+        system.instance({ name: `entry-${index}`, failureDomain }),
+      ),
+    );
+    const { operator } = instances[0];
+    await eventually(
+      () => operator.status(),
+      (status) => status.ready,
+    );
+    await operator.set('workspaces', 'omuriro', 0, rows.workspace());
+    await operator.set('workspaces', 'clubs', 0, rows.workspace());
+    await operator.set('keys', 'k1', 0, rows.key('secret-1', 'omuriro'));
+    await operator.set('keys', 'k2', 0, rows.key('secret-2', 'clubs'));
+    const targets = {
+      'engine-a': rows.engine(a.url, 'khomas-a'),
+      'engine-b': rows.engine(b.url, 'khomas-b'),
+    };
+    await operator.set('pools', 'guide-models', 0, { targets });
+    const desk = { shop: rows.service(service.url, 'khomas-c') };
+    await operator.set('pools', 'workshop-desk', 0, { targets: desk });
+    await operator.set('routes', 'cup-guide', 0, rows.model('guide-models', ['omuriro']));
+    await operator.set('routes', 'bookings', 0, rows.booking('workshop-desk', ['omuriro']));
+    const { offset } = await operator.set('routes', 'quotes', 0, {
+      kind: 'service',
+      pool: 'workshop-desk',
+      workspaces: ['omuriro'],
+    });
+    await Promise.all(
+      instances.map((instance) =>
+        eventually(
+          () => instance.operator.status(),
+          (status) => status.configOffset >= offset,
+        ),
+      ),
+    );
+  });
+
+  afterAll(() => system.stop());
+
+  test('a request through each instance is answered whole', async () => {
+    const answers = await Promise.all(
+      instances.map(({ callersUrl }) => call.complete(callersUrl, 'secret-1', {})),
+    );
+    expect(answers.map(({ status }) => status)).toEqual([200, 200, 200]);
+    const texts = answers.map(
+      ({ text }) => (JSON.parse(text) as { choices: { text: string }[] }).choices[0].text,
+    );
+    expect(texts).toMatchInlineSnapshot(`
+     [
+       "round0 file1 bowl2 base3 ",
+       "round0 file1 bowl2 base3 ",
+       "round0 file1 bowl2 base3 ",
+     ]
+    `);
+  });
+
+  test('a stream carries every token and its end', async () => {
+    const { text } = await call.complete(instances[1].callersUrl, 'secret-1', { stream: true });
+    expect(text.match(/^data: /gm)).toHaveLength(6);
+    expect(text).toMatch(/data: \[DONE\]\n\n$/);
+  });
+
+  test('a service call is passed on without the key', async () => {
+    const answer = await call.raw(`${instances[0].callersUrl}/services/quotes/cups?size=2`, {
+      headers: { authorization: 'Bearer secret-1' },
+    });
+    expect(answer.status).toBe(200);
+    expect(JSON.parse(answer.text)).toMatchObject({ path: '/cups', method: 'GET' });
+    const state = (await (await request(`${shop.url}/state`)).body.json()) as object;
+    expect(state).toMatchObject({ sawTenantKey: false });
+    const engine = (await (await request(`${engineA.url}/state`)).body.json()) as object;
+    expect(engine).toMatchObject({ sawTenantKey: false });
+  });
+
+  test('a booking sent through two instances at once runs once', async () => {
+    const answers = await Promise.all(
+      instances.map(({ callersUrl }) => call.book(callersUrl, 'secret-1', 'cup-7')),
+    );
+    expect(answers.map(({ status }) => status)).toEqual([200, 200, 200]);
+    expect(new Set(answers.map(({ text }) => text)).size).toBe(1);
+    const { runs } = (await (await request(`${shop.url}/state`)).body.json()) as {
+      runs: Record<string, number>;
+    };
+    expect(runs['cup-7']).toBe(1);
+  });
+
+  test('an edit through one instance is in force in all', async () => {
+    const { operator } = instances[1];
+    const startedAt = Date.now();
+    await operator.set('routes', 'second-guide', 0, rows.model('guide-models', ['omuriro']));
+    await Promise.all(
+      instances.map(({ callersUrl }) =>
+        eventually(
+          () => call.complete(callersUrl, 'secret-1', { model: 'second-guide' }),
+          ({ status }) => status === 200,
+        ),
+      ),
+    );
+    expect(Date.now() - startedAt).toBeLessThan(IN_FORCE_MS);
+  });
+
+  test('a withdrawn key stops working in all, also on open connections', async () => {
+    const { operator } = instances[2];
+    const { version } = await operator
+      .set('keys', 'k3', 0, rows.key('secret-3', 'omuriro'))
+      .then((edited) => ({ version: edited.version! }));
+    await Promise.all(
+      instances.map(({ callersUrl }) =>
+        eventually(
+          () => call.complete(callersUrl, 'secret-3', {}),
+          ({ status }) => status === 200,
+        ),
+      ),
+    );
+    const startedAt = Date.now();
+    await operator.remove('keys', 'k3', version);
+    await Promise.all(
+      instances.map(({ callersUrl }) =>
+        eventually(
+          () => call.complete(callersUrl, 'secret-3', {}),
+          ({ status }) => status === 401,
+        ),
+      ),
+    );
+    expect(Date.now() - startedAt).toBeLessThan(IN_FORCE_MS);
+  });
+
+  test('every refusal has the one error body', async () => {
+    const { callersUrl } = instances[0];
+    const authorization = 'Bearer secret-1';
+    const post = (body: string, headers: object = {}) =>
+      call.raw(`${callersUrl}/v1/completions`, {
+        method: 'POST',
+        headers: { authorization, ...headers },
+        body,
+      });
+    const valid = JSON.stringify({ model: 'cup-guide', prompt: 'x', max_tokens: 1 });
+    const answers = {
+      wrongKey: await post(valid, { authorization: 'Bearer wrong' }),
+      foreignWorkspace: await post(valid, { authorization: 'Bearer secret-2' }),
+      unknownRoute: await post(JSON.stringify({ model: 'nothing', prompt: 'x' })),
+      brokenJson: await post('{"model":'),
+      overlongBody: await post('x'.repeat(1_100_000)),
+      badHeader: await post(valid, { 'x-deadline-ms': 'soon' }),
+      expiredDeadline: await post(valid, { 'x-deadline-ms': '0' }),
+      noIdempotencyKey: await call.book(callersUrl, 'secret-1', ''),
+    };
+    const told = Object.entries(answers).map(([name, { status, error }]) => {
+      const { requestId, ...rest } = error ?? {};
+      return [name, status, typeof requestId, rest];
+    });
+    expect(told).toMatchInlineSnapshot(`
+     [
+       [
+         "wrongKey",
+         401,
+         "string",
+         {
+           "kind": "unauthenticated",
+           "message": "the key is not known",
+           "ran": "no",
+           "retryAfterMs": null,
+         },
+       ],
+       [
+         "foreignWorkspace",
+         403,
+         "string",
+         {
+           "kind": "forbidden",
+           "message": "the key may not call this route",
+           "ran": "no",
+           "retryAfterMs": null,
+         },
+       ],
+       [
+         "unknownRoute",
+         404,
+         "string",
+         {
+           "kind": "unknown_route",
+           "message": "there is no route nothing",
+           "ran": "no",
+           "retryAfterMs": null,
+         },
+       ],
+       [
+         "brokenJson",
+         400,
+         "string",
+         {
+           "kind": "bad_request",
+           "message": "the body is not valid JSON",
+           "ran": "no",
+           "retryAfterMs": null,
+         },
+       ],
+       [
+         "overlongBody",
+         413,
+         "string",
+         {
+           "kind": "body_too_large",
+           "message": "the body is over 1048576 bytes",
+           "ran": "no",
+           "retryAfterMs": null,
+         },
+       ],
+       [
+         "badHeader",
+         400,
+         "string",
+         {
+           "kind": "bad_request",
+           "message": "x-deadline-ms must be a whole number of milliseconds",
+           "ran": "no",
+           "retryAfterMs": null,
+         },
+       ],
+       [
+         "expiredDeadline",
+         504,
+         "string",
+         {
+           "kind": "deadline_expired",
+           "message": "the deadline has passed",
+           "ran": "no",
+           "retryAfterMs": 200,
+         },
+       ],
+       [
+         "noIdempotencyKey",
+         400,
+         "string",
+         {
+           "kind": "bad_request",
+           "message": "this route needs an Idempotency-Key header",
+           "ran": "no",
+           "retryAfterMs": null,
+         },
+       ],
+     ]
+    `);
+  });
+});
+
+describe('a graceful stop', () => {
+  test('cuts no stream under load and exits with 0', async () => {
+    const system = await ProcessSystem.start(['khomas-a']);
+    const engine = await system.standin('engine', { tokenMs: 20 });
+    const instance = await system.instance({ name: 'entry-1', failureDomain: 'khomas-a' });
+    const { operator, callersUrl } = instance;
+    await eventually(
+      () => operator.status(),
+      (status) => status.ready,
+    );
+    await operator.set('workspaces', 'omuriro', 0, rows.workspace());
+    await operator.set('keys', 'k1', 0, rows.key('secret-1', 'omuriro'));
+    const targets = { e1: rows.engine(engine.url, 'khomas-a') };
+    await operator.set('pools', 'guide-models', 0, { targets });
+    await operator.set('routes', 'cup-guide', 0, rows.model('guide-models', ['omuriro']));
+    await call.complete(callersUrl, 'secret-1', {});
+    const streams = Array.from({ length: 12 }, () =>
+      call.complete(callersUrl, 'secret-1', { stream: true, max_tokens: 30 }),
+    );
+    await new Promise((resolve) => {
+      setTimeout(resolve, 150);
+    });
+    instance.process.signal('SIGTERM');
+    instance.process.signal('SIGTERM');
+    const answers = await Promise.all(streams);
+    expect(answers.map(({ text }) => /\[DONE\]\n\n$/.test(text))).toEqual(Array(12).fill(true));
+    expect(await instance.process.exited).toBe(0);
+    await system.stop();
+  });
+});
--- /dev/null
+++ b/packages/config/src/ConfigCheckpoints.ts
@@ -0,0 +1,83 @@
+import { List } from 'immutable';
+import {
+  decodeEnvelope,
+  encodeEnvelope,
+  type Folded,
+  type LogPort,
+  type LogRecord,
+  type RecordIds,
+} from '@wisteriapath/log-client';
+import type ConfigState from './ConfigState';
+import decodeCheckpoint from './decodeCheckpoint';
+import encodeCheckpoint from './encodeCheckpoint';
+
+const STREAM = 'config-checkpoints';
+
+interface Chunk {
+  readonly offset: number;
+  readonly sha256: string;
+  readonly chunk: number;
+  readonly chunks: number;
+  readonly text: string;
+}
+
+const isChunk = (body: unknown): body is Chunk => {
+  const chunk = body as Partial<Chunk> | null | undefined;
+  return typeof chunk?.offset === 'number' && typeof chunk.text === 'string';
+};
+
+const toChunks = (records: readonly LogRecord[]): Chunk[] =>
+  records.flatMap((record) =>
+    decodeEnvelope(record.payload)
+      .map((envelope) => (isChunk(envelope.body) ? [envelope.body] : []))
+      .orDefault([]),
+  );
+
+/** The latest checkpoint of which every chunk is there. */
+const joinLatest = (chunks: readonly Chunk[]): Folded<ConfigState> | undefined => {
+  const byOffset = List(chunks).groupBy((chunk) => chunk.offset);
+  const offsets = [...byOffset.keys()].sort((a, b) => b - a);
+  for (const offset of offsets) {
+    const parts = new Map(byOffset.get(offset)!.map((chunk) => [chunk.chunk, chunk]));
+    const { chunks: wanted, sha256 } = byOffset.get(offset)!.first()!;
+    if (parts.size === wanted) {
+      const ordered = [...parts.values()].sort((a, b) => a.chunk - b.chunk);
+      const folded = decodeCheckpoint(offset, sha256, ordered.map((part) => part.text).join(''));
+      if (folded.isJust()) return folded.extract();
+    }
+  }
+  return undefined;
+};
+
+/** Writes and finds checkpoints of the configuration, so that records may expire. */
+class ConfigCheckpoints {
+  constructor(
+    private readonly log: LogPort,
+    private readonly ids: RecordIds,
+  ) {}
+
+  /** Appends a checkpoint; a failed one is simply written again at the next interval. */
+  async write(folded: Folded<ConfigState>): Promise<void> {
+    const payloads = encodeCheckpoint(folded).map((body) =>
+      encodeEnvelope({ id: this.ids.next(), body }),
+    );
+    await this.log.append(STREAM, payloads);
+  }
+
+  /** The checkpoint that is furthest on, undefined if none is whole or the log is unreachable. */
+  async findLatest(): Promise<Folded<ConfigState> | undefined> {
+    const chunks: Chunk[] = [];
+    let from = 0;
+    for (;;) {
+      const read = await this.log.read(STREAM, from, 0);
+      if (read.isNothing()) return undefined;
+      const batch = read.unsafeCoerce();
+      chunks.push(...toChunks(batch.records));
+      const last = batch.records.at(-1);
+      if (last === undefined || last.offset + 1 >= batch.endOffset) return joinLatest(chunks);
+      from = last.offset + 1;
+    }
+  }
+}
+
+export default ConfigCheckpoints;
--- /dev/null
+++ b/packages/config/src/EditKind.ts
@@ -0,0 +1,7 @@
+/** Kinds of edit. */
+enum EditKind {
+  Set = 'set',
+  Remove = 'remove',
+}
+
+export default EditKind;
--- /dev/null
+++ b/packages/config/src/configFold.ts
@@ -0,0 +1,32 @@
+import type { Fold } from '@wisteriapath/log-client';
+import { TableName } from '@wisteriapath/model';
+import type ConfigEdit from './ConfigEdit';
+import type ConfigState from './ConfigState';
+import EditKind from './EditKind';
+import applyEdit from './applyEdit';
+import emptyConfig from './emptyConfig';
+
+const TABLES = new Set<unknown>(Object.values(TableName));
+const KINDS = new Set<unknown>(Object.values(EditKind));
+
+const isEdit = (body: unknown): body is ConfigEdit => {
+  const edit = body as Partial<ConfigEdit> | null | undefined;
+  return (
+    TABLES.has(edit?.table) &&
+    KINDS.has(edit?.kind) &&
+    typeof edit?.name === 'string' &&
+    typeof edit.expectedVersion === 'number' &&
+    (edit.kind === EditKind.Remove || (typeof edit.value === 'object' && edit.value !== null))
+  );
+};
+
+/** Folds the configuration stream. The first edit against a row version wins. */
+const configFold: Fold<ConfigState> = {
+  initial: emptyConfig,
+  apply: (state, body, record) => {
+    const next = isEdit(body) ? applyEdit(state, body, record.offset) : undefined;
+    return next === undefined ? { state, accepted: false } : { state: next, accepted: true };
+  },
+};
+
+export default configFold;
--- /dev/null
+++ b/packages/config/src/findWorkspace.ts
@@ -0,0 +1,16 @@
+import { TableName, type TenantKey } from '@wisteriapath/model';
+import type ConfigState from './ConfigState';
+import getRow from './getRow';
+
+/**
+ * Finds the key row whose secret has the given hash; undefined for unknown and withdrawn keys.
+ *
+ * @example
+ * findWorkspace(state, sha256Hex(secret))?.workspace;
+ */
+const findWorkspace = (state: ConfigState, secretSha256: string): TenantKey | undefined => {
+  const name = state.keysByHash.get(secretSha256);
+  return name === undefined ? undefined : getRow(state, TableName.Keys, name)?.value;
+};
+
+export default findWorkspace;
--- /dev/null
+++ b/packages/config/src/formatFault.ts
@@ -0,0 +1,15 @@
+import type Fault from './Fault';
+
+/**
+ * One line for an operator.
+ *
+ * @example
+ * formatFault(fault); // 'routes.ini: [cup-guide] pool: is required'
+ */
+const formatFault = (fault: Fault): string => {
+  const section = fault.section === '' ? '' : ` [${fault.section}]`;
+  const key = fault.key === '' ? '' : ` ${fault.key}`;
+  return `${fault.file}:${section}${key}: ${fault.reason}`;
+};
+
+export default formatFault;
--- /dev/null
+++ b/packages/config/src/getRow.ts
@@ -0,0 +1,18 @@
+import type { TableName } from '@wisteriapath/model';
+import type ConfigState from './ConfigState';
+import type Row from './Row';
+import type RowOf from './RowOf';
+
+/**
+ * Looks up a row.
+ *
+ * @example
+ * getRow(state, TableName.Routes, 'cup-guide')?.value.deadlineMs;
+ */
+const getRow = <T extends TableName>(
+  state: ConfigState,
+  table: T,
+  name: string,
+): Row<RowOf[T]> | undefined => state.tables[table].get(name) as Row<RowOf[T]> | undefined;
+
+export default getRow;
--- /dev/null
+++ b/packages/config/src/index.ts
@@ -0,0 +1,26 @@
+/** Settings of a process and the operators' tables: their checks, their fold, their checkpoints. */
+export { default as applyEdit } from './applyEdit';
+export { default as configFold } from './configFold';
+export { default as ConfigCheckpoints } from './ConfigCheckpoints';
+export type { default as ConfigEdit } from './ConfigEdit';
+export type { default as ConfigState } from './ConfigState';
+export { default as decodeCheckpoint } from './decodeCheckpoint';
+export { default as diffTables } from './diffTables';
+export { default as EditKind } from './EditKind';
+export { default as emptyConfig } from './emptyConfig';
+export { default as encodeCheckpoint } from './encodeCheckpoint';
+export type { default as Fault } from './Fault';
+export { default as findWorkspace } from './findWorkspace';
+export { default as formatFault } from './formatFault';
+export { default as getRow } from './getRow';
+export { default as parseRow } from './parseRow';
+export { default as parseSettings } from './parseSettings';
+export { default as parseTable } from './parseTable';
+export type { default as Row } from './Row';
+export { default as rowName } from './rowName';
+export type { default as RowOf } from './RowOf';
+export { default as rowSchemas } from './rowSchemas';
+export type { default as Settings } from './Settings';
+export { default as settingsReference } from './settingsReference';
+export { default as settingsSchema } from './settingsSchema';
+export type { default as TableChange } from './TableChange';
--- /dev/null
+++ b/packages/config/src/parseRow.ts
@@ -0,0 +1,36 @@
+import { type Either, Left, Right } from 'purify-ts';
+import type { TableName } from '@wisteriapath/model';
+import type Fault from './Fault';
+import rowName from './rowName';
+import rowSchemas from './rowSchemas';
+
+/**
+ * Checks one row and fills in its defaults. `source` names the file or address it came from.
+ *
+ * @example
+ * parseRow('routes.ini', TableName.Routes, 'cup-guide', value).ifLeft(report);
+ */
+const parseRow = (
+  source: string,
+  table: TableName,
+  name: string,
+  value: unknown,
+): Either<Fault[], unknown> => {
+  const checkedName = rowName.safeParse(name);
+  if (!checkedName.success) {
+    const reason = `name ${checkedName.error.issues[0].message}`;
+    return Left([{ file: source, section: name, key: '', reason }]);
+  }
+  const parsed = rowSchemas[table].safeParse(value);
+  if (parsed.success) return Right(parsed.data);
+  return Left(
+    parsed.error.issues.map((issue) => ({
+      file: source,
+      section: name,
+      key: issue.path.join('.'),
+      reason: issue.message,
+    })),
+  );
+};
+
+export default parseRow;
--- /dev/null
+++ b/packages/config/src/parseSettings.ts
@@ -0,0 +1,26 @@
+import { parse } from 'ini';
+import { type Either, Left, Right } from 'purify-ts';
+import type Fault from './Fault';
+import type Settings from './Settings';
+import settingsSchema from './settingsSchema';
+
+/**
+ * Reads settings from INI text. All faults are reported at once.
+ *
+ * @example
+ * parseSettings('entry.ini', text).map((settings) => settings.instance.name);
+ */
+const parseSettings = (file: string, text: string): Either<Fault[], Settings> => {
+  const parsed = settingsSchema.safeParse(JSON.parse(JSON.stringify(parse(text))));
+  if (parsed.success) return Right(parsed.data);
+  return Left(
+    parsed.error.issues.flatMap((issue) => {
+      const [section = '', ...key] = issue.path.map(String);
+      const keys = issue.code === 'unrecognized_keys' ? issue.keys : [key.join('.')];
+      const reason = issue.code === 'unrecognized_keys' ? 'is not known' : issue.message;
+      return keys.map((name) => ({ file, section, key: name, reason }));
+    }),
+  );
+};
+
+export default parseSettings;
--- /dev/null
+++ b/packages/config/src/settingsReference.ts
@@ -0,0 +1,43 @@
+import { z } from 'zod';
+import settingsSchema from './settingsSchema';
+
+interface JsonSchema {
+  readonly properties?: Readonly<Record<string, JsonSchema>>;
+  readonly default?: unknown;
+  readonly description?: string;
+}
+
+const describeKey = ([key, schema]: [string, JsonSchema]): string => {
+  const fallback = schema.default === undefined ? 'required' : `\`${String(schema.default)}\``;
+  return `| \`${key}\` | ${fallback} | ${schema.description ?? ''} |`;
+};
+
+const describeSection = ([section, schema]: [string, JsonSchema]): string =>
+  [
+    `## [${section}]`,
+    '',
+    '| key | default | meaning |',
+    '| --- | --- | --- |',
+    ...Object.entries(schema.properties ?? {}).map(describeKey),
+    '',
+  ].join('\n');
+
+/**
+ * The reference page of all settings, in Markdown, made from their schema.
+ *
+ * @example
+ * writeFileSync('docs/settings.md', settingsReference());
+ */
+const settingsReference = (): string => {
+  const schema = z.toJSONSchema(settingsSchema, { io: 'input' }) as JsonSchema;
+  const sections = Object.entries(schema.properties ?? {}).map(describeSection);
+  return [
+    '# Settings',
+    '',
+    'Made from the schema by `npm run docs:settings`. The suffix of a key is its unit.',
+    '',
+    ...sections,
+  ].join('\n');
+};
+
+export default settingsReference;
--- /dev/null
+++ b/packages/daemon/src/CallerApi.ts
@@ -0,0 +1,234 @@
+import { randomUUID } from 'node:crypto';
+import Router from '@koa/router';
+import Koa, { type Context } from 'koa';
+import type { Logger } from 'pino';
+import { type Either, Left, Right } from 'purify-ts';
+import {
+  bearerSecret,
+  checkCall,
+  type CheckedCall,
+  type ConfigView,
+} from '@wisteriapath/admission';
+import { getRow, type Settings } from '@wisteriapath/config';
+import type { TokenPurse } from '@wisteriapath/ledger';
+import {
+  type Clock,
+  Deadline,
+  ErrorKind,
+  Ran,
+  ServeError,
+  sha256Hex,
+  TableName,
+} from '@wisteriapath/model';
+import {
+  type CallContext,
+  type CompletionRequest,
+  type HttpCall,
+  ModelCall,
+  parseCompletion,
+  type ServiceCall,
+} from '@wisteriapath/routing';
+import KoaSink from './KoaSink';
+import type Metrics from './Metrics';
+import answerError from './answerError';
+import forwardedHeaders from './forwardedHeaders';
+import readBody from './readBody';
+
+interface Parts {
+  readonly settings: Settings;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly metrics: Metrics;
+  readonly view: () => ConfigView;
+  readonly ready: () => boolean;
+  readonly stopping: () => boolean;
+  readonly waiting: () => number;
+  readonly purseOf: (workspace: string) => TokenPurse;
+  readonly modelParts: ConstructorParameters<typeof ModelCall>[0];
+  readonly serviceCall: ServiceCall;
+}
+
+const DEADLINE_HEADER = 'x-deadline-ms';
+const REQUEST_ID_HEADER = 'x-request-id';
+const MAX_DEADLINE_MS = 3_600_000;
+const COMPLETION_PATHS = ['/v1/chat/completions', '/v1/completions'];
+const SERVICE_PREFIX = '/services/';
+const OK = 'ok';
+
+/** The name of the route that answered, or why none did. */
+type Outcome = Either<ServeError, string>;
+
+type Handler = (context: Context, requestId: string) => Promise<Outcome>;
+
+const keySha256Of = (context: Context): string | null => {
+  const secret = bearerSecret(context.get('authorization'));
+  return secret === undefined ? null : sha256Hex(secret);
+};
+
+/** The HTTP interface towards callers. */
+class CallerApi {
+  readonly app = new Koa();
+
+  constructor(private readonly parts: Parts) {
+    const router = new Router();
+    router.post(COMPLETION_PATHS, (context) => this.handle(context, this.complete));
+    router.get('/v1/models', (context) => this.handle(context, this.listModels));
+    router.all(`${SERVICE_PREFIX}:route{/*path}`, (context) =>
+      this.handle(context, this.callService),
+    );
+    router.get('/healthz', (context) => {
+      context.body = { ok: true };
+    });
+    router.get('/readyz', (context) => {
+      const ready = parts.ready() && !parts.stopping();
+      context.status = ready ? 200 : 503;
+      context.body = { ready };
+    });
+    this.app.silent = true;
+    this.app.use(router.routes());
+  }
+
+  private async handle(context: Context, handler: Handler): Promise<void> {
+    const requestId = randomUUID();
+    const startedMs = this.parts.clock.nowMs();
+    context.set(REQUEST_ID_HEADER, requestId);
+    if (this.parts.stopping()) context.set('connection', 'close');
+    const result = await handler.call(this, context, requestId).catch((error: Error): Outcome => {
+      this.parts.logger.error({ requestId, reason: error.message }, 'request_failed');
+      return Left(ServeError.maybeRun(ErrorKind.Internal, 'the instance failed'));
+    });
+    const outcome = result.caseOf<string>({ Left: (error) => error.kind, Right: () => OK });
+    const durationMs = Math.round(this.parts.clock.nowMs() - startedMs);
+    const route = result.orDefault('');
+    this.parts.metrics.requests.inc({ route, outcome });
+    this.parts.metrics.requestSeconds.observe({ outcome }, durationMs / 1_000);
+    result.ifLeft((error) => {
+      const { kind, ran, message } = error;
+      this.parts.logger.info({ requestId, kind, ran, reason: message, durationMs }, 'refused');
+      if (!context.res.headersSent && context.res.writable) answerError(context, requestId, error);
+    });
+  }
+
+  private async listModels(context: Context): Promise<Either<ServeError, string>> {
+    const keySha256 = keySha256Of(context);
+    const view = this.parts.view();
+    const names = [...view.state.tables[TableName.Routes].keys()];
+    const allowed = names.filter((name) => checkCall(view, name, keySha256).isRight());
+    const data = allowed.sort().map((id) => ({ id, object: 'model' }));
+    context.body = { object: 'list', data };
+    return Right('models');
+  }
+
+  private async complete(context: Context, requestId: string): Promise<Either<ServeError, string>> {
+    const { requests } = this.parts.settings;
+    const body = await readBody(context, requests.max_body_bytes);
+    const parsed = body.chain((bytes) =>
+      parseCompletion(context.path, bytes.toString('utf8'), requests.max_new_tokens),
+    );
+    if (parsed.isLeft()) return parsed.map(() => '');
+    const { routeName, request } = parsed.unsafeCoerce();
+    const prepared = this.prepare(context, requestId, routeName);
+    if (prepared.isLeft()) return prepared.map(() => '');
+    const call = prepared.unsafeCoerce();
+    if (call.call.route.model === '') {
+      return Left(ServeError.notRun(ErrorKind.UnknownRoute, `route ${routeName} is not a model`));
+    }
+    const ended = await this.runModel(context, call, request);
+    return ended.map(() => routeName);
+  }
+
+  private async runModel(
+    context: Context,
+    call: CallContext,
+    request: CompletionRequest,
+  ): Promise<Either<ServeError, void>> {
+    const modelCall = new ModelCall(this.parts.modelParts, call, request, new KoaSink(context));
+    const { workspace } = call.call.caller;
+    if (workspace === null) return modelCall.run();
+    const tokens = request.promptTokens + request.maxTokens;
+    const { answer_margin_ms: marginMs } = this.parts.settings.requests;
+    const budgetBy = call.deadline.less(marginMs);
+    const reserved = await this.parts.purseOf(workspace).reserve(tokens, budgetBy);
+    if (reserved.isLeft()) return reserved.map(() => undefined);
+    const ended = await modelCall.run();
+    const ranNothing = ended
+      .swap()
+      .map((error) => error.ran === Ran.No)
+      .orDefault(false);
+    reserved.unsafeCoerce().settle(ranNothing ? 0 : modelCall.usedTokens);
+    return ended;
+  }
+
+  private async callService(
+    context: Context,
+    requestId: string,
+  ): Promise<Either<ServeError, string>> {
+    const [routeName, ...rest] = context.url.slice(SERVICE_PREFIX.length).split(/(?=[/?])/);
+    const prepared = this.prepare(context, requestId, routeName);
+    if (prepared.isLeft()) return prepared.map(() => '');
+    const call = prepared.unsafeCoerce();
+    if (call.call.route.model !== '') {
+      return Left(ServeError.notRun(ErrorKind.UnknownRoute, `route ${routeName} is not a service`));
+    }
+    const body = await readBody(context, this.parts.settings.requests.max_body_bytes);
+    if (body.isLeft()) return body.map(() => '');
+    const path = rest.join('');
+    const http: HttpCall = {
+      method: context.method,
+      path: path.startsWith('/') ? path : `/${path}`,
+      headers: forwardedHeaders(context.headers),
+      body: body.unsafeCoerce(),
+    };
+    const ended = await this.parts.serviceCall.run(call, http, new KoaSink(context));
+    return ended.map(() => routeName);
+  }
+
+  /** Checks headers, key and route, and whether there is room to wait. */
+  private prepare(
+    context: Context,
+    requestId: string,
+    routeName: string,
+  ): Either<ServeError, CallContext> {
+    const keySha256 = keySha256Of(context);
+    const recheck = () => checkCall(this.parts.view(), routeName, keySha256);
+    return recheck()
+      .chain((call) => this.room(call))
+      .chain((call) =>
+        this.deadline(context, call).map((deadline) => ({
+          requestId,
+          call,
+          deadline,
+          weight: this.weightOf(call),
+          recheck,
+        })),
+      );
+  }
+
+  private room(call: CheckedCall): Either<ServeError, CheckedCall> {
+    if (this.parts.waiting() < this.parts.settings.requests.max_waiting) return Right(call);
+    const message = 'too many requests wait in this instance';
+    return Left(ServeError.notRun(ErrorKind.CannotFit, message));
+  }
+
+  private deadline(context: Context, call: CheckedCall): Either<ServeError, Deadline> {
+    const header = context.get(DEADLINE_HEADER);
+    const durationMs = header === '' ? call.route.deadlineMs : Number(header);
+    if (!Number.isInteger(durationMs) || durationMs < 0 || durationMs > MAX_DEADLINE_MS) {
+      const message = `${DEADLINE_HEADER} must be a whole number of milliseconds`;
+      return Left(ServeError.notRun(ErrorKind.BadRequest, message));
+    }
+    if (durationMs === 0) {
+      return Left(ServeError.notRun(ErrorKind.DeadlineExpired, 'the deadline has passed'));
+    }
+    return Right(Deadline.after(this.parts.clock, durationMs));
+  }
+
+  private weightOf(call: CheckedCall): number {
+    const { workspace } = call.caller;
+    if (workspace === null) return 1;
+    const row = getRow(this.parts.view().state, TableName.Workspaces, workspace);
+    return row?.value.weight ?? 1;
+  }
+}
+
+export default CallerApi;
--- /dev/null
+++ b/packages/daemon/src/Cradle.ts
@@ -0,0 +1,80 @@
+import type { Logger } from 'pino';
+import type { ConfigView } from '@wisteriapath/admission';
+import type { ConfigCheckpoints, ConfigState, Settings } from '@wisteriapath/config';
+import type {
+  BudgetHome,
+  BudgetLink,
+  RoleHolder,
+  RoleKeeper,
+  RolesState,
+} from '@wisteriapath/ledger';
+import type { HttpLog, LogPort, RecordIds, StreamReplica } from '@wisteriapath/log-client';
+import type { Clock } from '@wisteriapath/model';
+import type {
+  DeathProver,
+  HttpInstanceList,
+  PeerClients,
+  PeerMesh,
+  StreamSet,
+} from '@wisteriapath/peer';
+import type { HttpTargetControl, Placer, PlacerLink } from '@wisteriapath/placement';
+import type {
+  ClaimDesk,
+  ClaimsState,
+  GuardedTarget,
+  PoisonRegistry,
+  RetryBudget,
+  RouteCaller,
+  ServiceCall,
+  TargetClient,
+} from '@wisteriapath/routing';
+import type Feeders from './Feeders';
+import type Metrics from './Metrics';
+import type Purses from './Purses';
+import type RoleDirectory from './RoleDirectory';
+
+/** Everything that an instance is made of, by name. */
+interface Cradle {
+  readonly settings: Settings;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly metrics: Metrics;
+  readonly ids: RecordIds;
+  /** This process as a holder of roles. */
+  readonly self: RoleHolder;
+
+  readonly httpLog: HttpLog;
+  readonly log: LogPort;
+  readonly checkpoints: ConfigCheckpoints;
+  readonly configReplica: StreamReplica<ConfigState>;
+  readonly rolesReplica: StreamReplica<RolesState>;
+  readonly claimShards: readonly StreamReplica<ClaimsState>[];
+  readonly view: () => ConfigView;
+
+  readonly instanceList: HttpInstanceList;
+  readonly peerClients: PeerClients;
+  readonly streams: StreamSet;
+  readonly mesh: PeerMesh;
+  readonly prover: DeathProver;
+
+  readonly roles: RoleDirectory;
+  readonly roleKeepers: readonly RoleKeeper[];
+  readonly budgetHome: BudgetHome;
+  readonly budgetLink: BudgetLink;
+  readonly purses: Purses;
+
+  readonly targetControl: HttpTargetControl;
+  readonly placer: Placer;
+  readonly placerLink: PlacerLink;
+  readonly feeders: Feeders;
+
+  readonly targetClient: TargetClient;
+  readonly poison: PoisonRegistry;
+  readonly guardedTarget: GuardedTarget;
+  readonly retries: RetryBudget;
+  readonly claimDesk: ClaimDesk;
+  readonly routeCaller: RouteCaller;
+  readonly serviceCall: ServiceCall;
+}
+
+export default Cradle;
--- /dev/null
+++ b/packages/daemon/src/Feeders.ts
@@ -0,0 +1,23 @@
+import type { RouteFeeder } from '@wisteriapath/placement';
+
+/** The feeders of the routes in use. */
+class Feeders {
+  private readonly feeders = new Map<string, RouteFeeder>();
+
+  constructor(private readonly create: (routeName: string) => RouteFeeder) {}
+
+  /** Requests that wait for a target. */
+  get waiting(): number {
+    return [...this.feeders.values()].reduce((sum, feeder) => sum + feeder.waiting, 0);
+  }
+
+  of(routeName: string): RouteFeeder {
+    const known = this.feeders.get(routeName);
+    if (known !== undefined) return known;
+    const feeder = this.create(routeName);
+    this.feeders.set(routeName, feeder);
+    return feeder;
+  }
+}
+
+export default Feeders;
--- /dev/null
+++ b/packages/daemon/src/GrpcBudgetLink.ts
@@ -0,0 +1,27 @@
+import { Just, type Maybe, Nothing } from 'purify-ts';
+import type { BudgetHome, BudgetLink, BudgetSync, BudgetSynced } from '@wisteriapath/ledger';
+import { callPeer, type PeerClients } from '@wisteriapath/peer';
+import type RoleDirectory from './RoleDirectory';
+import roleNames from './roleNames';
+
+const CALL_TIMEOUT_MS = 500;
+
+/** Reaches budget homes: this process's own directly, the others by gRPC. */
+class GrpcBudgetLink implements BudgetLink {
+  constructor(
+    private readonly roles: RoleDirectory,
+    private readonly clients: PeerClients,
+    private readonly ownHome: () => BudgetHome,
+  ) {}
+
+  async sync(failureDomain: string, request: BudgetSync): Promise<Maybe<BudgetSynced>> {
+    const holder = this.roles.holder(roleNames.budgetHome(failureDomain));
+    if (holder === undefined) return Nothing;
+    if (this.roles.isSelf(holder)) return Just(this.ownHome().sync(request));
+    const client = this.clients.get(holder.address);
+    const reply = await callPeer(client.syncBudget.bind(client), request, CALL_TIMEOUT_MS);
+    return reply.toMaybe();
+  }
+}
+
+export default GrpcBudgetLink;
--- /dev/null
+++ b/packages/daemon/src/OperatorApi.ts
@@ -0,0 +1,234 @@
+import Router from '@koa/router';
+import Koa, { type Context, type Next } from 'koa';
+import type { Logger } from 'pino';
+import { type Either, Left, Right } from 'purify-ts';
+import { bearerSecret } from '@wisteriapath/admission';
+import {
+  type ConfigEdit,
+  type ConfigState,
+  EditKind,
+  formatFault,
+  parseRow,
+  type Row,
+} from '@wisteriapath/config';
+import {
+  appendUntilSettled,
+  type LogPort,
+  type RecordIds,
+  SettlementKind,
+  type StreamReplica,
+} from '@wisteriapath/log-client';
+import {
+  type Clock,
+  Deadline,
+  ErrorKind,
+  ServeError,
+  sha256Hex,
+  TableName,
+} from '@wisteriapath/model';
+import type InstanceStatus from './InstanceStatus';
+import type Metrics from './Metrics';
+import answerError from './answerError';
+import readBody from './readBody';
+
+interface Parts {
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly metrics: Metrics;
+  readonly log: LogPort;
+  readonly ids: RecordIds;
+  readonly config: StreamReplica<ConfigState>;
+  readonly tokenSha256: string;
+  readonly status: () => InstanceStatus;
+  readonly explain: (route: string) => object | undefined;
+  /** Records that an operator vouches for an instance to be down; false if none is known. */
+  readonly vouchDown: (name: string) => Promise<boolean>;
+}
+
+const EDIT_TIMEOUT_MS = 8_000;
+const MAX_ROW_BYTES = 1_048_576;
+const EDIT_ID_HEADER = 'x-edit-id';
+const EDIT_ID = /^[\w:.-]{1,120}$/;
+const TABLES = new Set<string>(Object.values(TableName));
+
+const parseValue = (table: TableName, name: string, bytes: Buffer): Either<ServeError, unknown> => {
+  try {
+    const value: unknown = JSON.parse(bytes.toString('utf8'));
+    return parseRow(table, table, name, value).mapLeft((faults) =>
+      ServeError.notRun(ErrorKind.InvalidRow, faults.map(formatFault).join('; ')),
+    );
+  } catch {
+    return Left(ServeError.notRun(ErrorKind.BadRequest, 'the body is not valid JSON'));
+  }
+};
+
+const expectedVersionOf = (context: Context): Either<ServeError, number> => {
+  if (context.get('if-none-match') === '*') return Right(0);
+  const match = /^"?(\d+)"?$/.exec(context.get('if-match'));
+  if (match !== null) return Right(Number(match[1]));
+  const message = 'state the version with If-Match, or If-None-Match: * for a new row';
+  return Left(ServeError.notRun(ErrorKind.VersionRequired, message));
+};
+
+const answerRow = (context: Context, table: TableName, name: string, row: Row): void => {
+  context.set('etag', `"${row.version}"`);
+  context.body = { table, name, ...row };
+};
+
+/** The administration API. */
+class OperatorApi {
+  readonly app = new Koa();
+
+  constructor(private readonly parts: Parts) {
+    const router = new Router();
+    router.get('/metrics', async (context) => {
+      context.type = 'text/plain';
+      context.body = await parts.metrics.registry.metrics();
+    });
+    router.use('/admin', (context, next) => this.authorize(context, next));
+    router.get('/admin/status', (context) => {
+      context.body = parts.status();
+    });
+    router.get('/admin/explain/:route', (context) => {
+      const explained = parts.explain(context.params.route);
+      if (explained === undefined) this.refuseUnknown(context, 'there is no such route');
+      else context.body = explained;
+    });
+    router.post('/admin/instances/:name/confirm-down', async (context) => {
+      const { name } = context.params;
+      if (await parts.vouchDown(name)) context.body = { name };
+      else this.refuseUnknown(context, `no role is held by ${name}, or the log is down`);
+    });
+    router.get('/admin/:table', (context) => this.list(context));
+    router.get('/admin/:table/:name', (context) => this.get(context));
+    router.put('/admin/:table/:name', (context) => this.put(context));
+    router.delete('/admin/:table/:name', (context) => this.remove(context));
+    this.app.silent = true;
+    this.app.use(router.routes());
+  }
+
+  private async authorize(context: Context, next: Next): Promise<void> {
+    const secret = bearerSecret(context.get('authorization')) ?? '';
+    if (sha256Hex(secret) === this.parts.tokenSha256) await next();
+    else this.refuse(context, ErrorKind.Unauthenticated, 'the operator token is missing or wrong');
+  }
+
+  private refuse(context: Context, kind: ErrorKind, message: string): void {
+    answerError(context, this.parts.ids.next(), ServeError.notRun(kind, message));
+  }
+
+  private refuseUnknown(context: Context, message: string): void {
+    this.refuse(context, ErrorKind.NotFound, message);
+  }
+
+  private table(context: Context): TableName | undefined {
+    const { table } = context.params as { table: string };
+    if (TABLES.has(table)) return table as TableName;
+    this.refuse(context, ErrorKind.NotFound, `there is no table ${table}`);
+    return undefined;
+  }
+
+  private list(context: Context): void {
+    const table = this.table(context);
+    if (table === undefined) return;
+    const rows = this.parts.config.state.tables[table];
+    const offset = this.parts.config.nextOffset;
+    context.body = { table, offset, rows: Object.fromEntries(rows.sortBy((_row, name) => name)) };
+  }
+
+  private get(context: Context): void {
+    const table = this.table(context);
+    if (table === undefined) return;
+    const { name } = context.params as { name: string };
+    const row = this.parts.config.state.tables[table].get(name);
+    if (row === undefined) this.refuse(context, ErrorKind.NotFound, `${table}: no row ${name}`);
+    else answerRow(context, table, name, row);
+  }
+
+  private async put(context: Context): Promise<void> {
+    const table = this.table(context);
+    if (table === undefined) return;
+    const { name } = context.params as { name: string };
+    const body = await readBody(context, MAX_ROW_BYTES);
+    const edit = body
+      .chain((bytes) => parseValue(table, name, bytes))
+      .chain((value) =>
+        expectedVersionOf(context).map((expectedVersion) => ({
+          kind: EditKind.Set,
+          table,
+          name,
+          expectedVersion,
+          value,
+        })),
+      );
+    await this.submit(context, edit);
+  }
+
+  private async remove(context: Context): Promise<void> {
+    const table = this.table(context);
+    if (table === undefined) return;
+    const { name } = context.params as { name: string };
+    const edit = expectedVersionOf(context).map((expectedVersion) => ({
+      kind: EditKind.Remove,
+      table,
+      name,
+      expectedVersion,
+    }));
+    await this.submit(context, edit);
+  }
+
+  private async submit(context: Context, checked: Either<ServeError, ConfigEdit>): Promise<void> {
+    if (checked.isLeft()) {
+      answerError(context, this.parts.ids.next(), checked.extract());
+      return;
+    }
+    const edit = checked.unsafeCoerce();
+    const given = context.get(EDIT_ID_HEADER);
+    if (given !== '' && !EDIT_ID.test(given)) {
+      this.refuse(context, ErrorKind.BadRequest, `${EDIT_ID_HEADER} is not valid`);
+      return;
+    }
+    const editId = given === '' ? this.parts.ids.next() : given;
+    const { log, clock, config } = this.parts;
+    const deadline = Deadline.after(clock, EDIT_TIMEOUT_MS);
+    const settled = await appendUntilSettled({ log, clock }, config, editId, edit, deadline);
+    const { kind, table, name } = edit;
+    this.parts.logger.info({ editId, kind, table, name, result: settled.kind }, 'edit');
+    context.set(EDIT_ID_HEADER, editId);
+    this.answerEdit(context, edit, editId, settled.kind);
+  }
+
+  private answerEdit(
+    context: Context,
+    edit: ConfigEdit,
+    editId: string,
+    kind: SettlementKind,
+  ): void {
+    const { table, name } = edit;
+    const row = this.parts.config.state.tables[table].get(name);
+    const answers: Readonly<Record<SettlementKind, () => void>> = {
+      [SettlementKind.Accepted]: () => {
+        if (row !== undefined) context.set('etag', `"${row.version}"`);
+        context.body = { table, name, editId, version: row?.version ?? null };
+        (context.body as { offset?: number }).offset = this.parts.config.nextOffset;
+      },
+      [SettlementKind.Rejected]: () => {
+        const now = row === undefined ? 'does not exist' : `is at version ${row.version}`;
+        const message = `${table}: ${name} ${now}, the edit expected ${edit.expectedVersion}`;
+        this.refuse(context, ErrorKind.VersionConflict, message);
+        if (row !== undefined) context.set('etag', `"${row.version}"`);
+      },
+      [SettlementKind.NotWritten]: () => {
+        const message = 'the log cannot be reached; the edit was not made';
+        this.refuse(context, ErrorKind.LogUnavailable, message);
+      },
+      [SettlementKind.Unknown]: () => {
+        const message = `it is not known whether the edit was made; repeat it with ${EDIT_ID_HEADER}: ${editId}`;
+        this.refuse(context, ErrorKind.EditUnknown, message);
+      },
+    };
+    answers[kind]();
+  }
+}
+
+export default OperatorApi;
--- /dev/null
+++ b/packages/daemon/src/Purses.ts
@@ -0,0 +1,44 @@
+import { type BudgetLink, HomeAccount, TokenPurse } from '@wisteriapath/ledger';
+import { type Clock, rendezvousOrder } from '@wisteriapath/model';
+
+interface Parts {
+  readonly link: BudgetLink;
+  readonly clock: Clock;
+  readonly ownDomain: string;
+  readonly failureDomains: readonly string[];
+  /** Time for which borrowed tokens may be spent. */
+  readonly usableMs: number;
+}
+
+const REFRESHES_PER_TERM = 3;
+
+/** The purses of the workspaces in use. */
+class Purses {
+  private readonly purses = new Map<string, TokenPurse>();
+
+  constructor(private readonly parts: Parts) {}
+
+  of(workspace: string): TokenPurse {
+    const known = this.purses.get(workspace);
+    if (known !== undefined) return known;
+    const { clock, usableMs } = this.parts;
+    const accounts = this.domainOrder(workspace).map((domain) => this.account(workspace, domain));
+    const refreshMs = usableMs / REFRESHES_PER_TERM;
+    const purse = new TokenPurse({ workspace, accounts, clock, refreshMs });
+    this.purses.set(workspace, purse);
+    return purse;
+  }
+
+  private domainOrder(workspace: string): string[] {
+    const { ownDomain, failureDomains } = this.parts;
+    const others = failureDomains.filter((domain) => domain !== ownDomain);
+    return [ownDomain, ...rendezvousOrder(workspace, others)];
+  }
+
+  private account(workspace: string, failureDomain: string): HomeAccount {
+    const { link, clock, usableMs } = this.parts;
+    return new HomeAccount({ workspace, failureDomain, link, clock, usableMs });
+  }
+}
+
+export default Purses;
--- /dev/null
+++ b/packages/daemon/src/createDecisionRecorder.ts
@@ -0,0 +1,30 @@
+import { AppendResult, encodeEnvelope } from '@wisteriapath/log-client';
+import type { DecisionEvent } from '@wisteriapath/placement';
+import type Cradle from './Cradle';
+
+const RECORD_TIMEOUT_MS = 500;
+
+/**
+ * A function that logs a placement decision and appends it to the domain's decisions stream, waiting
+ * only for a bounded time: with the log down, the placer goes on.
+ *
+ * @example
+ * const record = createDecisionRecorder(cradle);
+ */
+const createDecisionRecorder = (cradle: Cradle): ((event: DecisionEvent) => Promise<void>) => {
+  const { log, ids, self, clock, logger, metrics } = cradle;
+  const stream = `decisions-${self.failureDomain}`;
+  return async (event) => {
+    logger.info(event, 'placement_decision');
+    metrics.placementDecisions.inc({ kind: event.kind, reason: event.reason });
+    const payload = encodeEnvelope({ id: ids.next(), body: event });
+    const appended = log.append(stream, [payload]);
+    const timeout = clock.sleep(RECORD_TIMEOUT_MS).then(() => AppendResult.Unknown);
+    const result = await Promise.race([appended, timeout]);
+    if (result !== AppendResult.Appended) {
+      logger.warn({ decision: event.decision, result }, 'decision_not_recorded');
+    }
+  };
+};
+
+export default createDecisionRecorder;
--- /dev/null
+++ b/packages/daemon/src/explainRoute.ts
@@ -0,0 +1,43 @@
+import { getRow } from '@wisteriapath/config';
+import { TableName } from '@wisteriapath/model';
+import { inService, placementDomains } from '@wisteriapath/placement';
+import type Cradle from './Cradle';
+import roleNames from './roleNames';
+
+/**
+ * Where a call of a route would go now, and why; undefined for an unknown route.
+ *
+ * @example
+ * explainRoute(cradle, 'cup-guide');
+ */
+const explainRoute = (cradle: Cradle, routeName: string): object | undefined => {
+  const { view, self, roles } = cradle;
+  const { state } = view();
+  const route = getRow(state, TableName.Routes, routeName)?.value;
+  if (route === undefined) return undefined;
+  const pool = getRow(state, TableName.Pools, route.pool)?.value;
+  if (pool === undefined) {
+    return { route: routeName, complete: false, reason: `pool ${route.pool} does not exist` };
+  }
+  const domains = placementDomains(state, route, pool, self.failureDomain);
+  const targets = Object.entries(pool.targets).map(([target, { failureDomain }]) => ({
+    target,
+    failureDomain,
+    inService: inService(state, failureDomain),
+  }));
+  return {
+    route: routeName,
+    complete: true,
+    order: domains.map((domain) => ({
+      failureDomain: domain,
+      placer: roles.holder(roleNames.placer(domain))?.name ?? null,
+    })),
+    targets,
+    reason:
+      route.model === ''
+        ? 'services are served nearby first'
+        : 'rendezvous hash of the model over the failure domains in service',
+  };
+};
+
+export default explainRoute;
--- /dev/null
+++ b/packages/daemon/src/readBody.ts
@@ -0,0 +1,26 @@
+import type { Context } from 'koa';
+import { type Either, Left, Right } from 'purify-ts';
+import rawBody from 'raw-body';
+import { ErrorKind, ServeError } from '@wisteriapath/model';
+
+/**
+ * Reads a request body of bounded length.
+ *
+ * @example
+ * const body = await readBody(context, 1_048_576);
+ */
+const readBody = async (
+  context: Context,
+  maxBytes: number,
+): Promise<Either<ServeError, Buffer>> => {
+  try {
+    return Right(await rawBody(context.req, { limit: maxBytes }));
+  } catch (error) {
+    const tooLarge = (error as { type?: string }).type === 'entity.too.large';
+    const kind = tooLarge ? ErrorKind.BodyTooLarge : ErrorKind.BadRequest;
+    const message = tooLarge ? `the body is over ${maxBytes} bytes` : 'the body did not come whole';
+    return Left(ServeError.notRun(kind, message));
+  }
+};
+
+export default readBody;
--- /dev/null
+++ b/packages/daemon/src/registerServing.ts
@@ -0,0 +1,83 @@
+import { asFunction, type AwilixContainer } from 'awilix';
+import { getRow } from '@wisteriapath/config';
+import { TableName } from '@wisteriapath/model';
+import { placementDomains, RouteFeeder } from '@wisteriapath/placement';
+import {
+  ClaimDesk,
+  GuardedTarget,
+  PoisonRegistry,
+  RetryBudget,
+  RouteCaller,
+  ServiceCall,
+  TargetClient,
+} from '@wisteriapath/routing';
+import type Cradle from './Cradle';
+import Feeders from './Feeders';
+import shareSuspects from './shareSuspects';
+
+const DRIFT_SHARE = 0.05;
+
+const createFeeder = (cradle: Cradle, routeName: string): RouteFeeder => {
+  const { self, placerLink, clock, view, settings } = cradle;
+  return new RouteFeeder({
+    routeName,
+    instance: self.incarnation,
+    link: placerLink,
+    clock,
+    usableMs: settings.placement.lease_term_ms * (1 - DRIFT_SHARE),
+    answerMarginMs: settings.requests.answer_margin_ms,
+    domains: () => {
+      const { state } = view();
+      const route = getRow(state, TableName.Routes, routeName)?.value;
+      const pool = route && getRow(state, TableName.Pools, route.pool)?.value;
+      if (route === undefined || pool === undefined) return [];
+      return placementDomains(state, route, pool, self.failureDomain);
+    },
+  });
+};
+
+/**
+ * Registers what carries requests to targets.
+ *
+ * @example
+ * registerServing(container);
+ */
+const registerServing = (container: AwilixContainer<Cradle>): void => {
+  const single = <T>(create: (cradle: Cradle) => T) => asFunction(create).singleton();
+  container.register({
+    feeders: single((cradle) => new Feeders((routeName) => createFeeder(cradle, routeName))),
+    targetClient: single(
+      ({ settings }) => new TargetClient({ silenceLimitMs: settings.requests.silence_limit_ms }),
+    ),
+    poison: single(
+      ({ mesh, peerClients }) =>
+        new PoisonRegistry((suspicions) => shareSuspects(mesh, peerClients, suspicions)),
+    ),
+    guardedTarget: single(({ targetClient, poison }) => new GuardedTarget(targetClient, poison)),
+    retries: single(() => new RetryBudget()),
+    claimDesk: single(
+      ({ log, clock, ids, claimShards }) => new ClaimDesk({ log, clock, ids, shards: claimShards }),
+    ),
+    routeCaller: single(
+      ({ clock, view, feeders, logger }) =>
+        new RouteCaller({
+          clock,
+          config: () => view().state,
+          feederOf: (routeName) => feeders.of(routeName),
+          logDecision: (event) => logger.info(event, 'routing_decision'),
+        }),
+    ),
+    serviceCall: single(
+      ({ routeCaller, guardedTarget, claimDesk, retries, settings }) =>
+        new ServiceCall({
+          caller: routeCaller,
+          targets: guardedTarget,
+          claims: claimDesk,
+          retries,
+          answerMarginMs: settings.requests.answer_margin_ms,
+        }),
+    ),
+  });
+};
+
+export default registerServing;
--- /dev/null
+++ b/packages/daemon/src/roleNames.ts
@@ -0,0 +1,7 @@
+/** Names of the roles of a failure domain. */
+const roleNames = {
+  placer: (failureDomain: string): string => `placer/${failureDomain}`,
+  budgetHome: (failureDomain: string): string => `home/${failureDomain}`,
+};
+
+export default roleNames;
--- /dev/null
+++ b/packages/ledger/src/BudgetHome.ts
@@ -0,0 +1,88 @@
+import type { Clock, Workspace } from '@wisteriapath/model';
+import type BudgetSync from './BudgetSync';
+import type BudgetSynced from './BudgetSynced';
+import EscrowBucket from './EscrowBucket';
+import type EscrowLimits from './EscrowLimits';
+
+interface Parts {
+  readonly clock: Clock;
+  /** Failure domains over which every workspace's budget is divided. */
+  readonly domainCount: number;
+  readonly workspaceOf: (name: string) => Workspace | undefined;
+  /** Epoch of this instance's tenure; undefined while it does not hold the role. */
+  readonly heldEpoch: () => number | undefined;
+  readonly writeOffMs: number;
+  /** Time for which loans of an earlier home may still be spent. */
+  readonly loanLifeMs: number;
+}
+
+const NOT_HOME: BudgetSynced = {
+  isHome: false,
+  epoch: 0,
+  sessionKnown: false,
+  lentTotal: 0,
+  retryAfterMs: 0,
+};
+
+/** Lends one failure domain's part of every workspace's tokens. */
+class BudgetHome {
+  private buckets = new Map<string, EscrowBucket>();
+
+  private bucketsEpoch = 0;
+
+  private epochSinceMs = 0;
+
+  constructor(private readonly parts: Parts) {}
+
+  sync(request: BudgetSync): BudgetSynced {
+    const epoch = this.parts.heldEpoch();
+    if (epoch === undefined) return NOT_HOME;
+    this.beginEpoch(epoch);
+    const bucket = this.bucketOf(request.workspace);
+    if (bucket === undefined) return { ...NOT_HOME, isHome: true, epoch, retryAfterMs: Infinity };
+    const { session, consumedTotal: consumed, returnedTotal: returned } = request;
+    const sameEpoch = request.epoch === 0 || request.epoch === epoch;
+    if (!sameEpoch || !bucket.settle(session, { consumed, returned })) {
+      return { ...NOT_HOME, isHome: true, epoch };
+    }
+    const { leastTokens, mostTokens, mayQueue } = request;
+    const lentTotal = bucket.lend(session, leastTokens, mostTokens, mayQueue);
+    const retryAfterMs = bucket.timeUntilMs(session, leastTokens);
+    return { isHome: true, epoch, sessionKnown: true, lentTotal, retryAfterMs };
+  }
+
+  /** Every tenure begins with empty buckets: the earlier holder may have lent all it had. */
+  private beginEpoch(epoch: number): void {
+    if (epoch === this.bucketsEpoch) return;
+    this.buckets = new Map();
+    this.bucketsEpoch = epoch;
+    this.epochSinceMs = this.parts.clock.nowMs();
+  }
+
+  private bucketOf(name: string): EscrowBucket | undefined {
+    const workspace = this.parts.workspaceOf(name);
+    if (workspace === undefined) return undefined;
+    const limits: EscrowLimits = {
+      ratePerS: workspace.rateTokensPerS / this.parts.domainCount,
+      burst: workspace.burstTokens / this.parts.domainCount,
+    };
+    const known = this.buckets.get(name);
+    if (known !== undefined) {
+      known.setLimits(limits);
+      return known;
+    }
+    const bucket = new EscrowBucket(limits, this.parts.clock, {
+      writeOffMs: this.parts.writeOffMs,
+      emptyForMs: this.remainingLoanLifeMs(),
+    });
+    this.buckets.set(name, bucket);
+    return bucket;
+  }
+
+  private remainingLoanLifeMs(): number {
+    const sinceMs = this.parts.clock.nowMs() - this.epochSinceMs;
+    return Math.max(0, this.parts.loanLifeMs - sinceMs);
+  }
+}
+
+export default BudgetHome;
--- /dev/null
+++ b/packages/ledger/src/HomeAccount.ts
@@ -0,0 +1,120 @@
+import { randomUUID } from 'node:crypto';
+import type { Clock } from '@wisteriapath/model';
+import type BudgetLink from './BudgetLink';
+import type BudgetSynced from './BudgetSynced';
+
+interface Parts {
+  readonly workspace: string;
+  readonly failureDomain: string;
+  readonly link: BudgetLink;
+  readonly clock: Clock;
+  /** Time after the last answered call for which loans may be spent. */
+  readonly usableMs: number;
+}
+
+/** Totals of one session; a reservation settles on the session it was made in. */
+interface Session {
+  readonly id: string;
+  epoch: number;
+  lentTotal: number;
+  consumedTotal: number;
+  returnedTotal: number;
+  reserved: number;
+}
+
+const newSession = (): Session => ({
+  id: randomUUID(),
+  epoch: 0,
+  lentTotal: 0,
+  consumedTotal: 0,
+  returnedTotal: 0,
+  reserved: 0,
+});
+
+/** What an instance borrowed of one workspace's tokens from the home of one failure domain. */
+class HomeAccount {
+  private session = newSession();
+
+  private confirmedAtMs = -Infinity;
+
+  constructor(private readonly parts: Parts) {}
+
+  get failureDomain(): string {
+    return this.parts.failureDomain;
+  }
+
+  /** Tokens that may be spent now. */
+  balance(): number {
+    this.expire();
+    const { lentTotal, consumedTotal, returnedTotal, reserved } = this.session;
+    return lentTotal - consumedTotal - returnedTotal - reserved;
+  }
+
+  /** True while the home must hear from this account within the term. */
+  get active(): boolean {
+    const { lentTotal, consumedTotal, returnedTotal } = this.session;
+    return lentTotal - consumedTotal - returnedTotal > 0;
+  }
+
+  /** Takes up to `tokens`; the returned function settles on the true count. */
+  take(tokens: number): { readonly tokens: number; settle(used: number): void } {
+    const taken = Math.max(0, Math.min(tokens, this.balance()));
+    const { session } = this;
+    session.reserved += taken;
+    return {
+      tokens: taken,
+      settle: (used) => {
+        session.reserved -= taken;
+        session.consumedTotal += Math.min(used, taken);
+      },
+    };
+  }
+
+  /** Gives back unspent tokens above `keep` at the next call to the home. */
+  giveBack(keep: number): void {
+    this.session.returnedTotal += Math.max(0, Math.floor(this.balance() - keep));
+  }
+
+  /** Calls the home; undefined if it did not answer. */
+  async sync(
+    leastTokens: number,
+    mostTokens: number,
+    mayQueue: boolean,
+  ): Promise<BudgetSynced | undefined> {
+    this.expire();
+    const { session } = this;
+    const startedMs = this.parts.clock.nowMs();
+    const reply = await this.parts.link.sync(this.parts.failureDomain, {
+      workspace: this.parts.workspace,
+      session: session.id,
+      epoch: session.epoch,
+      consumedTotal: session.consumedTotal,
+      returnedTotal: session.returnedTotal,
+      leastTokens,
+      mostTokens,
+      mayQueue,
+    });
+    const synced = reply.extract();
+    if (synced?.isHome !== true || this.session !== session) return undefined;
+    this.absorb(synced, startedMs);
+    return synced;
+  }
+
+  private absorb(synced: BudgetSynced, startedMs: number): void {
+    const { session } = this;
+    if (!synced.sessionKnown) {
+      this.session = newSession();
+      return;
+    }
+    session.epoch = synced.epoch;
+    session.lentTotal = Math.max(session.lentTotal, synced.lentTotal);
+    this.confirmedAtMs = Math.max(this.confirmedAtMs, startedMs);
+  }
+
+  private expire(): void {
+    const usable = this.parts.clock.nowMs() - this.confirmedAtMs < this.parts.usableMs;
+    if (!usable && this.session.lentTotal > 0) this.session = newSession();
+  }
+}
+
+export default HomeAccount;
--- /dev/null
+++ b/packages/ledger/src/TokenPurse.ts
@@ -0,0 +1,161 @@
+import { type Either, Left, Right } from 'purify-ts';
+import { type Clock, type Deadline, ErrorKind, ServeError } from '@wisteriapath/model';
+import type BudgetSynced from './BudgetSynced';
+import type HomeAccount from './HomeAccount';
+import type Reservation from './Reservation';
+
+const RETRY_CAP_MS = 400;
+const RETRY_FLOOR_MS = 20;
+const USE_MEMORY_MS = 500;
+
+interface Parts {
+  readonly workspace: string;
+  /** Accounts with every home, the own failure domain's first. */
+  readonly accounts: readonly HomeAccount[];
+  readonly clock: Clock;
+  readonly refreshMs: number;
+}
+
+const sum = (numbers: readonly number[]): number => numbers.reduce((a, b) => a + b, 0);
+
+/** An instance's tokens of one workspace: borrows for its requests, in their order. */
+class TokenPurse {
+  private queue: Promise<unknown> = Promise.resolve();
+
+  private emptyUntilMs = -Infinity;
+
+  private refreshing = false;
+
+  private used: { readonly atMs: number; readonly tokens: number }[] = [];
+
+  constructor(private readonly parts: Parts) {}
+
+  /**
+   * Reserves tokens, waiting for them up to the deadline. Refused at once where the home has named
+   * a time after the deadline, so that a flood does not reach it.
+   */
+  reserve(tokens: number, deadline: Deadline): Promise<Either<ServeError, Reservation>> {
+    const early = this.refuseEarly(deadline);
+    if (early !== undefined) return Promise.resolve(Left(early));
+    const turn = this.queue.then(() => this.reserveInTurn(tokens, deadline));
+    this.queue = turn;
+    return turn;
+  }
+
+  private refuseEarly(deadline: Deadline): ServeError | undefined {
+    const waitMs = this.emptyUntilMs - this.parts.clock.nowMs();
+    return waitMs > deadline.remainingMs() ? this.overRate(waitMs) : undefined;
+  }
+
+  private overRate(waitMs: number): ServeError {
+    const message = `workspace ${this.parts.workspace} is over its rate`;
+    const retryAfterMs = Number.isFinite(waitMs) ? Math.ceil(waitMs) : undefined;
+    return ServeError.notRun(ErrorKind.OverRate, message, retryAfterMs);
+  }
+
+  private async reserveInTurn(
+    tokens: number,
+    deadline: Deadline,
+  ): Promise<Either<ServeError, Reservation>> {
+    for (;;) {
+      const early = this.refuseEarly(deadline);
+      if (early !== undefined) return Left(early);
+      const answers = await this.gather(tokens);
+      if (this.balance() >= tokens) return Right(this.take(tokens));
+      const waitMs = this.waitAfter(answers, tokens);
+      if (deadline.expired()) {
+        return Left(waitMs === undefined ? this.unavailable() : this.overRate(waitMs));
+      }
+      if (waitMs !== undefined && waitMs > deadline.remainingMs()) {
+        this.emptyUntilMs = this.parts.clock.nowMs() + Math.min(waitMs, RETRY_CAP_MS);
+        return Left(this.overRate(waitMs));
+      }
+      const retryMs = Math.max(RETRY_FLOOR_MS, Math.min(waitMs ?? RETRY_CAP_MS, RETRY_CAP_MS));
+      await this.parts.clock.sleep(Math.min(retryMs, deadline.remainingMs()));
+    }
+  }
+
+  private unavailable(): ServeError {
+    const message = `no budget of workspace ${this.parts.workspace} can be reached`;
+    return ServeError.notRun(ErrorKind.BudgetUnavailable, message);
+  }
+
+  private balance(): number {
+    return sum(this.parts.accounts.map((account) => account.balance()));
+  }
+
+  /** Borrows what is missing, from the own domain's home first; answers of the homes asked. */
+  private async gather(tokens: number): Promise<BudgetSynced[]> {
+    const answers: BudgetSynced[] = [];
+    const [own, ...others] = this.parts.accounts;
+    const missing = () => Math.max(0, Math.ceil(tokens - this.balance()));
+    if (missing() === 0) return answers;
+    const headroom = this.recentUse();
+    const first = await own.sync(missing(), missing() + headroom, true);
+    if (first !== undefined) answers.push(first);
+    for (const account of others) {
+      if (missing() === 0) return answers;
+      const answer = await account.sync(1, missing() + headroom, false);
+      if (answer !== undefined) answers.push(answer);
+    }
+    return answers;
+  }
+
+  /** The soonest time at which a home expects to help; undefined if none answered. */
+  private waitAfter(answers: readonly BudgetSynced[], tokens: number): number | undefined {
+    if (answers.length === 0) return undefined;
+    const soonest = Math.min(...answers.map((answer) => answer.retryAfterMs));
+    const missing = tokens - this.balance();
+    return missing > 0 ? soonest : 0;
+  }
+
+  private take(tokens: number): Reservation {
+    this.used.push({ atMs: this.parts.clock.nowMs(), tokens });
+    const parts: ReturnType<HomeAccount['take']>[] = [];
+    let missing = tokens;
+    this.parts.accounts.forEach((account) => {
+      const part = account.take(missing);
+      missing -= part.tokens;
+      parts.push(part);
+    });
+    this.keepRefreshing();
+    return {
+      tokens,
+      settle: (usedTokens) => {
+        let left = usedTokens;
+        parts.forEach((part) => {
+          const used = Math.min(left, part.tokens);
+          part.settle(used);
+          left -= used;
+        });
+      },
+    };
+  }
+
+  private recentUse(): number {
+    const oldestMs = this.parts.clock.nowMs() - USE_MEMORY_MS;
+    this.used = this.used.filter((use) => use.atMs >= oldestMs);
+    return sum(this.used.map((use) => use.tokens));
+  }
+
+  private keepRefreshing(): void {
+    if (this.refreshing) return;
+    this.refreshing = true;
+    void this.refresh();
+  }
+
+  /** Reports to the homes and returns what is not needed, until nothing is held. */
+  private async refresh(): Promise<void> {
+    const { accounts, clock, refreshMs } = this.parts;
+    while (accounts.some((account) => account.active)) {
+      await clock.sleep(refreshMs);
+      const keep = this.recentUse();
+      const active = accounts.filter((account) => account.active);
+      active.forEach((account) => account.giveBack(keep));
+      await Promise.all(active.map((account) => account.sync(0, 0, false)));
+    }
+    this.refreshing = false;
+  }
+}
+
+export default TokenPurse;
--- /dev/null
+++ b/packages/ledger/src/index.ts
@@ -0,0 +1,16 @@
+/** Roles held through the log, and budgets whose units are always owned by somebody. */
+export { default as BudgetHome } from './BudgetHome';
+export type { default as BudgetLink } from './BudgetLink';
+export type { default as BudgetSync } from './BudgetSync';
+export type { default as BudgetSynced } from './BudgetSynced';
+export { default as EscrowBucket } from './EscrowBucket';
+export { default as HomeAccount } from './HomeAccount';
+export type { default as Reservation } from './Reservation';
+export type { default as RoleHolder } from './RoleHolder';
+export { default as RoleKeeper } from './RoleKeeper';
+export { default as RoleRecordKind } from './RoleRecordKind';
+export { default as rolesFold } from './rolesFold';
+export type { default as RolesState } from './RolesState';
+export { default as TakeoverReason } from './TakeoverReason';
+export type { default as Tenure } from './Tenure';
+export { default as TokenPurse } from './TokenPurse';
--- /dev/null
+++ b/packages/log-client/src/emptyFolded.ts
@@ -0,0 +1,17 @@
+import { OrderedMap } from 'immutable';
+import type Fold from './Fold';
+import type Folded from './Folded';
+
+/**
+ * A stream of which nothing has been folded.
+ *
+ * @example
+ * records.reduce((folded, record) => foldRecord(fold, folded, record), emptyFolded(fold));
+ */
+const emptyFolded = <S>(fold: Fold<S>): Folded<S> => ({
+  nextOffset: 0,
+  recentVerdicts: OrderedMap(),
+  state: fold.initial,
+});
+
+export default emptyFolded;
--- /dev/null
+++ b/packages/log-client/src/foldRecord.ts
@@ -0,0 +1,55 @@
+import type Envelope from './Envelope';
+import type Fold from './Fold';
+import type Folded from './Folded';
+import type LogRecord from './LogRecord';
+import RecordVerdict from './RecordVerdict';
+import decodeEnvelope from './decodeEnvelope';
+
+const RECENT_IDS_LIMIT = 4_096;
+
+type Verdicts = Folded<unknown>['recentVerdicts'];
+
+const remember = (verdicts: Verdicts, id: string, verdict: RecordVerdict): Verdicts => {
+  const next = verdicts.set(id, verdict);
+  return next.size > RECENT_IDS_LIMIT ? next.delete(next.keySeq().first()!) : next;
+};
+
+const foldCancel = <S>(folded: Folded<S>, id: string): Folded<S> => {
+  if (folded.recentVerdicts.has(id)) return folded;
+  const recentVerdicts = remember(folded.recentVerdicts, id, RecordVerdict.Cancelled);
+  return { ...folded, recentVerdicts };
+};
+
+const foldBody = <S>(
+  fold: Fold<S>,
+  folded: Folded<S>,
+  envelope: Envelope,
+  record: LogRecord,
+): Folded<S> => {
+  if (folded.recentVerdicts.has(envelope.id)) return folded;
+  const step = fold.apply(folded.state, envelope.body, record, envelope.id);
+  const verdict = step.accepted ? RecordVerdict.Accepted : RecordVerdict.Rejected;
+  const recentVerdicts = remember(folded.recentVerdicts, envelope.id, verdict);
+  return { ...folded, recentVerdicts, state: step.state };
+};
+
+/**
+ * Folds the next record of a stream. Records below `nextOffset` are skipped, repeats of an id and
+ * cancelled ids have no effect. The caller must pass records in offset order without a gap.
+ *
+ * @example
+ * folded = foldRecord(configFold, folded, record);
+ */
+const foldRecord = <S>(fold: Fold<S>, folded: Folded<S>, record: LogRecord): Folded<S> => {
+  if (record.offset < folded.nextOffset) return folded;
+  const advanced = { ...folded, nextOffset: record.offset + 1 };
+  return decodeEnvelope(record.payload).caseOf({
+    Nothing: () => advanced,
+    Just: (envelope) =>
+      envelope.cancels === undefined
+        ? foldBody(fold, advanced, envelope, record)
+        : foldCancel(advanced, envelope.cancels),
+  });
+};
+
+export default foldRecord;
--- /dev/null
+++ b/packages/log-client/src/index.ts
@@ -0,0 +1,22 @@
+/** Client of the platform's log: appends with unique ids, replicas that fold a stream in order. */
+export { default as AppendResult } from './AppendResult';
+export { default as appendUntilSettled } from './appendUntilSettled';
+export { default as backoffMs } from './backoffMs';
+export { default as BatchingLog } from './BatchingLog';
+export { default as decodeEnvelope } from './decodeEnvelope';
+export type { default as Envelope } from './Envelope';
+export { default as encodeEnvelope } from './encodeEnvelope';
+export type { default as Fold } from './Fold';
+export { default as emptyFolded } from './emptyFolded';
+export type { default as Folded } from './Folded';
+export { default as foldRecord } from './foldRecord';
+export type { default as FoldStep } from './FoldStep';
+export { default as HttpLog } from './HttpLog';
+export type { default as LogBatch } from './LogBatch';
+export type { default as LogPort } from './LogPort';
+export type { default as LogRecord } from './LogRecord';
+export { default as RecordIds } from './RecordIds';
+export { default as RecordVerdict } from './RecordVerdict';
+export type { default as Settlement } from './Settlement';
+export { default as SettlementKind } from './SettlementKind';
+export { default as StreamReplica } from './StreamReplica';
--- /dev/null
+++ b/packages/model/src/ErrorKind.ts
@@ -0,0 +1,31 @@
+/** The closed list of error kinds. Each has an answer in `errorAnswers`. */
+enum ErrorKind {
+  BadRequest = 'bad_request',
+  Unauthenticated = 'unauthenticated',
+  KeysStale = 'keys_stale',
+  Forbidden = 'forbidden',
+  UnknownRoute = 'unknown_route',
+  RouteIncomplete = 'route_incomplete',
+  BodyTooLarge = 'body_too_large',
+  DeadlineExpired = 'deadline_expired',
+  CannotFit = 'cannot_fit',
+  OverRate = 'over_rate',
+  BudgetUnavailable = 'budget_unavailable',
+  NoTarget = 'no_target',
+  PlacementUnavailable = 'placement_unavailable',
+  TargetFailed = 'target_failed',
+  Quarantined = 'quarantined',
+  LogUnavailable = 'log_unavailable',
+  ClaimInProgress = 'claim_in_progress',
+  OutcomeUnknown = 'outcome_unknown',
+  KeyReused = 'key_reused',
+  VersionRequired = 'version_required',
+  VersionConflict = 'version_conflict',
+  InvalidRow = 'invalid_row',
+  NotFound = 'not_found',
+  EditUnknown = 'edit_unknown',
+  Stopping = 'stopping',
+  Internal = 'internal',
+}
+
+export default ErrorKind;
--- /dev/null
+++ b/packages/model/src/TableName.ts
@@ -0,0 +1,10 @@
+/** The tables that operators edit. */
+enum TableName {
+  Routes = 'routes',
+  Pools = 'pools',
+  Keys = 'keys',
+  Workspaces = 'workspaces',
+  Zones = 'zones',
+}
+
+export default TableName;
--- /dev/null
+++ b/packages/model/src/TargetKind.ts
@@ -0,0 +1,7 @@
+/** Kinds of target. */
+enum TargetKind {
+  Engine = 'engine',
+  Service = 'service',
+}
+
+export default TargetKind;
--- /dev/null
+++ b/packages/model/src/ZoneState.ts
@@ -0,0 +1,7 @@
+/** Service state of a failure domain. */
+enum ZoneState {
+  In = 'in',
+  Out = 'out',
+}
+
+export default ZoneState;
--- /dev/null
+++ b/packages/model/src/index.ts
@@ -0,0 +1,24 @@
+/** Domain types, error kinds and small primitives shared by every package. */
+export { default as AnswerCode } from './AnswerCode';
+export type { default as Clock } from './Clock';
+export { default as Deadline } from './Deadline';
+export type { default as ErrorAnswer } from './ErrorAnswer';
+export { default as ErrorKind } from './ErrorKind';
+export { default as errorAnswers } from './errorAnswers';
+export type { default as InstanceAddress } from './InstanceAddress';
+export type { default as Pool } from './Pool';
+export { default as Ran } from './Ran';
+export { default as rendezvousOrder } from './rendezvousOrder';
+export { default as RequestClass } from './RequestClass';
+export type { default as Route } from './Route';
+export { default as RouteKind } from './RouteKind';
+export { default as ServeError } from './ServeError';
+export { default as sha256Hex } from './sha256Hex';
+export { default as systemClock } from './systemClock';
+export { default as TableName } from './TableName';
+export type { default as Target } from './Target';
+export { default as TargetKind } from './TargetKind';
+export type { default as TenantKey } from './TenantKey';
+export type { default as Workspace } from './Workspace';
+export type { default as Zone } from './Zone';
+export { default as ZoneState } from './ZoneState';
--- /dev/null
+++ b/packages/peer/src/PeerClients.ts
@@ -0,0 +1,34 @@
+import { credentials } from '@grpc/grpc-js';
+import { PeerClient } from './generated/peer';
+
+const CHANNEL_OPTIONS = {
+  'grpc.initial_reconnect_backoff_ms': 100,
+  'grpc.max_reconnect_backoff_ms': 1_000,
+  'grpc.keepalive_time_ms': 5_000,
+  'grpc.keepalive_timeout_ms': 2_000,
+};
+
+/** One gRPC client for each peer address in use. */
+class PeerClients {
+  private readonly clients = new Map<string, PeerClient>();
+
+  get(address: string): PeerClient {
+    const known = this.clients.get(address);
+    if (known !== undefined) return known;
+    const client = new PeerClient(address, credentials.createInsecure(), CHANNEL_OPTIONS);
+    this.clients.set(address, client);
+    return client;
+  }
+
+  drop(address: string): void {
+    this.clients.get(address)?.close();
+    this.clients.delete(address);
+  }
+
+  close(): void {
+    this.clients.forEach((client) => client.close());
+    this.clients.clear();
+  }
+}
+
+export default PeerClients;
--- /dev/null
+++ b/packages/placement/src/AcquireAnswer.ts
@@ -0,0 +1,17 @@
+import type { ErrorKind } from '@wisteriapath/model';
+
+/** A placer's answer. */
+interface AcquireAnswer {
+  readonly isPlacer: boolean;
+  readonly grants: readonly {
+    readonly target: string;
+    readonly url: string;
+    readonly slots: number;
+  }[];
+  /** Why there are no grants and none can be expected; `null` otherwise. */
+  readonly refusal: ErrorKind | null;
+  /** Expected time until a replica is ready; 0 if one is. */
+  readonly expectedReadyMs: number;
+}
+
+export default AcquireAnswer;
--- /dev/null
+++ b/packages/placement/src/HeldTarget.ts
@@ -0,0 +1,86 @@
+import type { Clock } from '@wisteriapath/model';
+import type AcquireAsk from './AcquireAsk';
+import type Slot from './Slot';
+import TargetOutcome from './TargetOutcome';
+
+interface Identity {
+  readonly name: string;
+  readonly url: string;
+  readonly failureDomain: string;
+}
+
+/** One target on which a route holds slots. */
+class HeldTarget {
+  private slots = 0;
+
+  private untilMs = 0;
+
+  private occupied = 0;
+
+  private outcomes: Record<TargetOutcome, number> = { succeeded: 0, failed: 0, slow: 0 };
+
+  constructor(
+    readonly identity: Identity,
+    private readonly clock: Clock,
+  ) {}
+
+  get inflight(): number {
+    return this.occupied;
+  }
+
+  /** Slots that may be used now, in use or not. */
+  get usableSlots(): number {
+    return this.clock.nowMs() < this.untilMs ? this.slots : 0;
+  }
+
+  get hasFreeSlot(): boolean {
+    return this.usableSlots > this.occupied;
+  }
+
+  /** True while a placer must hear of this target. */
+  get active(): boolean {
+    return this.slots > 0 || this.occupied > 0;
+  }
+
+  /** Share of the slots that is in use. */
+  get load(): number {
+    return this.occupied / Math.max(1, this.slots);
+  }
+
+  granted(slots: number, untilMs: number): void {
+    this.slots = slots;
+    this.untilMs = untilMs;
+  }
+
+  /** What happened since the last call. */
+  takeUse(): AcquireAsk['uses'][number] {
+    const { succeeded, failed, slow } = this.outcomes;
+    this.outcomes = { succeeded: 0, failed: 0, slow: 0 };
+    const { name: target } = this.identity;
+    const { usableSlots: heldSlots, occupied: inflight } = this;
+    return { target, heldSlots, inflight, succeeded, failed, slow };
+  }
+
+  /** Puts a request on the target; `onRelease` runs when its slot is free again. */
+  occupy(candidates: Slot['candidates'], onRelease: () => void): Slot {
+    this.occupied += 1;
+    const { name: target, url, failureDomain } = this.identity;
+    const leave = () => {
+      this.occupied -= 1;
+      onRelease();
+    };
+    return {
+      target,
+      url,
+      failureDomain,
+      candidates,
+      cancel: leave,
+      release: (outcome) => {
+        this.outcomes[outcome] += 1;
+        leave();
+      },
+    };
+  }
+}
+
+export default HeldTarget;
--- /dev/null
+++ b/packages/placement/src/SlotAsk.ts
@@ -0,0 +1,13 @@
+/** A holder's ask for slots of one target. */
+interface SlotAsk {
+  /** Instance and route. */
+  readonly holder: string;
+  readonly want: number;
+  /** Requests that the holder has in flight on the target. */
+  readonly inflight: number;
+  /** Slots that the holder believes to have. */
+  readonly heldSlots: number;
+  readonly assetIds: readonly string[];
+}
+
+export default SlotAsk;
--- /dev/null
+++ b/packages/placement/src/SlotRequest.ts
@@ -0,0 +1,16 @@
+import type { Deadline, RequestClass } from '@wisteriapath/model';
+
+/** A request's ask for a slot on some target of its route. */
+interface SlotRequest {
+  readonly workspace: string;
+  readonly weight: number;
+  readonly requestClass: RequestClass;
+  readonly cost: number;
+  readonly deadline: Deadline;
+  /** Targets that must not be chosen, because they failed the request before. */
+  readonly excluded: ReadonlySet<string>;
+  /** A hint, for prefix affinity. */
+  readonly preferred: (targets: readonly string[]) => string | undefined;
+}
+
+export default SlotRequest;
--- /dev/null
+++ b/packages/placement/src/TargetAgent.ts
@@ -0,0 +1,217 @@
+import { type Clock, type Target, TargetKind } from '@wisteriapath/model';
+import type Asset from './Asset';
+import ChargePhase from './ChargePhase';
+import type LoadReport from './LoadReport';
+import MemoryBook from './MemoryBook';
+import OrderKind from './OrderKind';
+import OrderResult from './OrderResult';
+import SlotLedger from './SlotLedger';
+import type TargetControl from './TargetControl';
+import type TargetOrder from './TargetOrder';
+import WarmupWindow from './WarmupWindow';
+
+const MISSED_REPORTS_LIMIT = 3;
+
+interface Parts {
+  readonly name: string;
+  readonly target: Target;
+  readonly control: TargetControl;
+  readonly clock: Clock;
+  /** The placer's epoch, the fencing number of all orders. */
+  readonly epoch: number;
+  readonly pollIntervalMs: number;
+  readonly leaseTermMs: number;
+  /** Memory that assets may take; the rest is kept for KV cache. */
+  readonly assetMemoryMb: number;
+  /** Whether an order may be sent now. */
+  readonly mayOrder: () => boolean;
+  /** Takes a permit of the weight store for a load from the remote tier. */
+  readonly takePermit: (assetId: string) => boolean;
+  readonly returnPermit: (assetId: string) => void;
+  /** The target refused an order as stale: this placer has been replaced. */
+  readonly onStale: () => void;
+}
+
+/** A placer's task for one target: reads its reports, sends its orders, keeps its books. */
+class TargetAgent {
+  readonly window: WarmupWindow;
+
+  readonly slots: SlotLedger;
+
+  readonly memory: MemoryBook;
+
+  private loads: Asset[] = [];
+
+  private unloads: Asset[] = [];
+
+  private sequence = 0;
+
+  /** The order whose outcome is not known yet. */
+  private unsettled: TargetOrder | undefined;
+
+  private report: LoadReport | undefined;
+
+  private missedReports = 0;
+
+  private readonly stopping = new AbortController();
+
+  private wakeUp = new AbortController();
+
+  constructor(private readonly parts: Parts) {
+    this.window = new WarmupWindow(parts.target.capacity);
+    this.slots = new SlotLedger(parts.clock, parts.leaseTermMs);
+    this.memory = new MemoryBook(parts.assetMemoryMb, parts.clock);
+  }
+
+  get name(): string {
+    return this.parts.name;
+  }
+
+  get target(): Target {
+    return this.parts.target;
+  }
+
+  /** True once a report that reflects this placer's fence was absorbed and reports keep coming. */
+  get usable(): boolean {
+    return this.report !== undefined && this.missedReports < MISSED_REPORTS_LIMIT;
+  }
+
+  /** Whether the target has everything ready. */
+  serves(assets: readonly Asset[]): boolean {
+    const ids = assets.map((asset) => asset.id);
+    return this.usable && this.memory.has(ids, [ChargePhase.Ready]);
+  }
+
+  /** Whether all of it is loaded or being loaded. */
+  expects(assets: readonly Asset[]): boolean {
+    const ids = assets.map((asset) => asset.id);
+    return this.memory.has(ids, [ChargePhase.Decided, ChargePhase.Loading, ChargePhase.Ready]);
+  }
+
+  /** Nearest tier of an asset's checkpoint. */
+  tier(assetId: string): 'memory' | 'disk' | 'remote' {
+    return this.report?.tiers[assetId] ?? 'remote';
+  }
+
+  /** Whether loads and unloads may be decided for the target. */
+  get changeable(): boolean {
+    return this.usable && this.target.kind === TargetKind.Engine && this.parts.mayOrder();
+  }
+
+  get queuedLoads(): number {
+    return this.loads.length;
+  }
+
+  load(asset: Asset): void {
+    this.memory.decide(asset);
+    this.loads.push(asset);
+  }
+
+  unload(asset: Asset): void {
+    this.unloads.push(asset);
+    this.memory.unloading(asset, Infinity);
+  }
+
+  /** Wakes the task, after a decision. */
+  wake(): void {
+    this.wakeUp.abort();
+  }
+
+  start(): void {
+    void this.run();
+  }
+
+  stop(): void {
+    this.stopping.abort();
+    this.wake();
+  }
+
+  private async run(): Promise<void> {
+    const { signal } = this.stopping;
+    while (!signal.aborted) {
+      await this.poll();
+      if (this.target.kind === TargetKind.Engine) await this.sendOrders();
+      if (this.wakeUp.signal.aborted) this.wakeUp = new AbortController();
+      else await this.parts.clock.sleep(this.nextPollMs(), this.wakeUp.signal);
+    }
+  }
+
+  /** Reports are read more often while a load or unload is under way. */
+  private nextPollMs(): number {
+    const settled = this.memory.all().every((charge) => charge.phase === ChargePhase.Ready);
+    return settled && this.usable ? this.parts.pollIntervalMs : this.parts.pollIntervalMs / 10;
+  }
+
+  private async poll(): Promise<void> {
+    const read = await this.parts.control.report(this.target.url);
+    read.caseOf({
+      Nothing: () => {
+        this.missedReports += 1;
+      },
+      Just: (report) => this.absorb(report),
+    });
+  }
+
+  private absorb(report: LoadReport): void {
+    const fenced = report.lastOrder.fencing === this.parts.epoch;
+    if (this.target.kind === TargetKind.Engine && !fenced) return;
+    this.missedReports = 0;
+    if (this.report?.incarnation !== report.incarnation) this.beginIncarnation(report);
+    this.report = report;
+    this.memory.absorb(report).forEach((asset) => this.parts.returnPermit(asset.id));
+    this.slots.reconcile(report.inflight);
+    report.assets
+      .filter((asset) => asset.ready)
+      .forEach((asset) => this.parts.returnPermit(asset.id));
+  }
+
+  private beginIncarnation(report: LoadReport): void {
+    if (this.report !== undefined) this.memory.lost();
+    this.window.reset();
+    this.window.succeeded(report.finished);
+  }
+
+  private async sendOrders(): Promise<void> {
+    const order = this.unsettled ?? this.nextOrder();
+    if (order === undefined) return;
+    this.unsettled = order;
+    const result = await this.parts.control.order(this.target.url, order);
+    if (result === OrderResult.Unknown) return;
+    this.unsettled = undefined;
+    if (result === OrderResult.Stale) this.parts.onStale();
+    else this.wake();
+  }
+
+  private nextOrder(): TargetOrder | undefined {
+    if (this.sequence === 0) return this.number(OrderKind.Fence, { id: '', sizeMb: 0 });
+    if (!this.changeable) return undefined;
+    return this.nextUnload() ?? this.nextLoad();
+  }
+
+  private nextUnload(): TargetOrder | undefined {
+    const next = this.unloads.find((asset) => !this.slots.inUse(asset.id));
+    if (next === undefined) return undefined;
+    this.unloads = this.unloads.filter((asset) => asset !== next);
+    const order = this.number(OrderKind.Unload, next);
+    this.memory.unloading(next, order.sequence);
+    return order;
+  }
+
+  private nextLoad(): TargetOrder | undefined {
+    const [next] = this.loads;
+    if (next === undefined || !this.memory.fitsNow(next)) return undefined;
+    if (this.tier(next.id) === 'remote' && !this.parts.takePermit(next.id)) return undefined;
+    this.loads.shift();
+    const order = this.number(OrderKind.Load, next);
+    this.memory.sending(next, order.sequence);
+    return order;
+  }
+
+  private number(kind: OrderKind, asset: Asset): TargetOrder {
+    this.sequence += 1;
+    const { id: assetId, sizeMb } = asset;
+    return { kind, assetId, sizeMb, fencing: this.parts.epoch, sequence: this.sequence };
+  }
+}
+
+export default TargetAgent;
--- /dev/null
+++ b/packages/placement/src/inService.ts
@@ -0,0 +1,13 @@
+import { type ConfigState, getRow } from '@wisteriapath/config';
+import { TableName, ZoneState } from '@wisteriapath/model';
+
+/**
+ * Whether a failure domain takes new work.
+ *
+ * @example
+ * if (!inService(state, 'khomas-a')) refuse();
+ */
+const inService = (state: ConfigState, failureDomain: string): boolean =>
+  getRow(state, TableName.Zones, failureDomain)?.value.state !== ZoneState.Out;
+
+export default inService;
--- /dev/null
+++ b/packages/placement/src/index.ts
@@ -0,0 +1,27 @@
+/** Which replicas are loaded where, and who may send how much to each target. */
+export type { default as AcquireAsk } from './AcquireAsk';
+export type { default as AcquireAnswer } from './AcquireAnswer';
+export type { default as Asset } from './Asset';
+export { default as assetsOf } from './assetsOf';
+export type { default as DecisionEvent } from './DecisionEvent';
+export { default as ChargePhase } from './ChargePhase';
+export { default as HttpTargetControl } from './HttpTargetControl';
+export { default as IdleGaps } from './IdleGaps';
+export { default as inService } from './inService';
+export type { default as LoadReport } from './LoadReport';
+export { default as OrderKind } from './OrderKind';
+export { default as OrderResult } from './OrderResult';
+export { default as MemoryBook } from './MemoryBook';
+export { default as Placer } from './Placer';
+export type { default as PlacerLink } from './PlacerLink';
+export { default as placementDomains } from './placementDomains';
+export { default as RouteFeeder } from './RouteFeeder';
+export type { default as Slot } from './Slot';
+export type { default as SlotAsk } from './SlotAsk';
+export { default as SlotLedger } from './SlotLedger';
+export type { default as SlotRequest } from './SlotRequest';
+export type { default as TargetControl } from './TargetControl';
+export type { default as TargetOrder } from './TargetOrder';
+export { default as TargetOutcome } from './TargetOutcome';
+export { default as TargetAgent } from './TargetAgent';
+export { default as WarmupWindow } from './WarmupWindow';
--- /dev/null
+++ b/packages/placement/src/placementDomains.ts
@@ -0,0 +1,27 @@
+import type { ConfigState } from '@wisteriapath/config';
+import { type Pool, rendezvousOrder, type Route, RouteKind } from '@wisteriapath/model';
+import inService from './inService';
+
+/**
+ * Failure domains that may carry a route, in the order in which they are asked. Models have one
+ * home domain whichever instance asks, so that a burst ends in one decision; services are served
+ * nearby first.
+ *
+ * @example
+ * const [home] = placementDomains(state, route, pool, 'khomas-a');
+ */
+const placementDomains = (
+  state: ConfigState,
+  route: Route,
+  pool: Pool,
+  ownDomain: string,
+): readonly string[] => {
+  const domains = new Set(Object.values(pool.targets).map((target) => target.failureDomain));
+  const serving = [...domains].filter((domain) => inService(state, domain));
+  const key = route.kind === RouteKind.Model ? `${route.model}/${route.adapter ?? ''}` : ownDomain;
+  const order = rendezvousOrder(key, serving);
+  if (route.kind === RouteKind.Model || !order.includes(ownDomain)) return order;
+  return [ownDomain, ...order.filter((domain) => domain !== ownDomain)];
+};
+
+export default placementDomains;
--- /dev/null
+++ b/packages/routing/src/ClaimRecordKind.ts
@@ -0,0 +1,8 @@
+/** Kinds of record of a claims stream. */
+enum ClaimRecordKind {
+  Claim = 'claim',
+  Release = 'release',
+  Outcome = 'outcome',
+}
+
+export default ClaimRecordKind;
--- /dev/null
+++ b/packages/routing/src/CompletionWriter.ts
@@ -0,0 +1,78 @@
+import type AnswerSink from './AnswerSink';
+
+interface Choice {
+  readonly text?: string;
+  readonly delta?: { readonly content?: string };
+}
+
+interface Chunk {
+  readonly choices?: readonly Choice[];
+  readonly usage?: { readonly prompt_tokens: number; readonly completion_tokens: number };
+}
+
+const STREAM_HEADERS = { 'content-type': 'text/event-stream', 'cache-control': 'no-cache' };
+const OK = 200;
+
+/** Passes an engine's events on to the caller, as a stream or joined to one answer. */
+class CompletionWriter {
+  /** Tokens that the caller has been sent or that are kept for it; where a resume begins. */
+  tokens = 0;
+
+  private text = '';
+
+  private usage: Chunk['usage'];
+
+  constructor(
+    private readonly sink: AnswerSink,
+    private readonly routeName: string,
+    private readonly requestId: string,
+    private readonly stream: boolean,
+  ) {}
+
+  /** Tokens of prompt and answer as the engine counted them, undefined before the end. */
+  get countedTokens(): number | undefined {
+    return this.usage && this.usage.prompt_tokens + this.usage.completion_tokens;
+  }
+
+  async event(data: string): Promise<void> {
+    const chunk = JSON.parse(data) as Chunk;
+    const [choice] = chunk.choices ?? [];
+    const text = choice?.delta?.content ?? choice?.text;
+    if (text !== undefined) {
+      this.tokens += 1;
+      this.text += text;
+    }
+    this.usage = chunk.usage ?? this.usage;
+    if (!this.stream) return;
+    this.begin();
+    const named = { ...chunk, id: this.requestId, model: this.routeName };
+    await this.sink.write(`data: ${JSON.stringify(named)}\n\n`);
+  }
+
+  async finish(): Promise<void> {
+    if (this.stream) {
+      this.begin();
+      await this.sink.write('data: [DONE]\n\n');
+    } else {
+      this.sink.begin(OK, { 'content-type': 'application/json' });
+      await this.sink.write(JSON.stringify(this.whole()));
+    }
+    this.sink.end();
+  }
+
+  private begin(): void {
+    if (!this.sink.begun) this.sink.begin(OK, STREAM_HEADERS);
+  }
+
+  private whole(): object {
+    const message = { role: 'assistant', content: this.text };
+    return {
+      id: this.requestId,
+      model: this.routeName,
+      choices: [{ index: 0, message, text: this.text, finish_reason: 'stop' }],
+      usage: this.usage,
+    };
+  }
+}
+
+export default CompletionWriter;
--- /dev/null
+++ b/packages/routing/src/estimateTokens.ts
@@ -0,0 +1,11 @@
+const CHARS_PER_TOKEN = 4;
+
+/**
+ * Tokens that a text is taken for before an engine has counted them.
+ *
+ * @example
+ * estimateTokens('a dented cup'); // 3
+ */
+const estimateTokens = (text: string): number => Math.ceil(text.length / CHARS_PER_TOKEN);
+
+export default estimateTokens;
--- /dev/null
+++ b/packages/routing/src/index.ts
@@ -0,0 +1,20 @@
+/** How a checked call reaches a target and its answer the caller. */
+export type { default as AnswerSink } from './AnswerSink';
+export type { default as CallContext } from './CallContext';
+export { default as ClaimDesk } from './ClaimDesk';
+export type { default as ClaimEntry } from './ClaimEntry';
+export { default as ClaimPhase } from './ClaimPhase';
+export { default as ClaimRecordKind } from './ClaimRecordKind';
+export type { default as ClaimsState } from './ClaimsState';
+export { default as createClaimsFold } from './createClaimsFold';
+export type { default as CompletionRequest } from './CompletionRequest';
+export { default as GuardedTarget } from './GuardedTarget';
+export type { default as HttpCall } from './HttpCall';
+export { default as parseCompletion } from './parseCompletion';
+export { default as ModelCall } from './ModelCall';
+export { default as PoisonRegistry } from './PoisonRegistry';
+export { default as RetryBudget } from './RetryBudget';
+export { default as RouteCaller } from './RouteCaller';
+export type { default as RoutingEvent } from './RoutingEvent';
+export { default as ServiceCall } from './ServiceCall';
+export { default as TargetClient } from './TargetClient';
--- /dev/null
+++ b/packages/routing/src/parseCompletion.ts
@@ -0,0 +1,74 @@
+import { type Either, Left, Right } from 'purify-ts';
+import { ErrorKind, ServeError, sha256Hex } from '@wisteriapath/model';
+import type CompletionRequest from './CompletionRequest';
+import estimateTokens from './estimateTokens';
+
+const PREFIX_CHARS = 512;
+const MAX_TOKENS_LIMIT = 1_000_000;
+
+interface Parsed {
+  readonly routeName: string;
+  readonly request: CompletionRequest;
+}
+
+const bad = (message: string): Either<ServeError, never> =>
+  Left(ServeError.notRun(ErrorKind.BadRequest, message));
+
+const isMessage = (value: unknown): value is { content: string } =>
+  typeof (value as { content?: unknown } | null)?.content === 'string';
+
+const promptOf = (body: Readonly<Record<string, unknown>>): string | undefined => {
+  if (typeof body.prompt === 'string') return body.prompt;
+  if (!Array.isArray(body.messages) || !body.messages.every(isMessage)) return undefined;
+  return body.messages.map((message) => message.content).join('\n');
+};
+
+const maxTokensOf = (body: Readonly<Record<string, unknown>>, fallback: number): unknown =>
+  body.max_tokens ?? body.max_completion_tokens ?? fallback;
+
+const parseJson = (text: string): Either<ServeError, Readonly<Record<string, unknown>>> => {
+  try {
+    const value: unknown = JSON.parse(text);
+    const isObject = typeof value === 'object' && value !== null && !Array.isArray(value);
+    return isObject ? Right(value as Record<string, unknown>) : bad('the body must be an object');
+  } catch {
+    return bad('the body is not valid JSON');
+  }
+};
+
+/**
+ * Checks the body of a completion request. The route stands under `model`.
+ *
+ * @example
+ * parseCompletion('/v1/completions', text, 512).map(({ routeName }) => routeName);
+ */
+const parseCompletion = (
+  path: string,
+  text: string,
+  defaultMaxTokens: number,
+): Either<ServeError, Parsed> =>
+  parseJson(text).chain((body) => {
+    const prompt = promptOf(body);
+    const maxTokens = maxTokensOf(body, defaultMaxTokens);
+    if (typeof body.model !== 'string' || body.model === '') return bad('model: is required');
+    if (prompt === undefined) return bad('prompt or messages: is required, with texts');
+    if (body.stream !== undefined && typeof body.stream !== 'boolean') {
+      return bad('stream: must be true or false');
+    }
+    const inRange =
+      Number.isInteger(maxTokens) &&
+      (maxTokens as number) > 0 &&
+      (maxTokens as number) <= MAX_TOKENS_LIMIT;
+    if (!inRange) return bad('max_tokens: must be a positive whole number');
+    const request: CompletionRequest = {
+      path,
+      body,
+      stream: body.stream === true,
+      maxTokens: maxTokens as number,
+      promptTokens: estimateTokens(prompt),
+      prefixSha256: sha256Hex(prompt.slice(0, PREFIX_CHARS)),
+    };
+    return Right({ routeName: body.model, request });
+  });
+
+export default parseCompletion;
--- /dev/null
+++ b/packages/standins/src/FaultSwitch.ts
@@ -0,0 +1,78 @@
+import type { Middleware } from 'koa';
+import { systemClock } from '@wisteriapath/model';
+import FaultKind from './FaultKind';
+
+interface Fault {
+  readonly kind: FaultKind;
+  readonly delayMs: number;
+  /** Requests that the fault still applies to; -1 for all. */
+  readonly remaining: number;
+  /** Applies only to requests of this method, if stated. */
+  readonly method?: string;
+}
+
+type Handler = (
+  context: Parameters<Middleware>[0],
+  next: () => Promise<unknown>,
+  fault: Fault,
+) => Promise<void>;
+
+const NO_FAULT: Fault = { kind: FaultKind.None, delayMs: 0, remaining: -1 };
+const UNAVAILABLE = 503;
+const CONTROL_PATHS = new Set(['/faults', '/state']);
+
+const breakConnection = (context: Parameters<Middleware>[0]) => {
+  context.respond = false;
+  context.req.socket.destroy();
+};
+
+const HANDLERS: Readonly<Record<FaultKind, Handler>> = {
+  [FaultKind.None]: async (_context, next) => {
+    await next();
+  },
+  [FaultKind.Slow]: async (_context, next, fault) => {
+    await systemClock.sleep(fault.delayMs);
+    await next();
+  },
+  [FaultKind.Refuse]: async (context) => {
+    context.status = UNAVAILABLE;
+    context.body = { error: 'switched to refuse' };
+  },
+  [FaultKind.Down]: async (context) => breakConnection(context),
+  [FaultKind.LoseAnswer]: async (context, next) => {
+    await next();
+    breakConnection(context);
+  },
+  [FaultKind.Silent]: async (context) => {
+    context.respond = false;
+  },
+  [FaultKind.LateEffect]: async (context, next, fault) => {
+    const late = systemClock.sleep(fault.delayMs).then(next);
+    void late.then(() => breakConnection(context));
+    context.respond = false;
+    await late;
+  },
+};
+
+/** The fault that a stand-in is switched to, and the middleware that brings it about. */
+class FaultSwitch {
+  private fault = NO_FAULT;
+
+  set(fault: Partial<Fault>): void {
+    this.fault = { ...NO_FAULT, ...fault };
+  }
+
+  readonly middleware: Middleware = async (context, next) => {
+    const { fault } = this;
+    const applies =
+      fault.remaining !== 0 && (fault.method === undefined || fault.method === context.method);
+    if (CONTROL_PATHS.has(context.path) || !applies) {
+      await next();
+      return;
+    }
+    if (fault.remaining > 0) this.fault = { ...fault, remaining: fault.remaining - 1 };
+    await HANDLERS[fault.kind](context, next, fault);
+  };
+}
+
+export default FaultSwitch;
--- /dev/null
+++ b/packages/standins/src/LoadedModel.ts
@@ -0,0 +1,27 @@
+/** A model or adapter in an engine stand-in. */
+class LoadedModel {
+  private phase: 'loading' | 'ready' | 'unloading' = 'loading';
+
+  constructor(
+    readonly id: string,
+    readonly sizeMb: number,
+  ) {}
+
+  get ready(): boolean {
+    return this.phase === 'ready';
+  }
+
+  get loading(): boolean {
+    return this.phase === 'loading';
+  }
+
+  finishLoading(): void {
+    if (this.loading) this.phase = 'ready';
+  }
+
+  beginUnloading(): void {
+    this.phase = 'unloading';
+  }
+}
+
+export default LoadedModel;
--- /dev/null
+++ b/packages/standins/src/LogStream.ts
@@ -0,0 +1,63 @@
+interface StoredRecord {
+  readonly offset: number;
+  readonly atMs: number;
+  readonly payload: string;
+}
+
+const MAX_BATCH = 1_000;
+
+/** One append-only stream, in memory. */
+class LogStream {
+  private records: StoredRecord[] = [];
+
+  private endOffset = 0;
+
+  private wakers: (() => void)[] = [];
+
+  constructor(private readonly retentionMs: number) {}
+
+  append(payloads: readonly string[]): number {
+    const first = this.endOffset;
+    const atMs = Date.now();
+    payloads.forEach((payload, position) => {
+      this.records.push({ offset: first + position, atMs, payload });
+    });
+    this.endOffset += payloads.length;
+    this.wakers.splice(0).forEach((wake) => wake());
+    return first;
+  }
+
+  read(from: number) {
+    this.expire();
+    const firstOffset = this.records[0]?.offset ?? this.endOffset;
+    const skipped = Math.max(0, from - firstOffset);
+    const records = this.records.slice(skipped, skipped + MAX_BATCH);
+    return { firstOffset, endOffset: this.endOffset, records };
+  }
+
+  /** Resolves when a record at or after `from` is there, or after `waitMs`. */
+  waitFor(from: number, waitMs: number): Promise<void> {
+    if (this.endOffset > from || waitMs === 0) return Promise.resolve();
+    return new Promise((resolve) => {
+      const timer = setTimeout(resolve, waitMs);
+      this.wakers.push(() => {
+        clearTimeout(timer);
+        resolve();
+      });
+    });
+  }
+
+  /** Drops all records, as if their time was over. */
+  expireAll(): void {
+    this.records = [];
+  }
+
+  private expire(): void {
+    const oldestMs = Date.now() - this.retentionMs;
+    const kept = this.records.findIndex((record) => record.atMs >= oldestMs);
+    if (kept > 0) this.records = this.records.slice(kept);
+    if (kept < 0) this.records = [];
+  }
+}
+
+export default LogStream;
--- /dev/null
+++ b/packages/standins/src/index.ts
@@ -0,0 +1,10 @@
+/** Small stand-ins for the platform and the targets, driven from outside by `/faults`. */
+export type { default as EngineOptions } from './EngineOptions';
+export { default as FaultKind } from './FaultKind';
+export type { default as LogOptions } from './LogOptions';
+export type { default as RunningStandin } from './RunningStandin';
+export { default as startEngine } from './startEngine';
+export { default as startInstanceList } from './startInstanceList';
+export { default as startLog } from './startLog';
+export { default as startService } from './startService';
+export { default as startWeightStore } from './startWeightStore';
--- /dev/null
+++ b/packages/standins/src/startEngine.ts
@@ -0,0 +1,120 @@
+import { randomUUID } from 'node:crypto';
+import EngineCompletions from './EngineCompletions';
+import EngineMemory from './EngineMemory';
+import type EngineOptions from './EngineOptions';
+import type RunningStandin from './RunningStandin';
+import readJson from './readJson';
+import startStandin from './startStandin';
+
+interface Order {
+  readonly kind: 'load' | 'unload' | 'fence';
+  readonly assetId: string;
+  readonly sizeMb: number;
+  readonly fencing: number;
+  readonly sequence: number;
+}
+
+const DEFAULTS: Required<EngineOptions> = {
+  port: 0,
+  memoryMb: 80_000,
+  capacity: 16,
+  freshCapacity: 4,
+  warmAfter: 8,
+  fencing: true,
+  tokenMs: 2,
+  memoryTierMs: 50,
+  diskTierMs: 200,
+  remoteTierMs: 400,
+  cached: {},
+  weightStoreUrl: '',
+  reportLagMs: 0,
+};
+const STALE = 412;
+const NO_ORDER = { fencing: 0, sequence: 0 };
+
+/**
+ * Starts an engine stand-in: OpenAI-compatible completions, load and unload orders, bounded memory,
+ * and a fresh engine that falls over when it gets more than it bears.
+ *
+ * @example
+ * const engine = await startEngine({ capacity: 8, fencing: false });
+ */
+const startEngine = (given: EngineOptions = {}): Promise<RunningStandin> => {
+  const options = { ...DEFAULTS, ...given };
+  const orders = { taken: 0, staleRefused: 0, staleTaken: 0 };
+  let incarnation: string = randomUUID();
+  let lastOrder = NO_ORDER;
+  const memory = new EngineMemory(options);
+  const completions = new EngineCompletions(options, memory, () => {
+    incarnation = randomUUID();
+  });
+
+  const loadReport = () => ({
+    incarnation,
+    inflight: completions.counts.inflight,
+    finished: completions.counts.finishedSinceStart,
+    lastOrder,
+    assets: memory.report(),
+    tiers: memory.tierReport(),
+  });
+  let laggedReport = loadReport();
+  const lags = options.reportLagMs > 0;
+  const reportTimer = setInterval(
+    () => {
+      laggedReport = loadReport();
+    },
+    lags ? options.reportLagMs : 60_000,
+  );
+
+  const HANDLERS: Readonly<Record<Order['kind'], (order: Order) => void>> = {
+    load: (order) => memory.load(order.assetId, order.sizeMb),
+    unload: (order) => memory.unload(order.assetId),
+    fence: () => {},
+  };
+
+  /** Whether the order is taken; a stale one is unless the engine checks fencing numbers. */
+  const takeOrder = (order: Order): boolean => {
+    const stale = order.fencing < lastOrder.fencing;
+    if (stale && options.fencing) {
+      orders.staleRefused += 1;
+      return false;
+    }
+    if (stale) orders.staleTaken += 1;
+    else lastOrder = { fencing: order.fencing, sequence: order.sequence };
+    orders.taken += 1;
+    HANDLERS[order.kind](order);
+    return true;
+  };
+
+  return startStandin({
+    port: options.port,
+    state: () => ({
+      ...completions.counts,
+      ...memory.counts,
+      orders,
+      usedMb: memory.usedMb(),
+      assets: memory.report(),
+      tokensByWorkspace: completions.tokensByWorkspace,
+    }),
+    onFault: (fault) => {
+      if (typeof fault.crashOn === 'string') completions.crashOn = fault.crashOn;
+      if (fault.turnCold === true) completions.fall();
+    },
+    onClose: () => clearInterval(reportTimer),
+    routes: (router) => {
+      router.post(['/v1/chat/completions', '/v1/completions'], (context) =>
+        completions.complete(context),
+      );
+      router.get('/load', (context) => {
+        context.body = lags ? laggedReport : loadReport();
+      });
+      router.post('/orders', async (context) => {
+        const taken = takeOrder(await readJson<Order>(context));
+        context.status = taken ? 200 : STALE;
+        context.body = {};
+      });
+    },
+  });
+};
+
+export default startEngine;
--- /dev/null
+++ b/packages/standins/src/startService.ts
@@ -0,0 +1,53 @@
+import { randomUUID } from 'node:crypto';
+import rawBody from 'raw-body';
+import { systemClock } from '@wisteriapath/model';
+import type RunningStandin from './RunningStandin';
+import startStandin from './startStandin';
+
+interface Options {
+  readonly port?: number;
+  /** Time that a call takes. */
+  readonly workMs?: number;
+}
+
+const MAX_BODY = '8mb';
+
+/**
+ * Starts a plain service that counts how often each idempotency key ran, and notes whether it ever
+ * saw a tenant key.
+ *
+ * @example
+ * const shop = await startService({ workMs: 5 });
+ */
+const startService = ({ port = 0, workMs = 0 }: Options = {}): Promise<RunningStandin> => {
+  const runs: Record<string, number> = {};
+  const counts = { calls: 0, finished: 0, inflight: 0, peakInflight: 0, sawTenantKey: false };
+  const incarnation = randomUUID();
+  return startStandin({
+    port,
+    state: () => ({ ...counts, runs }),
+    routes: (router) => {
+      router.get('/load', (context) => {
+        const { inflight, finished } = counts;
+        const lastOrder = { fencing: 0, sequence: 0 };
+        context.body = { incarnation, inflight, finished, lastOrder, assets: [], tiers: {} };
+      });
+      router.all('/{*path}', async (context) => {
+        const body = await rawBody(context.req, { limit: MAX_BODY, encoding: 'utf8' });
+        const key = context.get('idempotency-key');
+        if (key !== '') runs[key] = (runs[key] ?? 0) + 1;
+        counts.calls += 1;
+        counts.inflight += 1;
+        counts.peakInflight = Math.max(counts.peakInflight, counts.inflight);
+        counts.sawTenantKey ||= context.get('authorization') !== '';
+        await systemClock.sleep(workMs);
+        counts.inflight -= 1;
+        counts.finished += 1;
+        context.set('x-request-id', context.get('x-request-id'));
+        context.body = { path: context.path, method: context.method, body, run: runs[key] ?? 0 };
+      });
+    },
+  });
+};
+
+export default startService;
--- /dev/null
+++ b/packages/standins/src/startStandin.ts
@@ -0,0 +1,64 @@
+import { createServer } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import Router from '@koa/router';
+import Koa from 'koa';
+import FaultSwitch from './FaultSwitch';
+import type RunningStandin from './RunningStandin';
+import readJson from './readJson';
+
+interface Parts {
+  readonly port: number;
+  readonly routes: (router: Router) => void;
+  readonly state: () => unknown;
+  /** Faults of this stand-in only; called with every body sent to `/faults`. */
+  readonly onFault?: (fault: Record<string, unknown>) => void;
+  readonly onClose?: () => void;
+}
+
+const LOOPBACK = '127.0.0.1';
+
+/**
+ * Starts a stand-in's HTTP server on the loopback address, with `/faults` and `/state`.
+ *
+ * @example
+ * const service = await startStandin({ port: 0, routes, state });
+ */
+const startStandin = async (parts: Parts): Promise<RunningStandin> => {
+  const faults = new FaultSwitch();
+  const setFault = (fault: object) => {
+    faults.set(fault);
+    parts.onFault?.(fault as Record<string, unknown>);
+  };
+  const router = new Router();
+  router.get('/state', (context) => {
+    context.body = parts.state();
+  });
+  router.post('/faults', async (context) => {
+    setFault(await readJson(context));
+    context.body = {};
+  });
+  parts.routes(router);
+  const app = new Koa();
+  app.silent = true;
+  app.use(faults.middleware).use(router.routes());
+  const server = createServer(app.callback());
+  server.keepAliveTimeout = 60_000;
+  await new Promise<void>((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(parts.port, LOOPBACK, resolve);
+  });
+  const { port } = server.address() as AddressInfo;
+  return {
+    url: `http://${LOOPBACK}:${port}`,
+    state: parts.state,
+    setFault,
+    close: () =>
+      new Promise((resolve) => {
+        parts.onClose?.();
+        server.close(() => resolve());
+        server.closeAllConnections();
+      }),
+  };
+};
+
+export default startStandin;
--- /dev/null
+++ b/packages/standins/src/startWeightStore.ts
@@ -0,0 +1,56 @@
+import { systemClock } from '@wisteriapath/model';
+import type RunningStandin from './RunningStandin';
+import startStandin from './startStandin';
+
+interface Options {
+  readonly port?: number;
+  readonly loadsPerS?: number;
+  /** Loads at once that run at full speed. */
+  readonly fullSpeedLoads?: number;
+  readonly mbPerS?: number;
+}
+
+const SECOND_MS = 1_000;
+const TOO_MANY_REQUESTS = 429;
+
+/**
+ * Starts the weight store stand-in: `GET /weights/NAME?sizeMb=` takes as long as the fetch.
+ *
+ * @example
+ * const store = await startWeightStore({ loadsPerS: 3, fullSpeedLoads: 4 });
+ */
+const startWeightStore = ({
+  port = 0,
+  loadsPerS = 3,
+  fullSpeedLoads = 4,
+  mbPerS = 20_000,
+}: Options = {}): Promise<RunningStandin> => {
+  const counts = { loads: 0, refused: 0, loading: 0, peakLoading: 0 };
+  let recentMs: number[] = [];
+  return startStandin({
+    port,
+    state: () => counts,
+    routes: (router) => {
+      router.get('/weights/:name', async (context) => {
+        const nowMs = Date.now();
+        recentMs = recentMs.filter((atMs) => atMs > nowMs - SECOND_MS);
+        if (recentMs.length >= loadsPerS) {
+          counts.refused += 1;
+          context.status = TOO_MANY_REQUESTS;
+          return;
+        }
+        recentMs.push(nowMs);
+        counts.loads += 1;
+        counts.loading += 1;
+        counts.peakLoading = Math.max(counts.peakLoading, counts.loading);
+        const slowdown = Math.max(1, counts.loading / fullSpeedLoads);
+        const bareMs = (Number(context.query.sizeMb ?? 0) / mbPerS) * SECOND_MS;
+        await systemClock.sleep(bareMs * slowdown);
+        counts.loading -= 1;
+        context.body = {};
+      });
+    },
+  });
+};
+
+export default startWeightStore;
