Give up unused slots at once when a route falls idle

Cause: an edit took 2.0 s to serve its first request in all instances. Trace: the placer counted the slots that an idle holder still believed to have until its 2 s lease lapsed, and a fresh engine has only one slot. Ruled out: the log's long poll (records were folded within 20 ms). The feeder now gives up free slots before its last call.

--- a/packages/config/src/ConfigCheckpoints.ts
+++ b/packages/config/src/ConfigCheckpoints.ts
@@ -8,10 +8,10 @@
   type RecordIds,
 } from '@wisteriapath/log-client';
 import type ConfigState from './ConfigState';
-import decodeCheckpoint from './decodeCheckpoint';
-import encodeCheckpoint from './encodeCheckpoint';
+import configCodec from './configCodec';
 
 const STREAM = 'config-checkpoints';
+const CHUNK_CHARS = 65_536;
 
 interface Chunk {
   readonly offset: number;
@@ -42,13 +42,26 @@
     const { chunks: wanted, sha256 } = byOffset.get(offset)!.first()!;
     if (parts.size === wanted) {
       const ordered = [...parts.values()].sort((a, b) => a.chunk - b.chunk);
-      const folded = decodeCheckpoint(offset, sha256, ordered.map((part) => part.text).join(''));
+      const text = ordered.map((part) => part.text).join('');
+      const folded = configCodec.decode({ nextOffset: offset, sha256, text });
       if (folded.isJust()) return folded.extract();
     }
   }
   return undefined;
 };
 
+const split = (folded: Folded<ConfigState>): Chunk[] => {
+  const { nextOffset: offset, sha256, text } = configCodec.encode(folded);
+  const chunks = Math.ceil(text.length / CHUNK_CHARS);
+  return Array.from({ length: chunks }, (_unused, chunk) => ({
+    offset,
+    sha256,
+    chunk,
+    chunks,
+    text: text.slice(chunk * CHUNK_CHARS, (chunk + 1) * CHUNK_CHARS),
+  }));
+};
+
 /** Writes and finds checkpoints of the configuration, so that records may expire. */
 class ConfigCheckpoints {
   constructor(
@@ -58,9 +71,7 @@
 
   /** Appends a checkpoint; a failed one is simply written again at the next interval. */
   async write(folded: Folded<ConfigState>): Promise<void> {
-    const payloads = encodeCheckpoint(folded).map((body) =>
-      encodeEnvelope({ id: this.ids.next(), body }),
-    );
+    const payloads = split(folded).map((body) => encodeEnvelope({ id: this.ids.next(), body }));
     await this.log.append(STREAM, payloads);
   }
 
--- a/packages/config/src/index.ts
+++ b/packages/config/src/index.ts
@@ -1,14 +1,13 @@
 /** Settings of a process and the operators' tables: their checks, their fold, their checkpoints. */
 export { default as applyEdit } from './applyEdit';
+export { default as configCodec } from './configCodec';
 export { default as configFold } from './configFold';
 export { default as ConfigCheckpoints } from './ConfigCheckpoints';
 export type { default as ConfigEdit } from './ConfigEdit';
 export type { default as ConfigState } from './ConfigState';
-export { default as decodeCheckpoint } from './decodeCheckpoint';
 export { default as diffTables } from './diffTables';
 export { default as EditKind } from './EditKind';
 export { default as emptyConfig } from './emptyConfig';
-export { default as encodeCheckpoint } from './encodeCheckpoint';
 export type { default as Fault } from './Fault';
 export { default as findWorkspace } from './findWorkspace';
 export { default as formatFault } from './formatFault';
--- a/packages/daemon/src/registerPlatform.ts
+++ b/packages/daemon/src/registerPlatform.ts
@@ -1,5 +1,5 @@
 import { asFunction, type AwilixContainer } from 'awilix';
-import { ConfigCheckpoints, configFold } from '@wisteriapath/config';
+import { ConfigCheckpoints, configCodec, configFold } from '@wisteriapath/config';
 import { rolesFold } from '@wisteriapath/ledger';
 import { BatchingLog, HttpLog, StreamReplica } from '@wisteriapath/log-client';
 import {
@@ -32,7 +32,10 @@
     checkpoints: single(({ log, ids }) => new ConfigCheckpoints(log, ids)),
     configReplica: single(
       ({ log, clock, checkpoints }) =>
-        new StreamReplica(log, 'config', configFold, clock, () => checkpoints.findLatest()),
+        new StreamReplica(log, 'config', configFold, clock, {
+          recover: () => checkpoints.findLatest(),
+          codec: configCodec,
+        }),
     ),
     rolesReplica: single(({ log, clock }) => new StreamReplica(log, 'roles', rolesFold, clock)),
     claimShards: single(({ log, clock, settings }) => {
--- a/packages/daemon/src/startInstance.ts
+++ b/packages/daemon/src/startInstance.ts
@@ -1,4 +1,4 @@
-import { asValue, createContainer, InjectionMode } from 'awilix';
+import { asValue, type AwilixContainer, createContainer, InjectionMode } from 'awilix';
 import type { Logger } from 'pino';
 import type { Settings } from '@wisteriapath/config';
 import { RoleRecordKind } from '@wisteriapath/ledger';
@@ -22,7 +22,16 @@
 const VOUCH_TIMEOUT_MS = 3_000;
 const FINISH_TIMEOUT_MS = 5_000;
 
-const createCradle = (settings: Settings, logger: Logger, peerAddress: string, ids: RecordIds) => {
+/** Replaces parts of an instance, for tests that bring about failures. */
+type Adapt = (container: AwilixContainer<Cradle>) => void;
+
+const createCradle = (
+  settings: Settings,
+  logger: Logger,
+  peerAddress: string,
+  ids: RecordIds,
+  adapt: Adapt,
+) => {
   const container = createContainer<Cradle>({ injectionMode: InjectionMode.PROXY });
   const { name, failure_domain: failureDomain } = settings.instance;
   container.register({
@@ -36,6 +45,7 @@
   registerPlatform(container);
   registerRoles(container);
   registerServing(container);
+  adapt(container);
   return container.cradle;
 };
 
@@ -130,7 +140,11 @@
  * @example
  * const instance = await startInstance(settings, logger);
  */
-const startInstance = async (settings: Settings, logger: Logger): Promise<RunningInstance> => {
+const startInstance = async (
+  settings: Settings,
+  logger: Logger,
+  adapt: Adapt = () => {},
+): Promise<RunningInstance> => {
   let isStopping = false;
   const ids = new RecordIds();
   let handlers: InstancePeerHandlers | undefined;
@@ -143,7 +157,7 @@
     shareSuspects: (request) => whenStarted((started) => started.shareSuspects(request)),
   });
   const peerAddress = `${settings.listen.peers.split(':')[0]}:${peers.port}`;
-  const cradle = createCradle(settings, logger, peerAddress, ids);
+  const cradle = createCradle(settings, logger, peerAddress, ids, adapt);
   const { self: identity, streams, budgetHome: home, placer, poison } = cradle;
   handlers = new InstancePeerHandlers({ identity, streams, home, placer, poison });
 
--- a/packages/log-client/src/StreamReplica.ts
+++ b/packages/log-client/src/StreamReplica.ts
@@ -4,6 +4,8 @@
 import type LogPort from './LogPort';
 import type LogRecord from './LogRecord';
 import type RecordVerdict from './RecordVerdict';
+import type Snapshot from './Snapshot';
+import type SnapshotCodec from './SnapshotCodec';
 import backoffMs from './backoffMs';
 import emptyFolded from './emptyFolded';
 import foldRecord from './foldRecord';
@@ -13,12 +15,22 @@
 const RETRY_CAP_MS = 1_000;
 const RELAY_WINDOW_RECORDS = 1_024;
 
+interface Options<S> {
+  /** Recovers from expired records: a fold up to some later offset, if one is to be had. */
+  readonly recover?: () => Promise<Folded<S> | undefined>;
+  /** Lets peers take over the whole fold where they lack records. */
+  readonly codec?: SnapshotCodec<S>;
+}
+
 /** A folded copy of one stream, kept up to date by a tailing task and by peers. */
 class StreamReplica<S> {
   private folded: Folded<S>;
 
   private relayWindow: LogRecord[] = [];
 
+  /** Whether the relay window begins with the first record that the log still held. */
+  private windowIsWhole = true;
+
   private readonly listeners = new Set<() => void>();
 
   private readonly stopping = new AbortController();
@@ -34,8 +46,7 @@
     readonly stream: string,
     private readonly fold: Fold<S>,
     private readonly clock: Clock,
-    /** Recovers from expired records: a fold up to some later offset, if one is to be had. */
-    private readonly recover: () => Promise<Folded<S> | undefined> = async () => undefined,
+    private readonly options: Options<S> = {},
   ) {
     this.folded = emptyFolded(fold);
   }
@@ -99,25 +110,43 @@
   ingest(records: readonly LogRecord[]): void {
     const before = this.folded.nextOffset;
     records.forEach((record) => {
-      if (record.offset !== this.folded.nextOffset) return;
+      const isFirst = this.folded.nextOffset === 0 && this.logEndSeen < 0;
+      if (record.offset !== this.folded.nextOffset && !isFirst) return;
       this.folded = foldRecord(this.fold, this.folded, record);
       this.relayWindow.push(record);
     });
+    if (this.relayWindow.length > RELAY_WINDOW_RECORDS) this.windowIsWhole = false;
     this.relayWindow = this.relayWindow.slice(-RELAY_WINDOW_RECORDS);
     if (this.folded.nextOffset !== before) this.listeners.forEach((listener) => listener());
   }
 
   /** Records from `fromOffset` on for a peer; empty if the window no longer holds them. */
   relay(fromOffset: number): readonly LogRecord[] {
+    if (fromOffset === 0 && this.windowIsWhole) return this.relayWindow;
     const first = this.relayWindow.findIndex((record) => record.offset === fromOffset);
     return first < 0 ? [] : this.relayWindow.slice(first);
   }
 
+  /** The whole fold for a peer at `fromOffset` that `relay` has no records for. */
+  snapshotFor(fromOffset: number): Snapshot | undefined {
+    const { codec } = this.options;
+    const isBehind = fromOffset < this.folded.nextOffset;
+    if (codec === undefined || !isBehind || this.relay(fromOffset).length > 0) return undefined;
+    return codec.encode(this.folded);
+  }
+
+  /** Takes over a peer's fold if it is whole and further on. */
+  adopt(snapshot: Snapshot): void {
+    const folded = this.options.codec?.decode(snapshot);
+    folded?.ifJust((whole) => this.restore(whole));
+  }
+
   /** Replaces the fold by one that is further on; an older one is ignored. */
   restore(folded: Folded<S>): void {
     if (folded.nextOffset <= this.folded.nextOffset) return;
     this.folded = folded;
     this.relayWindow = [];
+    this.windowIsWhole = false;
     this.listeners.forEach((listener) => listener());
   }
 
@@ -160,7 +189,7 @@
   }
 
   private async fillGap(firstOffset: number): Promise<boolean> {
-    const recovered = await this.recover();
+    const recovered = await this.options.recover?.();
     if (recovered !== undefined) this.restore(recovered);
     return this.folded.nextOffset >= firstOffset;
   }
--- a/packages/log-client/src/index.ts
+++ b/packages/log-client/src/index.ts
@@ -19,4 +19,6 @@
 export { default as RecordVerdict } from './RecordVerdict';
 export type { default as Settlement } from './Settlement';
 export { default as SettlementKind } from './SettlementKind';
+export type { default as Snapshot } from './Snapshot';
+export type { default as SnapshotCodec } from './SnapshotCodec';
 export { default as StreamReplica } from './StreamReplica';
--- a/packages/peer/src/PeerClients.ts
+++ b/packages/peer/src/PeerClients.ts
@@ -6,6 +6,7 @@
   'grpc.max_reconnect_backoff_ms': 1_000,
   'grpc.keepalive_time_ms': 5_000,
   'grpc.keepalive_timeout_ms': 2_000,
+  'grpc.max_receive_message_length': 64 * 1_024 * 1_024,
 };
 
 /** One gRPC client for each peer address in use. */
--- a/packages/peer/src/StreamSet.ts
+++ b/packages/peer/src/StreamSet.ts
@@ -23,11 +23,14 @@
     });
   }
 
-  /** Records that a peer at the given positions does not have yet. */
+  /** What a peer at the given positions does not have yet. */
   newerThan(positions: readonly StreamPosition[]): StreamRecords[] {
     return positions.flatMap(({ stream, nextOffset }) => {
-      const records = this.replicas.get(stream)?.relay(nextOffset) ?? [];
-      return records.length === 0 ? [] : [{ stream, records: records.slice(0, MAX_RELAYED) }];
+      const replica = this.replicas.get(stream);
+      const records = replica?.relay(nextOffset).slice(0, MAX_RELAYED) ?? [];
+      const snapshot = replica?.snapshotFor(nextOffset);
+      const isNothing = records.length === 0 && snapshot === undefined;
+      return isNothing ? [] : [{ stream, records, snapshot }];
     });
   }
 
@@ -37,7 +40,11 @@
     positions: readonly StreamPosition[],
     tripMs: number,
   ): void {
-    newer.forEach(({ stream, records }) => this.replicas.get(stream)?.ingest(records));
+    newer.forEach(({ stream, records, snapshot }) => {
+      const replica = this.replicas.get(stream);
+      if (snapshot !== undefined) replica?.adopt(snapshot);
+      replica?.ingest(records);
+    });
     positions.forEach(({ stream, nextOffset, ageMs }) => {
       const replica = this.replicas.get(stream);
       const current = replica !== undefined && replica.nextOffset >= nextOffset;
--- a/packages/placement/src/HeldTarget.ts
+++ b/packages/placement/src/HeldTarget.ts
@@ -52,6 +52,11 @@
     this.untilMs = untilMs;
   }
 
+  /** Gives up the slots that are not in use, so that a placer may lease them at once. */
+  giveUpFreeSlots(): void {
+    this.slots = Math.min(this.slots, this.occupied);
+  }
+
   /** What happened since the last call. */
   takeUse(): AcquireAsk['uses'][number] {
     const { succeeded, failed, slow } = this.outcomes;
--- a/packages/placement/src/RouteFeeder.ts
+++ b/packages/placement/src/RouteFeeder.ts
@@ -8,9 +8,9 @@
 import type SlotRequest from './SlotRequest';
 import chooseTarget from './chooseTarget';
 
-const LINGER_MS = 1_000;
 const RETRY_MS = 50;
 const SPARE_SLOTS = 1;
+const RENEWALS_PER_TERM = 3;
 
 interface Parts {
   readonly routeName: string;
@@ -42,8 +42,6 @@
 
   private lastRefusal: ErrorKind | undefined;
 
-  private idleSinceMs = 0;
-
   constructor(private readonly parts: Parts) {}
 
   get waiting(): number {
@@ -67,7 +65,8 @@
       this.waiters.add(waiter);
       this.queue.push(waiter);
       this.pump();
-      if (!settled.signal.aborted) void this.refuseInTime(waiter, settled.signal);
+      if (settled.signal.aborted) return;
+      void this.refuseInTime(waiter, settled.signal);
       this.feed();
     });
   }
@@ -84,20 +83,19 @@
     this.wakeUp.abort();
     if (this.feeding) return;
     this.feeding = true;
-    this.idleSinceMs = this.parts.clock.nowMs();
     void this.renewWhileBusy();
   }
 
   private async renewWhileBusy(): Promise<void> {
     const { clock, usableMs } = this.parts;
-    do {
+    while (this.demand() > 0) {
       this.wakeUp = new AbortController();
       await this.renew(this.demand() + SPARE_SLOTS);
       this.pump();
-      const waitMs = this.waiters.size > 0 ? RETRY_MS : usableMs / 3;
+      const waitMs = this.waiters.size > 0 ? RETRY_MS : usableMs / RENEWALS_PER_TERM;
       await clock.sleep(waitMs, this.wakeUp.signal);
-      if (this.demand() > 0) this.idleSinceMs = clock.nowMs();
-    } while (clock.nowMs() - this.idleSinceMs < LINGER_MS);
+    }
+    this.targets.forEach((target) => target.giveUpFreeSlots());
     await this.renew(0);
     this.feeding = false;
     if (this.demand() > 0) this.feed();
@@ -116,7 +114,8 @@
     let wanted = wantSlots;
     const refusals: (ErrorKind | undefined)[] = [];
     let soonestReadyMs = Infinity;
-    for (const domain of this.domainsToAsk()) {
+    const domains = this.domainsToAsk();
+    for (const domain of domains) {
       const held = this.heldIn(domain);
       if (wanted > 0 || held.length > 0) {
         const startedMs = this.parts.clock.nowMs();
@@ -138,9 +137,7 @@
   }
 
   private domainsToAsk(): string[] {
-    const holding = [...this.targets.values()]
-      .filter((target) => target.active)
-      .map((target) => target.identity.failureDomain);
+    const holding = [...this.targets.values()].map((target) => target.identity.failureDomain);
     return [...new Set([...this.parts.domains(), ...holding])];
   }
 
@@ -220,7 +217,7 @@
 
   private released(): void {
     this.pump();
-    if (this.waiters.size > 0) this.feed();
+    if (this.demand() === 0) this.wakeUp.abort();
   }
 }
 
