--- a/packages/daemon/src/Purses.ts
+++ b/packages/daemon/src/Purses.ts
@@ -29,6 +29,11 @@
     return purse;
   }
 
+  /** Returns all unspent tokens. */
+  async close(): Promise<void> {
+    await Promise.all([...this.purses.values()].map((purse) => purse.close()));
+  }
+
   private domainOrder(workspace: string): string[] {
     const { ownDomain, failureDomains } = this.parts;
     const others = failureDomains.filter((domain) => domain !== ownDomain);
--- a/packages/daemon/src/registerRoles.ts
+++ b/packages/daemon/src/registerRoles.ts
@@ -1,6 +1,6 @@
 import { asFunction, type AwilixContainer } from 'awilix';
 import { getRow } from '@wisteriapath/config';
-import { BudgetHome, RoleKeeper, type Tenure } from '@wisteriapath/ledger';
+import { BudgetHome, RoleKeeper, TakeoverReason, type Tenure } from '@wisteriapath/ledger';
 import { TableName } from '@wisteriapath/model';
 import { HttpTargetControl, Placer } from '@wisteriapath/placement';
 import type Cradle from './Cradle';
@@ -58,13 +58,18 @@
         createKeeper(cradle, roleNames.budgetHome(failureDomain)),
       ];
     }),
-    budgetHome: single(({ clock, settings, view, roles, self }) => {
+    budgetHome: single(({ clock, settings, view, roles, rolesReplica, self }) => {
       const { budgets } = settings;
+      const role = roleNames.budgetHome(self.failureDomain);
       return new BudgetHome({
         clock,
         domainCount: budgets.failure_domains.length,
         workspaceOf: (name) => getRow(view().state, TableName.Workspaces, name)?.value,
-        heldEpoch: () => roles.heldEpoch(roleNames.budgetHome(self.failureDomain)),
+        heldEpoch: () => roles.heldEpoch(role),
+        isFirstHolder: () => {
+          const reason = rolesReplica.state.tenures.get(role)?.reason;
+          return rolesReplica.hasWholeHistory && reason === TakeoverReason.Vacant;
+        },
         writeOffMs: budgets.write_off_ms,
         loanLifeMs: budgets.loan_term_ms + budgets.drift_margin_ms,
       });
--- a/packages/daemon/src/startInstance.ts
+++ b/packages/daemon/src/startInstance.ts
@@ -121,6 +121,7 @@
 };
 
 const stopTasks = async (cradle: Cradle): Promise<void> => {
+  await cradle.purses.close();
   await cradle.claimDesk.finish(Deadline.after(cradle.clock, FINISH_TIMEOUT_MS));
   await Promise.all(cradle.roleKeepers.map((keeper) => keeper.release(FINISH_TIMEOUT_MS)));
   cradle.placer.stop();
--- a/packages/ledger/src/BudgetHome.ts
+++ b/packages/ledger/src/BudgetHome.ts
@@ -9,6 +9,8 @@
   /** Failure domains over which every workspace's budget is divided. */
   readonly domainCount: number;
   readonly workspaceOf: (name: string) => Workspace | undefined;
+  /** Whether no process can ever have held the role before. */
+  readonly isFirstHolder: () => boolean;
   /** Epoch of this instance's tenure; undefined while it does not hold the role. */
   readonly heldEpoch: () => number | undefined;
   readonly writeOffMs: number;
@@ -51,7 +53,7 @@
     return { isHome: true, epoch, sessionKnown: true, lentTotal, retryAfterMs };
   }
 
-  /** Every tenure begins with empty buckets: the earlier holder may have lent all it had. */
+  /** A later tenure begins with empty buckets: the earlier holder may have lent all it had. */
   private beginEpoch(epoch: number): void {
     if (epoch === this.bucketsEpoch) return;
     this.buckets = new Map();
@@ -73,7 +75,8 @@
     }
     const bucket = new EscrowBucket(limits, this.parts.clock, {
       writeOffMs: this.parts.writeOffMs,
-      emptyForMs: this.remainingLoanLifeMs(),
+      initialLevel: this.parts.isFirstHolder() ? limits.burst : 0,
+      emptyForMs: this.parts.isFirstHolder() ? 0 : this.remainingLoanLifeMs(),
     });
     this.buckets.set(name, bucket);
     return bucket;
--- a/packages/ledger/src/EscrowBucket.ts
+++ b/packages/ledger/src/EscrowBucket.ts
@@ -16,6 +16,8 @@
 interface Options {
   /** Silence after which a borrower's tokens are written off as spent. */
   readonly writeOffMs: number;
+  /** Tokens at the start. */
+  readonly initialLevel: number;
   /** Time for which loans of an earlier holder may still be spent; the bucket stays empty. */
   readonly emptyForMs: number;
 }
@@ -25,7 +27,7 @@
  * so no window sees more spent than burst + rate × window, however messages are lost or repeated.
  */
 class EscrowBucket {
-  private level = 0;
+  private level: number;
 
   private refilledAtMs: number;
 
@@ -38,6 +40,7 @@
     private readonly clock: Clock,
     private readonly options: Options,
   ) {
+    this.level = options.initialLevel;
     this.refilledAtMs = clock.nowMs() + options.emptyForMs;
   }
 
--- a/packages/ledger/src/TokenPurse.ts
+++ b/packages/ledger/src/TokenPurse.ts
@@ -26,6 +26,8 @@
 
   private refreshing = false;
 
+  private readonly closing = new AbortController();
+
   private used: { readonly atMs: number; readonly tokens: number }[] = [];
 
   constructor(private readonly parts: Parts) {}
@@ -42,6 +44,19 @@
     return turn;
   }
 
+  /** Returns everything that is not in use to the homes. Call it once, when no more is reserved. */
+  async close(): Promise<void> {
+    this.closing.abort();
+    await Promise.all(
+      this.parts.accounts
+        .filter((account) => account.active)
+        .map((account) => {
+          account.giveBack(0);
+          return account.sync(0, 0, false);
+        }),
+    );
+  }
+
   private refuseEarly(deadline: Deadline): ServeError | undefined {
     const waitMs = this.emptyUntilMs - this.parts.clock.nowMs();
     return waitMs > deadline.remainingMs() ? this.overRate(waitMs) : undefined;
@@ -147,8 +162,9 @@
   /** Reports to the homes and returns what is not needed, until nothing is held. */
   private async refresh(): Promise<void> {
     const { accounts, clock, refreshMs } = this.parts;
-    while (accounts.some((account) => account.active)) {
-      await clock.sleep(refreshMs);
+    const { signal } = this.closing;
+    while (!signal.aborted && accounts.some((account) => account.active)) {
+      await clock.sleep(refreshMs, signal);
       const keep = this.recentUse();
       const active = accounts.filter((account) => account.active);
       active.forEach((account) => account.giveBack(keep));
--- a/packages/log-client/src/StreamReplica.ts
+++ b/packages/log-client/src/StreamReplica.ts
@@ -31,6 +31,8 @@
   /** Whether the relay window begins with the first record that the log still held. */
   private windowIsWhole = true;
 
+  private fromTheBeginning = false;
+
   private readonly listeners = new Set<() => void>();
 
   private readonly stopping = new AbortController();
@@ -64,6 +66,11 @@
     return this.folded;
   }
 
+  /** True if every record that the stream ever had was folded one by one. */
+  get hasWholeHistory(): boolean {
+    return this.fromTheBeginning;
+  }
+
   /** True once everything that the log held at the first successful read has been folded. */
   get caughtUp(): boolean {
     return this.logEndSeen >= 0 && this.folded.nextOffset >= this.logEndSeen;
@@ -112,6 +119,7 @@
     records.forEach((record) => {
       const isFirst = this.folded.nextOffset === 0 && this.logEndSeen < 0;
       if (record.offset !== this.folded.nextOffset && !isFirst) return;
+      if (record.offset === 0) this.fromTheBeginning = true;
       this.folded = foldRecord(this.fold, this.folded, record);
       this.relayWindow.push(record);
     });
@@ -147,6 +155,7 @@
     this.folded = folded;
     this.relayWindow = [];
     this.windowIsWhole = false;
+    this.fromTheBeginning = false;
     this.listeners.forEach((listener) => listener());
   }
 
@@ -188,8 +197,15 @@
     return true;
   }
 
+  /** True once the fold stands at or beyond `firstOffset`, the oldest record still kept. */
   private async fillGap(firstOffset: number): Promise<boolean> {
-    const recovered = await this.options.recover?.();
+    const { recover } = this.options;
+    if (recover === undefined) {
+      // Streams without checkpoints are made so that expired records do not matter.
+      this.folded = { ...this.folded, nextOffset: firstOffset };
+      return true;
+    }
+    const recovered = await recover();
     if (recovered !== undefined) this.restore(recovered);
     return this.folded.nextOffset >= firstOffset;
   }
--- a/packages/log-client/src/appendUntilSettled.ts
+++ b/packages/log-client/src/appendUntilSettled.ts
@@ -27,6 +27,21 @@
 
 const cancelOf = (id: string): Envelope => ({ id: `${id}/cancel`, cancels: id });
 
+/** One append call; of unknown outcome if it has not ended by the deadline. */
+const appendInTime = async (
+  { log, clock }: Tools,
+  stream: string,
+  payload: string,
+  deadline: Deadline,
+): Promise<AppendResult> => {
+  const ended = new AbortController();
+  const timeout = clock.sleep(deadline.remainingMs(), ended.signal);
+  const appended = log.append(stream, [payload]);
+  const result = await Promise.race([appended, timeout.then(() => AppendResult.Unknown)]);
+  ended.abort();
+  return result;
+};
+
 /** Repeats an append until it is confirmed, folded or out of time; true if it may be in the log. */
 const appendRepeatedly = async (
   { log, clock }: Tools,
@@ -37,7 +52,7 @@
 ): Promise<boolean> => {
   let mayBeWritten = false;
   for (let attempt = 0; !deadline.expired() && !folded(); attempt += 1) {
-    const result = await log.append(stream, [payload]);
+    const result = await appendInTime({ log, clock }, stream, payload, deadline);
     mayBeWritten ||= result !== AppendResult.NotAppended;
     if (result === AppendResult.Appended) return true;
     const waitMs = backoffMs(attempt, RETRY_BASE_MS, RETRY_CAP_MS);
--- a/packages/placement/src/RouteFeeder.ts
+++ b/packages/placement/src/RouteFeeder.ts
@@ -193,7 +193,7 @@
       this.waiters.forEach((waiter) => waiter.answer(Left(ServeError.notRun(kind, message))));
       return;
     }
-    if (!Number.isFinite(soonestReadyMs)) return;
+    if (soonestReadyMs === 0 || !Number.isFinite(soonestReadyMs)) return;
     this.waiters.forEach((waiter) => {
       if (waiter.deadline.remainingMs() > soonestReadyMs) return;
       const message = 'the model cannot be loaded before the deadline';
--- a/packages/routing/src/ClaimDesk.ts
+++ b/packages/routing/src/ClaimDesk.ts
@@ -158,8 +158,11 @@
   }
 
   private async inTime(work: Promise<unknown>, deadline: Deadline): Promise<boolean> {
-    const timeout = this.parts.clock.sleep(deadline.remainingMs()).then(() => false);
-    return Promise.race([work.then(() => true), timeout]);
+    const settled = new AbortController();
+    const timeout = this.parts.clock.sleep(deadline.remainingMs(), settled.signal);
+    const isDone = await Promise.race([work.then(() => true), timeout.then(() => false)]);
+    settled.abort();
+    return isDone;
   }
 }
 
--- a/packages/standins/src/FaultSwitch.ts
+++ b/packages/standins/src/FaultSwitch.ts
@@ -1,6 +1,7 @@
 import type { Middleware } from 'koa';
 import { systemClock } from '@wisteriapath/model';
 import FaultKind from './FaultKind';
+import readText from './readText';
 
 interface Fault {
   readonly kind: FaultKind;
@@ -47,6 +48,7 @@
     context.respond = false;
   },
   [FaultKind.LateEffect]: async (context, next, fault) => {
+    context.state.rawBody = await readText(context);
     const late = systemClock.sleep(fault.delayMs).then(next);
     void late.then(() => breakConnection(context));
     context.respond = false;
--- a/packages/standins/src/readJson.ts
+++ b/packages/standins/src/readJson.ts
@@ -1,7 +1,5 @@
 import type { Context } from 'koa';
-import rawBody from 'raw-body';
-
-const MAX_BODY = '8mb';
+import readText from './readText';
 
 /**
  * Reads a JSON request body.
@@ -10,7 +8,7 @@
  * const { payloads } = await readJson<{ payloads: string[] }>(context);
  */
 const readJson = async <T>(context: Context): Promise<T> => {
-  const text = await rawBody(context.req, { limit: MAX_BODY, encoding: 'utf8' });
+  const text = await readText(context);
   return JSON.parse(text === '' ? '{}' : text) as T;
 };
 
--- a/packages/standins/src/startService.ts
+++ b/packages/standins/src/startService.ts
@@ -1,7 +1,7 @@
 import { randomUUID } from 'node:crypto';
-import rawBody from 'raw-body';
 import { systemClock } from '@wisteriapath/model';
 import type RunningStandin from './RunningStandin';
+import readText from './readText';
 import startStandin from './startStandin';
 
 interface Options {
@@ -10,8 +10,6 @@
   readonly workMs?: number;
 }
 
-const MAX_BODY = '8mb';
-
 /**
  * Starts a plain service that counts how often each idempotency key ran, and notes whether it ever
  * saw a tenant key.
@@ -33,7 +31,7 @@
         context.body = { incarnation, inflight, finished, lastOrder, assets: [], tiers: {} };
       });
       router.all('/{*path}', async (context) => {
-        const body = await rawBody(context.req, { limit: MAX_BODY, encoding: 'utf8' });
+        const body = await readText(context);
         const key = context.get('idempotency-key');
         if (key !== '') runs[key] = (runs[key] ?? 0) + 1;
         counts.calls += 1;
