Prove placement under failure; mend what the tests found

Causes, each from a decision line: a placer that was loading or warming up sent the rest of the demand to the next failure domain; a placer not yet in place did the same; a warm replica was joined by another one for a queue that drained in 0.1 s. Now the next domain is asked only where this one cannot serve, a silent placer is waited for 1.5 s, and another replica is decided when the shortage has lasted for as long as its load would take. Poison: before, 4 crashes for one request, and neighbours counted several times for one death. A refusal had cleared the suspicion, crashes were counted by target name, and a repeat through another instance overtook the news. Crashes now have one id for each life of a target, and a suspect waits until its peers have been told. A request refused by a cold target waited out its deadline: its only target stayed excluded. Targets are now passed over for 0.5 s. Ruled out: the order's lost answer (loads once), stale orders (refused or frozen, as designed).

--- a/packages/cli/test/claimsUnderFailure.test.ts
+++ b/packages/cli/test/claimsUnderFailure.test.ts
@@ -112,7 +112,12 @@
   });
 
   test('lost append answers change nothing for the caller', async () => {
-    desk.system.log.setFault({ kind: 'lose_answer', method: 'POST', remaining: 3 });
+    desk.system.log.setFault({
+      kind: 'lose_answer',
+      method: 'POST',
+      path: 'claims',
+      remaining: 3,
+    });
     const first = await desk.book(desk.a, 'cup-7', 4_000);
     expect(first.status).toBe(200);
     expect(desk.runs('cup-7')).toBe(1);
@@ -198,10 +203,16 @@
   afterAll(() => system.stop());
 
   test('frozen between claim and dispatch past the deadline: nothing runs, a repeat does', async () => {
-    await fault(system.log.url, { kind: 'slow', method: 'POST', delayMs: 400, remaining: 1 });
+    await fault(system.log.url, {
+      kind: 'slow',
+      method: 'POST',
+      path: 'claims',
+      delayMs: 400,
+    });
     const first = book(1, 'frozen', 1_500);
     await pause(200);
     instances[1].process.signal('SIGSTOP');
+    await fault(system.log.url, { kind: 'none' });
     await pause(1_800);
     const during = await book(0, 'frozen', 500);
     expect(during.error).toMatchObject({ ran: 'unknown' });
--- a/packages/cli/test/configUnderFailure.test.ts
+++ b/packages/cli/test/configUnderFailure.test.ts
@@ -54,7 +54,12 @@
 
   test('an edit whose append answer is lost is made once', async () => {
     two = await startTwo();
-    two.system.log.setFault({ kind: 'lose_answer', method: 'POST', remaining: 2 });
+    two.system.log.setFault({
+      kind: 'lose_answer',
+      method: 'POST',
+      path: '/config/',
+      remaining: 2,
+    });
     const edited = await two.a.operator.set('workspaces', 'clubs', 0, rows.workspace());
     const row = await inForce(two.b, 'workspaces', 'clubs');
     expect(row?.version).toBe(edited.version);
@@ -66,6 +71,7 @@
     two.system.log.setFault({
       kind: 'late_effect',
       method: 'POST',
+      path: '/config/',
       delayMs: 10_000,
       remaining: 2,
     });
--- a/packages/daemon/src/GrpcPlacerLink.ts
+++ b/packages/daemon/src/GrpcPlacerLink.ts
@@ -12,6 +12,7 @@
   grants: reply.grants,
   refusal: reply.refusal === '' ? null : (reply.refusal as ErrorKind),
   expectedReadyMs: reply.expectedReadyMs,
+  mayOverflow: reply.mayOverflow,
 });
 
 /** Reaches placers: this process's own directly, the others by gRPC. */
--- a/packages/daemon/src/registerServing.ts
+++ b/packages/daemon/src/registerServing.ts
@@ -1,6 +1,6 @@
 import { asFunction, type AwilixContainer } from 'awilix';
 import { getRow } from '@wisteriapath/config';
-import { TableName } from '@wisteriapath/model';
+import { RouteKind, TableName } from '@wisteriapath/model';
 import { placementDomains, RouteFeeder } from '@wisteriapath/placement';
 import {
   ClaimDesk,
@@ -16,6 +16,8 @@
 import shareSuspects from './shareSuspects';
 
 const DRIFT_SHARE = 0.05;
+/** A placer that restarts is replaced within this time. */
+const PLACER_GRACE_MS = 1_500;
 
 const createFeeder = (cradle: Cradle, routeName: string): RouteFeeder => {
   const { self, placerLink, clock, view, settings } = cradle;
@@ -26,6 +28,10 @@
     clock,
     usableMs: settings.placement.lease_term_ms * (1 - DRIFT_SHARE),
     answerMarginMs: settings.requests.answer_margin_ms,
+    placerGraceMs: () => {
+      const route = getRow(view().state, TableName.Routes, routeName)?.value;
+      return route?.kind === RouteKind.Model ? PLACER_GRACE_MS : 0;
+    },
     domains: () => {
       const { state } = view();
       const route = getRow(state, TableName.Routes, routeName)?.value;
@@ -68,8 +74,9 @@
         }),
     ),
     serviceCall: single(
-      ({ routeCaller, guardedTarget, claimDesk, retries, settings }) =>
+      ({ clock, routeCaller, guardedTarget, claimDesk, retries, settings }) =>
         new ServiceCall({
+          clock,
           caller: routeCaller,
           targets: guardedTarget,
           claims: claimDesk,
--- a/packages/daemon/src/shareSuspects.ts
+++ b/packages/daemon/src/shareSuspects.ts
@@ -6,25 +6,26 @@
  * Tells the linked peers of requests that may have crashed a target.
  *
  * @example
- * shareSuspects(mesh, peerClients, [{ fingerprint, crashedTargets: ['guide-a1'] }]);
+ * shareSuspects(mesh, peerClients, [{ fingerprint, crashIds: ['guide-a1#7f'] }]);
  */
-const shareSuspects = (
+const shareSuspects = async (
   mesh: PeerMesh,
   clients: PeerClients,
   suspicions: readonly {
     readonly fingerprint: string;
-    readonly crashedTargets: readonly string[];
+    readonly crashIds: readonly string[];
   }[],
-): void => {
+): Promise<void> => {
   if (suspicions.length === 0) return;
-  const suspects: messages.Suspect[] = suspicions.map(({ fingerprint, crashedTargets }) => ({
+  const suspects: messages.Suspect[] = suspicions.map(({ fingerprint, crashIds }) => ({
     fingerprint,
-    crashedTargets: [...crashedTargets],
+    crashIds: [...crashIds],
   }));
-  mesh.linked.forEach((link) => {
+  const told = mesh.linked.map((link) => {
     const client = clients.get(link.address.peerAddress);
-    void callPeer(client.shareSuspects.bind(client), { suspects }, CALL_TIMEOUT_MS);
+    return callPeer(client.shareSuspects.bind(client), { suspects }, CALL_TIMEOUT_MS);
   });
+  await Promise.all(told);
 };
 
 export default shareSuspects;
--- a/packages/log-client/src/appendUntilSettled.ts
+++ b/packages/log-client/src/appendUntilSettled.ts
@@ -11,6 +11,8 @@
 
 const RETRY_BASE_MS = 30;
 const RETRY_CAP_MS = 500;
+/** No call is begun with less time left: cut off, its outcome would be unknown. */
+const MIN_ATTEMPT_MS = 100;
 /** Share of the time left that is kept for settling an append of unknown outcome. */
 const SETTLING_SHARE = 0.3;
 
@@ -51,7 +53,8 @@
   folded: () => boolean,
 ): Promise<boolean> => {
   let mayBeWritten = false;
-  for (let attempt = 0; !deadline.expired() && !folded(); attempt += 1) {
+  const isTimeLeft = () => deadline.remainingMs() >= MIN_ATTEMPT_MS;
+  for (let attempt = 0; isTimeLeft() && !folded(); attempt += 1) {
     const result = await appendInTime({ log, clock }, stream, payload, deadline);
     mayBeWritten ||= result !== AppendResult.NotAppended;
     if (result === AppendResult.Appended) return true;
--- a/packages/placement/src/AcquireAnswer.ts
+++ b/packages/placement/src/AcquireAnswer.ts
@@ -12,6 +12,11 @@
   readonly refusal: ErrorKind | null;
   /** Expected time until a replica is ready; 0 if one is. */
   readonly expectedReadyMs: number;
+  /**
+   * Whether other failure domains may be asked for what was not granted: not while a replica is being
+   * loaded or warming up here, which would load another one.
+   */
+  readonly mayOverflow: boolean;
 }
 
 export default AcquireAnswer;
--- a/packages/placement/src/Placer.ts
+++ b/packages/placement/src/Placer.ts
@@ -16,6 +16,7 @@
 import LoadPermits from './LoadPermits';
 import type LoadPlan from './LoadPlan';
 import OrderKind from './OrderKind';
+import Shortages from './Shortages';
 import TargetAgent from './TargetAgent';
 import type TargetControl from './TargetControl';
 import assetsOf from './assetsOf';
@@ -52,10 +53,14 @@
   grants: [],
   refusal: null,
   expectedReadyMs: 0,
+  mayOverflow: true,
 };
 
 const refused = (refusal: ErrorKind): AcquireAnswer => ({ ...NOT_PLACER, isPlacer: true, refusal });
 
+const isSaturated = (serving: readonly TargetAgent[]): boolean =>
+  serving.length > 0 && serving.every((agent) => agent.window.warm);
+
 /** Decides every load and unload in one failure domain, and leases the slots of its targets. */
 class Placer {
   private agents = new Map<string, TargetAgent>();
@@ -70,10 +75,13 @@
 
   private readonly permits: LoadPermits;
 
+  private readonly shortages: Shortages;
+
   private readonly stopping = new AbortController();
 
   constructor(private readonly parts: Parts) {
     this.permits = new LoadPermits(parts.limits.storeLoadsAtOnce, parts.limits.adaptersInTransit);
+    this.shortages = new Shortages(parts.limits.leaseTermMs);
   }
 
   /** The targets as this placer sees them, for operators. */
@@ -109,11 +117,28 @@
         this.parts.clock.nowMs(),
       );
     }
-    const fits = unmet <= 0 || (await this.addReplica(route, pool, agents, serving));
-    if (serving.length > 0) return { isPlacer: true, grants, refusal: null, expectedReadyMs: 0 };
-    if (!fits) return refused(ErrorKind.CannotFit);
-    const expectedReadyMs = this.expectedReadyMs(agents, assets);
-    return { isPlacer: true, grants, refusal: null, expectedReadyMs };
+    const isDue = unmet > 0 && this.isReplicaDue(assets, agents, serving);
+    const fits = !isDue || (await this.addReplica(route, pool, agents, serving));
+    if (serving.length === 0 && !fits) return refused(ErrorKind.CannotFit);
+    const mayOverflow = assets.length === 0 || (isDue && serving.length > 0);
+    const expectedReadyMs = serving.length > 0 ? 0 : this.expectedReadyMs(agents, assets);
+    return { isPlacer: true, grants, refusal: null, expectedReadyMs, mayOverflow };
+  }
+
+  /**
+   * Whether another replica is worth its load: at once where none serves, else when the shortage has
+   * lasted for as long as the load would take, so that a burst that drains sooner loads none.
+   */
+  private isReplicaDue(
+    assets: readonly Asset[],
+    agents: readonly TargetAgent[],
+    serving: readonly TargetAgent[],
+  ): boolean {
+    const asset = assets.at(-1);
+    if (asset === undefined || serving.length === 0) return true;
+    if (!isSaturated(serving)) return false;
+    const loadMs = agents.map((agent) => expectedLoadMs(asset, agent.tier(asset.id)));
+    return this.shortages.note(asset.id, this.parts.clock.nowMs()) >= Math.min(...loadMs);
   }
 
   /** Matches the agents to the tenure and the configuration; false without the role. */
@@ -195,8 +220,7 @@
     if (assets.length === 0) return serving.length > 0;
     const expecting = agents.filter((agent) => agent.expects(assets));
     const underWay = expecting.length > serving.length;
-    const saturated = serving.every((agent) => agent.window.warm);
-    if (underWay || expecting.length >= pool.maxReplicas || !saturated) return true;
+    if (underWay || expecting.length >= pool.maxReplicas) return true;
     const nowMs = this.parts.clock.nowMs();
     const plans = agents
       .filter((agent) => !agent.expects(assets))
--- a/packages/placement/src/RouteFeeder.ts
+++ b/packages/placement/src/RouteFeeder.ts
@@ -22,6 +22,8 @@
   /** Time for which granted slots may be used, counted from before they were asked for. */
   readonly usableMs: number;
   readonly answerMarginMs: number;
+  /** Time for which the next failure domain is not asked in place of one without a placer. */
+  readonly placerGraceMs: () => number;
 }
 
 interface Waiter extends QueueItem, SlotRequest {
@@ -36,6 +38,9 @@
 
   private readonly targets = new Map<string, HeldTarget>();
 
+  /** Since when each failure domain has had no placer that answers. */
+  private readonly unreachableSinceMs = new Map<string, number>();
+
   private feeding = false;
 
   private wakeUp = new AbortController();
@@ -122,20 +127,29 @@
         const answer = await this.ask(domain, wanted, held);
         if (answer?.isPlacer !== true) {
           refusals.push(ErrorKind.PlacementUnavailable);
+          if (this.isExpectedBack(domain)) wanted = 0;
         } else {
+          this.unreachableSinceMs.delete(domain);
           refusals.push(answer.refusal ?? undefined);
           if (answer.refusal === null) {
             soonestReadyMs = Math.min(soonestReadyMs, answer.expectedReadyMs);
           }
           wanted -= this.absorb(domain, answer, startedMs);
-          const coming = answer.refusal === null && answer.expectedReadyMs > 0;
-          if (coming) wanted = 0;
+          if (!answer.mayOverflow) wanted = 0;
         }
       }
     }
     this.refuseHopeless(refusals, soonestReadyMs);
   }
 
+  /** Whether a silent placer is waited for: asking elsewhere would load another replica. */
+  private isExpectedBack(domain: string): boolean {
+    const nowMs = this.parts.clock.nowMs();
+    const sinceMs = this.unreachableSinceMs.get(domain) ?? nowMs;
+    this.unreachableSinceMs.set(domain, sinceMs);
+    return nowMs - sinceMs < this.parts.placerGraceMs();
+  }
+
   private domainsToAsk(): string[] {
     const holding = [...this.targets.values()].map((target) => target.identity.failureDomain);
     return [...new Set([...this.parts.domains(), ...holding])];
@@ -205,7 +219,7 @@
     while (this.waiters.size > 0) {
       const free = [...this.targets.values()].filter((target) => target.hasFreeSlot);
       const allows = (waiter: Waiter) => (target: HeldTarget) =>
-        !waiter.excluded.has(target.identity.name);
+        !waiter.isExcluded(target.identity.name);
       const waiter = this.queue.pop((item) => free.some(allows(item)));
       if (waiter === undefined) return;
       const allowed = free.filter(allows(waiter));
--- a/packages/placement/src/SlotRequest.ts
+++ b/packages/placement/src/SlotRequest.ts
@@ -7,8 +7,8 @@
   readonly requestClass: RequestClass;
   readonly cost: number;
   readonly deadline: Deadline;
-  /** Targets that must not be chosen, because they failed the request before. */
-  readonly excluded: ReadonlySet<string>;
+  /** Whether a target must not be chosen for now, because it failed the request before. */
+  readonly isExcluded: (target: string) => boolean;
   /** A hint, for prefix affinity. */
   readonly preferred: (targets: readonly string[]) => string | undefined;
 }
--- a/packages/routing/src/AttemptLog.ts
+++ b/packages/routing/src/AttemptLog.ts
@@ -1,23 +1,36 @@
-import { ErrorKind, Ran, ServeError } from '@wisteriapath/model';
+import { type Clock, ErrorKind, Ran, ServeError } from '@wisteriapath/model';
 import ExchangeFailure from './ExchangeFailure';
 
+/** Time for which a target that failed a request is passed over for it. */
+const EXCLUSION_MS = 500;
 const NOT_RUN = new Set([ExchangeFailure.NotSent]);
 
 /** The attempts at one request so far. */
 class AttemptLog {
-  private readonly failedTargets = new Set<string>();
+  private readonly failedAtMs = new Map<string, number>();
+
+  private failures = 0;
 
   private maySomeHaveRun = false;
 
   private lastFailure: ExchangeFailure | undefined;
 
-  /** Targets that failed and must not be tried again. */
-  get failed(): ReadonlySet<string> {
-    return this.failedTargets;
+  constructor(private readonly clock: Clock) {}
+
+  /** Whether a target failed so lately that it is not tried again yet. */
+  isExcluded(target: string): boolean {
+    const failedAtMs = this.failedAtMs.get(target) ?? -Infinity;
+    return this.clock.nowMs() - failedAtMs < EXCLUSION_MS;
   }
 
+  /** Attempts that failed and count against the limit. */
   get count(): number {
-    return this.failedTargets.size;
+    return this.failures;
+  }
+
+  /** Whether the last target refused the request without running it. */
+  get wasRefused(): boolean {
+    return this.lastFailure === ExchangeFailure.Refused;
   }
 
   /** Whether a byte of the request can have reached a target. */
@@ -26,7 +39,8 @@
   }
 
   note(target: string, failure: ExchangeFailure): void {
-    this.failedTargets.add(target);
+    this.failedAtMs.set(target, this.clock.nowMs());
+    if (failure !== ExchangeFailure.Refused) this.failures += 1;
     this.lastFailure = failure;
     this.maySomeHaveRun ||= !NOT_RUN.has(failure);
   }
--- a/packages/routing/src/GuardedTarget.ts
+++ b/packages/routing/src/GuardedTarget.ts
@@ -10,6 +10,8 @@
   readonly answer: Dispatcher.ResponseData;
   /** Notes that the answer came whole. */
   finished(): void;
+  /** Notes that the target refused the request without running it, which clears nobody. */
+  refused(): void;
   /** Notes that the answer broke off; answers with the failure. */
   broken(error: unknown): ExchangeFailure;
 }
@@ -27,6 +29,8 @@
   async admit(fingerprint: string): Promise<Either<ServeError, () => void>> {
     const verdict = this.poison.verdict(fingerprint);
     if (verdict === PoisonVerdict.Clear) return Right(() => {});
+    // A repeat through another instance must not come before the news of the crash.
+    await this.poison.shared;
     if (verdict === PoisonVerdict.Suspect) {
       const done = await this.poison.beginAlone();
       if (this.poison.verdict(fingerprint) !== PoisonVerdict.Quarantined) return Right(done);
@@ -36,16 +40,16 @@
     return Left(ServeError.maybeRun(ErrorKind.Quarantined, message));
   }
 
-  /** Sends a request. The caller must call one of the exchange's two functions when it is over. */
+  /** Sends a request. The caller must call one of the exchange's functions when it is over. */
   async send(
     target: string,
     url: string,
     fingerprint: string,
     call: Call,
   ): Promise<Either<ExchangeFailure, Exchange>> {
-    const leave = this.poison.enter(target, fingerprint);
+    const { leave, crashed } = this.poison.enter(target, fingerprint);
     const fail = (failure: ExchangeFailure): ExchangeFailure => {
-      if (failure === ExchangeFailure.Broken) this.poison.noteCrash(target);
+      if (failure === ExchangeFailure.Broken) crashed();
       leave();
       return failure;
     };
@@ -56,6 +60,7 @@
         leave();
         this.poison.noteFinished(fingerprint);
       },
+      refused: leave,
       broken: (error) => fail(TargetClient.failureOf(error)),
     }));
   }
--- a/packages/routing/src/ModelCall.ts
+++ b/packages/routing/src/ModelCall.ts
@@ -30,7 +30,7 @@
 
 /** Carries one completion to an engine, and on to another one where the answer breaks off. */
 class ModelCall {
-  private readonly attempts = new AttemptLog();
+  private readonly attempts: AttemptLog;
 
   private readonly writer: CompletionWriter;
 
@@ -45,6 +45,7 @@
     private readonly sink: AnswerSink,
   ) {
     const { call, requestId } = context;
+    this.attempts = new AttemptLog(parts.clock);
     const model = assetsOf(call.route).at(-1)!.id;
     this.body = Buffer.from(JSON.stringify({ ...request.body, model, stream: true }));
     this.fingerprint = requestFingerprint(context, this.body);
@@ -88,7 +89,8 @@
 
   private mayRetry(): boolean {
     const over = this.context.deadline.expired() || this.sink.gone.aborted;
-    return !over && this.attempts.count < MAX_ATTEMPTS && this.parts.retries.take();
+    if (over || this.attempts.count >= MAX_ATTEMPTS) return false;
+    return this.attempts.wasRefused || this.parts.retries.take();
   }
 
   private slot(): Promise<Either<ServeError, Slot>> {
@@ -96,7 +98,7 @@
     return this.parts.caller.slotFor(this.context, {
       attempt: this.attempts.count + 1,
       cost: promptTokens + maxTokens,
-      excluded: this.attempts.failed,
+      isExcluded: (target) => this.attempts.isExcluded(target),
       preferred: (targets) => rendezvousOrder(prefixSha256, targets)[0],
       reason: this.attempts.count === 0 ? 'first' : 'resume',
     });
@@ -113,7 +115,7 @@
     const exchange = sent.unsafeCoerce();
     if (exchange.answer.statusCode !== OK) {
       await exchange.answer.body.dump();
-      exchange.finished();
+      exchange.refused();
       slot.release(TargetOutcome.Failed);
       return ExchangeFailure.Refused;
     }
--- a/packages/routing/src/PoisonRegistry.ts
+++ b/packages/routing/src/PoisonRegistry.ts
@@ -1,14 +1,23 @@
+import { randomUUID } from 'node:crypto';
 import { LRUCache } from 'lru-cache';
+import type PoisonWatch from './PoisonWatch';
 import PoisonVerdict from './PoisonVerdict';
 
-/** Targets that a request must have crashed before it is quarantined. */
+/** Crashes after which a request is quarantined. */
 const CRASHES_TO_QUARANTINE = 2;
 const REMEMBERED = 10_000;
 const MEMORY_MS = 600_000;
 
 interface Suspicion {
   readonly fingerprint: string;
-  readonly crashedTargets: readonly string[];
+  readonly crashIds: readonly string[];
+}
+
+/** The time of a target between two deaths. */
+interface TargetLife {
+  readonly crashId: string;
+  /** Fingerprints of the requests in flight. */
+  readonly inflight: string[];
 }
 
 /** Requests that were in flight on targets that died, by fingerprint. */
@@ -18,13 +27,16 @@
     ttl: MEMORY_MS,
   });
 
-  private readonly inflight = new Map<string, Map<string, number>>();
+  private readonly lives = new Map<string, TargetLife>();
+
+  /** Resolves when the peers know, or did not answer in time. */
+  shared: Promise<void> = Promise.resolve();
 
   private lastSuspect: Promise<void> = Promise.resolve();
 
   constructor(
-    /** Passes new suspicions on to the peers. */
-    private readonly share: (suspicions: readonly Suspicion[]) => void,
+    /** Passes new suspicions on to the peers; resolves within a bounded time. */
+    private readonly share: (suspicions: readonly Suspicion[]) => Promise<void>,
   ) {}
 
   verdict(fingerprint: string): PoisonVerdict {
@@ -44,34 +56,42 @@
     return done;
   }
 
-  /** Notes that a request is in flight on a target; call the result when it is not any more. */
-  enter(target: string, fingerprint: string): () => void {
-    const requests = this.inflight.get(target) ?? new Map<string, number>();
-    this.inflight.set(target, requests);
-    requests.set(fingerprint, (requests.get(fingerprint) ?? 0) + 1);
-    return () => {
-      const left = (requests.get(fingerprint) ?? 1) - 1;
-      if (left === 0) requests.delete(fingerprint);
-      else requests.set(fingerprint, left);
+  /** Notes that a request is in flight on a target. */
+  enter(target: string, fingerprint: string): PoisonWatch {
+    const life = this.lives.get(target) ?? this.beginLife(target);
+    life.inflight.push(fingerprint);
+    return {
+      leave: () => {
+        const position = life.inflight.indexOf(fingerprint);
+        if (position >= 0) life.inflight.splice(position, 1);
+      },
+      crashed: () => this.noteCrash(target, life),
     };
   }
 
-  /** Makes suspects of everything in flight on a target that died. */
-  noteCrash(target: string): void {
-    const fingerprints = [...(this.inflight.get(target)?.keys() ?? [])];
-    const suspicions = fingerprints.map((fingerprint) => ({
+  private beginLife(target: string): TargetLife {
+    const life = { crashId: `${target}#${randomUUID()}`, inflight: [] };
+    this.lives.set(target, life);
+    return life;
+  }
+
+  /** Makes suspects of everything in flight on a target that died; once for each death. */
+  private noteCrash(target: string, life: TargetLife): void {
+    if (this.lives.get(target) !== life) return;
+    this.beginLife(target);
+    const suspicions = [...new Set(life.inflight)].map((fingerprint) => ({
       fingerprint,
-      crashedTargets: [target],
+      crashIds: [life.crashId],
     }));
     this.absorb(suspicions);
-    this.share(suspicions);
+    this.shared = Promise.all([this.shared, this.share(suspicions)]).then(() => {});
   }
 
   /** Takes in what a peer suspects. */
   absorb(suspicions: readonly Suspicion[]): void {
-    suspicions.forEach(({ fingerprint, crashedTargets }) => {
+    suspicions.forEach(({ fingerprint, crashIds }) => {
       const known = this.crashes.get(fingerprint) ?? new Set<string>();
-      this.crashes.set(fingerprint, new Set([...known, ...crashedTargets]));
+      this.crashes.set(fingerprint, new Set([...known, ...crashIds]));
     });
   }
 
--- a/packages/routing/src/RouteCaller.ts
+++ b/packages/routing/src/RouteCaller.ts
@@ -15,7 +15,7 @@
 interface Wish {
   readonly attempt: number;
   readonly cost: number;
-  readonly excluded: ReadonlySet<string>;
+  readonly isExcluded: (target: string) => boolean;
   readonly preferred: (targets: readonly string[]) => string | undefined;
   readonly reason: string;
 }
@@ -34,7 +34,7 @@
       requestClass: call.route.requestClass,
       cost: wish.cost,
       deadline,
-      excluded: wish.excluded,
+      isExcluded: wish.isExcluded,
       preferred: wish.preferred,
     });
     return acquired.chain((slot) => this.checked(context, wish, slot, startedMs));
--- a/packages/routing/src/ServiceCall.ts
+++ b/packages/routing/src/ServiceCall.ts
@@ -1,5 +1,5 @@
 import { type Either, Left, Right } from 'purify-ts';
-import { ErrorKind, Ran, ServeError, sha256Hex } from '@wisteriapath/model';
+import { type Clock, ErrorKind, Ran, ServeError, sha256Hex } from '@wisteriapath/model';
 import { type Slot, TargetOutcome } from '@wisteriapath/placement';
 import type AnswerSink from './AnswerSink';
 import AttemptLog from './AttemptLog';
@@ -15,6 +15,7 @@
 import requestFingerprint from './requestFingerprint';
 
 interface Parts {
+  readonly clock: Clock;
   readonly caller: RouteCaller;
   readonly targets: GuardedTarget;
   readonly claims: ClaimDesk;
@@ -68,7 +69,7 @@
     http: HttpCall,
     sink: AnswerSink,
   ): Promise<Either<ServeError, WholeAnswer>> {
-    const attempts = new AttemptLog();
+    const attempts = new AttemptLog(this.parts.clock);
     const admitted = await this.parts.targets.admit(requestFingerprint(context, http.body));
     if (admitted.isLeft()) return admitted;
     this.parts.retries.noteRequest();
@@ -118,7 +119,7 @@
     key: string,
     claimId: string,
   ): Promise<Either<ServeError, WholeAnswer>> {
-    const attempts = new AttemptLog();
+    const attempts = new AttemptLog(this.parts.clock);
     const giveBack = async (error: ServeError) => {
       await this.parts.claims.release(key, claimId, context.deadline);
       return Left(error);
@@ -150,7 +151,7 @@
     return this.parts.caller.slotFor(context, {
       attempt: attempts.count + 1,
       cost: 1,
-      excluded: attempts.failed,
+      isExcluded: (target) => attempts.isExcluded(target),
       preferred: () => undefined,
       reason: attempts.count === 0 ? 'first' : 'retry',
     });
--- a/packages/standins/src/FaultSwitch.ts
+++ b/packages/standins/src/FaultSwitch.ts
@@ -10,6 +10,8 @@
   readonly remaining: number;
   /** Applies only to requests of this method, if stated. */
   readonly method?: string;
+  /** Applies only to requests whose path contains this, if stated. */
+  readonly path?: string;
 }
 
 type Handler = (
@@ -56,6 +58,11 @@
   },
 };
 
+const matches = (fault: Fault, context: Parameters<Middleware>[0]): boolean =>
+  fault.remaining !== 0 &&
+  (fault.method === undefined || fault.method === context.method) &&
+  (fault.path === undefined || context.path.includes(fault.path));
+
 /** The fault that a stand-in is switched to, and the middleware that brings it about. */
 class FaultSwitch {
   private fault = NO_FAULT;
@@ -66,8 +73,7 @@
 
   readonly middleware: Middleware = async (context, next) => {
     const { fault } = this;
-    const applies =
-      fault.remaining !== 0 && (fault.method === undefined || fault.method === context.method);
+    const applies = matches(fault, context);
     if (CONTROL_PATHS.has(context.path) || !applies) {
       await next();
       return;
