Prove budgets under failure; keep idle models for what their load costs

Found by failing tests: - A warm model was unloaded 4 s into steady traffic and a request refused. Cause, from the decision line (reason=idle): the keep-alive came from gaps between calls a few milliseconds apart. Gaps below 1 s are no idleness, and a replica is kept for at least three times its load time. While one is leaving, requests wait for its return. - An engine fell over at 65 requests beside a capacity of 64: the slot of a cancelled request was used again before the engine had noticed. It now stays taken for 0.25 s. - A caller was answered before the peers knew of a crash. The flood test first allowed only over_rate as a refusal; a trace shows tokens that come too late to get a slot as well (deadline_expired, not run). It now allows both, and checks that every refusal says not run and that the engine never fell.

--- /dev/null
+++ b/packages/cli/test/budgets.test.ts
@@ -0,0 +1,208 @@
+/** Rates: no workspace exceeds its rate and burst across all instances, by the engines' count. */
+import { startEngine } from '@wisteriapath/standins';
+import call from './support/call';
+import eventually from './support/eventually';
+import LocalSystem from './support/LocalSystem';
+import ProcessSystem from './support/ProcessSystem';
+import rows from './support/rows';
+
+const DOMAINS = ['khomas-a', 'khomas-b', 'khomas-c'];
+const RATE_PER_S = 300;
+const BURST = 900;
+const TOKENS_PER_CALL = 15;
+const CALL = { prompt: 'a dented rim', max_tokens: TOKENS_PER_CALL - 3 };
+const LOADING = { prompt: 'x', max_tokens: 1 };
+
+const pause = (durationMs: number) =>
+  new Promise((resolve) => {
+    setTimeout(resolve, durationMs);
+  });
+
+interface EngineState {
+  readonly falls: number;
+  readonly tokensByWorkspace: Readonly<Record<string, number>>;
+}
+
+const startBudgets = async () => {
+  const system = await LocalSystem.start(DOMAINS);
+  const engine = await startEngine({ tokenMs: 1, capacity: 64, freshCapacity: 64 });
+  const instances = await Promise.all(
+    DOMAINS.map((failureDomain) =>
+      system.instance({ name: `entry-${failureDomain}`, failureDomain }),
+    ),
+  );
+  const { operator } = instances[0];
+  await operator.set('workspaces', 'flood', 0, rows.workspace(RATE_PER_S, BURST));
+  await operator.set('workspaces', 'calm', 0, rows.workspace(RATE_PER_S, BURST));
+  await operator.set('workspaces', 'warmer', 0, rows.workspace());
+  await operator.set('keys', 'k1', 0, rows.key('flood-key', 'flood'));
+  await operator.set('keys', 'k2', 0, rows.key('calm-key', 'calm'));
+  await operator.set('keys', 'k3', 0, rows.key('warm-key', 'warmer'));
+  const targets = { e1: rows.engine(engine.url, 'khomas-a', { capacity: 64 }) };
+  await operator.set('pools', 'guide', 0, { targets });
+  const workspaces = ['flood', 'calm', 'warmer'];
+  await operator.set('routes', 'cup-guide', 0, rows.model('guide', workspaces));
+  await Promise.all(
+    instances.map(({ callersUrl }) =>
+      eventually(
+        () => call.complete(callersUrl, 'warm-key', LOADING),
+        ({ status }) => status === 200,
+      ),
+    ),
+  );
+  const tokens = (workspace: string) =>
+    (engine.state() as EngineState).tokensByWorkspace[workspace] ?? 0;
+  const ask = (index: number, secret: string, deadlineMs: number) =>
+    call.complete(instances[index].callersUrl, secret, CALL, {
+      'x-deadline-ms': String(deadlineMs),
+    });
+  const falls = () => (engine.state() as EngineState).falls;
+  const stop = async () => {
+    await system.stop();
+    await engine.close();
+  };
+  return { system, instances, tokens, falls, ask, stop };
+};
+
+/** Sends calls at an even pace; answers with their outcomes. */
+const pace = async <T>(
+  callsPerS: number,
+  durationMs: number,
+  send: (index: number) => Promise<T>,
+): Promise<T[]> => {
+  const results: Promise<T>[] = [];
+  const startedAt = Date.now();
+  while (Date.now() - startedAt < durationMs) {
+    const due = ((Date.now() - startedAt) / 1_000) * callsPerS;
+    while (results.length < due) results.push(send(results.length));
+    await pause(5);
+  }
+  return Promise.all(results);
+};
+
+const allowed = (startedAt: number) => BURST + (RATE_PER_S * (Date.now() - startedAt)) / 1_000;
+
+describe('budgets', () => {
+  let budgets: Awaited<ReturnType<typeof startBudgets>>;
+  beforeEach(async () => {
+    budgets = await startBudgets();
+  });
+  afterEach(() => budgets.stop());
+
+  const FLOOD_PER_S = (5 * RATE_PER_S) / TOKENS_PER_CALL;
+  const choices: [string, (index: number) => number][] = [
+    ['one instance', () => 1],
+    ['all instances', (index) => index % 3],
+    ['one instance after the other', (index) => Math.floor(index / 80) % 3],
+  ];
+
+  test.each(choices)(
+    '5 times the rate through %s stays within rate and burst',
+    async (_name, to) => {
+      const startedAt = Date.now();
+      const answers = await pace(FLOOD_PER_S, 4_000, (index) =>
+        budgets.ask(to(index), 'flood-key', 400),
+      );
+      const spent = budgets.tokens('flood');
+      expect(spent).toBeLessThanOrEqual(allowed(startedAt));
+      expect(spent).toBeGreaterThan(0.5 * allowed(startedAt));
+      const refusals = answers.filter(({ status }) => status !== 200).map(({ error }) => error);
+      // A request may get its tokens too late to get a target as well.
+      const kinds = ['over_rate', 'deadline_expired'];
+      expect(refusals.filter((error) => !kinds.includes(String(error?.kind)))).toEqual([]);
+      expect(refusals.filter((error) => error?.ran !== 'no')).toEqual([]);
+      expect(refusals.length).toBeGreaterThan(0);
+      expect(budgets.falls()).toBe(0);
+    },
+  );
+
+  test('beside a flood, a workspace within its rate is served', async () => {
+    const flood = pace(FLOOD_PER_S, 4_000, (index) => budgets.ask(index % 3, 'flood-key', 400));
+    const calmPerS = (0.9 * RATE_PER_S) / TOKENS_PER_CALL;
+    const answers = await pace(calmPerS, 4_000, (index) =>
+      budgets.ask(index % 3, 'calm-key', 2_000),
+    );
+    await flood;
+    const served = answers.filter(({ status }) => status === 200).length;
+    expect(served / answers.length).toBeGreaterThanOrEqual(0.95);
+  });
+
+  test('within the rate, all of it through one instance, nothing is refused', async () => {
+    const perS = (0.95 * RATE_PER_S) / TOKENS_PER_CALL;
+    const answers = await pace(perS, 4_000, () => budgets.ask(2, 'calm-key', 2_000));
+    expect(answers.map(({ status }) => status)).toEqual(answers.map(() => 200));
+  });
+
+  test('cut off, a domain lives on its own part, and all of them together stay within', async () => {
+    const startedAt = Date.now();
+    budgets.system.cutPeers('khomas-a', true);
+    const flood = pace(FLOOD_PER_S, 3_000, (index) => budgets.ask(index % 3, 'flood-key', 400));
+    const answers = await flood;
+    expect(answers.filter(({ status }) => status === 200).length).toBeGreaterThan(0);
+    expect(budgets.tokens('flood')).toBeLessThanOrEqual(allowed(startedAt));
+  });
+});
+
+describe('budget homes that are killed or frozen', () => {
+  test('the engines never count more than rate and burst', async () => {
+    const system = await ProcessSystem.start(['khomas-a', 'khomas-b']);
+    const engine = await system.standin('engine', { tokenMs: 1, capacity: 64, freshCapacity: 64 });
+    const instances = await Promise.all(
+      ['entry-a0', 'entry-a1', 'entry-b0', 'entry-b1'].map((name) =>
+        system.instance({
+          name,
+          failureDomain: name.startsWith('entry-a') ? 'khomas-a' : 'khomas-b',
+          settings: { roles: 'probe_interval_ms = 100', budgets: 'loan_term_ms = 600' },
+        }),
+      ),
+    );
+    const { operator } = instances[0];
+    await eventually(
+      () => operator.status(),
+      ({ ready }) => ready,
+    );
+    await operator.set('workspaces', 'flood', 0, rows.workspace(RATE_PER_S, BURST));
+    await operator.set('workspaces', 'warmer', 0, rows.workspace());
+    await operator.set('keys', 'k1', 0, rows.key('flood-key', 'flood'));
+    await operator.set('keys', 'k3', 0, rows.key('warm-key', 'warmer'));
+    const targets = { e1: rows.engine(engine.url, 'khomas-b', { capacity: 64 }) };
+    await operator.set('pools', 'guide', 0, { targets });
+    await operator.set('routes', 'cup-guide', 0, rows.model('guide', ['flood', 'warmer']));
+    const alive = new Set([0, 1, 2, 3]);
+    for (const index of alive) {
+      await eventually(
+        () => call.complete(instances[index].callersUrl, 'warm-key', LOADING),
+        ({ status }) => status === 200,
+      );
+    }
+    const holderOf = async (role: string) => {
+      const { roles } = await instances[3].operator.status();
+      const holder = roles.find((other) => other.role === role)?.holder;
+      return instances.findIndex(({ name }) => name === holder);
+    };
+    const startedAt = Date.now();
+    const flood = pace((5 * RATE_PER_S) / TOKENS_PER_CALL, 6_000, async (index) => {
+      const to = [...alive][index % alive.size];
+      const headers = { 'x-deadline-ms': '400' };
+      return call
+        .complete(instances[to].callersUrl, 'flood-key', CALL, headers)
+        .catch(() => undefined);
+    });
+    await pause(1_000);
+    const frozen = await holderOf('home/khomas-a');
+    alive.delete(frozen);
+    instances[frozen].process.signal('SIGSTOP');
+    await pause(2_000);
+    instances[frozen].process.signal('SIGCONT');
+    alive.add(frozen);
+    await pause(500);
+    alive.delete(frozen);
+    instances[frozen].process.signal('SIGKILL');
+    await flood;
+    const state = (await (await fetch(`${engine.url}/state`)).json()) as EngineState;
+    expect(state.tokensByWorkspace.flood).toBeLessThanOrEqual(allowed(startedAt));
+    expect(state.tokensByWorkspace.flood).toBeGreaterThan(BURST);
+    await eventually(async () => (await holderOf('home/khomas-a')) !== frozen);
+    await system.stop();
+  });
+});
--- a/packages/cli/test/placementUnderFailure.test.ts
+++ b/packages/cli/test/placementUnderFailure.test.ts
@@ -199,6 +199,15 @@
 
   test('a request that crashes its engine is quarantined, and its neighbours are answered', async () => {
     placed = await startEngines({ engines: spread, maxReplicas: 1 });
+    // The news of a crash reaches the peers that an instance is linked with.
+    await Promise.all(
+      placed.instances.map(({ operator }) =>
+        eventually(
+          () => operator.status(),
+          ({ peers }) => peers.filter(({ silentMs }) => silentMs !== null).length === 2,
+        ),
+      ),
+    );
     await Promise.all(DOMAINS.map((_domain, index) => placed.ask(index)));
     placed.engines.forEach((engine) => engine.setFault({ crashOn: 'poison' }));
     const neighbours = Array.from({ length: 6 }, (_unused, index) =>
--- a/packages/peer/src/PeerMesh.ts
+++ b/packages/peer/src/PeerMesh.ts
@@ -6,6 +6,8 @@
 import type StreamSet from './StreamSet';
 
 const LIST_INTERVAL_MS = 1_000;
+/** The list is read more often while no peer is known. */
+const ALONE_INTERVAL_MS = 200;
 const LINKS_IN_OWN_DOMAIN = 6;
 const LINKS_PER_OTHER_DOMAIN = 2;
 
@@ -54,7 +56,8 @@
     while (!signal.aborted) {
       const read = await this.list.list();
       if (!signal.aborted) read.ifJust((instances) => this.adopt(instances));
-      await this.clock.sleep(LIST_INTERVAL_MS, signal);
+      const isAlone = this.links.size === 0;
+      await this.clock.sleep(isAlone ? ALONE_INTERVAL_MS : LIST_INTERVAL_MS, signal);
     }
   }
 
--- a/packages/placement/src/HeldTarget.ts
+++ b/packages/placement/src/HeldTarget.ts
@@ -9,6 +9,16 @@
   readonly failureDomain: string;
 }
 
+/** Time within which a target notices that its caller has gone; its slot stays taken meanwhile. */
+const CANCEL_SETTLE_MS = 250;
+
+const noOutcomes = (): Record<TargetOutcome, number> => ({
+  [TargetOutcome.Succeeded]: 0,
+  [TargetOutcome.Failed]: 0,
+  [TargetOutcome.Slow]: 0,
+  [TargetOutcome.Cancelled]: 0,
+});
+
 /** One target on which a route holds slots. */
 class HeldTarget {
   private slots = 0;
@@ -17,7 +27,7 @@
 
   private occupied = 0;
 
-  private outcomes: Record<TargetOutcome, number> = { succeeded: 0, failed: 0, slow: 0 };
+  private outcomes = noOutcomes();
 
   constructor(
     readonly identity: Identity,
@@ -60,7 +70,7 @@
   /** What happened since the last call. */
   takeUse(): AcquireAsk['uses'][number] {
     const { succeeded, failed, slow } = this.outcomes;
-    this.outcomes = { succeeded: 0, failed: 0, slow: 0 };
+    this.outcomes = noOutcomes();
     const { name: target } = this.identity;
     const { usableSlots: heldSlots, occupied: inflight } = this;
     return { target, heldSlots, inflight, succeeded, failed, slow };
@@ -82,7 +92,8 @@
       cancel: leave,
       release: (outcome) => {
         this.outcomes[outcome] += 1;
-        leave();
+        if (outcome !== TargetOutcome.Cancelled) leave();
+        else void this.clock.sleep(CANCEL_SETTLE_MS).then(leave);
       },
     };
   }
--- a/packages/placement/src/Placer.ts
+++ b/packages/placement/src/Placer.ts
@@ -230,7 +230,7 @@
       await this.carryOut(plans[0], plans);
       return true;
     }
-    return agents.some((agent) => !agent.usable || agent.queuedLoads > 0);
+    return agents.some((agent) => !agent.changeable || agent.isBusyWith(assets));
   }
 
   private async carryOut(plan: LoadPlan, plans: readonly LoadPlan[]): Promise<void> {
@@ -301,7 +301,8 @@
       for (const charge of agent.changeable ? agent.memory.all() : []) {
         const gaps = this.uses.of(charge.asset.id);
         const idleMs = Math.min(gaps.idleMs(nowMs), nowMs - charge.sinceMs);
-        const due = idleMs > gaps.keepAliveMs(this.parts.limits.idleUnloadMs);
+        const loadMs = expectedLoadMs(charge.asset, agent.tier(charge.asset.id));
+        const due = idleMs > gaps.keepAliveMs(this.parts.limits.idleUnloadMs, loadMs);
         const based = agent.memory
           .all()
           .some((other) => other.asset.id.startsWith(`${charge.asset.id}/`));
--- a/packages/placement/src/TargetAgent.ts
+++ b/packages/placement/src/TargetAgent.ts
@@ -102,6 +102,12 @@
     return this.loads.length;
   }
 
+  /** Whether loads are queued, or one of the assets is leaving and may then be loaded again. */
+  isBusyWith(assets: readonly Asset[]): boolean {
+    const isLeaving = (asset: Asset) => this.memory.phase(asset.id) === ChargePhase.Unloading;
+    return this.loads.length > 0 || assets.some(isLeaving);
+  }
+
   load(asset: Asset): void {
     this.memory.decide(asset);
     this.loads.push(asset);
--- a/packages/placement/src/TargetOutcome.ts
+++ b/packages/placement/src/TargetOutcome.ts
@@ -3,6 +3,8 @@
   Succeeded = 'succeeded',
   Failed = 'failed',
   Slow = 'slow',
+  /** This side gave up; the target may not have noticed yet. */
+  Cancelled = 'cancelled',
 }
 
 export default TargetOutcome;
--- a/packages/routing/src/GuardedTarget.ts
+++ b/packages/routing/src/GuardedTarget.ts
@@ -29,8 +29,7 @@
   async admit(fingerprint: string): Promise<Either<ServeError, () => void>> {
     const verdict = this.poison.verdict(fingerprint);
     if (verdict === PoisonVerdict.Clear) return Right(() => {});
-    // A repeat through another instance must not come before the news of the crash.
-    await this.poison.shared;
+    await this.newsSpread();
     if (verdict === PoisonVerdict.Suspect) {
       const done = await this.poison.beginAlone();
       if (this.poison.verdict(fingerprint) !== PoisonVerdict.Quarantined) return Right(done);
@@ -40,6 +39,14 @@
     return Left(ServeError.maybeRun(ErrorKind.Quarantined, message));
   }
 
+  /**
+   * Resolves when the peers have been told of crashes, within a bounded time. A caller must not be
+   * answered before: its repeat through another instance would overtake the news.
+   */
+  newsSpread(): Promise<void> {
+    return this.poison.shared;
+  }
+
   /** Sends a request. The caller must call one of the exchange's functions when it is over. */
   async send(
     target: string,
--- a/packages/routing/src/ModelCall.ts
+++ b/packages/routing/src/ModelCall.ts
@@ -81,6 +81,7 @@
       const failure = await this.exchange(slot.unsafeCoerce());
       if (failure === undefined) return Right(undefined);
       this.attempts.note(slot.unsafeCoerce().target, failure);
+      await this.parts.targets.newsSpread();
     } finally {
       admitted.ifRight((done) => done());
     }
@@ -128,7 +129,7 @@
     } catch (error) {
       const failure = exchange.broken(error);
       const givenUp = failure === ExchangeFailure.GivenUp;
-      slot.release(givenUp ? TargetOutcome.Succeeded : TargetOutcome.Failed);
+      slot.release(givenUp ? TargetOutcome.Cancelled : TargetOutcome.Failed);
       return failure;
     }
   }
--- a/packages/routing/src/ServiceCall.ts
+++ b/packages/routing/src/ServiceCall.ts
@@ -80,6 +80,7 @@
         if (slot.isLeft()) return Left(attempts.qualify(slot.extract()));
         const answer = await this.exchange(context, http, sink, slot.unsafeCoerce(), attempts);
         if (answer.isRight()) return answer.mapLeft(() => attempts.exhausted());
+        await this.parts.targets.newsSpread();
         const spent = attempts.count >= MAX_ATTEMPTS || context.deadline.expired();
         const givenUp = answer.extract() === ExchangeFailure.GivenUp;
         if (spent || givenUp || !this.parts.retries.take()) return Left(attempts.exhausted());
@@ -175,7 +176,8 @@
     const sent = await this.parts.targets.send(slot.target, slot.url, fingerprint, call);
     const failed = (failure: ExchangeFailure): Either<ExchangeFailure, WholeAnswer> => {
       attempts.note(slot.target, failure);
-      slot.release(TargetOutcome.Failed);
+      const givenUp = failure === ExchangeFailure.GivenUp;
+      slot.release(givenUp ? TargetOutcome.Cancelled : TargetOutcome.Failed);
       return Left(failure);
     };
     if (sent.isLeft()) return failed(sent.extract());
