--- /dev/null
+++ b/packages/config/test/folds.test.ts
@@ -0,0 +1,170 @@
+/** The configuration's fold, its checkpoints, and its inputs. */
+import fc from 'fast-check';
+import {
+  emptyFolded,
+  encodeEnvelope,
+  type Envelope,
+  foldRecord,
+  type LogRecord,
+} from '@wisteriapath/log-client';
+import { TableName } from '@wisteriapath/model';
+import { configCodec, configFold, EditKind, formatFault, parseSettings, parseTable } from '../src';
+
+const RUNS = Number(process.env.FUZZ_RUNS ?? 500);
+const SEED = process.env.FUZZ_SEED === undefined ? 20_261_204 : Number(process.env.FUZZ_SEED);
+const CHECK = { numRuns: RUNS, seed: SEED };
+
+const envelope: fc.Arbitrary<Envelope> = fc.record({
+  id: fc.constantFrom('a', 'b', 'c', 'd', 'e', 'f'),
+  body: fc.record({
+    kind: fc.constantFrom(EditKind.Set, EditKind.Remove),
+    table: fc.constantFrom(TableName.Zones, TableName.Workspaces),
+    name: fc.constantFrom('x', 'y'),
+    expectedVersion: fc.integer({ min: 0, max: 6 }),
+    value: fc.record({ state: fc.constantFrom('in', 'out') }),
+  }),
+});
+
+const cancel: fc.Arbitrary<Envelope> = fc.record({
+  id: fc.constantFrom('g', 'h'),
+  cancels: fc.constantFrom('a', 'b', 'c'),
+});
+
+const history = fc.array(fc.oneof({ weight: 5, arbitrary: envelope }, cancel), { maxLength: 20 });
+
+const toRecords = (envelopes: readonly Envelope[]): LogRecord[] =>
+  envelopes.map((one, offset) => ({ offset, atMs: offset, payload: encodeEnvelope(one) }));
+
+const fold = (records: readonly LogRecord[], from = emptyFolded(configFold)) =>
+  records.reduce((folded, record) => foldRecord(configFold, folded, record), from);
+
+const text = (folded: ReturnType<typeof fold>) => configCodec.encode(folded).text;
+
+describe('the configuration fold', () => {
+  test('a checkpoint and the tail equal the whole log, at every cut', () => {
+    fc.assert(
+      fc.property(history, fc.nat(20), (envelopes, at) => {
+        const records = toRecords(envelopes);
+        const cut = Math.min(at, records.length);
+        const snapshot = configCodec.encode(fold(records.slice(0, cut)));
+        const restored = configCodec.decode(snapshot).unsafeCoerce();
+        return text(fold(records.slice(cut), restored)) === text(fold(records));
+      }),
+      CHECK,
+    );
+  });
+
+  test('records that come again at their offsets change nothing', () => {
+    fc.assert(
+      fc.property(history, (envelopes) => {
+        const records = toRecords(envelopes);
+        const once = fold(records);
+        return text(fold(records, once)) === text(once);
+      }),
+      CHECK,
+    );
+  });
+
+  test('a repeat of an id later in the log changes nothing', () => {
+    fc.assert(
+      fc.property(history, fc.nat(19), (envelopes, which) => {
+        if (envelopes.length === 0) return true;
+        const repeated = [...envelopes, envelopes[which % envelopes.length]];
+        const tables = (folded: ReturnType<typeof fold>) =>
+          (JSON.parse(text(folded)) as { tables: unknown }).tables;
+        const before = tables(fold(toRecords(envelopes)));
+        return JSON.stringify(tables(fold(toRecords(repeated)))) === JSON.stringify(before);
+      }),
+      CHECK,
+    );
+  });
+
+  test('payloads that are no records are skipped', () => {
+    fc.assert(
+      fc.property(fc.oneof(fc.string(), fc.json()), (payload) => {
+        const folded = fold([{ offset: 0, atMs: 0, payload }]);
+        return folded.nextOffset === 1;
+      }),
+      CHECK,
+    );
+  });
+
+  test('a damaged checkpoint is not taken', () => {
+    const snapshot = configCodec.encode(fold([]));
+    expect(configCodec.decode({ ...snapshot, text: `${snapshot.text} ` }).isNothing()).toBe(true);
+  });
+});
+
+describe('inputs', () => {
+  test('hostile settings and tables give faults, never exceptions', () => {
+    const line = fc.oneof(
+      fc.string(),
+      fc.constantFrom('[instance]', '[listen]', 'name = x', '[a.b.c]', '[__proto__]', 'x[]=1'),
+    );
+    fc.assert(
+      fc.property(fc.array(line, { maxLength: 12 }), (lines) => {
+        const input = lines.join('\n');
+        parseSettings('fuzz.ini', input);
+        Object.values(TableName).forEach((table) => parseTable('fuzz.ini', table, input));
+        return true;
+      }),
+      CHECK,
+    );
+  });
+
+  test('every fault names file, section, key and reason', () => {
+    const settings = `
+[instance]
+name = Entry A
+[listen]
+callers = 127.0.0.1
+operators = 127.0.0.1:1
+peers = 127.0.0.1:2
+colour = red
+[platform]
+log_url = log
+instance_list_url = http://127.0.0.1:9
+log_retention_s = 3600
+[budgets]
+failure_domains = khomas-a
+loan_term_ms = soon
+`;
+    const faults = parseSettings('entry.ini', settings).swap().orDefault([]);
+    expect(faults.map(formatFault)).toMatchInlineSnapshot(`
+     [
+       "entry.ini: [instance] name: must be lower-case letters, digits and hyphens",
+       "entry.ini: [instance] failure_domain: Invalid input: expected string, received undefined",
+       "entry.ini: [listen] callers: must look like 127.0.0.1:8080",
+       "entry.ini: [listen] colour: is not known",
+       "entry.ini: [platform] log_url: must look like http://host:port",
+       "entry.ini: [operators]: Invalid input: expected object, received undefined",
+       "entry.ini: [budgets] loan_term_ms: Invalid input: expected number, received NaN",
+     ]
+    `);
+    const table = `
+stray = 1
+[cup-guide]
+kind = model
+pool = Guide Models
+deadline_ms = -5
+[cup-guide]
+kind = model
+[quotes]
+kind = service
+pool = desk
+colour = red
+`;
+    const wrong = parseTable('routes.ini', TableName.Routes, table).swap().orDefault([]);
+    expect(wrong.map(formatFault)).toMatchInlineSnapshot(`
+     [
+       "routes.ini: [cup-guide]: stands twice",
+       "routes.ini: stray: stands before the first section",
+       "routes.ini: [cup-guide] pool: must be lower-case letters, digits and hyphens",
+       "routes.ini: [cup-guide] deadlineMs: Too small: expected number to be >0",
+       "routes.ini: [cup-guide] model: is required for routes of kind model",
+       "routes.ini: [cup-guide] modelMb: is required for routes of kind model",
+       "routes.ini: [quotes]: Unrecognized key: "colour"",
+     ]
+    `);
+  });
+});
--- /dev/null
+++ b/packages/spec/src/foldAll.ts
@@ -0,0 +1,24 @@
+import {
+  emptyFolded,
+  encodeEnvelope,
+  type Envelope,
+  type Fold,
+  type Folded,
+  foldRecord,
+} from '@wisteriapath/log-client';
+
+/**
+ * Folds a log of envelopes with the library's own fold. Without unique ids every record counts, as
+ * if each append had an id of its own.
+ *
+ * @example
+ * foldAll(configFold, log, true).state;
+ */
+const foldAll = <S>(fold: Fold<S>, log: readonly Envelope[], hasUniqueIds: boolean): Folded<S> =>
+  log.reduce((folded, envelope, offset) => {
+    const id = hasUniqueIds ? envelope.id : `${envelope.id}@${offset}`;
+    const payload = encodeEnvelope({ ...envelope, id });
+    return foldRecord(fold, folded, { offset, atMs: 0, payload });
+  }, emptyFolded(fold));
+
+export default foldAll;
--- /dev/null
+++ b/packages/spec/src/index.ts
@@ -0,0 +1,6 @@
+/** Specifications of the core protocols and their exhaustive search. */
+export { default as claimsSpec } from './claimsSpec';
+export { default as configSpec } from './configSpec';
+export { default as explore } from './explore';
+export { default as placerSpec } from './placerSpec';
+export { default as specs } from './specs';
--- /dev/null
+++ b/packages/spec/test/specs.test.ts
@@ -0,0 +1,61 @@
+/** The specifications hold, and the search finds what each removed rule breaks. */
+import { specs } from '../src';
+
+const MAX_STATES = 300_000;
+
+describe('specifications', () => {
+  test.each(specs.sound)('$name: every reachable state keeps the invariants', ({ run }) => {
+    expect(run(MAX_STATES)).toMatchObject({ complete: true, counterexample: null });
+  });
+
+  test('a counterexample is found for each removed rule', () => {
+    const found = specs.mutations.map(({ name, run }) => {
+      const { counterexample } = run(MAX_STATES);
+      return [name, counterexample?.invariant, counterexample?.steps.length];
+    });
+    expect(found).toMatchInlineSnapshot(`
+     [
+       [
+         "claims without: first claim wins",
+         "a call runs at most once",
+         8,
+       ],
+       [
+         "claims without: read own claim before dispatch",
+         "a call runs at most once",
+         6,
+       ],
+       [
+         "claims without: undo before giving up",
+         "after a true "not run", a repeat can win",
+         3,
+       ],
+       [
+         "claims without: a claim is never taken over",
+         "a call runs at most once",
+         7,
+       ],
+       [
+         "configuration without: unique ids",
+         "an edit told as not made is not made",
+         5,
+       ],
+       [
+         "configuration without: cancel of an append of unknown outcome",
+         "an edit told as not made is not made",
+         3,
+       ],
+       [
+         "placer without: fencing numbers checked",
+         "a target's memory is never overcommitted",
+         7,
+       ],
+       [
+         "placer without: freezing of targets that ignore fencing",
+         "a target's memory is never overcommitted",
+         7,
+       ],
+     ]
+    `);
+  });
+});
