--- /dev/null
+++ b/packages/bench/src/main.ts
@@ -0,0 +1,29 @@
+/** `npm run bench -- KIND`: takes one measurement and prints it. */
+import cac from 'cac';
+import measureClaims from './measureClaims';
+import measureControl from './measureControl';
+import measureEdits from './measureEdits';
+import measureRefusals from './measureRefusals';
+
+const MEASUREMENTS: Readonly<Record<string, () => Promise<void>>> = {
+  refusals: measureRefusals,
+  control: measureControl,
+  edits: measureEdits,
+  claims: measureClaims,
+};
+const EXIT_USAGE = 2;
+
+const cli = cac('bench');
+cli
+  .command('<kind>', `Measure: ${Object.keys(MEASUREMENTS).join(', ')}`)
+  .action(async (kind: string) => {
+    const measure = MEASUREMENTS[kind];
+    if (measure === undefined) {
+      process.stderr.write(`unknown measurement ${kind}\n`);
+      process.exitCode = EXIT_USAGE;
+      return;
+    }
+    await measure();
+  });
+cli.help();
+cli.parse();
--- /dev/null
+++ b/packages/bench/src/measureControl.ts
@@ -0,0 +1,56 @@
+import { systemClock } from '@wisteriapath/model';
+import startSystem from './startSystem';
+
+const SETTLE_MS = 4_000;
+const WINDOW_MS = 10_000;
+const SECOND_MS = 1_000;
+const MICROSECONDS = 1e6;
+const MB = 1_048_576;
+const SIZES = [3, 6, 12, 24];
+
+interface LogCounts {
+  readonly appends: number;
+  readonly appendedBytes: number;
+  readonly reads: number;
+}
+
+/**
+ * Prints what idle instances cost: log appends and reads, processor time and memory, with all
+ * instances and stand-ins in this one process.
+ *
+ * @example
+ * await measureControl();
+ */
+const measureControl = async (): Promise<void> => {
+  process.stdout.write(
+    '| instances | appends/s | appended B/s | reads/s | % of a core | heap MB | RSS MB |\n',
+  );
+  process.stdout.write('| --- | --- | --- | --- | --- | --- | --- |\n');
+  for (const size of SIZES) {
+    const system = await startSystem(size);
+    await systemClock.sleep(SETTLE_MS);
+    const before = system.log.state() as LogCounts;
+    const counted = { ...before };
+    const cpu = process.cpuUsage();
+    await systemClock.sleep(WINDOW_MS);
+    const used = process.cpuUsage(cpu);
+    const after = system.log.state() as LogCounts;
+    const perS = (key: keyof LogCounts) =>
+      (((after[key] - counted[key]) * SECOND_MS) / WINDOW_MS).toFixed(1);
+    const share = (100 * (used.user + used.system)) / MICROSECONDS / (WINDOW_MS / SECOND_MS);
+    const { heapUsed, rss } = process.memoryUsage();
+    const cells = [
+      String(size),
+      perS('appends'),
+      perS('appendedBytes'),
+      perS('reads'),
+      share.toFixed(1),
+      (heapUsed / MB).toFixed(0),
+      (rss / MB).toFixed(0),
+    ];
+    process.stdout.write(`| ${cells.join(' | ')} |\n`);
+    await system.stop();
+  }
+};
+
+export default measureControl;
--- /dev/null
+++ b/packages/bench/src/measureRefusals.ts
@@ -0,0 +1,96 @@
+import seedrandom from 'seedrandom';
+import type Limiter from './Limiter';
+import VirtualClock from './VirtualClock';
+import limiters from './limiters';
+
+type Balancer = (random: () => number, atMs: number) => number;
+
+const SEED = '20261204';
+const DURATION_MS = 600_000;
+const INSTANCES = 6;
+const DOMAINS = 3;
+const RATE_PER_S = 10_000;
+const BURST = 20_000;
+const MEAN_TOKENS = 400;
+const LOAD = 0.9;
+const DEADLINE_MS = 2_000;
+const TRIP_MS = 2;
+const SECOND_MS = 1_000;
+
+const BALANCERS: Readonly<Record<string, Balancer>> = {
+  'even balancer': (random) => Math.floor(random() * INSTANCES),
+  'all on one instance': () => 0,
+  'one domain out': (random) => {
+    const serving = [0, 1, 3, 4];
+    return serving[Math.floor(random() * serving.length)];
+  },
+};
+
+interface Counts {
+  admitted: number;
+  refused: number;
+  tokens: number;
+  worstExcess: number;
+}
+
+/** Poisson arrivals of 90 in 100 of the rate, with exponential sizes. */
+const drive = async (
+  clock: VirtualClock,
+  limiter: Limiter,
+  balancer: Balancer,
+): Promise<Counts> => {
+  const random = seedrandom(SEED);
+  const counts: Counts = { admitted: 0, refused: 0, tokens: 0, worstExcess: 0 };
+  const exponential = (mean: number) => -Math.log(1 - random()) * mean;
+  const gapMs = (MEAN_TOKENS / (RATE_PER_S * LOAD)) * SECOND_MS;
+  for (let atMs = 0; atMs < DURATION_MS; atMs += exponential(gapMs)) {
+    await clock.runUntil(atMs);
+    const tokens = Math.max(1, Math.min(BURST / DOMAINS, Math.round(exponential(MEAN_TOKENS))));
+    void limiter.admit(balancer(random, atMs), tokens).then((isAdmitted) => {
+      if (!isAdmitted) {
+        counts.refused += 1;
+        return;
+      }
+      counts.admitted += 1;
+      counts.tokens += tokens;
+      const allowed = BURST + (RATE_PER_S * clock.nowMs()) / SECOND_MS;
+      counts.worstExcess = Math.max(counts.worstExcess, counts.tokens - allowed);
+    });
+  }
+  await clock.runUntil(DURATION_MS + DEADLINE_MS);
+  return counts;
+};
+
+/**
+ * Prints the share of requests within the rate that each limiter refuses, under skew.
+ *
+ * @example
+ * await measureRefusals();
+ */
+const measureRefusals = async (): Promise<void> => {
+  process.stdout.write('| balancer | limiter | refused | messages/s | over burst + rate |\n');
+  process.stdout.write('| --- | --- | --- | --- | --- |\n');
+  for (const [balancerName, balancer] of Object.entries(BALANCERS)) {
+    for (const [limiterName, create] of Object.entries(limiters)) {
+      const clock = new VirtualClock();
+      const limiter = create({
+        clock,
+        domains: DOMAINS,
+        instances: INSTANCES,
+        ratePerS: RATE_PER_S,
+        burst: BURST,
+        deadlineMs: DEADLINE_MS,
+        tripMs: TRIP_MS,
+      });
+      const counts = await drive(clock, limiter, balancer);
+      const total = counts.admitted + counts.refused;
+      const refused = `${((100 * counts.refused) / total).toFixed(3)}% of ${total}`;
+      const perS = ((limiter.messages() * SECOND_MS) / DURATION_MS).toFixed(1);
+      const excess = Math.round(counts.worstExcess);
+      const cells = [balancerName, limiterName, refused, perS, String(excess)];
+      process.stdout.write(`| ${cells.join(' | ')} |\n`);
+    }
+  }
+};
+
+export default measureRefusals;
--- /dev/null
+++ b/packages/bench/src/startSystem.ts
@@ -0,0 +1,108 @@
+import { parseSettings } from '@wisteriapath/config';
+import { createLogger, startInstance } from '@wisteriapath/daemon';
+import { sha256Hex, systemClock } from '@wisteriapath/model';
+import { startInstanceList, startLog, startService } from '@wisteriapath/standins';
+import { request } from 'undici';
+
+const TOKEN = 'bench-operator';
+const SECRET = 'bench-key';
+const POLL_MS = 20;
+const DOMAINS = ['domain-a', 'domain-b', 'domain-c'];
+
+type Running = Awaited<ReturnType<typeof startInstance>>;
+type Standin = Awaited<ReturnType<typeof startLog>>;
+
+/** A system in this process. */
+interface System {
+  readonly log: Standin;
+  readonly instances: readonly Running[];
+  readonly secret: string;
+  /** Sets a new row through one instance; answers with the offset after it. */
+  set(instance: number, table: string, name: string, value: object): Promise<number>;
+  configOffset(instance: number): Promise<number>;
+  stop(): Promise<void>;
+}
+
+const headers = { authorization: `Bearer ${TOKEN}` };
+
+const settingsText = (name: string, domain: string, logUrl: string, listUrl: string): string => `
+[instance]
+name = ${name}
+failure_domain = ${domain}
+[listen]
+callers = 127.0.0.1:0
+operators = 127.0.0.1:0
+peers = 127.0.0.1:0
+[platform]
+log_url = ${logUrl}
+instance_list_url = ${listUrl}
+[operators]
+token_sha256 = ${sha256Hex(TOKEN)}
+[budgets]
+failure_domains = ${DOMAINS.join(',')}
+[shutdown]
+balancer_lag_ms = 1
+`;
+
+const status = async (instance: Running): Promise<{ ready: boolean; configOffset: number }> => {
+  const answer = await request(`${instance.operatorsUrl}/admin/status`, { headers });
+  return (await answer.body.json()) as { ready: boolean; configOffset: number };
+};
+
+/**
+ * Starts instances over three failure domains, with a booking service.
+ *
+ * @example
+ * const system = await startSystem(6, { appendsPerS: 300 });
+ */
+const startSystem = async (count: number, logOptions: object = {}): Promise<System> => {
+  const [log, list, service] = await Promise.all([
+    startLog(logOptions),
+    startInstanceList(),
+    startService(),
+  ]);
+  const silent = createLogger('error', () => {});
+  const instances = await Promise.all(
+    Array.from({ length: count }, async (_unused, index) => {
+      const name = `entry-${index}`;
+      const failureDomain = DOMAINS[index % DOMAINS.length];
+      const text = settingsText(name, failureDomain, log.url, list.url);
+      const instance = await startInstance(parseSettings(name, text).unsafeCoerce(), silent);
+      const body = JSON.stringify({ failureDomain, peerAddress: instance.peerAddress });
+      await (await request(`${list.url}/instances/${name}`, { method: 'PUT', body })).body.dump();
+      return instance;
+    }),
+  );
+  for (const instance of instances) {
+    while (!(await status(instance)).ready) await systemClock.sleep(POLL_MS);
+  }
+  const set = async (index: number, table: string, name: string, value: object) => {
+    const answer = await request(`${instances[index].operatorsUrl}/admin/${table}/${name}`, {
+      method: 'PUT',
+      headers: { ...headers, 'if-none-match': '*' },
+      body: JSON.stringify(value),
+    });
+    const { offset } = (await answer.body.json()) as { offset?: number };
+    if (offset === undefined) throw new Error(`the edit of ${table}/${name} was not accepted`);
+    return offset;
+  };
+  await set(0, 'workspaces', 'bench', { rateTokensPerS: 1e9, burstTokens: 1e9 });
+  await set(0, 'keys', 'bench', { sha256: sha256Hex(SECRET), workspace: 'bench' });
+  const shop = { kind: 'service', url: service.url, failureDomain: DOMAINS[0], capacity: 512 };
+  await set(0, 'pools', 'desk', { targets: { shop } });
+  const booking = { kind: 'service', pool: 'desk', workspaces: ['bench'], idempotent: false };
+  await set(0, 'routes', 'bookings', booking);
+  return {
+    log,
+    instances,
+    secret: SECRET,
+    set,
+    configOffset: async (index) => (await status(instances[index])).configOffset,
+    stop: async () => {
+      await Promise.all(instances.map((instance) => instance.stop()));
+      await Promise.all([log.close(), list.close(), service.close()]);
+    },
+  };
+};
+
+export default startSystem;
