--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -4,12 +4,14 @@
 import measureControl from './measureControl';
 import measureEdits from './measureEdits';
 import measureRefusals from './measureRefusals';
+import measureState from './measureState';
 
 const MEASUREMENTS: Readonly<Record<string, () => Promise<void>>> = {
   refusals: measureRefusals,
   control: measureControl,
   edits: measureEdits,
   claims: measureClaims,
+  state: measureState,
 };
 const EXIT_USAGE = 2;
 
--- /dev/null
+++ b/packages/config/src/faultsOf.ts
@@ -0,0 +1,41 @@
+import type { z } from 'zod';
+import type Fault from './Fault';
+
+type Issue = z.core.$ZodIssue;
+
+const toSnakeCase = (key: string): string =>
+  key.replace(/[A-Z]/g, (letter) => `_${letter.toLowerCase()}`);
+
+const reasonOf = (issue: Issue): string => {
+  if (issue.code === 'unrecognized_keys') return 'is not known';
+  if (issue.code === 'invalid_type' && issue.message.endsWith('received undefined')) {
+    return 'is required';
+  }
+  if (issue.code === 'invalid_type' && issue.message.endsWith('received NaN')) {
+    return 'must be a number';
+  }
+  return issue.message;
+};
+
+const keysOf = (issue: Issue, path: readonly string[]): string[] =>
+  issue.code === 'unrecognized_keys'
+    ? issue.keys.map((key) => [...path, key].join('.'))
+    : [path.join('.')];
+
+/**
+ * The faults behind one issue of a schema. `at` splits the issue's path into section and key.
+ *
+ * @example
+ * error.issues.flatMap((issue) => faultsOf(file, issue, (path) => ({ section: name, path })));
+ */
+const faultsOf = (
+  file: string,
+  issue: Issue,
+  at: (path: readonly string[]) => { readonly section: string; readonly path: readonly string[] },
+): Fault[] => {
+  const { section, path } = at(issue.path.map(String));
+  const reason = reasonOf(issue);
+  return keysOf(issue, path).map((key) => ({ file, section, key: toSnakeCase(key), reason }));
+};
+
+export default faultsOf;
--- a/packages/config/src/parseRow.ts
+++ b/packages/config/src/parseRow.ts
@@ -1,6 +1,7 @@
 import { type Either, Left, Right } from 'purify-ts';
 import type { TableName } from '@wisteriapath/model';
 import type Fault from './Fault';
+import faultsOf from './faultsOf';
 import rowName from './rowName';
 import rowSchemas from './rowSchemas';
 
@@ -24,12 +25,9 @@
   const parsed = rowSchemas[table].safeParse(value);
   if (parsed.success) return Right(parsed.data);
   return Left(
-    parsed.error.issues.map((issue) => ({
-      file: source,
-      section: name,
-      key: issue.path.join('.'),
-      reason: issue.message,
-    })),
+    parsed.error.issues.flatMap((issue) =>
+      faultsOf(source, issue, (path) => ({ section: name, path })),
+    ),
   );
 };
 
--- a/packages/config/src/parseSettings.ts
+++ b/packages/config/src/parseSettings.ts
@@ -2,6 +2,7 @@
 import { type Either, Left, Right } from 'purify-ts';
 import type Fault from './Fault';
 import type Settings from './Settings';
+import faultsOf from './faultsOf';
 import settingsSchema from './settingsSchema';
 
 /**
@@ -14,12 +15,9 @@
   const parsed = settingsSchema.safeParse(JSON.parse(JSON.stringify(parse(text))));
   if (parsed.success) return Right(parsed.data);
   return Left(
-    parsed.error.issues.flatMap((issue) => {
-      const [section = '', ...key] = issue.path.map(String);
-      const keys = issue.code === 'unrecognized_keys' ? issue.keys : [key.join('.')];
-      const reason = issue.code === 'unrecognized_keys' ? 'is not known' : issue.message;
-      return keys.map((name) => ({ file, section, key: name, reason }));
-    }),
+    parsed.error.issues.flatMap((issue) =>
+      faultsOf(file, issue, ([section = '', ...path]) => ({ section, path })),
+    ),
   );
 };
 
--- a/packages/config/src/settingsSchema.ts
+++ b/packages/config/src/settingsSchema.ts
@@ -66,7 +66,7 @@
 
 const roles = z.strictObject({
   proof_probes: count(3, 'Refused connections in a row that prove a process dead.'),
-  probe_interval_ms: durationMs(500, 'Time between two probes of a peer.'),
+  probe_interval_ms: durationMs(1_000, 'Time between two probes of a peer.'),
   checkpoint_interval_s: count(3_600, 'Time between two configuration checkpoints.'),
 });
 
--- a/packages/daemon/src/registerPlatform.ts
+++ b/packages/daemon/src/registerPlatform.ts
@@ -14,6 +14,8 @@
 import RoleDirectory from './RoleDirectory';
 
 const SECOND_MS = 1_000;
+/** Nothing depends on the age of a claims stream, only on its records. */
+const CLAIMS_POLL_MS = 10_000;
 
 /**
  * Registers the clients of the platform and the links to peers.
@@ -43,7 +45,8 @@
       const fold = createClaimsFold(windowS * SECOND_MS);
       return Array.from(
         { length: shards },
-        (_unused, shard) => new StreamReplica(log, `claims-${shard}`, fold, clock),
+        (_unused, shard) =>
+          new StreamReplica(log, `claims-${shard}`, fold, clock, { longPollMs: CLAIMS_POLL_MS }),
       );
     }),
     view: single(({ configReplica }) => () => ({
--- a/packages/daemon/src/registerRoles.ts
+++ b/packages/daemon/src/registerRoles.ts
@@ -14,6 +14,8 @@
 
 const SECOND_MS = 1_000;
 const SILENT_PROBES = 10;
+/** Heartbeats within which a holder counts as heard. */
+const HEARD_WITHIN_PROBES = 2;
 const RENEWALS_PER_RETENTION = 4;
 
 const createKeeper = (cradle: Cradle, role: string, silenceLimitMs?: number): RoleKeeper => {
@@ -36,6 +38,12 @@
         .map((instance) => instance.name);
       return [...new Set([...listed, self.name])];
     },
+    isHeard: (incarnation) =>
+      mesh.linked.some(
+        (link) =>
+          link.reply?.incarnation === incarnation &&
+          link.silentMs() < roles.probe_interval_ms * HEARD_WITHIN_PROBES,
+      ),
     hasFolded: (incarnation, offset) => hasFolded(mesh, rolesReplica.stream, incarnation, offset),
     onTaken: ({ epoch, reason }: Tenure) => logger.info({ role, epoch, reason }, 'role_taken'),
   });
--- a/packages/ledger/src/RoleKeeper.ts
+++ b/packages/ledger/src/RoleKeeper.ts
@@ -29,6 +29,8 @@
   readonly intervalMs: number;
   /** Silence after which the role is taken without proof; undefined if it never may be. */
   readonly silenceLimitMs?: number;
+  /** Whether that process answered a heartbeat lately, so that it need not be probed. */
+  readonly isHeard: (incarnation: string) => boolean;
   /** Whether that process says that it has folded the roles stream beyond an offset. */
   readonly hasFolded: (incarnation: string, offset: number) => boolean;
   /** Time between two records that keep a tenure from expiring with the log's retention. */
@@ -121,6 +123,10 @@
     if (before.released) return TakeoverReason.Released;
     const { holder } = before;
     if (this.parts.replica.state.vouchedDown.has(holder.incarnation)) return TakeoverReason.Vouched;
+    if (this.parts.isHeard(holder.incarnation)) {
+      this.silentSinceMs = undefined;
+      return undefined;
+    }
     if (await this.parts.prover.isDead(holder)) return TakeoverReason.ProvedDead;
     return (await this.isSilent(holder)) ? TakeoverReason.Silent : undefined;
   }
--- a/packages/log-client/src/StreamReplica.ts
+++ b/packages/log-client/src/StreamReplica.ts
@@ -18,6 +18,8 @@
 interface Options<S> {
   /** Recovers from expired records: a fold up to some later offset, if one is to be had. */
   readonly recover?: () => Promise<Folded<S> | undefined>;
+  /** How long one read waits for a record; the view of the log's end may be that old. */
+  readonly longPollMs?: number;
   /** Lets peers take over the whole fold where they lack records. */
   readonly codec?: SnapshotCodec<S>;
 }
@@ -181,7 +183,7 @@
   private async readOnce(signal: AbortSignal): Promise<boolean> {
     const from = this.folded.nextOffset;
     const startedMs = this.clock.nowMs();
-    const waitMs = this.caughtUp ? LONG_POLL_MS : 0;
+    const waitMs = this.caughtUp ? (this.options.longPollMs ?? LONG_POLL_MS) : 0;
     const read = await this.log.read(this.stream, from, waitMs, signal);
     if (read.isNothing()) return false;
     const batch = read.unsafeCoerce();
--- a/packages/placement/src/Placer.ts
+++ b/packages/placement/src/Placer.ts
@@ -1,29 +1,15 @@
 import { type ConfigState, getRow } from '@wisteriapath/config';
-import {
-  type Clock,
-  ErrorKind,
-  type Pool,
-  type Route,
-  TableName,
-  type Target,
-} from '@wisteriapath/model';
+import { type Clock, ErrorKind, type Pool, TableName, type Target } from '@wisteriapath/model';
 import type AcquireAnswer from './AcquireAnswer';
 import type AcquireAsk from './AcquireAsk';
-import type Asset from './Asset';
-import AssetUses from './AssetUses';
-import ChargePhase from './ChargePhase';
 import type DecisionEvent from './DecisionEvent';
 import LoadPermits from './LoadPermits';
-import type LoadPlan from './LoadPlan';
-import OrderKind from './OrderKind';
-import Shortages from './Shortages';
+import ReplicaDecider from './ReplicaDecider';
 import TargetAgent from './TargetAgent';
 import type TargetControl from './TargetControl';
 import assetsOf from './assetsOf';
-import expectedLoadMs from './expectedLoadMs';
 import grantSlots from './grantSlots';
 import inService from './inService';
-import planLoad from './planLoad';
 
 interface Limits {
   readonly leaseTermMs: number;
@@ -58,10 +44,7 @@
 
 const refused = (refusal: ErrorKind): AcquireAnswer => ({ ...NOT_PLACER, isPlacer: true, refusal });
 
-const isSaturated = (serving: readonly TargetAgent[]): boolean =>
-  serving.length > 0 && serving.every((agent) => agent.window.warm);
-
-/** Decides every load and unload in one failure domain, and leases the slots of its targets. */
+/** Leases the slots of one failure domain's targets, loading what is asked for. */
 class Placer {
   private agents = new Map<string, TargetAgent>();
 
@@ -69,19 +52,17 @@
 
   private syncedConfig: ConfigState | undefined;
 
-  private decisions = 0;
-
-  private readonly uses = new AssetUses();
+  private readonly replicas: ReplicaDecider;
 
   private readonly permits: LoadPermits;
 
-  private readonly shortages: Shortages;
-
   private readonly stopping = new AbortController();
 
   constructor(private readonly parts: Parts) {
     this.permits = new LoadPermits(parts.limits.storeLoadsAtOnce, parts.limits.adaptersInTransit);
-    this.shortages = new Shortages(parts.limits.leaseTermMs);
+    const { failureDomain, clock, record, limits } = parts;
+    const epoch = () => this.agentsEpoch;
+    this.replicas = new ReplicaDecider({ failureDomain, clock, record, limits, epoch });
   }
 
   /** The targets as this placer sees them, for operators. */
@@ -111,36 +92,15 @@
     const grants = grantSlots(ask, assets, serving);
     if (agents.length === 0) return refused(ErrorKind.NoTarget);
     const unmet = ask.wantSlots - grants.reduce((sum, grant) => sum + grant.slots, 0);
-    if (ask.wantSlots > 0) {
-      this.uses.use(
-        assets.map((asset) => asset.id),
-        this.parts.clock.nowMs(),
-      );
-    }
-    const isDue = unmet > 0 && this.isReplicaDue(assets, agents, serving);
-    const fits = !isDue || (await this.addReplica(route, pool, agents, serving));
+    if (ask.wantSlots > 0) this.replicas.noteUse(assets);
+    const isDue = unmet > 0 && this.replicas.isDue(assets, agents, serving);
+    const fits = !isDue || (await this.replicas.add(route, pool, agents, serving));
     if (serving.length === 0 && !fits) return refused(ErrorKind.CannotFit);
     const mayOverflow = assets.length === 0 || (isDue && serving.length > 0);
-    const expectedReadyMs = serving.length > 0 ? 0 : this.expectedReadyMs(agents, assets);
+    const expectedReadyMs = serving.length > 0 ? 0 : this.replicas.expectedReadyMs(agents, assets);
     return { isPlacer: true, grants, refusal: null, expectedReadyMs, mayOverflow };
   }
 
-  /**
-   * Whether another replica is worth its load: at once where none serves, else when the shortage has
-   * lasted for as long as the load would take, so that a burst that drains sooner loads none.
-   */
-  private isReplicaDue(
-    assets: readonly Asset[],
-    agents: readonly TargetAgent[],
-    serving: readonly TargetAgent[],
-  ): boolean {
-    const asset = assets.at(-1);
-    if (asset === undefined || serving.length === 0) return true;
-    if (!isSaturated(serving)) return false;
-    const loadMs = agents.map((agent) => expectedLoadMs(asset, agent.tier(asset.id)));
-    return this.shortages.note(asset.id, this.parts.clock.nowMs()) >= Math.min(...loadMs);
-  }
-
   /** Matches the agents to the tenure and the configuration; false without the role. */
   private sync(): boolean {
     const epoch = this.parts.heldEpoch();
@@ -209,112 +169,15 @@
     });
   }
 
-  /** Decides another replica if one is due; false if none serves or can be loaded. */
-  private async addReplica(
-    route: Route,
-    pool: Pool,
-    agents: readonly TargetAgent[],
-    serving: readonly TargetAgent[],
-  ): Promise<boolean> {
-    const assets = assetsOf(route);
-    if (assets.length === 0) return serving.length > 0;
-    const expecting = agents.filter((agent) => agent.expects(assets));
-    const underWay = expecting.length > serving.length;
-    if (underWay || expecting.length >= pool.maxReplicas) return true;
-    const nowMs = this.parts.clock.nowMs();
-    const plans = agents
-      .filter((agent) => !agent.expects(assets))
-      .flatMap((agent) => planLoad(agent, assets, this.uses, nowMs) ?? [])
-      .sort((a, b) => a.expectedMs - b.expectedMs);
-    if (plans.length > 0) {
-      await this.carryOut(plans[0], plans);
-      return true;
-    }
-    return agents.some((agent) => !agent.changeable || agent.isBusyWith(assets));
-  }
-
-  private async carryOut(plan: LoadPlan, plans: readonly LoadPlan[]): Promise<void> {
-    const { agent, evictions, loads } = plan;
-    const candidates = plans.map((other) => ({
-      target: other.agent.name,
-      expectedMs: Math.round(other.expectedMs),
-    }));
-    evictions.forEach((asset) => agent.unload(asset));
-    loads.forEach((asset) => agent.load(asset));
-    await Promise.all([
-      ...evictions.map((asset) => this.decide(OrderKind.Unload, asset, agent, 'evicted', [])),
-      ...loads.map((asset) => this.decide(OrderKind.Load, asset, agent, 'demand', candidates)),
-    ]);
-    agent.wake();
-  }
-
-  private decide(
-    kind: OrderKind,
-    asset: Asset,
-    agent: TargetAgent,
-    reason: string,
-    candidates: DecisionEvent['candidates'],
-  ): Promise<void> {
-    this.decisions += 1;
-    return this.parts.record({
-      decision: `${this.parts.failureDomain}/${this.agentsEpoch}/${this.decisions}`,
-      epoch: this.agentsEpoch,
-      kind,
-      assetId: asset.id,
-      target: agent.name,
-      reason,
-      candidates,
-    });
-  }
-
-  private expectedReadyMs(agents: readonly TargetAgent[], assets: readonly Asset[]): number {
-    const nowMs = this.parts.clock.nowMs();
-    const remaining = agents
-      .filter((agent) => agent.expects(assets))
-      .map((agent) =>
-        agent.memory
-          .all()
-          .filter((charge) => assets.some((asset) => asset.id === charge.asset.id))
-          .filter((charge) => charge.phase !== ChargePhase.Ready)
-          .map((charge) => {
-            const totalMs = expectedLoadMs(charge.asset, agent.tier(charge.asset.id));
-            return Math.max(0, totalMs - (nowMs - charge.sinceMs));
-          })
-          .reduce((sum, waitMs) => sum + waitMs, 0),
-      );
-    return remaining.length === 0 ? 0 : Math.min(...remaining);
-  }
-
   /** Unloads what has been idle for longer than it is worth keeping. */
   private async run(): Promise<void> {
     const { clock, limits } = this.parts;
     const { signal } = this.stopping;
     while (!signal.aborted) {
-      if (this.sync()) await this.unloadIdle();
+      if (this.sync()) await this.replicas.unloadIdle(this.targets);
       await clock.sleep(limits.pollIntervalMs, signal);
     }
   }
-
-  private async unloadIdle(): Promise<void> {
-    const nowMs = this.parts.clock.nowMs();
-    for (const agent of this.agents.values()) {
-      for (const charge of agent.changeable ? agent.memory.all() : []) {
-        const gaps = this.uses.of(charge.asset.id);
-        const idleMs = Math.min(gaps.idleMs(nowMs), nowMs - charge.sinceMs);
-        const loadMs = expectedLoadMs(charge.asset, agent.tier(charge.asset.id));
-        const due = idleMs > gaps.keepAliveMs(this.parts.limits.idleUnloadMs, loadMs);
-        const based = agent.memory
-          .all()
-          .some((other) => other.asset.id.startsWith(`${charge.asset.id}/`));
-        const busy = based || agent.slots.inUse(charge.asset.id);
-        if (charge.phase === ChargePhase.Ready && due && !busy) {
-          agent.unload(charge.asset);
-          await this.decide(OrderKind.Unload, charge.asset, agent, 'idle', []);
-          agent.wake();
-        }
-      }
-    }
-  }
 }
 
 export default Placer;
--- a/packages/routing/src/ClaimDesk.ts
+++ b/packages/routing/src/ClaimDesk.ts
@@ -1,3 +1,4 @@
+import { setMaxListeners } from 'node:events';
 import {
   appendUntilSettled,
   encodeEnvelope,
@@ -63,7 +64,10 @@
 
   private readonly stopping = new AbortController();
 
-  constructor(private readonly parts: Parts) {}
+  constructor(private readonly parts: Parts) {
+    // Every unfinished append waits on it.
+    setMaxListeners(0, this.stopping.signal);
+  }
 
   /**
    * Claims a key (a SHA-256 in hexadecimal) for a request with the given body. Waits for an earlier
