Take a passed deadline for giving up, not for a crash of the target

An abort by time has the name TimeoutError, which was not known, so that every deadline that passed during an answer counted as a crash: the window halved, and the request became a suspect. New test, before: target_failed, target_failed, quarantined. After: deadline_expired three times.

--- a/packages/cli/test/placementUnderFailure.test.ts
+++ b/packages/cli/test/placementUnderFailure.test.ts
@@ -225,6 +225,15 @@
     expect(answers.map(({ status, error }) => error?.kind ?? status)).toEqual(Array(6).fill(200));
   });
 
+  test('a deadline that passes during an answer is no crash of the target', async () => {
+    placed = await startEngines({ engines: [{ domain: 'khomas-a', options: { tokenMs: 50 } }] });
+    await placed.ask(0);
+    const slow = () => placed.ask(0, { max_tokens: 100 }, { 'x-deadline-ms': '700' });
+    const answers = [await slow(), await slow(), await slow()];
+    expect(answers.map(({ error }) => error?.kind)).toEqual(Array(3).fill('deadline_expired'));
+    expect(answers.map(({ error }) => error?.ran)).toEqual(Array(3).fill('unknown'));
+  });
+
   test('a caller that disappears cancels its stream', async () => {
     placed = await startEngines({ engines: [{ domain: 'khomas-a', options: { tokenMs: 20 } }] });
     await placed.ask(0);
--- a/packages/routing/src/TargetClient.ts
+++ b/packages/routing/src/TargetClient.ts
@@ -27,11 +27,13 @@
   'ENETUNREACH',
   'UND_ERR_CONNECT_TIMEOUT',
 ]);
+/** The caller went, or the deadline passed. */
+const GIVEN_UP_NAMES = new Set(['AbortError', 'TimeoutError']);
 const SILENCE_CODES = new Set(['UND_ERR_HEADERS_TIMEOUT', 'UND_ERR_BODY_TIMEOUT']);
 
 const failureOf = (error: unknown): ExchangeFailure => {
   const { code = '', name } = error as NodeJS.ErrnoException;
-  if (name === 'AbortError') return ExchangeFailure.GivenUp;
+  if (GIVEN_UP_NAMES.has(name)) return ExchangeFailure.GivenUp;
   if (UNSENT_CODES.has(code)) return ExchangeFailure.NotSent;
   return SILENCE_CODES.has(code) ? ExchangeFailure.Silent : ExchangeFailure.Broken;
 };
