Keep the codes of unsent requests in one place; drop a dead method

The list of error codes after which no byte can have been sent, on which every 'not run' rests, stood in HttpLog and in TargetClient. It is isUnsent in model now. DeathProver.isKnownDead had no caller left. Behaviour is unchanged.

--- a/packages/log-client/src/HttpLog.ts
+++ b/packages/log-client/src/HttpLog.ts
@@ -1,5 +1,6 @@
 import { Just, type Maybe, Nothing } from 'purify-ts';
 import { Agent, request } from 'undici';
+import { isUnsent } from '@wisteriapath/model';
 import AppendResult from './AppendResult';
 import type LogBatch from './LogBatch';
 import type LogPort from './LogPort';
@@ -8,14 +9,6 @@
 const READ_MARGIN_MS = 2_000;
 const CONNECTION_CHECK_MS = 1_000;
 
-/** Error codes after which no byte of the request can have been sent. */
-const UNSENT_CODES = new Set([
-  'ECONNREFUSED',
-  'EHOSTUNREACH',
-  'ENETUNREACH',
-  'UND_ERR_CONNECT_TIMEOUT',
-]);
-
 const OK = 200;
 const REFUSALS = new Set([429, 503]);
 
@@ -40,7 +33,7 @@
       return REFUSALS.has(answer.statusCode) ? AppendResult.NotAppended : AppendResult.Unknown;
     } catch (error) {
       const { code } = error as NodeJS.ErrnoException;
-      return UNSENT_CODES.has(code ?? '') ? AppendResult.NotAppended : AppendResult.Unknown;
+      return isUnsent(code) ? AppendResult.NotAppended : AppendResult.Unknown;
     }
   }
 
--- a/packages/model/src/index.ts
+++ b/packages/model/src/index.ts
@@ -6,6 +6,7 @@
 export { default as ErrorKind } from './ErrorKind';
 export { default as errorAnswers } from './errorAnswers';
 export type { default as InstanceAddress } from './InstanceAddress';
+export { default as isUnsent } from './isUnsent';
 export type { default as Pool } from './Pool';
 export { default as Ran } from './Ran';
 export { default as rendezvousOrder } from './rendezvousOrder';
--- a/packages/peer/src/DeathProver.ts
+++ b/packages/peer/src/DeathProver.ts
@@ -56,16 +56,6 @@
     private readonly options: Options,
   ) {}
 
-  /** Notes that `incarnation` is known to be dead, for instance because an operator vouched. */
-  markDead(incarnation: string): void {
-    this.dead.add(incarnation);
-  }
-
-  /** True if the process was proved dead before; asks nobody. */
-  isKnownDead(incarnation: string): boolean {
-    return this.dead.has(incarnation);
-  }
-
   /** True if the process itself answers. */
   async isAlive(suspect: Suspect): Promise<boolean> {
     return (await this.incarnationAt(suspect.address)) === suspect.incarnation;
@@ -75,7 +65,7 @@
   async isDead(suspect: Suspect): Promise<boolean> {
     if (this.dead.has(suspect.incarnation)) return true;
     const proved = (await this.isReplaced(suspect)) || (await this.isRefused(suspect));
-    if (proved) this.markDead(suspect.incarnation);
+    if (proved) this.dead.add(suspect.incarnation);
     return proved;
   }
 
--- a/packages/routing/src/TargetClient.ts
+++ b/packages/routing/src/TargetClient.ts
@@ -1,5 +1,6 @@
 import { Agent, type Dispatcher, request } from 'undici';
 import { type Either, Left, Right } from 'purify-ts';
+import { isUnsent } from '@wisteriapath/model';
 import ExchangeFailure from './ExchangeFailure';
 
 interface Options {
@@ -21,12 +22,6 @@
 const CONNECTIONS_PER_TARGET = 64;
 const ATTEMPT_HEADER = 'x-request-id';
 
-const UNSENT_CODES = new Set([
-  'ECONNREFUSED',
-  'EHOSTUNREACH',
-  'ENETUNREACH',
-  'UND_ERR_CONNECT_TIMEOUT',
-]);
 /** The caller went, or the deadline passed. */
 const GIVEN_UP_NAMES = new Set(['AbortError', 'TimeoutError']);
 const SILENCE_CODES = new Set(['UND_ERR_HEADERS_TIMEOUT', 'UND_ERR_BODY_TIMEOUT']);
@@ -34,7 +29,7 @@
 const failureOf = (error: unknown): ExchangeFailure => {
   const { code = '', name } = error as NodeJS.ErrnoException;
   if (GIVEN_UP_NAMES.has(name)) return ExchangeFailure.GivenUp;
-  if (UNSENT_CODES.has(code)) return ExchangeFailure.NotSent;
+  if (isUnsent(code)) return ExchangeFailure.NotSent;
   return SILENCE_CODES.has(code) ? ExchangeFailure.Silent : ExchangeFailure.Broken;
 };
 
