End an attempt at its deadline whatever the collector does

The attempt's signal joined the caller's signal and AbortSignal.timeout by AbortSignal.any; on Node.js 20 the joined signal holds its sources weakly, so a collection between the two drops the time-out and the deadline never fires. A promise broken in production too, for one request now and then. Ruled out: a busy machine (a late timer would still fire, and the answer would be an error), and the deadline arithmetic. Conclusion: an attempt owns its timer and clears it at its end.

--- a/packages/routing/src/ModelCall.ts
+++ b/packages/routing/src/ModelCall.ts
@@ -3,6 +3,7 @@
 import { type Clock, rendezvousOrder, type ServeError } from '@wisteriapath/model';
 import { assetsOf, type Slot, TargetOutcome } from '@wisteriapath/placement';
 import type AnswerSink from './AnswerSink';
+import Attempt from './Attempt';
 import AttemptLog from './AttemptLog';
 import type CallContext from './CallContext';
 import type CompletionRequest from './CompletionRequest';
@@ -11,7 +12,6 @@
 import type GuardedTarget from './GuardedTarget';
 import type RetryBudget from './RetryBudget';
 import type RouteCaller from './RouteCaller';
-import createAttempt from './createAttempt';
 import readEvents from './readEvents';
 import requestFingerprint from './requestFingerprint';
 
@@ -107,8 +107,17 @@
 
   /** One exchange with one engine; undefined if the answer came whole. */
   private async exchange(slot: Slot): Promise<ExchangeFailure | undefined> {
+    const attempt = new Attempt(this.sink.gone, this.context.deadline.remainingMs());
+    try {
+      return await this.exchangeWithin(slot, attempt);
+    } finally {
+      attempt.end();
+    }
+  }
+
+  private async exchangeWithin(slot: Slot, attempt: Attempt): Promise<ExchangeFailure | undefined> {
     const startedMs = this.parts.clock.nowMs();
-    const sent = await this.send(slot);
+    const sent = await this.send(slot, attempt);
     if (sent.isLeft()) {
       slot.release(TargetOutcome.Failed);
       return sent.extract();
@@ -134,9 +143,8 @@
     }
   }
 
-  private send(slot: Slot): ReturnType<GuardedTarget['send']> {
-    const { deadline, call } = this.context;
-    const attempt = createAttempt(this.sink.gone, deadline.remainingMs());
+  private send(slot: Slot, attempt: Attempt): ReturnType<GuardedTarget['send']> {
+    const { call } = this.context;
     return this.parts.targets.send(slot.target, slot.url, this.fingerprint, {
       method: 'POST',
       path: this.request.path,
--- a/packages/routing/src/ServiceCall.ts
+++ b/packages/routing/src/ServiceCall.ts
@@ -2,6 +2,7 @@
 import { type Clock, ErrorKind, Ran, ServeError, sha256Hex } from '@wisteriapath/model';
 import { type Slot, TargetOutcome } from '@wisteriapath/placement';
 import type AnswerSink from './AnswerSink';
+import Attempt from './Attempt';
 import AttemptLog from './AttemptLog';
 import type CallContext from './CallContext';
 import type ClaimDesk from './ClaimDesk';
@@ -11,7 +12,6 @@
 import type HttpCall from './HttpCall';
 import type RetryBudget from './RetryBudget';
 import type RouteCaller from './RouteCaller';
-import createAttempt from './createAttempt';
 import requestFingerprint from './requestFingerprint';
 
 interface Parts {
@@ -166,7 +166,7 @@
     slot: Slot,
     attempts: AttemptLog,
   ): Promise<Either<ExchangeFailure, WholeAnswer>> {
-    const attempt = createAttempt(sink.gone, context.deadline.remainingMs());
+    const attempt = new Attempt(sink.gone, context.deadline.remainingMs());
     const fingerprint = requestFingerprint(context, http.body);
     const headers = {
       ...http.headers,
@@ -174,6 +174,7 @@
     };
     const call = { ...http, headers, attemptId: attempt.id, signal: attempt.signal };
     const sent = await this.parts.targets.send(slot.target, slot.url, fingerprint, call);
+    if (sent.isLeft()) attempt.end();
     const failed = (failure: ExchangeFailure): Either<ExchangeFailure, WholeAnswer> => {
       attempts.note(slot.target, failure);
       const givenUp = failure === ExchangeFailure.GivenUp;
@@ -192,6 +193,8 @@
       return Right({ status: exchange.answer.statusCode, contentType, body });
     } catch (error) {
       return failed(exchange.broken(error));
+    } finally {
+      attempt.end();
     }
   }
 }
