Keep engine connections after whole answers; settings text in one place; measure what is added

Cause (connections): the reader stopped at the last event, which broke the body off where its end came in a packet of its own; each answer then cost a connection. Ruled out: waits for slots, by a trace of every renewal (all waits under 0.3 ms with spread callers). Also: an abort with its default reason builds an exception and its stack, 3% of the processor time of an instance; expected aborts carry a constant. Settings text stood in four places (both test systems, demo, bench); it is loopbackSettings now.

--- /dev/null
+++ b/packages/bench/src/LoadRun.ts
@@ -0,0 +1,13 @@
+/** One run of the load thread: callers that send one completion after another. */
+interface LoadRun {
+  /** Base URLs; caller N uses the one at N modulo their number. */
+  readonly urls: readonly string[];
+  /** Caller N asks for the one at N modulo their number. */
+  readonly models: readonly string[];
+  readonly secret: string;
+  readonly callers: number;
+  readonly tokens: number;
+  readonly durationMs: number;
+}
+
+export default LoadRun;
--- /dev/null
+++ b/packages/bench/src/loadThread.ts
@@ -0,0 +1,65 @@
+/** A thread that puts load on engines or instances and answers with what it saw. */
+import { parentPort } from 'node:worker_threads';
+import { build, type Histogram } from 'hdr-histogram-js';
+import { systemClock } from '@wisteriapath/model';
+import { Agent, request } from 'undici';
+import type LoadFigures from './LoadFigures';
+import type LoadRun from './LoadRun';
+
+const MICROS_PER_MS = 1_000;
+const OK = 200;
+/** Callers start one after another within this time, so that they do not act as one. */
+const START_SPREAD_MS = 1_000;
+const agent = new Agent({ connections: 512 });
+
+const percentilesMs = (histogram: Histogram) => ({
+  p50: histogram.getValueAtPercentile(50) / MICROS_PER_MS,
+  p95: histogram.getValueAtPercentile(95) / MICROS_PER_MS,
+});
+
+const record = (histogram: Histogram, sinceMs: number): void => {
+  histogram.recordValue(Math.round((systemClock.nowMs() - sinceMs) * MICROS_PER_MS));
+};
+
+const runLoad = async (run: LoadRun): Promise<LoadFigures> => {
+  const firstByte = build();
+  const gaps = build();
+  const counts = { answered: 0, failed: 0 };
+  const untilMs = systemClock.nowMs() + run.durationMs;
+  const bodies = run.models.map((model) =>
+    JSON.stringify({ model, prompt: 'a dented rim', max_tokens: run.tokens, stream: true }),
+  );
+  const askOnce = async (caller: number): Promise<void> => {
+    let sinceMs = systemClock.nowMs();
+    let first = true;
+    const answer = await request(`${run.urls[caller % run.urls.length]}/v1/completions`, {
+      dispatcher: agent,
+      method: 'POST',
+      headers: { authorization: `Bearer ${run.secret}` },
+      body: bodies[caller % bodies.length],
+    });
+    for await (const chunk of answer.body) {
+      if ((chunk as Buffer).includes('"text"')) {
+        record(first ? firstByte : gaps, sinceMs);
+        sinceMs = systemClock.nowMs();
+        first = false;
+      }
+    }
+    if (answer.statusCode === OK) counts.answered += 1;
+    else counts.failed += 1;
+  };
+  const keepAsking = async (_unused: unknown, caller: number): Promise<void> => {
+    await systemClock.sleep((caller / run.callers) * START_SPREAD_MS);
+    while (systemClock.nowMs() < untilMs) {
+      await askOnce(caller).catch(() => {
+        counts.failed += 1;
+      });
+    }
+  };
+  await Promise.all(Array.from({ length: run.callers }, keepAsking));
+  return { ...counts, firstByteMs: percentilesMs(firstByte), gapMs: percentilesMs(gaps) };
+};
+
+parentPort!.on('message', (run: LoadRun) => {
+  void runLoad(run).then((figures) => parentPort!.postMessage(figures));
+});
--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -3,6 +3,7 @@
 import measureClaims from './measureClaims';
 import measureControl from './measureControl';
 import measureEdits from './measureEdits';
+import measureOverhead from './measureOverhead';
 import measureRefusals from './measureRefusals';
 import measureState from './measureState';
 
@@ -12,6 +13,7 @@
   edits: measureEdits,
   claims: measureClaims,
   state: measureState,
+  overhead: measureOverhead,
 };
 const EXIT_USAGE = 2;
 
--- /dev/null
+++ b/packages/bench/src/startEntry.ts
@@ -0,0 +1,80 @@
+import { parseSettings } from '@wisteriapath/config';
+import { createLogger, startInstance } from '@wisteriapath/daemon';
+import { RouteKind, sha256Hex, systemClock, TargetKind } from '@wisteriapath/model';
+import { loopbackSettings } from '@wisteriapath/standins';
+import { request } from 'undici';
+import type StandinUrls from './StandinUrls';
+
+interface Plan {
+  readonly urls: StandinUrls;
+  /** Names of the routes, one for each engine. */
+  readonly routes: readonly string[];
+  readonly asset: { readonly id: string; readonly sizeMb: number };
+  /** Capacity of each engine. */
+  readonly capacity: number;
+}
+
+const DOMAIN = 'khomas-a';
+const TOKEN = 'bench-operator';
+const SECRET = 'bench-key';
+const POLL_MS = 50;
+const PLENTY = 1e9;
+const headers = { authorization: `Bearer ${TOKEN}` };
+
+/**
+ * Starts one instance in this thread before engines that run elsewhere.
+ *
+ * @example
+ * const entry = await startEntry({ urls, routes: ['cup-guide'], asset, capacity: 32 });
+ */
+const startEntry = async ({ urls, routes, asset, capacity }: Plan) => {
+  const text = loopbackSettings({
+    name: 'entry-a1',
+    failureDomain: DOMAIN,
+    failureDomains: [DOMAIN],
+    logUrl: urls.log,
+    instanceListUrl: urls.list,
+    operatorToken: TOKEN,
+  });
+  const settings = parseSettings('bench', text).unsafeCoerce();
+  const instance = await startInstance(
+    settings,
+    createLogger('info', () => {}),
+  );
+  const isReady = async (): Promise<boolean> => {
+    const answer = await request(`${instance.callersUrl}/readyz`);
+    await answer.body.dump();
+    return answer.statusCode === 200;
+  };
+  while (!(await isReady())) await systemClock.sleep(POLL_MS);
+  const set = async (path: string, row: object): Promise<void> => {
+    const answer = await request(`${instance.operatorsUrl}/admin/${path}`, {
+      method: 'PUT',
+      headers: { ...headers, 'if-none-match': '*' },
+      body: JSON.stringify(row),
+    });
+    await answer.body.dump();
+  };
+  await set('workspaces/bench', { rateTokensPerS: PLENTY, burstTokens: PLENTY });
+  await set('keys/bench', { sha256: sha256Hex(SECRET), workspace: 'bench' });
+  for (const [index, route] of routes.entries()) {
+    const url = urls.engines[index];
+    const engine = { url, failureDomain: DOMAIN, capacity, memoryMb: 80_000 };
+    const targets = { [`engine-${index}`]: { kind: TargetKind.Engine, ...engine } };
+    await set(`pools/pool-${index}`, { targets });
+    await set(`routes/${route}`, {
+      kind: RouteKind.Model,
+      model: asset.id,
+      modelMb: asset.sizeMb,
+      pool: `pool-${index}`,
+      workspaces: ['bench'],
+    });
+  }
+  return {
+    callersUrl: instance.callersUrl,
+    secret: SECRET,
+    stop: () => instance.stop(),
+  };
+};
+
+export default startEntry;
--- a/packages/bench/src/startSystem.ts
+++ b/packages/bench/src/startSystem.ts
@@ -1,7 +1,12 @@
 import { parseSettings } from '@wisteriapath/config';
 import { createLogger, startInstance } from '@wisteriapath/daemon';
 import { sha256Hex, systemClock } from '@wisteriapath/model';
-import { startInstanceList, startLog, startService } from '@wisteriapath/standins';
+import {
+  loopbackSettings,
+  startInstanceList,
+  startLog,
+  startService,
+} from '@wisteriapath/standins';
 import { request } from 'undici';
 
 const TOKEN = 'bench-operator';
@@ -25,25 +30,6 @@
 
 const headers = { authorization: `Bearer ${TOKEN}` };
 
-const settingsText = (name: string, domain: string, logUrl: string, listUrl: string): string => `
-[instance]
-name = ${name}
-failure_domain = ${domain}
-[listen]
-callers = 127.0.0.1:0
-operators = 127.0.0.1:0
-peers = 127.0.0.1:0
-[platform]
-log_url = ${logUrl}
-instance_list_url = ${listUrl}
-[operators]
-token_sha256 = ${sha256Hex(TOKEN)}
-[budgets]
-failure_domains = ${DOMAINS.join(',')}
-[shutdown]
-balancer_lag_ms = 1
-`;
-
 const status = async (instance: Running): Promise<{ ready: boolean; configOffset: number }> => {
   const answer = await request(`${instance.operatorsUrl}/admin/status`, { headers });
   return (await answer.body.json()) as { ready: boolean; configOffset: number };
@@ -66,7 +52,14 @@
     Array.from({ length: count }, async (_unused, index) => {
       const name = `entry-${index}`;
       const failureDomain = DOMAINS[index % DOMAINS.length];
-      const text = settingsText(name, failureDomain, log.url, list.url);
+      const text = loopbackSettings({
+        name,
+        failureDomain,
+        failureDomains: DOMAINS,
+        logUrl: log.url,
+        instanceListUrl: list.url,
+        operatorToken: TOKEN,
+      });
       const instance = await startInstance(parseSettings(name, text).unsafeCoerce(), silent);
       const body = JSON.stringify({ failureDomain, peerAddress: instance.peerAddress });
       await (await request(`${list.url}/instances/${name}`, { method: 'PUT', body })).body.dump();
--- a/packages/cli/src/demo.ts
+++ b/packages/cli/src/demo.ts
@@ -1,7 +1,7 @@
 import { createLogger, startInstance } from '@wisteriapath/daemon';
 import { parseSettings } from '@wisteriapath/config';
 import { RouteKind, sha256Hex, systemClock, TableName, TargetKind } from '@wisteriapath/model';
-import { startEngine, startInstanceList, startLog } from '@wisteriapath/standins';
+import { loopbackSettings, startEngine, startInstanceList, startLog } from '@wisteriapath/standins';
 import { request } from 'undici';
 import OperatorClient from './OperatorClient';
 
@@ -15,25 +15,6 @@
 const DOMAIN = 'khomas-a';
 const SETTLE_MS = 100;
 
-const settingsText = (logUrl: string, listUrl: string): string => `
-[instance]
-name = entry-a1
-failure_domain = ${DOMAIN}
-[listen]
-callers = 127.0.0.1:0
-operators = 127.0.0.1:0
-peers = 127.0.0.1:0
-[platform]
-log_url = ${logUrl}
-instance_list_url = ${listUrl}
-[operators]
-token_sha256 = ${sha256Hex(TOKEN)}
-[budgets]
-failure_domains = ${DOMAIN}
-[shutdown]
-balancer_lag_ms = 10
-`;
-
 const fillTables = async (client: OperatorClient, engineUrl: string): Promise<void> => {
   const workspace = { rateTokensPerS: 1_000, burstTokens: 5_000 };
   await client.set(TableName.Workspaces, 'omuriro', 0, workspace);
@@ -83,7 +64,15 @@
  */
 const demo = async ({ once }: Options): Promise<void> => {
   const [log, list, engine] = await Promise.all([startLog(), startInstanceList(), startEngine()]);
-  const settings = parseSettings('demo', settingsText(log.url, list.url)).unsafeCoerce();
+  const text = loopbackSettings({
+    name: 'entry-a1',
+    failureDomain: DOMAIN,
+    failureDomains: [DOMAIN],
+    logUrl: log.url,
+    instanceListUrl: list.url,
+    operatorToken: TOKEN,
+  });
+  const settings = parseSettings('demo', text).unsafeCoerce();
   const logger = createLogger('info', (line) => process.stdout.write(line));
   const instance = await startInstance(settings, logger);
   const client = new OperatorClient(instance.operatorsUrl, TOKEN);
--- a/packages/cli/test/budgets.test.ts
+++ b/packages/cli/test/budgets.test.ts
@@ -164,7 +164,7 @@
         system.instance({
           name,
           failureDomain: name.startsWith('entry-a') ? 'khomas-a' : 'khomas-b',
-          settings: { roles: 'probe_interval_ms = 100', budgets: 'loan_term_ms = 600' },
+          settings: { roles: { probe_interval_ms: 100 }, budgets: { loan_term_ms: 600 } },
         }),
       ),
     );
--- a/packages/cli/test/configUnderFailure.test.ts
+++ b/packages/cli/test/configUnderFailure.test.ts
@@ -137,7 +137,10 @@
 
   test('records expire; a checkpoint carries a fresh instance, and an old one reverts nobody', async () => {
     const system = await LocalSystem.start(DOMAINS);
-    const settings = { platform: 'log_retention_s = 86401', roles: 'checkpoint_interval_s = 1' };
+    const settings = {
+      platform: { log_retention_s: 86_401 },
+      roles: { checkpoint_interval_s: 1 },
+    };
     const a = await system.instance({ name: 'entry-a', failureDomain: 'khomas-a', settings });
     two = { system, a, b: a };
     await a.operator.set('workspaces', 'clubs', 0, rows.workspace(1));
--- a/packages/cli/test/placementUnderFailure.test.ts
+++ b/packages/cli/test/placementUnderFailure.test.ts
@@ -18,6 +18,7 @@
   readonly finished: number;
   readonly peakInflight: number;
   readonly peakInflightFresh: number;
+  readonly connections: number;
   readonly orders: { taken: number; staleRefused: number; staleTaken: number };
 }
 
@@ -225,6 +226,16 @@
     expect(answers.map(({ status, error }) => error?.kind ?? status)).toEqual(Array(6).fill(200));
   });
 
+  test('answers that end whole leave their connection to the next one', async () => {
+    placed = await startEngines({ engines: [{ domain: 'khomas-a', options: { endLagMs: 5 } }] });
+    await placed.ask(0);
+    const before = stateOf(placed.engines[0]).connections;
+    for (let answer = 0; answer < 10; answer += 1) {
+      expect((await placed.ask(0)).status).toBe(200);
+    }
+    expect(stateOf(placed.engines[0]).connections - before).toBeLessThanOrEqual(1);
+  });
+
   test('a deadline that passes during an answer is no crash of the target', async () => {
     placed = await startEngines({ engines: [{ domain: 'khomas-a', options: { tokenMs: 50 } }] });
     await placed.ask(0);
--- a/packages/cli/test/placerTakeover.test.ts
+++ b/packages/cli/test/placerTakeover.test.ts
@@ -36,7 +36,7 @@
         system.instance({
           name,
           failureDomain: 'khomas-a',
-          settings: { roles: 'probe_interval_ms = 100' },
+          settings: { roles: { probe_interval_ms: 100 } },
         }),
       ),
     );
--- a/packages/cli/test/support/LocalSystem.ts
+++ b/packages/cli/test/support/LocalSystem.ts
@@ -3,8 +3,7 @@
 import { parseSettings } from '@wisteriapath/config';
 import { createLogger, startInstance } from '@wisteriapath/daemon';
 import { HttpLog, type LogPort } from '@wisteriapath/log-client';
-import { sha256Hex } from '@wisteriapath/model';
-import { startInstanceList, startLog } from '@wisteriapath/standins';
+import { loopbackSettings, startInstanceList, startLog } from '@wisteriapath/standins';
 import OperatorClient from '../../src/OperatorClient';
 import CuttableLog from './CuttableLog';
 import CuttablePeers from './CuttablePeers';
@@ -15,7 +14,7 @@
 interface Plan {
   readonly name: string;
   readonly failureDomain: string;
-  readonly settings?: Readonly<Record<string, string>>;
+  readonly settings?: Sections;
   /** Whether to wait until the instance is ready. */
   readonly awaitReady?: boolean;
 }
@@ -31,7 +30,15 @@
   stop(): Promise<void>;
 }
 
+type Sections = Readonly<Record<string, Readonly<Record<string, string | number>>>>;
+
 const TOKEN = 'operator-token';
+const FAST_SECTIONS: Record<string, Readonly<Record<string, string | number>>> = {
+  budgets: { loan_term_ms: 600 },
+  roles: { probe_interval_ms: 100 },
+  claims: { shards: 2 },
+  placement: { poll_interval_ms: 100 },
+};
 
 /** Instances in the test's own process, with links that can be cut. */
 class LocalSystem {
@@ -111,38 +118,19 @@
   }
 
   private settingsText(plan: Plan): string {
-    const more = (section: string) => plan.settings?.[section] ?? '';
-    return `
-[instance]
-name = ${plan.name}
-failure_domain = ${plan.failureDomain}
-[listen]
-callers = 127.0.0.1:0
-operators = 127.0.0.1:0
-peers = 127.0.0.1:0
-[platform]
-log_url = ${this.log.url}
-instance_list_url = ${this.list.url}
-${more('platform')}
-[operators]
-token_sha256 = ${sha256Hex(TOKEN)}
-[budgets]
-failure_domains = ${this.domains.join(',')}
-loan_term_ms = 600
-${more('budgets')}
-[requests]
-${more('requests')}
-[roles]
-probe_interval_ms = 100
-${more('roles')}
-[claims]
-shards = 2
-[placement]
-poll_interval_ms = 100
-${more('placement')}
-[shutdown]
-balancer_lag_ms = 10
-`;
+    const sections = { ...FAST_SECTIONS };
+    Object.entries(plan.settings ?? {}).forEach(([section, keys]) => {
+      sections[section] = { ...sections[section], ...keys };
+    });
+    return loopbackSettings({
+      name: plan.name,
+      failureDomain: plan.failureDomain,
+      failureDomains: this.domains,
+      logUrl: this.log.url,
+      instanceListUrl: this.list.url,
+      operatorToken: TOKEN,
+      sections,
+    });
   }
 }
 
--- a/packages/cli/test/support/ProcessSystem.ts
+++ b/packages/cli/test/support/ProcessSystem.ts
@@ -1,7 +1,7 @@
 import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
-import { sha256Hex } from '@wisteriapath/model';
+import { loopbackSettings } from '@wisteriapath/standins';
 import { request } from 'undici';
 import OperatorClient from '../../src/OperatorClient';
 import spawnNode from './spawnNode';
@@ -9,6 +9,10 @@
 const CLI = join(__dirname, '../../dist/main.js');
 const STANDIN = join(__dirname, '../../../standins/dist/main.js');
 const TOKEN = 'operator-token';
+const FAST_SECTIONS = {
+  placement: { poll_interval_ms: 100 },
+  shutdown: { balancer_lag_ms: 200 },
+};
 
 type TestProcess = ReturnType<typeof spawnNode>;
 
@@ -31,8 +35,8 @@
   readonly failureDomain: string;
   /** Fixed port for peers, to come back at the same address. */
   readonly peerPort?: number;
-  /** Further settings, as INI lines by section. */
-  readonly settings?: Readonly<Record<string, string>>;
+  /** Further settings by section. */
+  readonly settings?: Readonly<Record<string, Readonly<Record<string, string | number>>>>;
 }
 
 /** A system of separate processes on the loopback address. */
@@ -90,35 +94,17 @@
     rmSync(this.directory, { recursive: true });
   }
 
-  private settingsText(plan: InstancePlan): string {
-    const more = (section: string) => plan.settings?.[section] ?? '';
-    return `
-[instance]
-name = ${plan.name}
-failure_domain = ${plan.failureDomain}
-[listen]
-callers = 127.0.0.1:0
-operators = 127.0.0.1:0
-peers = 127.0.0.1:${plan.peerPort ?? 0}
-[platform]
-log_url = ${this.log.url}
-instance_list_url = ${this.list.url}
-${more('platform')}
-[operators]
-token_sha256 = ${sha256Hex(TOKEN)}
-[budgets]
-failure_domains = ${this.domains.join(',')}
-${more('budgets')}
-[requests]
-${more('requests')}
-[roles]
-${more('roles')}
-[placement]
-poll_interval_ms = 100
-${more('placement')}
-[shutdown]
-balancer_lag_ms = 200
-`;
+  private settingsText({ name, failureDomain, peerPort, settings }: InstancePlan): string {
+    return loopbackSettings({
+      name,
+      failureDomain,
+      failureDomains: this.domains,
+      logUrl: this.log.url,
+      instanceListUrl: this.list.url,
+      operatorToken: TOKEN,
+      peerPort,
+      sections: { ...FAST_SECTIONS, ...settings },
+    });
   }
 
   private static async spawnStandin(kind: string, options: object): Promise<Standin> {
--- a/packages/placement/src/RouteFeeder.ts
+++ b/packages/placement/src/RouteFeeder.ts
@@ -11,6 +11,8 @@
 const RETRY_MS = 50;
 const SPARE_SLOTS = 1;
 const RENEWALS_PER_TERM = 3;
+/** Reason of an expected abort; the default one costs an exception with its stack trace. */
+const ENDED = 'ended';
 
 interface Parts {
   readonly routeName: string;
@@ -61,7 +63,7 @@
         ...request,
         deadlineAtMs: this.parts.clock.nowMs() + request.deadline.remainingMs(),
         answer: (result) => {
-          settled.abort();
+          settled.abort(ENDED);
           this.waiters.delete(waiter);
           this.queue.remove(waiter);
           resolve(result);
@@ -85,7 +87,7 @@
   }
 
   private feed(): void {
-    this.wakeUp.abort();
+    this.wakeUp.abort(ENDED);
     if (this.feeding) return;
     this.feeding = true;
     void this.renewWhileBusy();
@@ -231,7 +233,7 @@
 
   private released(): void {
     this.pump();
-    if (this.demand() === 0) this.wakeUp.abort();
+    if (this.demand() === 0) this.wakeUp.abort(ENDED);
   }
 }
 
--- a/packages/routing/src/ModelCall.ts
+++ b/packages/routing/src/ModelCall.ts
@@ -160,16 +160,25 @@
     });
   }
 
-  /** Passes on events until the last one; throws if the stream ends before it. */
+  /**
+   * Passes on events; throws if the stream ends before the last one. What follows that one is read
+   * too, so that the connection can be used again.
+   */
   private async relay(body: Dispatcher.ResponseData['body']): Promise<void> {
-    for await (const data of readEvents(body)) {
-      if (data === DONE) {
-        await this.writer.finish();
-        return;
+    let done = false;
+    try {
+      for await (const data of readEvents(body)) {
+        if (data === DONE) {
+          await this.writer.finish();
+          done = true;
+        } else if (!done) {
+          await this.writer.event(data);
+        }
       }
-      await this.writer.event(data);
+    } catch (error) {
+      if (!done) throw error;
     }
-    throw new Error('the stream ended early');
+    if (!done) throw new Error('the stream ended early');
   }
 }
 
--- a/packages/standins/src/EngineCompletions.ts
+++ b/packages/standins/src/EngineCompletions.ts
@@ -115,7 +115,9 @@
     }
     const usage = { prompt_tokens: promptTokens, completion_tokens: total };
     res.write(`data: ${JSON.stringify({ choices: [], usage })}\n\n`);
-    res.end('data: [DONE]\n\n');
+    res.write('data: [DONE]\n\n');
+    if (this.options.endLagMs > 0) await systemClock.sleep(this.options.endLagMs);
+    res.end();
     this.counts.finished += 1;
     this.counts.finishedSinceStart += 1;
   }
--- a/packages/standins/src/EngineOptions.ts
+++ b/packages/standins/src/EngineOptions.ts
@@ -12,6 +12,8 @@
   readonly fencing?: boolean;
   /** Time for each generated token. */
   readonly tokenMs?: number;
+  /** Time between the last event of an answer and the end of its body. */
+  readonly endLagMs?: number;
   /** Load time from memory, for each model. */
   readonly memoryTierMs?: number;
   /** Load time from disk. */
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -3,6 +3,7 @@
 export { default as FaultKind } from './FaultKind';
 export type { default as LogOptions } from './LogOptions';
 export type { default as RunningStandin } from './RunningStandin';
+export { default as loopbackSettings } from './loopbackSettings';
 export { default as startEngine } from './startEngine';
 export { default as startInstanceList } from './startInstanceList';
 export { default as startLog } from './startLog';
--- /dev/null
+++ b/packages/standins/src/loopbackSettings.ts
@@ -0,0 +1,47 @@
+import { stringify } from 'ini';
+import { sha256Hex } from '@wisteriapath/model';
+
+interface Plan {
+  readonly name: string;
+  readonly failureDomain: string;
+  /** All failure domains of the system. */
+  readonly failureDomains: readonly string[];
+  readonly logUrl: string;
+  readonly instanceListUrl: string;
+  /** Plain operator token; the settings hold its hash. */
+  readonly operatorToken: string;
+  /** Fixed port for peers; a free one by default. */
+  readonly peerPort?: number;
+  /** Further keys by section; they replace those of the plan. */
+  readonly sections?: Readonly<Record<string, Readonly<Record<string, string | number>>>>;
+}
+
+const FREE_PORT = '127.0.0.1:0';
+
+/**
+ * INI settings of an instance on the loopback address that uses the platform's stand-ins.
+ *
+ * @example
+ * loopbackSettings({ ...plan, sections: { placement: { poll_interval_ms: 100 } } });
+ */
+const loopbackSettings = (plan: Plan): string => {
+  const base = {
+    instance: { name: plan.name, failure_domain: plan.failureDomain },
+    listen: {
+      callers: FREE_PORT,
+      operators: FREE_PORT,
+      peers: `127.0.0.1:${plan.peerPort ?? 0}`,
+    },
+    platform: { log_url: plan.logUrl, instance_list_url: plan.instanceListUrl },
+    operators: { token_sha256: sha256Hex(plan.operatorToken) },
+    budgets: { failure_domains: plan.failureDomains.join(',') },
+    shutdown: { balancer_lag_ms: 10 },
+  };
+  const more = Object.entries(plan.sections ?? {}).map(([section, keys]) => [
+    section,
+    { ...base[section as keyof typeof base], ...keys },
+  ]);
+  return stringify({ ...base, ...Object.fromEntries(more) });
+};
+
+export default loopbackSettings;
--- a/packages/standins/src/startEngine.ts
+++ b/packages/standins/src/startEngine.ts
@@ -22,6 +22,7 @@
   warmAfter: 8,
   fencing: true,
   tokenMs: 2,
+  endLagMs: 0,
   memoryTierMs: 50,
   diskTierMs: 200,
   remoteTierMs: 400,
--- a/packages/standins/src/startStandin.ts
+++ b/packages/standins/src/startStandin.ts
@@ -29,9 +29,11 @@
     faults.set(fault);
     parts.onFault?.(fault as Record<string, unknown>);
   };
+  let connections = 0;
+  const state = () => ({ ...(parts.state() as object), connections });
   const router = new Router();
   router.get('/state', (context) => {
-    context.body = parts.state();
+    context.body = state();
   });
   router.post('/faults', async (context) => {
     setFault(await readJson(context));
@@ -43,6 +45,9 @@
   app.use(faults.middleware).use(router.routes());
   const server = createServer(app.callback());
   server.keepAliveTimeout = 60_000;
+  server.on('connection', () => {
+    connections += 1;
+  });
   await new Promise<void>((resolve, reject) => {
     server.once('error', reject);
     server.listen(parts.port, LOOPBACK, resolve);
@@ -50,7 +55,7 @@
   const { port } = server.address() as AddressInfo;
   return {
     url: `http://${LOOPBACK}:${port}`,
-    state: parts.state,
+    state,
     setFault,
     close: () =>
       new Promise((resolve) => {
