Evict models with their adapters; no load waits behind another's permit; replay cold starts

Cause (refusals): an engine full of idle models refused loads, because a model with any adapter loaded counted as in use. Ruled out: the least resident time of 10 s (unchanged), the deadline of 60 s.

--- a/packages/bench/src/LoadRun.ts
+++ b/packages/bench/src/LoadRun.ts
@@ -7,6 +7,9 @@
   readonly secret: string;
   readonly callers: number;
   readonly tokens: number;
+  /** Time for which callers ask before their answers count; connections are made in it. */
+  readonly leadMs: number;
+  /** Time that counts. */
   readonly durationMs: number;
 }
 
--- /dev/null
+++ b/packages/bench/src/VirtualEngine.ts
@@ -0,0 +1,142 @@
+import type { Clock } from '@wisteriapath/model';
+import {
+  type Asset,
+  expectedLoadMs,
+  type LoadReport,
+  OrderKind,
+  OrderResult,
+  type TargetOrder,
+} from '@wisteriapath/placement';
+import { LRUCache } from 'lru-cache';
+import type VirtualStore from './VirtualStore';
+
+interface Loaded {
+  readonly asset: Asset;
+  readonly orderedMs: number;
+  readonly bareMs: number;
+  ready: boolean;
+  users: number;
+}
+
+const START_MS = 50;
+const UNLOAD_MS = 20;
+const HOST_MEMORY_MB = 64_000;
+/** Enough for the target to count as warm. */
+const FINISHED = 10_000;
+
+/** An engine on a virtual clock that keeps account of memory held by what nobody uses. */
+class VirtualEngine {
+  loads = 0;
+
+  /** Memory held idle, in megabyte milliseconds. */
+  idleMbMs = 0;
+
+  private countedMs = 0;
+
+  private knownTiers: LoadReport['tiers'] | undefined;
+
+  private lastOrder = { fencing: 0, sequence: 0 };
+
+  private readonly loaded = new Map<string, Loaded>();
+
+  private readonly hostMemory = new LRUCache<string, number>({
+    maxSize: HOST_MEMORY_MB,
+    sizeCalculation: (sizeMb) => sizeMb,
+  });
+
+  constructor(
+    private readonly clock: Clock,
+    private readonly store: VirtualStore,
+    /** Checkpoints on the engine's disk. */
+    private readonly disk: Set<string>,
+  ) {}
+
+  report(): LoadReport {
+    const loaded = [...this.loaded.values()];
+    return {
+      incarnation: 'only',
+      inflight: loaded.reduce((sum, { users }) => sum + users, 0),
+      finished: FINISHED,
+      lastOrder: this.lastOrder,
+      assets: loaded.map(({ asset, ready }) => ({ ...asset, ready })),
+      tiers: this.tiers(),
+    };
+  }
+
+  order({ kind, assetId: id, sizeMb, fencing, sequence }: TargetOrder): OrderResult {
+    this.lastOrder = { fencing, sequence };
+    if (kind === OrderKind.Load) void this.load({ id, sizeMb });
+    if (kind === OrderKind.Unload) void this.unload(id);
+    return OrderResult.Taken;
+  }
+
+  /** Time that the latest load takes when nothing else goes on, and when it was ordered. */
+  loadOf(assetId: string): { orderedMs: number; bareMs: number } | undefined {
+    return this.loaded.get(assetId);
+  }
+
+  use(assetIds: readonly string[], change: 1 | -1): void {
+    this.count();
+    assetIds.forEach((id) => {
+      const loaded = this.loaded.get(id);
+      if (loaded !== undefined) loaded.users += change;
+    });
+  }
+
+  /** Brings the account of idle memory up to now. */
+  count(): void {
+    const nowMs = this.clock.nowMs();
+    const idle = [...this.loaded.values()].filter(({ ready, users }) => ready && users === 0);
+    const idleMb = idle.reduce((sum, { asset }) => sum + asset.sizeMb, 0);
+    this.idleMbMs += idleMb * (nowMs - this.countedMs);
+    this.countedMs = nowMs;
+  }
+
+  /** The same object until a checkpoint moves. */
+  private tiers(): LoadReport['tiers'] {
+    if (this.knownTiers === undefined) {
+      const onDisk = [...this.disk].map((id) => [id, 'disk'] as const);
+      const inMemory = [...this.hostMemory.keys()].map((id) => [id, 'memory'] as const);
+      this.knownTiers = Object.fromEntries([...onDisk, ...inMemory]);
+    }
+    return this.knownTiers;
+  }
+
+  private tier(id: string): 'memory' | 'disk' | 'remote' {
+    if (this.hostMemory.has(id)) return 'memory';
+    return this.disk.has(id) ? 'disk' : 'remote';
+  }
+
+  private async load(asset: Asset): Promise<void> {
+    if (this.loaded.has(asset.id)) return;
+    this.count();
+    const tier = this.tier(asset.id);
+    const bareMs = expectedLoadMs(asset, tier);
+    const orderedMs = this.clock.nowMs();
+    const loaded: Loaded = { asset, orderedMs, bareMs, ready: false, users: 0 };
+    this.loaded.set(asset.id, loaded);
+    this.loads += 1;
+    if (tier === 'remote') {
+      await this.store.fetch(asset.sizeMb);
+      await this.clock.sleep(START_MS);
+    } else {
+      await this.clock.sleep(bareMs);
+    }
+    this.count();
+    loaded.ready = true;
+    this.disk.add(asset.id);
+    this.knownTiers = undefined;
+  }
+
+  private async unload(id: string): Promise<void> {
+    const loaded = this.loaded.get(id);
+    if (loaded === undefined) return;
+    await this.clock.sleep(UNLOAD_MS);
+    this.count();
+    this.loaded.delete(id);
+    this.hostMemory.set(id, loaded.asset.sizeMb);
+    this.knownTiers = undefined;
+  }
+}
+
+export default VirtualEngine;
--- /dev/null
+++ b/packages/bench/src/createColdTrace.ts
@@ -0,0 +1,90 @@
+import { RequestClass, type Route, RouteKind } from '@wisteriapath/model';
+import seedrandom from 'seedrandom';
+import type ColdTrace from './ColdTrace';
+import type Deployment from './Deployment';
+
+const MIN_MODEL_MB = 8_000;
+const MAX_MODEL_MB = 40_000;
+const MIN_ADAPTER_MB = 100;
+const MAX_ADAPTER_MB = 600;
+const MIN_GAP_MS = 600_000;
+const MAX_GAP_MS = 7_200_000;
+/** Share of the routes whose sessions come at nearly regular times. */
+const REGULAR_SHARE = 1 / 3;
+const REGULAR_SPREAD = 0.1;
+/** Share of the sessions that begin with one request at each of many places at once. */
+const BURST_SHARE = 0.1;
+const BURST_REQUESTS = 20;
+const MEAN_REQUESTS = 4;
+const REQUEST_GAP_MS = 5_000;
+const MEAN_SERVICE_MS = 2_000;
+const DEADLINE_MS = 60_000;
+
+const model = (id: string, modelMb: number): Route => ({
+  kind: RouteKind.Model,
+  model: id,
+  modelMb,
+  adapter: null,
+  adapterMb: 0,
+  pool: 'engines',
+  workspaces: ['bench'],
+  open: false,
+  idempotent: true,
+  requestClass: RequestClass.Interactive,
+  deadlineMs: DEADLINE_MS,
+  staleKeysLimitS: 60,
+});
+
+const createRoutes = (deployment: Deployment, random: () => number): Map<string, Route> => {
+  const between = (least: number, most: number) => Math.round(least + random() * (most - least));
+  const models = Array.from({ length: deployment.models }, (_unused, index) =>
+    model(`model-${index}`, between(MIN_MODEL_MB, MAX_MODEL_MB)),
+  );
+  const adapted = Array.from({ length: deployment.adapters }, (_unused, index): Route => {
+    const base = models[Math.floor(random() * models.length)];
+    const adapterMb = between(MIN_ADAPTER_MB, MAX_ADAPTER_MB);
+    return { ...base, adapter: `adapter-${index}`, adapterMb };
+  });
+  return new Map([...models, ...adapted].map((route, index) => [`route-${index}`, route]));
+};
+
+/**
+ * A trace of sessions on every route of a deployment. The mean gap between the sessions of a route
+ * lies between ten minutes and two hours, evenly on a logarithmic scale.
+ *
+ * @example
+ * const trace = createColdTrace(deployments[0], 'seed', 6 * 3_600_000);
+ */
+const createColdTrace = (deployment: Deployment, seed: string, durationMs: number): ColdTrace => {
+  const random = seedrandom(`${deployment.name} ${seed}`);
+  const exponential = (mean: number) => -Math.log(1 - random()) * mean;
+  const routes = createRoutes(deployment, random);
+  const requests: ColdTrace['requests'][number][] = [];
+  const request = (route: string, atMs: number, instance: number) => {
+    requests.push({ atMs, route, instance, serviceMs: exponential(MEAN_SERVICE_MS) });
+  };
+  const session = (route: string, startMs: number) => {
+    if (random() < BURST_SHARE) {
+      for (let index = 0; index < BURST_REQUESTS; index += 1) {
+        request(route, startMs, index % deployment.instances);
+      }
+      return;
+    }
+    let atMs = startMs;
+    do {
+      request(route, atMs, Math.floor(random() * deployment.instances));
+      atMs += exponential(REQUEST_GAP_MS);
+    } while (random() > 1 / MEAN_REQUESTS);
+  };
+  routes.forEach((_route, name) => {
+    const meanGapMs = MIN_GAP_MS * (MAX_GAP_MS / MIN_GAP_MS) ** random();
+    const isRegular = random() < REGULAR_SHARE;
+    const spread = () => 1 + REGULAR_SPREAD * (2 * random() - 1);
+    const gapMs = () => (isRegular ? meanGapMs * spread() : exponential(meanGapMs));
+    for (let atMs = random() * meanGapMs; atMs < durationMs; atMs += gapMs()) session(name, atMs);
+  });
+  requests.sort((a, b) => a.atMs - b.atMs);
+  return { routes, requests };
+};
+
+export default createColdTrace;
--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -1,6 +1,7 @@
 /** `npm run bench -- KIND`: takes one measurement and prints it. */
 import cac from 'cac';
 import measureClaims from './measureClaims';
+import measureColdStarts from './measureColdStarts';
 import measureControl from './measureControl';
 import measureEdits from './measureEdits';
 import measureOverhead from './measureOverhead';
@@ -14,6 +15,7 @@
   claims: measureClaims,
   state: measureState,
   overhead: measureOverhead,
+  'cold-starts': measureColdStarts,
 };
 const EXIT_USAGE = 2;
 
--- /dev/null
+++ b/packages/bench/src/measureColdStarts.ts
@@ -0,0 +1,71 @@
+import createColdTrace from './createColdTrace';
+import deployments from './deployments';
+import replayColdTrace from './replayColdTrace';
+import retentionPolicies from './retentionPolicies';
+
+const SEED = '20261204';
+const DURATION_MS = 3 * 3_600_000;
+const STORE_LOADS_AT_ONCE = 1;
+const SECOND_MS = 1_000;
+
+const percentile = (numbers: readonly number[], percent: number): number => {
+  const sorted = [...numbers].sort((a, b) => a - b);
+  return sorted[Math.min(sorted.length - 1, Math.floor((sorted.length * percent) / 100))] ?? 0;
+};
+
+const print = (cells: readonly string[]): void => {
+  process.stdout.write(`| ${cells.join(' | ')} |\n`);
+};
+
+const seconds = (numbers: readonly number[]): string =>
+  [50, 95, 99].map((percent) => (percentile(numbers, percent) / SECOND_MS).toFixed(2)).join(' / ');
+
+/**
+ * Prints cold starts and idle engine hours on a seeded trace for each deployment's sizes, under the
+ * placer's policy and under simple ones.
+ *
+ * @example
+ * await measureColdStarts();
+ */
+const measureColdStarts = async (): Promise<void> => {
+  for (const deployment of deployments) {
+    const trace = createColdTrace(deployment, SEED, DURATION_MS);
+    process.stdout.write(`\n${deployment.name}: ${trace.requests.length} requests\n\n`);
+    print([
+      'policy',
+      'cold starts',
+      'wait p50 / p95 / p99 s',
+      'bare load p50 / p95 / p99 s',
+      'wait ÷ bare, p50 / p99',
+      'p99 wait of all requests, s',
+      'idle engine hours',
+      'loads / decided',
+      'refused',
+    ]);
+    print(Array.from({ length: 9 }, () => '---'));
+    for (const { name, retention, idleUnloadMs } of retentionPolicies) {
+      const replayed = await replayColdTrace({
+        deployment,
+        trace,
+        retention,
+        idleUnloadMs,
+        storeLoadsAtOnce: STORE_LOADS_AT_ONCE,
+      });
+      const { coldStarts, waitsMs } = replayed;
+      const ratios = coldStarts.map(({ waitMs, bareMs }) => waitMs / bareMs);
+      print([
+        name,
+        String(coldStarts.length),
+        seconds(coldStarts.map(({ waitMs }) => waitMs)),
+        seconds(coldStarts.map(({ bareMs }) => bareMs)),
+        [50, 99].map((percent) => percentile(ratios, percent).toFixed(2)).join(' / '),
+        (percentile(waitsMs, 99) / SECOND_MS).toFixed(2),
+        replayed.idleEngineHours.toFixed(1),
+        `${replayed.loads} / ${replayed.decisions}`,
+        String(replayed.refused),
+      ]);
+    }
+  }
+};
+
+export default measureColdStarts;
--- /dev/null
+++ b/packages/bench/src/retentionPolicies.ts
@@ -0,0 +1,36 @@
+import { expectedUsePolicy, type RetentionPolicy } from '@wisteriapath/placement';
+
+interface Named {
+  readonly name: string;
+  readonly retention: RetentionPolicy;
+  readonly idleUnloadMs: number;
+}
+
+const HOUR_MS = 3_600_000;
+const MINUTE_MS = 60_000;
+
+const leastRecentlyUsed: RetentionPolicy = {
+  keepAliveMs: (_gaps, limitMs) => limitMs,
+  evictionCost: ({ gaps, nowMs }) => -gaps.idleMs(nowMs),
+};
+
+const fixed = (minutes: number): Named => ({
+  name: `fixed keep-alive of ${minutes} min`,
+  retention: leastRecentlyUsed,
+  idleUnloadMs: minutes * MINUTE_MS,
+});
+
+/** The policy of the placer and the simple ones that it is compared with. */
+const retentionPolicies: readonly Named[] = [
+  { name: 'by expected use', retention: expectedUsePolicy, idleUnloadMs: 5 * MINUTE_MS },
+  fixed(1),
+  fixed(5),
+  fixed(15),
+  {
+    name: 'least recently used, no keep-alive limit',
+    retention: leastRecentlyUsed,
+    idleUnloadMs: 1_000 * HOUR_MS,
+  },
+];
+
+export default retentionPolicies;
--- a/packages/placement/src/Placer.ts
+++ b/packages/placement/src/Placer.ts
@@ -6,8 +6,10 @@
 import LoadPermits from './LoadPermits';
 import ReplicaDecider from './ReplicaDecider';
 import TargetAgent from './TargetAgent';
+import type RetentionPolicy from './RetentionPolicy';
 import type TargetControl from './TargetControl';
 import assetsOf from './assetsOf';
+import expectedUsePolicy from './expectedUsePolicy';
 import grantSlots from './grantSlots';
 import inService from './inService';
 
@@ -32,6 +34,8 @@
   /** Records a decision before its order is sent; resolves within a bounded time. */
   readonly record: (event: DecisionEvent) => Promise<void>;
   readonly limits: Limits;
+  /** Which idle replicas are kept; by expected use if not given. */
+  readonly retention?: RetentionPolicy;
 }
 
 const NOT_PLACER: AcquireAnswer = {
@@ -60,9 +64,9 @@
 
   constructor(private readonly parts: Parts) {
     this.permits = new LoadPermits(parts.limits.storeLoadsAtOnce, parts.limits.adaptersInTransit);
-    const { failureDomain, clock, record, limits } = parts;
+    const { failureDomain, clock, record, limits, retention = expectedUsePolicy } = parts;
     const epoch = () => this.agentsEpoch;
-    this.replicas = new ReplicaDecider({ failureDomain, clock, record, limits, epoch });
+    this.replicas = new ReplicaDecider({ failureDomain, clock, record, limits, retention, epoch });
   }
 
   /** The targets as this placer sees them, for operators. */
--- a/packages/placement/src/ReplicaDecider.ts
+++ b/packages/placement/src/ReplicaDecider.ts
@@ -6,6 +6,7 @@
 import type LoadPlan from './LoadPlan';
 import OrderKind from './OrderKind';
 import Shortages from './Shortages';
+import type RetentionPolicy from './RetentionPolicy';
 import type TargetAgent from './TargetAgent';
 import assetsOf from './assetsOf';
 import expectedLoadMs from './expectedLoadMs';
@@ -18,6 +19,7 @@
   readonly epoch: () => number;
   /** Records a decision before its order is sent; resolves within a bounded time. */
   readonly record: (event: DecisionEvent) => Promise<void>;
+  readonly retention: RetentionPolicy;
   readonly limits: { readonly leaseTermMs: number; readonly idleUnloadMs: number };
 }
 
@@ -70,10 +72,11 @@
     const expecting = agents.filter((agent) => agent.expects(assets));
     const underWay = expecting.length > serving.length;
     if (underWay || expecting.length >= pool.maxReplicas) return true;
-    const nowMs = this.parts.clock.nowMs();
+    const { uses } = this;
+    const context = { uses, retention: this.parts.retention, nowMs: this.parts.clock.nowMs() };
     const plans = agents
       .filter((agent) => !agent.expects(assets))
-      .flatMap((agent) => planLoad(agent, assets, this.uses, nowMs) ?? [])
+      .flatMap((agent) => planLoad(agent, assets, context) ?? [])
       .sort((a, b) => a.expectedMs - b.expectedMs);
     if (plans.length > 0) {
       await this.carryOut(plans[0], plans);
@@ -139,12 +142,13 @@
   /** Unloads what has been idle for longer than it is worth keeping. */
   async unloadIdle(agents: readonly TargetAgent[]): Promise<void> {
     const nowMs = this.parts.clock.nowMs();
+    const { retention, limits } = this.parts;
     for (const agent of agents) {
       for (const charge of agent.changeable ? agent.memory.all() : []) {
         const gaps = this.uses.of(charge.asset.id);
         const idleMs = Math.min(gaps.idleMs(nowMs), nowMs - charge.sinceMs);
         const loadMs = expectedLoadMs(charge.asset, agent.tier(charge.asset.id));
-        const due = idleMs > gaps.keepAliveMs(this.parts.limits.idleUnloadMs, loadMs);
+        const due = idleMs > retention.keepAliveMs(gaps, limits.idleUnloadMs, loadMs);
         const based = agent.memory
           .all()
           .some((other) => other.asset.id.startsWith(`${charge.asset.id}/`));
--- a/packages/placement/src/TargetAgent.ts
+++ b/packages/placement/src/TargetAgent.ts
@@ -204,15 +204,27 @@
   }
 
   private nextLoad(): TargetOrder | undefined {
-    const [next] = this.loads;
-    if (next === undefined || !this.memory.fitsNow(next)) return undefined;
-    if (this.tier(next.id) === 'remote' && !this.parts.takePermit(next.id)) return undefined;
-    this.loads.shift();
+    const next = this.loads.find(
+      (asset) => this.memory.fitsNow(asset) && this.isModelSent(asset) && this.hasPermit(asset),
+    );
+    if (next === undefined) return undefined;
+    this.loads = this.loads.filter((asset) => asset !== next);
     const order = this.number(OrderKind.Load, next);
     this.memory.sending(next, order.sequence);
     return order;
   }
 
+  /** An adapter is ordered after the model that it belongs to. */
+  private isModelSent(asset: Asset): boolean {
+    const [model] = asset.id.split('/');
+    return model === asset.id || this.memory.phase(model) !== ChargePhase.Decided;
+  }
+
+  /** Takes a permit where the load needs one. */
+  private hasPermit(asset: Asset): boolean {
+    return this.tier(asset.id) !== 'remote' || this.parts.takePermit(asset.id);
+  }
+
   private number(kind: OrderKind, asset: Asset): TargetOrder {
     this.sequence += 1;
     const { id: assetId, sizeMb } = asset;
--- a/packages/placement/src/planLoad.ts
+++ b/packages/placement/src/planLoad.ts
@@ -3,6 +3,7 @@
 import type Charge from './Charge';
 import ChargePhase from './ChargePhase';
 import type LoadPlan from './LoadPlan';
+import type RetentionPolicy from './RetentionPolicy';
 import type TargetAgent from './TargetAgent';
 import expectedLoadMs from './expectedLoadMs';
 
@@ -11,12 +12,24 @@
 const EVICTION_MS = 100;
 const QUEUED_LOAD_MS = 500;
 
-/** What is lost by evicting: expected reload time an hour, for each megabyte freed. */
-const evictionCost = (agent: TargetAgent, uses: AssetUses, asset: Asset): number =>
-  (expectedLoadMs(asset, agent.tier(asset.id)) * uses.of(asset.id).usesPerHour()) / asset.sizeMb;
+interface Context {
+  readonly uses: AssetUses;
+  readonly retention: RetentionPolicy;
+  readonly nowMs: number;
+}
 
-const isBaseInUse = (agent: TargetAgent, assetId: string): boolean =>
-  agent.memory.all().some((charge) => charge.asset.id.startsWith(`${assetId}/`));
+/** What goes together: an adapter, or a model with every adapter on top of it. */
+type Eviction = readonly Charge[];
+
+/** An eviction loses as much as its most valuable part. */
+const evictionCost = (agent: TargetAgent, { uses, retention, nowMs }: Context, going: Eviction) => {
+  const costs = going.map(({ asset }) => {
+    const gaps = uses.of(asset.id);
+    const loadMs = expectedLoadMs(asset, agent.tier(asset.id));
+    return retention.evictionCost({ gaps, loadMs, sizeMb: asset.sizeMb, nowMs });
+  });
+  return Math.max(...costs);
+};
 
 const isEvictable = (
   agent: TargetAgent,
@@ -27,49 +40,58 @@
   charge.phase === ChargePhase.Ready &&
   nowMs - charge.sinceMs >= MIN_RESIDENT_MS &&
   !needed.some((asset) => asset.id === charge.asset.id) &&
-  !agent.slots.inUse(charge.asset.id) &&
-  !isBaseInUse(agent, charge.asset.id);
+  !agent.slots.inUse(charge.asset.id);
+
+/** The possible evictions, the least loss first. Adapters stand before their model. */
+const evictionsOf = (
+  agent: TargetAgent,
+  needed: readonly Asset[],
+  context: Context,
+): readonly Eviction[] => {
+  const charges = agent.memory.all();
+  return charges
+    .map((charge) => {
+      const adapters = charges.filter(({ asset }) => asset.id.startsWith(`${charge.asset.id}/`));
+      return [...adapters, charge];
+    })
+    .filter((going) => going.every((charge) => isEvictable(agent, needed, charge, context.nowMs)))
+    .map((going) => ({ going, cost: evictionCost(agent, context, going) }))
+    .sort((one, other) => one.cost - other.cost)
+    .map(({ going }) => going);
+};
 
 const chooseEvictions = (
   agent: TargetAgent,
   needed: readonly Asset[],
-  uses: AssetUses,
   missingMb: number,
-  nowMs: number,
+  context: Context,
 ): Asset[] | undefined => {
-  const candidates = agent.memory
-    .all()
-    .filter((charge) => isEvictable(agent, needed, charge, nowMs))
-    .map((charge) => charge.asset)
-    .sort((a, b) => evictionCost(agent, uses, a) - evictionCost(agent, uses, b));
-  const chosen: Asset[] = [];
-  let freedMb = 0;
-  for (const asset of candidates) {
-    if (freedMb >= missingMb) return chosen;
-    chosen.push(asset);
-    freedMb += asset.sizeMb;
+  const chosen = new Set<Asset>();
+  const freedMb = () => [...chosen].reduce((sum, asset) => sum + asset.sizeMb, 0);
+  for (const going of missingMb > 0 ? evictionsOf(agent, needed, context) : []) {
+    if (freedMb() >= missingMb) break;
+    going.forEach(({ asset }) => chosen.add(asset));
   }
-  return freedMb >= missingMb ? chosen : undefined;
+  return freedMb() >= missingMb ? [...chosen] : undefined;
 };
 
 /**
  * Plans how one engine could load what it lacks of `assets`; undefined if it has no room.
  *
  * @example
- * const plan = planLoad(agent, assetsOf(route), uses, clock.nowMs());
+ * const plan = planLoad(agent, assetsOf(route), { uses, retention, nowMs: clock.nowMs() });
  */
 const planLoad = (
   agent: TargetAgent,
   assets: readonly Asset[],
-  uses: AssetUses,
-  nowMs: number,
+  context: Context,
 ): LoadPlan | undefined => {
   const leaving = assets.some((asset) => agent.memory.phase(asset.id) === ChargePhase.Unloading);
   if (!agent.changeable || leaving) return undefined;
   const loads = assets.filter((asset) => agent.memory.phase(asset.id) === undefined);
   const neededMb = loads.reduce((sum, asset) => sum + asset.sizeMb, 0);
   const missingMb = neededMb - agent.memory.plannedFreeMb();
-  const evictions = chooseEvictions(agent, assets, uses, missingMb, nowMs);
+  const evictions = chooseEvictions(agent, assets, missingMb, context);
   if (evictions === undefined) return undefined;
   const loadMs = loads.reduce((sum, asset) => sum + expectedLoadMs(asset, agent.tier(asset.id)), 0);
   const expectedMs = loadMs + evictions.length * EVICTION_MS + agent.queuedLoads * QUEUED_LOAD_MS;
--- /dev/null
+++ b/packages/placement/test/support/startAgent.ts
@@ -0,0 +1,91 @@
+import { type Clock, TargetKind } from '@wisteriapath/model';
+import { Just } from 'purify-ts';
+import type Asset from '../../src/Asset';
+import type LoadReport from '../../src/LoadReport';
+import OrderKind from '../../src/OrderKind';
+import OrderResult from '../../src/OrderResult';
+import TargetAgent from '../../src/TargetAgent';
+import type TargetOrder from '../../src/TargetOrder';
+
+const EPOCH = 7;
+
+/** Lets everything run that waits for no time. */
+const settle = (): Promise<void> =>
+  new Promise((resolve) => {
+    setImmediate(resolve);
+  });
+
+interface Setup {
+  readonly assetMemoryMb: number;
+  /** What the engine has loaded. */
+  readonly loaded?: readonly Asset[];
+  readonly onDisk?: readonly string[];
+  /** Whether the weight store has a permit for an asset. */
+  readonly hasPermit?: (assetId: string) => boolean;
+}
+
+/** An agent before an engine that takes every order and finishes no load by itself. */
+const startAgent = async (setup: Setup) => {
+  let nowMs = 0;
+  const orders: TargetOrder[] = [];
+  const clock: Clock = {
+    nowMs: () => nowMs,
+    sleep: (_durationMs, signal) =>
+      new Promise((resolve) => {
+        signal?.addEventListener('abort', () => resolve());
+      }),
+  };
+  const report = (): LoadReport => ({
+    incarnation: 'first',
+    inflight: 0,
+    finished: 100,
+    lastOrder: { fencing: EPOCH, sequence: orders.at(-1)?.sequence ?? 0 },
+    assets: (setup.loaded ?? []).map((asset) => ({ ...asset, ready: true })),
+    tiers: Object.fromEntries((setup.onDisk ?? []).map((id) => [id, 'disk' as const])),
+  });
+  const agent = new TargetAgent({
+    name: 'engine-a1',
+    target: {
+      kind: TargetKind.Engine,
+      url: 'http://engine-a1',
+      failureDomain: 'khomas-a',
+      capacity: 8,
+      memoryMb: setup.assetMemoryMb,
+      fencing: true,
+    },
+    control: {
+      report: () => Promise.resolve(Just(report())),
+      order: (_url, order) => {
+        orders.push(order);
+        return Promise.resolve(OrderResult.Taken);
+      },
+    },
+    clock,
+    epoch: EPOCH,
+    pollIntervalMs: 100,
+    leaseTermMs: 2_000,
+    assetMemoryMb: setup.assetMemoryMb,
+    mayOrder: () => true,
+    takePermit: setup.hasPermit ?? (() => true),
+    returnPermit: () => {},
+    onStale: () => {},
+  });
+  agent.start();
+  await settle();
+  return {
+    agent,
+    /** Lets time pass without waking the agent. */
+    pass: (durationMs: number) => {
+      nowMs += durationMs;
+    },
+    nowMs: () => nowMs,
+    /** Wakes the agent; answers with the assets whose loads were ordered so far. */
+    ordered: async () => {
+      agent.wake();
+      await settle();
+      return orders.filter((order) => order.kind === OrderKind.Load).map((order) => order.assetId);
+    },
+  };
+};
+
+export default startAgent;
