Keep idle replicas for what their memory is worth; measure a domain that leaves

The gaps are kept as the latest 32, in place of a histogram of several kilobytes for each of 13,000 adapters.

--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -7,6 +7,7 @@
 import measureOverhead from './measureOverhead';
 import measureRefusals from './measureRefusals';
 import measureState from './measureState';
+import measureZones from './measureZones';
 
 const MEASUREMENTS: Readonly<Record<string, () => Promise<void>>> = {
   refusals: measureRefusals,
@@ -15,6 +16,7 @@
   claims: measureClaims,
   state: measureState,
   overhead: measureOverhead,
+  zones: measureZones,
   'cold-starts': measureColdStarts,
 };
 const EXIT_USAGE = 2;
--- a/packages/bench/src/replayColdTrace.ts
+++ b/packages/bench/src/replayColdTrace.ts
@@ -28,7 +28,7 @@
 
 interface ColdStart {
   readonly waitMs: number;
-  /** The load's time from its tier when nothing else goes on. */
+  /** The least time for what was not ready, from its tiers when nothing else goes on. */
   readonly bareMs: number;
 }
 
@@ -171,9 +171,10 @@
     waitsMs.push(waitMs);
     const loads = assetIds.flatMap((id) => engine.loadOf(id) ?? []);
     const bareMs = loads
-      .filter(({ orderedMs }) => orderedMs >= request.atMs)
-      .reduce((sum, load) => sum + load.bareMs, 0);
-    if (bareMs > 0) coldStarts.push({ waitMs, bareMs });
+      .map((load) => Math.min(load.bareMs, load.orderedMs + load.bareMs - request.atMs))
+      .reduce((sum, restMs) => sum + Math.max(0, restMs), 0);
+    const isCold = loads.some(({ orderedMs }) => orderedMs >= request.atMs);
+    if (isCold) coldStarts.push({ waitMs, bareMs });
     engine.use(assetIds, 1);
     await clock.sleep(request.serviceMs);
     engine.use(assetIds, -1);
--- a/packages/bench/src/retentionPolicies.ts
+++ b/packages/bench/src/retentionPolicies.ts
@@ -10,7 +10,7 @@
 const MINUTE_MS = 60_000;
 
 const leastRecentlyUsed: RetentionPolicy = {
-  keepAliveMs: (_gaps, limitMs) => limitMs,
+  keepAliveMs: ({ limitMs }) => limitMs,
   evictionCost: ({ gaps, nowMs }) => -gaps.idleMs(nowMs),
 };
 
--- a/packages/bench/src/startSystem.ts
+++ b/packages/bench/src/startSystem.ts
@@ -1,6 +1,6 @@
 import { parseSettings } from '@wisteriapath/config';
 import { createLogger, startInstance } from '@wisteriapath/daemon';
-import { sha256Hex, systemClock } from '@wisteriapath/model';
+import { sha256Hex, systemClock, type ZoneState } from '@wisteriapath/model';
 import {
   loopbackSettings,
   startInstanceList,
@@ -24,6 +24,8 @@
   readonly secret: string;
   /** Sets a new row through one instance; answers with the offset after it. */
   set(instance: number, table: string, name: string, value: object): Promise<number>;
+  /** Takes a failure domain out or restores it, whatever the row's version. */
+  setZone(instance: number, failureDomain: string, state: ZoneState): Promise<void>;
   configOffset(instance: number): Promise<number>;
   stop(): Promise<void>;
 }
@@ -90,6 +92,21 @@
     instances,
     secret: SECRET,
     set,
+    setZone: async (index, failureDomain, state) => {
+      const url = `${instances[index].operatorsUrl}/admin/zones/${failureDomain}`;
+      const read = await request(url, { headers });
+      await read.body.dump();
+      const { etag } = read.headers;
+      const condition =
+        etag === undefined ? { 'if-none-match': '*' } : { 'if-match': String(etag) };
+      const answer = await request(url, {
+        method: 'PUT',
+        headers: { ...headers, ...condition },
+        body: JSON.stringify({ state }),
+      });
+      await answer.body.dump();
+      if (answer.statusCode !== 200) throw new Error(`the zone edit got ${answer.statusCode}`);
+    },
     configOffset: async (index) => (await status(instances[index])).configOffset,
     stop: async () => {
       await Promise.all(instances.map((instance) => instance.stop()));
--- a/packages/placement/src/IdleGaps.ts
+++ b/packages/placement/src/IdleGaps.ts
@@ -1,33 +1,23 @@
-import { build, type Histogram } from 'hdr-histogram-js';
-
 const MIN_SAMPLES = 5;
+const REMEMBERED_GAPS = 32;
 /** Shorter gaps lie within one burst of use and say nothing of idleness. */
 const MIN_GAP_MS = 1_000;
-/** An asset is kept for at least this many times its load time. */
-const LOAD_TIMES_KEPT = 3;
-const KEEP_PERCENTILE = 90;
-const MAX_GAP_MS = 3_600_000;
 const HOUR_MS = 3_600_000;
 
-/** The gaps between the uses of one asset, from which its keep-alive follows. */
-class IdleGaps {
-  private readonly gapsMs: Histogram = build({
-    highestTrackableValue: MAX_GAP_MS,
-    numberOfSignificantValueDigits: 2,
-    bitBucketSize: 32,
-  });
-
-  private usedAtMs: number | undefined;
+const sum = (numbers: readonly number[]): number => numbers.reduce((a, b) => a + b, 0);
 
-  /** Follow from the histogram; reading it costs a walk over its buckets. */
-  private usualGapMs = 0;
+/** The latest gaps between the uses of one asset, from which its keep-alive follows. */
+class IdleGaps {
+  private gapsMs: readonly number[] = [];
 
   private meanGapMs = 0;
 
+  private usedAtMs: number | undefined;
+
   /** Notes a use. */
   use(nowMs: number): void {
     const gapMs = this.usedAtMs === undefined ? 0 : nowMs - this.usedAtMs;
-    if (gapMs >= MIN_GAP_MS) this.note(Math.min(MAX_GAP_MS, Math.round(gapMs)));
+    if (gapMs >= MIN_GAP_MS) this.note(gapMs);
     this.usedAtMs = nowMs;
   }
 
@@ -36,10 +26,23 @@
     return this.usedAtMs === undefined ? Infinity : nowMs - this.usedAtMs;
   }
 
-  /** How long the asset is worth keeping idle, at most `limitMs`, given what a load costs. */
-  keepAliveMs(limitMs: number, loadMs: number): number {
-    if (this.gapsMs.totalCount < MIN_SAMPLES) return limitMs;
-    return Math.min(limitMs, Math.max(this.usualGapMs, LOAD_TIMES_KEPT * loadMs));
+  /**
+   * The idle time, at most `limitMs`, after which keeping the asset costs more than it saves, where
+   * saving one reload is worth `reloadWorthMs` of idle time; `unknownMs` while few gaps are known.
+   */
+  keepAliveMs(limitMs: number, reloadWorthMs: number, unknownMs: number): number {
+    if (this.gapsMs.length < MIN_SAMPLES) return Math.min(limitMs, unknownMs);
+    const sorted = [...this.gapsMs].sort((a, b) => a - b);
+    let best = { keepMs: 0, gainMs: 0 };
+    let idleMs = 0;
+    sorted.forEach((gapMs, index) => {
+      const covered = index + 1;
+      idleMs += gapMs;
+      const spentMs = idleMs + gapMs * (sorted.length - covered);
+      const gainMs = covered * reloadWorthMs - spentMs;
+      if (gapMs <= limitMs && gainMs > best.gainMs) best = { keepMs: gapMs, gainMs };
+    });
+    return best.keepMs;
   }
 
   /** Expected uses an hour: from the mean gap, or from the present one once that is longer. */
@@ -48,9 +51,8 @@
   }
 
   private note(gapMs: number): void {
-    this.gapsMs.recordValue(gapMs);
-    this.usualGapMs = this.gapsMs.getValueAtPercentile(KEEP_PERCENTILE);
-    this.meanGapMs = this.gapsMs.mean;
+    this.gapsMs = [...this.gapsMs.slice(1 - REMEMBERED_GAPS), gapMs];
+    this.meanGapMs = sum(this.gapsMs) / this.gapsMs.length;
   }
 }
 
--- a/packages/placement/src/MemoryBook.ts
+++ b/packages/placement/src/MemoryBook.ts
@@ -28,6 +28,12 @@
     return [...this.charges.values()];
   }
 
+  /** What is loaded on top of a replica, then the replica itself. */
+  withAdapters(charge: Charge): readonly Charge[] {
+    const adapters = this.all().filter(({ asset }) => asset.id.startsWith(`${charge.asset.id}/`));
+    return [...adapters, charge];
+  }
+
   has(assetIds: readonly string[], phases: readonly ChargePhase[]): boolean {
     return assetIds.every((id) => {
       const phase = this.phase(id);
--- a/packages/placement/src/ReplicaDecider.ts
+++ b/packages/placement/src/ReplicaDecider.ts
@@ -1,6 +1,7 @@
 import { type Clock, type Pool, type Route } from '@wisteriapath/model';
 import type Asset from './Asset';
 import AssetUses from './AssetUses';
+import type Charge from './Charge';
 import ChargePhase from './ChargePhase';
 import type DecisionEvent from './DecisionEvent';
 import type LoadPlan from './LoadPlan';
@@ -141,26 +142,41 @@
 
   /** Unloads what has been idle for longer than it is worth keeping. */
   async unloadIdle(agents: readonly TargetAgent[]): Promise<void> {
-    const nowMs = this.parts.clock.nowMs();
-    const { retention, limits } = this.parts;
-    for (const agent of agents) {
-      for (const charge of agent.changeable ? agent.memory.all() : []) {
-        const gaps = this.uses.of(charge.asset.id);
-        const idleMs = Math.min(gaps.idleMs(nowMs), nowMs - charge.sinceMs);
-        const loadMs = expectedLoadMs(charge.asset, agent.tier(charge.asset.id));
-        const due = idleMs > retention.keepAliveMs(gaps, limits.idleUnloadMs, loadMs);
-        const based = agent.memory
-          .all()
-          .some((other) => other.asset.id.startsWith(`${charge.asset.id}/`));
-        const busy = based || agent.slots.inUse(charge.asset.id);
-        if (charge.phase === ChargePhase.Ready && due && !busy) {
-          agent.unload(charge.asset);
-          await this.decide(OrderKind.Unload, charge.asset, agent, 'idle', []);
-          agent.wake();
-        }
+    for (const agent of agents.filter(({ changeable }) => changeable)) {
+      const going = agent.memory
+        .all()
+        .filter((charge) => this.isWorthless(agent, charge))
+        .flatMap((charge) => ReplicaDecider.leaving(agent, charge));
+      const assets = new Set(going.map(({ asset }) => asset));
+      for (const asset of assets) {
+        agent.unload(asset);
+        await this.decide(OrderKind.Unload, asset, agent, 'idle', []);
       }
+      if (assets.size > 0) agent.wake();
     }
   }
+
+  private isWorthless(agent: TargetAgent, { asset, sinceMs }: Charge): boolean {
+    const { clock, retention, limits } = this.parts;
+    const nowMs = clock.nowMs();
+    const gaps = this.uses.of(asset.id);
+    const keepMs = retention.keepAliveMs({
+      gaps,
+      loadMs: expectedLoadMs(asset, agent.tier(asset.id)),
+      sizeMb: asset.sizeMb,
+      memoryMb: agent.target.memoryMb,
+      limitMs: limits.idleUnloadMs,
+    });
+    return Math.min(gaps.idleMs(nowMs), nowMs - sinceMs) > keepMs;
+  }
+
+  /** An idle replica with everything on top of it; nothing while some of it is in use. */
+  private static leaving(agent: TargetAgent, charge: Charge): readonly Charge[] {
+    const all = agent.memory.withAdapters(charge);
+    const isIdle = ({ phase, asset }: Charge) =>
+      phase === ChargePhase.Ready && !agent.slots.inUse(asset.id);
+    return all.every(isIdle) ? all : [];
+  }
 }
 
 export default ReplicaDecider;
--- a/packages/placement/src/RetentionPolicy.ts
+++ b/packages/placement/src/RetentionPolicy.ts
@@ -1,16 +1,18 @@
 import type IdleGaps from './IdleGaps';
 
+interface Replica {
+  readonly gaps: IdleGaps;
+  /** Time that loading it again takes. */
+  readonly loadMs: number;
+  readonly sizeMb: number;
+}
+
 /** Which replicas are kept while nobody uses them. */
 interface RetentionPolicy {
-  /** Idle time after which a replica is unloaded, at most `limitMs`, given what a load costs. */
-  keepAliveMs(gaps: IdleGaps, limitMs: number, loadMs: number): number;
+  /** Idle time after which a replica is unloaded, at most `limitMs`. */
+  keepAliveMs(replica: Replica & { readonly memoryMb: number; readonly limitMs: number }): number;
   /** What is lost by evicting a replica; the least loss goes first. */
-  evictionCost(replica: {
-    readonly gaps: IdleGaps;
-    readonly loadMs: number;
-    readonly sizeMb: number;
-    readonly nowMs: number;
-  }): number;
+  evictionCost(replica: Replica & { readonly nowMs: number }): number;
 }
 
 export default RetentionPolicy;
--- a/packages/placement/src/planLoad.ts
+++ b/packages/placement/src/planLoad.ts
@@ -47,18 +47,14 @@
   agent: TargetAgent,
   needed: readonly Asset[],
   context: Context,
-): readonly Eviction[] => {
-  const charges = agent.memory.all();
-  return charges
-    .map((charge) => {
-      const adapters = charges.filter(({ asset }) => asset.id.startsWith(`${charge.asset.id}/`));
-      return [...adapters, charge];
-    })
+): readonly Eviction[] =>
+  agent.memory
+    .all()
+    .map((charge) => agent.memory.withAdapters(charge))
     .filter((going) => going.every((charge) => isEvictable(agent, needed, charge, context.nowMs)))
     .map((going) => ({ going, cost: evictionCost(agent, context, going) }))
     .sort((one, other) => one.cost - other.cost)
     .map(({ going }) => going);
-};
 
 const chooseEvictions = (
   agent: TargetAgent,
