Pass over a target that left during a wait; survive a crossed answer

Cause (left target): an instance held slots of a target whose row was already gone; the check before dispatch refused such requests with no_target although others could take them. Ruled out: the placer (it grants nothing there from its next answer on). Cause (crossed answer): dropping an answer that names another attempt destroyed its body, whose error event nobody listened to; one such answer ended the whole process.

--- a/packages/cli/test/placementUnderFailure.test.ts
+++ b/packages/cli/test/placementUnderFailure.test.ts
@@ -1,91 +1,17 @@
 /** Placement: replicas loaded are replicas decided, memory is never overcommitted. */
-import { startEngine } from '@wisteriapath/standins';
 import call from './support/call';
+import stateOf from './support/engineState';
 import eventually from './support/eventually';
-import LocalSystem from './support/LocalSystem';
 import rows from './support/rows';
+import startEngines from './support/startEngines';
 
 const DOMAINS = ['khomas-a', 'khomas-b', 'khomas-c'];
 
-interface EngineState {
-  readonly loads: number;
-  readonly unloads: number;
-  readonly peakMb: number;
-  readonly overcommits: number;
-  readonly falls: number;
-  readonly crashes: number;
-  readonly cancelled: number;
-  readonly finished: number;
-  readonly peakInflight: number;
-  readonly peakInflightFresh: number;
-  readonly connections: number;
-  readonly orders: { taken: number; staleRefused: number; staleTaken: number };
-}
-
-type Engine = Awaited<ReturnType<typeof startEngine>>;
-
-const stateOf = (engine: Engine) => engine.state() as EngineState;
-
 const pause = (durationMs: number) =>
   new Promise((resolve) => {
     setTimeout(resolve, durationMs);
   });
 
-interface Setup {
-  readonly instancesPerDomain?: number;
-  readonly engines: readonly { domain: string; options?: object; row?: object }[];
-  readonly maxReplicas?: number;
-}
-
-const startEngines = async (setup: Setup) => {
-  const system = await LocalSystem.start(DOMAINS);
-  const engines = await Promise.all(setup.engines.map(({ options }) => startEngine(options)));
-  const count = setup.instancesPerDomain ?? 1;
-  const instances = await Promise.all(
-    DOMAINS.flatMap((failureDomain) =>
-      Array.from({ length: count }, (_unused, index) =>
-        system.instance({ name: `entry-${failureDomain}-${index}`, failureDomain }),
-      ),
-    ),
-  );
-  const { operator } = instances[0];
-  await operator.set('workspaces', 'omuriro', 0, rows.workspace());
-  await operator.set('keys', 'k1', 0, rows.key('secret-1', 'omuriro'));
-  const targets = Object.fromEntries(
-    setup.engines.map(({ domain, row }, index) => [
-      `engine-${index}`,
-      rows.engine(engines[index].url, domain, row),
-    ]),
-  );
-  await operator.set('pools', 'guide', 0, { targets, maxReplicas: setup.maxReplicas ?? 1 });
-  const addRoute = async (name: string, more: object = {}) => {
-    const { offset } = await operator.set(
-      'routes',
-      name,
-      0,
-      rows.model('guide', ['omuriro'], more),
-    );
-    await Promise.all(
-      instances.map((instance) =>
-        eventually(
-          () => instance.operator.status(),
-          (status) => status.configOffset >= offset,
-        ),
-      ),
-    );
-  };
-  await addRoute('cup-guide');
-  const decisions = () =>
-    instances.flatMap(({ lines }) => lines.filter((line) => line.includes('placement_decision')));
-  const ask = (index: number, body: object = {}, headers: object = {}) =>
-    call.complete(instances[index % instances.length].callersUrl, 'secret-1', body, headers);
-  const stop = async () => {
-    await system.stop();
-    await Promise.all(engines.map((engine) => engine.close()));
-  };
-  return { system, engines, instances, operator, addRoute, decisions, ask, stop };
-};
-
 const spread = DOMAINS.map((domain) => ({ domain }));
 
 describe('placement', () => {
--- a/packages/cli/test/support/LocalSystem.ts
+++ b/packages/cli/test/support/LocalSystem.ts
@@ -19,7 +19,7 @@
   readonly awaitReady?: boolean;
 }
 
-interface LocalInstance {
+export interface LocalInstance {
   readonly name: string;
   readonly callersUrl: string;
   readonly operator: OperatorClient;
--- a/packages/cli/test/support/call.ts
+++ b/packages/cli/test/support/call.ts
@@ -1,6 +1,6 @@
 import { request } from 'undici';
 
-interface Answer {
+export interface Answer {
   readonly status: number;
   readonly text: string;
   /** The error of the one error body, if it is one. */
--- a/packages/routing/src/RouteCaller.ts
+++ b/packages/routing/src/RouteCaller.ts
@@ -1,5 +1,6 @@
-import { type Either, Left, Right } from 'purify-ts';
-import { type Clock, ErrorKind, ServeError } from '@wisteriapath/model';
+import { type Either, Left } from 'purify-ts';
+import type { Clock, ServeError } from '@wisteriapath/model';
+import type { CheckedCall } from '@wisteriapath/admission';
 import { inService, type RouteFeeder, type Slot } from '@wisteriapath/placement';
 import type { ConfigState } from '@wisteriapath/config';
 import type CallContext from './CallContext';
@@ -24,37 +25,41 @@
 class RouteCaller {
   constructor(private readonly parts: Parts) {}
 
-  /** A slot that may be used at once; its holder must release it. */
+  /**
+   * A slot that may be used at once; its holder must release it. A target that was taken out during
+   * the wait is passed over for another.
+   */
   async slotFor(context: CallContext, wish: Wish): Promise<Either<ServeError, Slot>> {
     const { call, deadline, weight } = context;
     const startedMs = this.parts.clock.nowMs();
-    const acquired = await this.parts.feederOf(call.routeName).acquire({
-      workspace: call.caller.workspace ?? '',
-      weight,
-      requestClass: call.route.requestClass,
-      cost: wish.cost,
-      deadline,
-      isExcluded: wish.isExcluded,
-      preferred: wish.preferred,
-    });
-    return acquired.chain((slot) => this.checked(context, wish, slot, startedMs));
+    const takenOut = new Set<string>();
+    for (;;) {
+      const acquired = await this.parts.feederOf(call.routeName).acquire({
+        workspace: call.caller.workspace ?? '',
+        weight,
+        requestClass: call.route.requestClass,
+        cost: wish.cost,
+        deadline,
+        isExcluded: (target) => takenOut.has(target) || wish.isExcluded(target),
+        preferred: wish.preferred,
+      });
+      if (acquired.isLeft()) return acquired;
+      const slot = acquired.unsafeCoerce();
+      const checked = context.recheck();
+      if (checked.isRight() && this.takesWork(checked.unsafeCoerce(), slot)) {
+        this.log(context, wish, slot, startedMs);
+        return acquired;
+      }
+      slot.cancel();
+      if (checked.isLeft()) return Left(checked.extract());
+      takenOut.add(slot.target);
+    }
   }
 
-  private checked(
-    context: CallContext,
-    wish: Wish,
-    slot: Slot,
-    startedMs: number,
-  ): Either<ServeError, Slot> {
-    const allowed = context.recheck().chain((call) => {
-      const stillThere = call.pool.targets[slot.target]?.url === slot.url;
-      if (stillThere && inService(this.parts.config(), slot.failureDomain)) return Right(slot);
-      const message = 'the target was taken out while the request waited';
-      return Left(ServeError.notRun(ErrorKind.NoTarget, message));
-    });
-    if (allowed.isLeft()) slot.cancel();
-    else this.log(context, wish, slot, startedMs);
-    return allowed;
+  /** Whether the configuration still lets the slot's target take new work. */
+  private takesWork(call: CheckedCall, slot: Slot): boolean {
+    const isListed = call.pool.targets[slot.target]?.url === slot.url;
+    return isListed && inService(this.parts.config(), slot.failureDomain);
   }
 
   private log(context: CallContext, wish: Wish, slot: Slot, startedMs: number): void {
--- a/packages/routing/src/TargetClient.ts
+++ b/packages/routing/src/TargetClient.ts
@@ -62,7 +62,8 @@
       });
       const echoed = answer.headers[ATTEMPT_HEADER];
       if (echoed === undefined || echoed === call.attemptId) return Right(answer);
-      answer.body.destroy();
+      // The destroyed body reports its end as an error, which nobody else listens for.
+      answer.body.on('error', () => {}).destroy();
       return Left(ExchangeFailure.Crossed);
     } catch (error) {
       return Left(failureOf(error));
--- /dev/null
+++ b/packages/routing/test/targetClient.test.ts
@@ -0,0 +1,71 @@
+/** An answer reaches its own request only. */
+import { createServer, type RequestListener } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import ExchangeFailure from '../src/ExchangeFailure';
+import TargetClient from '../src/TargetClient';
+
+const LATE_MS = 60;
+
+const startTarget = async (answer: RequestListener) => {
+  const target = createServer(answer);
+  let connections = 0;
+  target.on('connection', () => {
+    connections += 1;
+  });
+  await new Promise<void>((resolve) => {
+    target.listen(0, '127.0.0.1', resolve);
+  });
+  return {
+    url: `http://127.0.0.1:${(target.address() as AddressInfo).port}`,
+    connections: () => connections,
+    close: () => {
+      target.closeAllConnections();
+      target.close();
+    },
+  };
+};
+
+const call = (attemptId: string, signal = new AbortController().signal) => ({
+  method: 'GET',
+  path: '/',
+  headers: {},
+  body: '',
+  attemptId,
+  signal,
+});
+
+describe('an exchange with a target', () => {
+  const client = new TargetClient({ silenceLimitMs: 5_000 });
+  let target: Awaited<ReturnType<typeof startTarget>>;
+  afterEach(() => target.close());
+  afterAll(() => client.close());
+
+  test('drops an answer that names another attempt', async () => {
+    target = await startTarget((_request, response) => {
+      response.setHeader('x-request-id', 'other').end('not yours');
+    });
+    const answer = await client.send(target.url, call('own'));
+    expect(answer.extract()).toBe(ExchangeFailure.Crossed);
+  });
+
+  test('an answer that comes after its attempt was given up meets no other request', async () => {
+    target = await startTarget((request, response) => {
+      const id = String(request.headers['x-request-id']);
+      const answer = () => response.end(`answer to ${id}`);
+      if (id === 'early') setTimeout(answer, LATE_MS);
+      else answer();
+    });
+    const leaving = new AbortController();
+    const early = client.send(target.url, call('early', leaving.signal));
+    setTimeout(() => leaving.abort(), LATE_MS / 2);
+    expect((await early).extract()).toBe(ExchangeFailure.GivenUp);
+    const texts = await Promise.all(
+      ['a', 'b', 'c'].map(async (id) => {
+        const answer = await client.send(target.url, call(id));
+        return answer.unsafeCoerce().body.text();
+      }),
+    );
+    expect(texts).toEqual(['answer to a', 'answer to b', 'answer to c']);
+    expect(target.connections()).toBeGreaterThan(1);
+  });
+});
