--- /dev/null
+++ b/packages/bench/src/createVirtualSystem.ts
@@ -0,0 +1,165 @@
+import { applyEdit, type ConfigState, EditKind, emptyConfig } from '@wisteriapath/config';
+import { type Route, TableName, TargetKind } from '@wisteriapath/model';
+import {
+  assetsOf,
+  Placer,
+  placementDomains,
+  type RetentionPolicy,
+  RouteFeeder,
+} from '@wisteriapath/placement';
+import { Just } from 'purify-ts';
+import seedrandom from 'seedrandom';
+import type Deployment from './Deployment';
+import VirtualClock from './VirtualClock';
+import VirtualEngine from './VirtualEngine';
+import VirtualStore from './VirtualStore';
+
+interface Plan {
+  readonly deployment: Deployment;
+  readonly routes: ReadonlyMap<string, Route>;
+  readonly retention: RetentionPolicy;
+  readonly idleUnloadMs: number;
+  /** Permits of the weight store that each failure domain has. */
+  readonly storeLoadsAtOnce: number;
+}
+
+interface VirtualSystem {
+  readonly clock: VirtualClock;
+  readonly engines: readonly VirtualEngine[];
+  /** Memory of each engine. */
+  readonly memoryMb: number;
+  engineAt(url: string): VirtualEngine;
+  /** The queue of one route in one instance. */
+  feederOf(instance: number, routeName: string): RouteFeeder;
+  decisions(): number;
+  stop(): void;
+}
+
+const MEMORY_MB = 80_000;
+const CAPACITY = 16;
+const MAX_REPLICAS = 2;
+const DISK_SHARE = 0.3;
+const TRIP_MS = 1;
+const LEASE_TERM_MS = 2_000;
+const USABLE_MS = 1_900;
+const POOL = 'engines';
+
+const createConfig = ({ deployment, routes }: Plan): ConfigState => {
+  const { failureDomains, engines } = deployment;
+  const targets = Array.from({ length: engines }, (_unused, index) => {
+    const failureDomain = failureDomains[index % failureDomains.length];
+    const memory = { capacity: CAPACITY, memoryMb: MEMORY_MB, fencing: true };
+    return [
+      `engine-${index}`,
+      { kind: TargetKind.Engine, url: `http://${index}`, failureDomain, ...memory },
+    ];
+  });
+  const rows: [TableName, string, object][] = [
+    [TableName.Pools, POOL, { maxReplicas: MAX_REPLICAS, targets: Object.fromEntries(targets) }],
+    ...[...routes].map(([name, route]): [TableName, string, object] => [
+      TableName.Routes,
+      name,
+      route,
+    ]),
+  ];
+  return rows.reduce<ConfigState>((state, [table, name, value], offset) => {
+    const edit = { kind: EditKind.Set, table, name, expectedVersion: 0, value };
+    return applyEdit(state, edit, offset) ?? state;
+  }, emptyConfig);
+};
+
+const createEngines = ({ deployment, routes }: Plan, clock: VirtualClock): VirtualEngine[] => {
+  const random = seedrandom(`tiers ${deployment.name}`);
+  const store = new VirtualStore(clock, deployment.storeLoadsPerS);
+  const assets = [...routes.values()].flatMap(assetsOf).map((asset) => asset.id);
+  return Array.from({ length: deployment.engines }, () => {
+    const onDisk = [...new Set(assets)].filter(() => random() < DISK_SHARE);
+    return new VirtualEngine(clock, store, new Set(onDisk));
+  });
+};
+
+/**
+ * Placers, engines and the queues of instances on a virtual clock.
+ *
+ * @example
+ * const system = createVirtualSystem({ ...policy, deployment, routes, storeLoadsAtOnce: 1 });
+ */
+const createVirtualSystem = (plan: Plan): VirtualSystem => {
+  const { deployment, routes, retention, idleUnloadMs } = plan;
+  const clock = new VirtualClock();
+  const config = createConfig(plan);
+  const engines = createEngines(plan, clock);
+  const engineAt = (url: string) => engines[Number(url.slice('http://'.length))];
+  let decisions = 0;
+  const placers = new Map(
+    deployment.failureDomains.map((failureDomain) => [
+      failureDomain,
+      new Placer({
+        failureDomain,
+        clock,
+        retention,
+        control: {
+          report: (url) => Promise.resolve(Just(engineAt(url).report())),
+          order: (url, order) => Promise.resolve(engineAt(url).order(order)),
+        },
+        config: () => config,
+        heldEpoch: () => 1,
+        mayOrderUnfenced: () => true,
+        record: () => {
+          decisions += 1;
+          return Promise.resolve();
+        },
+        limits: {
+          leaseTermMs: LEASE_TERM_MS,
+          pollIntervalMs: 500,
+          idleUnloadMs,
+          kvFloorShare: 0.2,
+          storeLoadsAtOnce: plan.storeLoadsAtOnce,
+          adaptersInTransit: 10,
+        },
+      }),
+    ]),
+  );
+  placers.forEach((placer) => placer.start());
+
+  const feeders = new Map<string, RouteFeeder>();
+  const feederOf = (instance: number, routeName: string): RouteFeeder => {
+    const name = `${instance} ${routeName}`;
+    const known = feeders.get(name);
+    if (known !== undefined) return known;
+    const route = routes.get(routeName)!;
+    const pool = config.tables[TableName.Pools].get(POOL)!.value as Parameters<
+      typeof placementDomains
+    >[2];
+    const { failureDomains } = deployment;
+    const own = failureDomains[instance % failureDomains.length];
+    const feeder = new RouteFeeder({
+      routeName,
+      instance: `entry-${instance}`,
+      clock,
+      link: {
+        acquire: async (domain, ask) => {
+          await clock.sleep(TRIP_MS);
+          return Just(await placers.get(domain)!.acquire(ask));
+        },
+      },
+      domains: () => placementDomains(config, route, pool, own),
+      usableMs: USABLE_MS,
+      answerMarginMs: 150,
+      placerGraceMs: () => 1_500,
+    });
+    feeders.set(name, feeder);
+    return feeder;
+  };
+  return {
+    clock,
+    engines,
+    memoryMb: MEMORY_MB,
+    engineAt,
+    feederOf,
+    decisions: () => decisions,
+    stop: () => placers.forEach((placer) => placer.stop()),
+  };
+};
+
+export default createVirtualSystem;
--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -4,6 +4,7 @@
 import measureColdStarts from './measureColdStarts';
 import measureControl from './measureControl';
 import measureEdits from './measureEdits';
+import measureFairness from './measureFairness';
 import measureOverhead from './measureOverhead';
 import measureRefusals from './measureRefusals';
 import measureState from './measureState';
@@ -16,6 +17,7 @@
   claims: measureClaims,
   state: measureState,
   overhead: measureOverhead,
+  fairness: measureFairness,
   zones: measureZones,
   'cold-starts': measureColdStarts,
 };
--- a/packages/bench/src/measureColdStarts.ts
+++ b/packages/bench/src/measureColdStarts.ts
@@ -1,5 +1,6 @@
 import createColdTrace from './createColdTrace';
 import deployments from './deployments';
+import percentile from './percentile';
 import replayColdTrace from './replayColdTrace';
 import retentionPolicies from './retentionPolicies';
 
@@ -8,11 +9,6 @@
 const STORE_LOADS_AT_ONCE = 1;
 const SECOND_MS = 1_000;
 
-const percentile = (numbers: readonly number[], percent: number): number => {
-  const sorted = [...numbers].sort((a, b) => a - b);
-  return sorted[Math.min(sorted.length - 1, Math.floor((sorted.length * percent) / 100))] ?? 0;
-};
-
 const print = (cells: readonly string[]): void => {
   process.stdout.write(`| ${cells.join(' | ')} |\n`);
 };
--- a/packages/config/src/settingsSchema.ts
+++ b/packages/config/src/settingsSchema.ts
@@ -81,7 +81,7 @@
     10,
     "This failure domain's part of the adapter loads that the weight store takes at once.",
   ),
-  idle_unload_s: count(300, 'Idle time after which a replica may be unloaded.'),
+  idle_unload_s: count(300, 'Longest time for which an idle replica is kept.'),
   kv_floor_share: z.coerce
     .number()
     .min(0)
