Give slots by the need of workspaces, not in equal parts to instances

Cause: beside a flood through all instances the worst of four calm workspaces got 94.8% (target 95%) and waited up to the deadline: the placer split a target's slots evenly between instances, so calm requests waited at one while another's slots carried the flood. Ruled out: the queues inside an instance (one instance is fair), the capacity (it was used in full in both). Change: the call for slots carries each workspace's demand; the placer shares by weight between workspaces and splits by where their requests are.

--- a/packages/daemon/src/GrpcPlacerLink.ts
+++ b/packages/daemon/src/GrpcPlacerLink.ts
@@ -28,7 +28,7 @@
     if (holder === undefined) return Nothing;
     if (this.roles.isSelf(holder)) return Just(await this.ownPlacer().acquire(ask));
     const client = this.clients.get(holder.address);
-    const request = { ...ask, uses: [...ask.uses] };
+    const request = { ...ask, uses: [...ask.uses], demand: [...ask.demand] };
     const reply = await callPeer(client.acquire.bind(client), request, CALL_TIMEOUT_MS);
     return reply.map(toAnswer).toMaybe();
   }
--- a/packages/placement/src/AcquireAsk.ts
+++ b/packages/placement/src/AcquireAsk.ts
@@ -1,8 +1,12 @@
+import type WorkspaceDemand from './WorkspaceDemand';
+
 /** An instance's call to a placer for slots on the targets of a route. */
 interface AcquireAsk {
   readonly instance: string;
   readonly route: string;
   readonly wantSlots: number;
+  /** Whose requests wait or run in the instance. */
+  readonly demand: readonly WorkspaceDemand[];
   /** What the instance did with each target of the route since its last call. */
   readonly uses: readonly {
     readonly target: string;
--- a/packages/placement/src/RouteFeeder.ts
+++ b/packages/placement/src/RouteFeeder.ts
@@ -2,6 +2,7 @@
 import { type Either, Left, Right } from 'purify-ts';
 import { type Clock, ErrorKind, ServeError } from '@wisteriapath/model';
 import type AcquireAnswer from './AcquireAnswer';
+import DemandCount from './DemandCount';
 import HeldTarget from './HeldTarget';
 import type PlacerLink from './PlacerLink';
 import type Slot from './Slot';
@@ -38,6 +39,8 @@
 
   private readonly waiters = new Set<Waiter>();
 
+  private readonly demands = new DemandCount();
+
   private readonly targets = new Map<string, HeldTarget>();
 
   /** Since when each failure domain has had no placer that answers. */
@@ -66,10 +69,12 @@
           settled.abort(ENDED);
           this.waiters.delete(waiter);
           this.queue.remove(waiter);
+          if (result.isLeft()) this.demands.remove(waiter.workspace);
           resolve(result);
         },
       };
       this.waiters.add(waiter);
+      this.demands.add(waiter.workspace, waiter.weight);
       this.queue.push(waiter);
       this.pump();
       if (settled.signal.aborted) return;
@@ -168,7 +173,13 @@
   ): Promise<AcquireAnswer | undefined> {
     const { instance, routeName: route, link } = this.parts;
     const uses = held.map((target) => target.takeUse());
-    const answer = await link.acquire(domain, { instance, route, wantSlots, uses });
+    const answer = await link.acquire(domain, {
+      instance,
+      route,
+      wantSlots,
+      uses,
+      demand: this.demands.list(),
+    });
     return answer.extract();
   }
 
@@ -227,11 +238,12 @@
       const allowed = free.filter(allows(waiter));
       const target = chooseTarget(allowed, waiter.preferred);
       const candidates = allowed.map(({ identity, load }) => ({ target: identity.name, load }));
-      waiter.answer(Right(target.occupy(candidates, () => this.released())));
+      waiter.answer(Right(target.occupy(candidates, () => this.released(waiter))));
     }
   }
 
-  private released(): void {
+  private released({ workspace }: Waiter): void {
+    this.demands.remove(workspace);
     this.pump();
     if (this.demand() === 0) this.wakeUp.abort(ENDED);
   }
--- a/packages/placement/src/SlotAsk.ts
+++ b/packages/placement/src/SlotAsk.ts
@@ -1,8 +1,12 @@
+import type WorkspaceDemand from './WorkspaceDemand';
+
 /** A holder's ask for slots of one target. */
 interface SlotAsk {
   /** Instance and route. */
   readonly holder: string;
   readonly want: number;
+  /** The target's part of what each workspace could use at the holder. */
+  readonly demand: readonly WorkspaceDemand[];
   /** Requests that the holder has in flight on the target. */
   readonly inflight: number;
   /** Slots that the holder believes to have. */
--- a/packages/placement/src/SlotLedger.ts
+++ b/packages/placement/src/SlotLedger.ts
@@ -1,5 +1,7 @@
 import type { Clock } from '@wisteriapath/model';
 import type SlotAsk from './SlotAsk';
+import type WorkspaceDemand from './WorkspaceDemand';
+import fairShares from './fairShares';
 
 /** Longest time for which slots of a vanished holder are kept back. */
 const VANISHED_LIMIT_MS = 30_000;
@@ -11,6 +13,11 @@
   readonly assetIds: readonly string[];
 }
 
+interface Demand {
+  readonly demand: readonly WorkspaceDemand[];
+  readonly askedMs: number;
+}
+
 /** The slots of one target: leased for a term, never more than its window in all. */
 class SlotLedger {
   private readonly leases = new Map<string, Lease>();
@@ -18,6 +25,12 @@
   /** Holders that were refused, longest wait first, with the time of their last ask. */
   private readonly refused = new Map<string, number>();
 
+  /** What holders could use, with the time of their last ask. */
+  private readonly demands = new Map<string, Demand>();
+
+  /** Fractions of a slot that holders are still due. */
+  private readonly dues = new Map<string, number>();
+
   constructor(
     private readonly clock: Clock,
     private readonly termMs: number,
@@ -35,7 +48,8 @@
 
   /** Renews a holder's lease; answers with the slots it may use until the term ends. */
   grant(ask: SlotAsk, window: number): number {
-    this.forgetRefused();
+    this.forgetOldAsks();
+    this.demands.set(ask.holder, { demand: ask.demand, askedMs: this.clock.nowMs() });
     const { holder, want, inflight, heldSlots, assetIds } = ask;
     const free = Math.max(0, window - this.takenByOthers(holder));
     const slots = Math.min(want, free, this.share(holder, window));
@@ -68,22 +82,34 @@
     return others.reduce((sum, [, lease]) => sum + lease.taken, 0);
   }
 
-  /** The most that a holder may have while others were refused. */
+  /** The most that a holder may have: no limit while there is enough for everybody. */
   private share(holder: string, window: number): number {
-    const waiting = [...this.refused.keys()].filter((other) => other !== holder);
-    if (waiting.length === 0) return window;
-    const holders = new Set([...this.leases.keys(), ...waiting, holder]);
-    const share = Math.floor(window / holders.size);
+    const isOtherRefused = [...this.refused.keys()].some((other) => other !== holder);
+    if (!isOtherRefused && this.demanded() <= window) return window;
+    const demands = new Map([...this.demands].map(([other, { demand }]) => [other, demand]));
+    const due = (fairShares(window, demands).get(holder) ?? 0) + (this.dues.get(holder) ?? 0);
+    const share = Math.floor(due);
+    this.dues.set(holder, due - share);
     if (share >= 1) return share;
     const [first] = this.refused.keys();
     return first === holder ? 1 : 0;
   }
 
-  private forgetRefused(): void {
+  private demanded(): number {
+    const all = [...this.demands.values()].flatMap(({ demand }) => demand);
+    return all.reduce((sum, { slots }) => sum + slots, 0);
+  }
+
+  private forgetOldAsks(): void {
     const oldestMs = this.clock.nowMs() - this.termMs;
     this.refused.forEach((askedMs, holder) => {
       if (askedMs < oldestMs) this.refused.delete(holder);
     });
+    this.demands.forEach(({ askedMs }, holder) => {
+      if (askedMs >= oldestMs) return;
+      this.demands.delete(holder);
+      this.dues.delete(holder);
+    });
   }
 }
 
--- a/packages/placement/src/grantSlots.ts
+++ b/packages/placement/src/grantSlots.ts
@@ -21,10 +21,16 @@
   const used = serving.filter((agent) => uses.has(agent.name));
   const unused = serving.filter((agent) => !uses.has(agent.name));
   const order = [...used, ...unused.sort((a, b) => free(b) - free(a))];
+  const windows = serving.reduce((sum, agent) => sum + agent.window.current, 0);
+  const partOf = (agent: TargetAgent) =>
+    ask.demand.map((demand) => ({
+      ...demand,
+      slots: (demand.slots * agent.window.current) / windows,
+    }));
   let wanted = ask.wantSlots;
   const grants = order.map((agent) => {
     const { heldSlots = 0, inflight = 0 } = uses.get(agent.name) ?? {};
-    const slotAsk = { holder, want: wanted, inflight, heldSlots, assetIds };
+    const slotAsk = { holder, want: wanted, demand: partOf(agent), inflight, heldSlots, assetIds };
     const slots = agent.slots.grant(slotAsk, agent.window.current);
     wanted -= slots;
     return { target: agent.name, url: agent.target.url, slots };
--- a/packages/placement/src/index.ts
+++ b/packages/placement/src/index.ts
@@ -27,4 +27,5 @@
 export type { default as TargetOrder } from './TargetOrder';
 export { default as TargetOutcome } from './TargetOutcome';
 export { default as TargetAgent } from './TargetAgent';
+export type { default as WorkspaceDemand } from './WorkspaceDemand';
 export { default as WarmupWindow } from './WarmupWindow';
--- a/packages/placement/test/planLoad.test.ts
+++ b/packages/placement/test/planLoad.test.ts
@@ -33,7 +33,7 @@
       loaded: [base, adapter],
     });
     pass(MIN_RESIDENT_MS);
-    const ask = { holder: 'entry-a1', want: 1, inflight: 0, heldSlots: 0 };
+    const ask = { holder: 'entry-a1', want: 1, demand: [], inflight: 0, heldSlots: 0 };
     agent.slots.grant({ ...ask, assetIds: [base.id, adapter.id] }, 4);
     expect(planLoad(agent, [wanted], context(nowMs()))).toBeUndefined();
     agent.stop();
