--- a/packages/cli/test/routingUnderFailure.test.ts
+++ b/packages/cli/test/routingUnderFailure.test.ts
@@ -16,6 +16,17 @@
     await Promise.all(standins.splice(0).map((standin) => standin.close()));
   });
 
+  /** An engine with a warm model and a cold one, before a weight store; answers with the store. */
+  const startBehindStore = async () => {
+    const store = await startWeightStore({ loadsPerS: 100, mbPerS: 1e6 });
+    standins.push(store);
+    const options = { weightStoreUrl: store.url };
+    placed = await startEngines({ engines: [{ domain: DOMAIN, options }] });
+    await placed.ask(0);
+    await placed.addRoute('cold', { model: 'cold-7b', modelMb: 2_000 });
+    return store;
+  };
+
   test('a connection that goes silent is given up and its request answered by another', async () => {
     placed = await startEngines({
       engines: [{ domain: DOMAIN }],
@@ -31,12 +42,7 @@
   });
 
   test('a cold model is refused in time while the weight store is down, a warm one answered', async () => {
-    const store = await startWeightStore({ loadsPerS: 100, mbPerS: 1e6 });
-    standins.push(store);
-    const options = { weightStoreUrl: store.url };
-    placed = await startEngines({ engines: [{ domain: DOMAIN, options }] });
-    await placed.ask(0);
-    await placed.addRoute('cold', { model: 'cold-7b', modelMb: 2_000 });
+    const store = await startBehindStore();
     store.setFault({ kind: FaultKind.Down });
     const startedMs = performance.now();
     const cold = placed.ask(0, { model: 'cold' }, { 'x-deadline-ms': '4000' });
@@ -53,12 +59,7 @@
   });
 
   test('a slow weight store delays cold models only', async () => {
-    const store = await startWeightStore({ loadsPerS: 100, mbPerS: 1e6 });
-    standins.push(store);
-    const options = { weightStoreUrl: store.url };
-    placed = await startEngines({ engines: [{ domain: DOMAIN, options }] });
-    await placed.ask(0);
-    await placed.addRoute('cold', { model: 'cold-7b', modelMb: 2_000 });
+    const store = await startBehindStore();
     store.setFault({ kind: FaultKind.Slow, delayMs: 1_500 });
     const cold = placed.ask(0, { model: 'cold' }, { 'x-deadline-ms': '10000' });
     const warm = await Promise.all(
