Call what the project had already: operator client, clock, row lookup, one place that ends attempts

An attempt was ended in two places of one caller and one of the other; Attempt.during ends it, and nobody else can. No behaviour, bound or assertion changes.

--- a/packages/bench/src/createVirtualSystem.ts
+++ b/packages/bench/src/createVirtualSystem.ts
@@ -1,4 +1,4 @@
-import { applyEdit, type ConfigState, EditKind, emptyConfig } from '@wisteriapath/config';
+import { applyEdit, type ConfigState, EditKind, emptyConfig, getRow } from '@wisteriapath/config';
 import { type Route, TableName, TargetKind } from '@wisteriapath/model';
 import {
   assetsOf,
@@ -128,9 +128,7 @@
     const known = feeders.get(name);
     if (known !== undefined) return known;
     const route = routes.get(routeName)!;
-    const pool = config.tables[TableName.Pools].get(POOL)!.value as Parameters<
-      typeof placementDomains
-    >[2];
+    const pool = getRow(config, TableName.Pools, POOL)!.value;
     const { failureDomains } = deployment;
     const own = failureDomains[instance % failureDomains.length];
     const feeder = new RouteFeeder({
--- a/packages/bench/src/measureClaims.ts
+++ b/packages/bench/src/measureClaims.ts
@@ -1,6 +1,7 @@
 import { build } from 'hdr-histogram-js';
 import { systemClock } from '@wisteriapath/model';
 import { request } from 'undici';
+import printRow from './printRow';
 import startSystem from './startSystem';
 
 const INSTANCES = 6;
@@ -65,7 +66,7 @@
       String(failed),
       ((appended * SECOND_MS) / WINDOW_MS).toFixed(0),
     ];
-    process.stdout.write(`| ${cells.join(' | ')} |\n`);
+    printRow(cells);
   }
   await system.stop();
 };
--- a/packages/bench/src/measureColdStarts.ts
+++ b/packages/bench/src/measureColdStarts.ts
@@ -1,6 +1,7 @@
 import createColdTrace from './createColdTrace';
 import deployments from './deployments';
 import percentile from './percentile';
+import printRow from './printRow';
 import replayColdTrace from './replayColdTrace';
 import retentionPolicies from './retentionPolicies';
 
@@ -9,10 +10,6 @@
 const STORE_LOADS_AT_ONCE = 1;
 const SECOND_MS = 1_000;
 
-const print = (cells: readonly string[]): void => {
-  process.stdout.write(`| ${cells.join(' | ')} |\n`);
-};
-
 const seconds = (numbers: readonly number[]): string =>
   [50, 95, 99].map((percent) => (percentile(numbers, percent) / SECOND_MS).toFixed(2)).join(' / ');
 
@@ -27,7 +24,7 @@
   for (const deployment of deployments) {
     const trace = createColdTrace(deployment, SEED, DURATION_MS);
     process.stdout.write(`\n${deployment.name}: ${trace.requests.length} requests\n\n`);
-    print([
+    printRow([
       'policy',
       'cold starts',
       'wait p50 / p95 / p99 s',
@@ -38,7 +35,7 @@
       'loads / decided',
       'refused',
     ]);
-    print(Array.from({ length: 9 }, () => '---'));
+    printRow(Array.from({ length: 9 }, () => '---'));
     for (const { name, retention, idleUnloadMs } of retentionPolicies) {
       const replayed = await replayColdTrace({
         deployment,
@@ -49,7 +46,7 @@
       });
       const { coldStarts, waitsMs } = replayed;
       const ratios = coldStarts.map(({ waitMs, bareMs }) => waitMs / bareMs);
-      print([
+      printRow([
         name,
         String(coldStarts.length),
         seconds(coldStarts.map(({ waitMs }) => waitMs)),
--- a/packages/bench/src/measureControl.ts
+++ b/packages/bench/src/measureControl.ts
@@ -1,4 +1,5 @@
 import { systemClock } from '@wisteriapath/model';
+import printRow from './printRow';
 import startSystem from './startSystem';
 
 const SETTLE_MS = 4_000;
@@ -48,7 +49,7 @@
       (heapUsed / MB).toFixed(0),
       (rss / MB).toFixed(0),
     ];
-    process.stdout.write(`| ${cells.join(' | ')} |\n`);
+    printRow(cells);
     await system.stop();
   }
 };
--- a/packages/bench/src/measureFairness.ts
+++ b/packages/bench/src/measureFairness.ts
@@ -4,6 +4,7 @@
 import type Deployment from './Deployment';
 import createVirtualSystem from './createVirtualSystem';
 import percentile from './percentile';
+import printRow from './printRow';
 
 interface Served {
   sent: number;
@@ -139,7 +140,7 @@
       percentile(worst.waitsMs, 99).toFixed(0),
       (flooding.answered / countedS / DUE_PER_S).toFixed(2),
     ];
-    process.stdout.write(`| ${cells.join(' | ')} |\n`);
+    printRow(cells);
   }
 };
 
--- a/packages/bench/src/measureOverhead.ts
+++ b/packages/bench/src/measureOverhead.ts
@@ -5,6 +5,7 @@
 import type LoadFigures from './LoadFigures';
 import type LoadRun from './LoadRun';
 import type StandinUrls from './StandinUrls';
+import printRow from './printRow';
 import startEntry from './startEntry';
 
 const ENGINES = 8;
@@ -29,10 +30,6 @@
   return { own: (heapUsed + external) / BYTES_PER_MB, rss: rss / BYTES_PER_MB };
 };
 
-const print = (cells: readonly string[]): void => {
-  process.stdout.write(`| ${cells.join(' | ')} |\n`);
-};
-
 const added = (through: number, direct: number): string => (through - direct).toFixed(2);
 
 const startThread = (file: string, workerData?: object): Worker =>
@@ -63,7 +60,7 @@
 
   await run({ callers: ENGINES * CAPACITY, tokens: WARM_TOKENS, durationMs: WARM_MS });
   const before = memoryMb();
-  print([
+  printRow([
     'at once',
     'first byte p50 / p95 ms, direct',
     'through',
@@ -75,7 +72,7 @@
     'not 200',
     '% of a core',
   ]);
-  print(Array.from({ length: 10 }, () => '---'));
+  printRow(Array.from({ length: 10 }, () => '---'));
   for (const callers of CALLERS) {
     const alone = await run({ ...direct, callers });
     const startedAt = performance.eventLoopUtilization();
@@ -83,7 +80,7 @@
     const { utilization } = performance.eventLoopUtilization(startedAt);
     const pair = ({ p50, p95 }: { p50: number; p95: number }) =>
       `${p50.toFixed(2)} / ${p95.toFixed(2)}`;
-    print([
+    printRow([
       String(callers),
       pair(alone.firstByteMs),
       pair(passed.firstByteMs),
--- a/packages/bench/src/measureRefusals.ts
+++ b/packages/bench/src/measureRefusals.ts
@@ -2,6 +2,7 @@
 import type Limiter from './Limiter';
 import VirtualClock from './VirtualClock';
 import limiters from './limiters';
+import printRow from './printRow';
 
 type Balancer = (random: () => number, atMs: number) => number;
 
@@ -88,7 +89,7 @@
       const perS = ((limiter.messages() * SECOND_MS) / DURATION_MS).toFixed(1);
       const excess = Math.round(counts.worstExcess);
       const cells = [balancerName, limiterName, refused, perS, String(excess)];
-      process.stdout.write(`| ${cells.join(' | ')} |\n`);
+      printRow(cells);
     }
   }
 };
--- a/packages/bench/src/startEntry.ts
+++ b/packages/bench/src/startEntry.ts
@@ -1,8 +1,8 @@
+import { OperatorClient } from '@wisteriapath/cli';
 import { parseSettings } from '@wisteriapath/config';
 import { createLogger, startInstance } from '@wisteriapath/daemon';
 import { RouteKind, sha256Hex, systemClock, TargetKind } from '@wisteriapath/model';
 import { loopbackSettings } from '@wisteriapath/standins';
-import { request } from 'undici';
 import type StandinUrls from './StandinUrls';
 
 interface Plan {
@@ -19,7 +19,6 @@
 const SECRET = 'bench-key';
 const POLL_MS = 50;
 const PLENTY = 1e9;
-const headers = { authorization: `Bearer ${TOKEN}` };
 
 /**
  * Starts one instance in this thread before engines that run elsewhere.
@@ -41,28 +40,16 @@
     settings,
     createLogger('info', () => {}),
   );
-  const isReady = async (): Promise<boolean> => {
-    const answer = await request(`${instance.callersUrl}/readyz`);
-    await answer.body.dump();
-    return answer.statusCode === 200;
-  };
-  while (!(await isReady())) await systemClock.sleep(POLL_MS);
-  const set = async (path: string, row: object): Promise<void> => {
-    const answer = await request(`${instance.operatorsUrl}/admin/${path}`, {
-      method: 'PUT',
-      headers: { ...headers, 'if-none-match': '*' },
-      body: JSON.stringify(row),
-    });
-    await answer.body.dump();
-  };
-  await set('workspaces/bench', { rateTokensPerS: PLENTY, burstTokens: PLENTY });
-  await set('keys/bench', { sha256: sha256Hex(SECRET), workspace: 'bench' });
+  const operator = new OperatorClient(instance.operatorsUrl, TOKEN);
+  while (!(await operator.status()).ready) await systemClock.sleep(POLL_MS);
+  await operator.set('workspaces', 'bench', 0, { rateTokensPerS: PLENTY, burstTokens: PLENTY });
+  await operator.set('keys', 'bench', 0, { sha256: sha256Hex(SECRET), workspace: 'bench' });
   for (const [index, route] of routes.entries()) {
     const url = urls.engines[index];
     const engine = { url, failureDomain: DOMAIN, capacity, memoryMb: 80_000 };
     const targets = { [`engine-${index}`]: { kind: TargetKind.Engine, ...engine } };
-    await set(`pools/pool-${index}`, { targets });
-    await set(`routes/${route}`, {
+    await operator.set('pools', `pool-${index}`, 0, { targets });
+    await operator.set('routes', route, 0, {
       kind: RouteKind.Model,
       model: asset.id,
       modelMb: asset.sizeMb,
--- a/packages/bench/src/startSystem.ts
+++ b/packages/bench/src/startSystem.ts
@@ -1,6 +1,7 @@
+import { OperatorClient } from '@wisteriapath/cli';
 import { parseSettings } from '@wisteriapath/config';
 import { createLogger, startInstance } from '@wisteriapath/daemon';
-import { sha256Hex, systemClock, type ZoneState } from '@wisteriapath/model';
+import { sha256Hex, systemClock, TableName, type ZoneState } from '@wisteriapath/model';
 import {
   loopbackSettings,
   startInstanceList,
@@ -30,13 +31,6 @@
   stop(): Promise<void>;
 }
 
-const headers = { authorization: `Bearer ${TOKEN}` };
-
-const status = async (instance: Running): Promise<{ ready: boolean; configOffset: number }> => {
-  const answer = await request(`${instance.operatorsUrl}/admin/status`, { headers });
-  return (await answer.body.json()) as { ready: boolean; configOffset: number };
-};
-
 /**
  * Starts instances over three failure domains, with a booking service.
  *
@@ -68,19 +62,12 @@
       return instance;
     }),
   );
-  for (const instance of instances) {
-    while (!(await status(instance)).ready) await systemClock.sleep(POLL_MS);
+  const operators = instances.map(({ operatorsUrl }) => new OperatorClient(operatorsUrl, TOKEN));
+  for (const operator of operators) {
+    while (!(await operator.status()).ready) await systemClock.sleep(POLL_MS);
   }
-  const set = async (index: number, table: string, name: string, value: object) => {
-    const answer = await request(`${instances[index].operatorsUrl}/admin/${table}/${name}`, {
-      method: 'PUT',
-      headers: { ...headers, 'if-none-match': '*' },
-      body: JSON.stringify(value),
-    });
-    const { offset } = (await answer.body.json()) as { offset?: number };
-    if (offset === undefined) throw new Error(`the edit of ${table}/${name} was not accepted`);
-    return offset;
-  };
+  const set = async (index: number, table: string, name: string, value: object) =>
+    (await operators[index].set(table, name, 0, value)).offset;
   await set(0, 'workspaces', 'bench', { rateTokensPerS: 1e9, burstTokens: 1e9 });
   await set(0, 'keys', 'bench', { sha256: sha256Hex(SECRET), workspace: 'bench' });
   const shop = { kind: 'service', url: service.url, failureDomain: DOMAINS[0], capacity: 512 };
@@ -93,21 +80,10 @@
     secret: SECRET,
     set,
     setZone: async (index, failureDomain, state) => {
-      const url = `${instances[index].operatorsUrl}/admin/zones/${failureDomain}`;
-      const read = await request(url, { headers });
-      await read.body.dump();
-      const { etag } = read.headers;
-      const condition =
-        etag === undefined ? { 'if-none-match': '*' } : { 'if-match': String(etag) };
-      const answer = await request(url, {
-        method: 'PUT',
-        headers: { ...headers, ...condition },
-        body: JSON.stringify({ state }),
-      });
-      await answer.body.dump();
-      if (answer.statusCode !== 200) throw new Error(`the zone edit got ${answer.statusCode}`);
+      const row = await operators[index].row(TableName.Zones, failureDomain);
+      await operators[index].set(TableName.Zones, failureDomain, row?.version ?? 0, { state });
     },
-    configOffset: async (index) => (await status(instances[index])).configOffset,
+    configOffset: async (index) => (await operators[index].status()).configOffset,
     stop: async () => {
       await Promise.all(instances.map((instance) => instance.stop()));
       await Promise.all([log.close(), list.close(), service.close()]);
--- a/packages/cli/test/budgets.test.ts
+++ b/packages/cli/test/budgets.test.ts
@@ -1,4 +1,5 @@
 /** Rates: no workspace exceeds its rate and burst across all instances, by the engines' count. */
+import { systemClock } from '@wisteriapath/model';
 import { startEngine } from '@wisteriapath/standins';
 import call from './support/call';
 import eventually from './support/eventually';
@@ -13,11 +14,6 @@
 const CALL = { prompt: 'a dented rim', max_tokens: TOKENS_PER_CALL - 3 };
 const LOADING = { prompt: 'x', max_tokens: 1 };
 
-const pause = (durationMs: number) =>
-  new Promise((resolve) => {
-    setTimeout(resolve, durationMs);
-  });
-
 interface EngineState {
   readonly falls: number;
   readonly finished: number;
@@ -81,7 +77,7 @@
   while (Date.now() - startedAt < durationMs) {
     const due = ((Date.now() - startedAt) / 1_000) * callsPerS;
     while (results.length < due) results.push(send(results.length));
-    await pause(5);
+    await systemClock.sleep(5);
   }
   return Promise.all(results);
 };
@@ -200,14 +196,14 @@
         .complete(instances[to].callersUrl, 'flood-key', CALL, headers)
         .catch(() => undefined);
     });
-    await pause(1_000);
+    await systemClock.sleep(1_000);
     const frozen = await holderOf('home/khomas-a');
     alive.delete(frozen);
     instances[frozen].process.signal('SIGSTOP');
-    await pause(2_000);
+    await systemClock.sleep(2_000);
     instances[frozen].process.signal('SIGCONT');
     alive.add(frozen);
-    await pause(500);
+    await systemClock.sleep(500);
     alive.delete(frozen);
     instances[frozen].process.signal('SIGKILL');
     await flood;
--- a/packages/cli/test/claimsUnderFailure.test.ts
+++ b/packages/cli/test/claimsUnderFailure.test.ts
@@ -1,4 +1,5 @@
 /** Bookings: a non-idempotent call runs at most once, and a "not run" refusal is true. */
+import { systemClock } from '@wisteriapath/model';
 import { startService } from '@wisteriapath/standins';
 import call from './support/call';
 import eventually from './support/eventually';
@@ -170,11 +171,6 @@
   };
   const fault = (url: string, body: object) =>
     fetch(`${url}/faults`, { method: 'POST', body: JSON.stringify(body) });
-  const pause = (durationMs: number) =>
-    new Promise((resolve) => {
-      setTimeout(resolve, durationMs);
-    });
-
   beforeAll(async () => {
     system = await ProcessSystem.start(DOMAINS);
     service = await system.standin('service');
@@ -210,10 +206,10 @@
       delayMs: 400,
     });
     const first = book(1, 'frozen', 1_500);
-    await pause(200);
+    await systemClock.sleep(200);
     instances[1].process.signal('SIGSTOP');
     await fault(system.log.url, { kind: 'none' });
-    await pause(1_800);
+    await systemClock.sleep(1_800);
     const during = await book(0, 'frozen', 500);
     expect(during.error).toMatchObject({ ran: 'unknown' });
     instances[1].process.signal('SIGCONT');
@@ -229,12 +225,12 @@
   test('killed after dispatch: the call ran once, and no repeat runs it again', async () => {
     await fault(service.url, { kind: 'slow', method: 'POST', delayMs: 600, remaining: 1 });
     const first = book(1, 'killed', 3_000).catch(() => undefined);
-    await pause(300);
+    await systemClock.sleep(300);
     instances[1].process.signal('SIGKILL');
     await first;
     const repeats = await Promise.all([book(0, 'killed', 1_500), book(2, 'killed', 1_500)]);
     expect(repeats.map(({ error }) => error?.ran)).toEqual(['unknown', 'unknown']);
-    await pause(500);
+    await systemClock.sleep(500);
     expect(await runs('killed')).toBeLessThanOrEqual(1);
   });
 });
--- a/packages/cli/test/placementUnderFailure.test.ts
+++ b/packages/cli/test/placementUnderFailure.test.ts
@@ -1,4 +1,5 @@
 /** Placement: replicas loaded are replicas decided, memory is never overcommitted. */
+import { systemClock } from '@wisteriapath/model';
 import call from './support/call';
 import stateOf from './support/engineState';
 import eventually from './support/eventually';
@@ -7,11 +8,6 @@
 
 const DOMAINS = ['khomas-a', 'khomas-b', 'khomas-c'];
 
-const pause = (durationMs: number) =>
-  new Promise((resolve) => {
-    setTimeout(resolve, durationMs);
-  });
-
 const spread = DOMAINS.map((domain) => ({ domain }));
 
 describe('placement', () => {
@@ -140,7 +136,7 @@
     const neighbours = Array.from({ length: 6 }, (_unused, index) =>
       placed.ask(index, { prompt: `neighbour ${index}`, max_tokens: 60 }),
     );
-    await pause(30);
+    await systemClock.sleep(30);
     const poisoned = [];
     for (const index of [0, 1, 2]) {
       poisoned.push(await placed.ask(index, { prompt: 'poison' }, { 'x-deadline-ms': '6000' }));
@@ -192,7 +188,7 @@
     });
     await placed.operator.set('keys', 'k2', 0, rows.key('secret-2', 'omuriro'));
     const waiting = call.complete(placed.instances[0].callersUrl, 'secret-2', {});
-    await pause(500);
+    await systemClock.sleep(500);
     const row = await placed.operator.row('keys', 'k2');
     await placed.operator.remove('keys', 'k2', row!.version);
     expect((await waiting).error).toMatchObject({ kind: 'unauthenticated', ran: 'no' });
--- a/packages/cli/test/placerTakeover.test.ts
+++ b/packages/cli/test/placerTakeover.test.ts
@@ -1,4 +1,5 @@
 /** Placers that die or freeze: one replica, no stale order takes effect where it could do harm. */
+import { systemClock } from '@wisteriapath/model';
 import call from './support/call';
 import eventually from './support/eventually';
 import ProcessSystem from './support/ProcessSystem';
@@ -10,11 +11,6 @@
   readonly orders: { taken: number; staleRefused: number; staleTaken: number };
 }
 
-const pause = (durationMs: number) =>
-  new Promise((resolve) => {
-    setTimeout(resolve, durationMs);
-  });
-
 describe('a placer that is killed or frozen', () => {
   let system: ProcessSystem;
   let engine: { url: string };
@@ -88,7 +84,7 @@
     );
     expect(answer.status).toBe(200);
     instances[placer].process.signal('SIGCONT');
-    await pause(1_000);
+    await systemClock.sleep(1_000);
     const state = await engineState();
     expect([state.loads, state.overcommits, state.orders.staleTaken]).toEqual([1, 0, 0]);
   });
--- a/packages/ledger/src/TokenPurse.ts
+++ b/packages/ledger/src/TokenPurse.ts
@@ -1,5 +1,5 @@
 import { type Either, Left, Right } from 'purify-ts';
-import { type Clock, type Deadline, ErrorKind, ServeError } from '@wisteriapath/model';
+import { type Clock, type Deadline, ErrorKind, ServeError, sum } from '@wisteriapath/model';
 import type BudgetSynced from './BudgetSynced';
 import type HomeAccount from './HomeAccount';
 import type LoanWish from './LoanWish';
@@ -17,8 +17,6 @@
   readonly refreshMs: number;
 }
 
-const sum = (numbers: readonly number[]): number => numbers.reduce((a, b) => a + b, 0);
-
 const NO_WISH: LoanWish = { leastTokens: 0, neededTokens: 0, mostTokens: 0, mayQueue: false };
 
 const wishFor = (
--- a/packages/model/src/index.ts
+++ b/packages/model/src/index.ts
@@ -15,6 +15,7 @@
 export { default as RouteKind } from './RouteKind';
 export { default as ServeError } from './ServeError';
 export { default as sha256Hex } from './sha256Hex';
+export { default as sum } from './sum';
 export { default as systemClock } from './systemClock';
 export { default as TableName } from './TableName';
 export type { default as Target } from './Target';
--- a/packages/placement/src/IdleGaps.ts
+++ b/packages/placement/src/IdleGaps.ts
@@ -1,23 +1,23 @@
+import { sum } from '@wisteriapath/model';
+
 const MIN_SAMPLES = 5;
 const REMEMBERED_GAPS = 32;
 /** Shorter gaps lie within one burst of use and say nothing of idleness. */
 const MIN_GAP_MS = 1_000;
 const HOUR_MS = 3_600_000;
 
-const sum = (numbers: readonly number[]): number => numbers.reduce((a, b) => a + b, 0);
-
 /** The latest gaps between the uses of one asset, from which its keep-alive follows. */
 class IdleGaps {
   private gapsMs: readonly number[] = [];
 
-  private meanGapMs = 0;
-
   private usedAtMs: number | undefined;
 
   /** Notes a use. */
   use(nowMs: number): void {
     const gapMs = this.usedAtMs === undefined ? 0 : nowMs - this.usedAtMs;
-    if (gapMs >= MIN_GAP_MS) this.note(gapMs);
+    if (gapMs >= MIN_GAP_MS) {
+      this.gapsMs = [...this.gapsMs.slice(1 - REMEMBERED_GAPS), gapMs];
+    }
     this.usedAtMs = nowMs;
   }
 
@@ -47,12 +47,8 @@
 
   /** Expected uses an hour: from the mean gap, or from the present one once that is longer. */
   usesPerHour(nowMs: number): number {
-    return HOUR_MS / Math.max(MIN_GAP_MS, this.meanGapMs, this.idleMs(nowMs));
-  }
-
-  private note(gapMs: number): void {
-    this.gapsMs = [...this.gapsMs.slice(1 - REMEMBERED_GAPS), gapMs];
-    this.meanGapMs = sum(this.gapsMs) / this.gapsMs.length;
+    const meanGapMs = sum(this.gapsMs) / Math.max(1, this.gapsMs.length);
+    return HOUR_MS / Math.max(MIN_GAP_MS, meanGapMs, this.idleMs(nowMs));
   }
 }
 
--- a/packages/placement/src/fairShares.ts
+++ b/packages/placement/src/fairShares.ts
@@ -1,9 +1,8 @@
+import { sum } from '@wisteriapath/model';
 import type WorkspaceDemand from './WorkspaceDemand';
 
 type Demands = ReadonlyMap<string, readonly WorkspaceDemand[]>;
 
-const sum = (numbers: readonly number[]): number => numbers.reduce((a, b) => a + b, 0);
-
 /** Demand of each workspace over all holders. */
 const byWorkspace = (demands: Demands): readonly WorkspaceDemand[] => {
   const totals = new Map<string, WorkspaceDemand>();
--- a/packages/routing/src/ModelCall.ts
+++ b/packages/routing/src/ModelCall.ts
@@ -106,13 +106,11 @@
   }
 
   /** One exchange with one engine; undefined if the answer came whole. */
-  private async exchange(slot: Slot): Promise<ExchangeFailure | undefined> {
-    const attempt = new Attempt(this.sink.gone, this.context.deadline.remainingMs());
-    try {
-      return await this.exchangeWithin(slot, attempt);
-    } finally {
-      attempt.end();
-    }
+  private exchange(slot: Slot): Promise<ExchangeFailure | undefined> {
+    const remainingMs = this.context.deadline.remainingMs();
+    return Attempt.during(this.sink.gone, remainingMs, (attempt) =>
+      this.exchangeWithin(slot, attempt),
+    );
   }
 
   private async exchangeWithin(slot: Slot, attempt: Attempt): Promise<ExchangeFailure | undefined> {
--- a/packages/routing/src/ServiceCall.ts
+++ b/packages/routing/src/ServiceCall.ts
@@ -159,14 +159,25 @@
   }
 
   /** One exchange with one target; the slot is released in every case. */
-  private async exchange(
+  private exchange(
     context: CallContext,
     http: HttpCall,
     sink: AnswerSink,
     slot: Slot,
     attempts: AttemptLog,
   ): Promise<Either<ExchangeFailure, WholeAnswer>> {
-    const attempt = new Attempt(sink.gone, context.deadline.remainingMs());
+    return Attempt.during(sink.gone, context.deadline.remainingMs(), (attempt) =>
+      this.exchangeWithin(context, http, slot, attempts, attempt),
+    );
+  }
+
+  private async exchangeWithin(
+    context: CallContext,
+    http: HttpCall,
+    slot: Slot,
+    attempts: AttemptLog,
+    attempt: Attempt,
+  ): Promise<Either<ExchangeFailure, WholeAnswer>> {
     const fingerprint = requestFingerprint(context, http.body);
     const headers = {
       ...http.headers,
@@ -174,7 +185,6 @@
     };
     const call = { ...http, headers, attemptId: attempt.id, signal: attempt.signal };
     const sent = await this.parts.targets.send(slot.target, slot.url, fingerprint, call);
-    if (sent.isLeft()) attempt.end();
     const failed = (failure: ExchangeFailure): Either<ExchangeFailure, WholeAnswer> => {
       attempts.note(slot.target, failure);
       const givenUp = failure === ExchangeFailure.GivenUp;
@@ -193,8 +203,6 @@
       return Right({ status: exchange.answer.statusCode, contentType, body });
     } catch (error) {
       return failed(exchange.broken(error));
-    } finally {
-      attempt.end();
     }
   }
 }
