Borrow once for all requests that wait for a workspace's tokens

Cause of the red budget test: a purse took its requests in turn, and each turn made a call of its own, also for a request whose deadline had passed in the queue. Once calls took longer than requests came (100 a second on a busy machine), every turn came too late: 386 of 400 calls ended with deadline_expired and 862 of 2,214 tokens were spent; roles had not changed hands.

A turn now borrows for all that wait behind it, and an expired request is refused without a call. TestClock and ManualClock are one.

--- a/packages/fleet/test/placer.test.ts
+++ b/packages/fleet/test/placer.test.ts
@@ -8,7 +8,7 @@
   TargetTable,
 } from '../src';
 import FakeEngine from './support/FakeEngine';
-import TestClock from './support/TestClock';
+import TestClock from '../../model/test/support/TestClock';
 import builders from './support/builders';
 
 const MODELS = ['a', 'b', 'c', 'd', 'e', 'f'];
--- a/packages/ledger/src/TokenPurse.ts
+++ b/packages/ledger/src/TokenPurse.ts
@@ -34,6 +34,9 @@
 
   private refreshing = false;
 
+  /** Tokens of the requests whose turn has not come. */
+  private queuedTokens = 0;
+
   private readonly closing = new AbortController();
 
   private used: { readonly atMs: number; readonly tokens: number }[] = [];
@@ -47,7 +50,11 @@
   reserve(tokens: number, deadline: Deadline): Promise<Either<ServeError, Reservation>> {
     const early = this.refuseEarly(deadline);
     if (early !== undefined) return Promise.resolve(Left(early));
-    const turn = this.queue.then(() => this.reserveInTurn(tokens, deadline));
+    this.queuedTokens += tokens;
+    const turn = this.queue.then(() => {
+      this.queuedTokens -= tokens;
+      return this.reserveInTurn(tokens, deadline);
+    });
     this.queue = turn;
     return turn;
   }
@@ -83,6 +90,7 @@
     for (;;) {
       const early = this.refuseEarly(deadline);
       if (early !== undefined) return Left(early);
+      if (deadline.expired()) return Left(this.expired());
       const answers = await this.gather(tokens);
       if (this.balance() >= tokens) return Right(this.take(tokens));
       const waitMs = this.waitAfter(answers, tokens);
@@ -98,6 +106,11 @@
     }
   }
 
+  private expired(): ServeError {
+    const message = `no budget of workspace ${this.parts.workspace} came in time`;
+    return ServeError.notRun(ErrorKind.DeadlineExpired, message);
+  }
+
   private unavailable(): ServeError {
     const message = `no budget of workspace ${this.parts.workspace} can be reached`;
     return ServeError.notRun(ErrorKind.BudgetUnavailable, message);
@@ -113,7 +126,7 @@
     const [own, ...others] = this.parts.accounts;
     const missing = () => Math.max(0, Math.ceil(tokens - this.balance()));
     if (missing() === 0) return answers;
-    const headroom = this.recentUse();
+    const headroom = Math.max(this.recentUse(), this.queuedTokens);
     const first = await own.sync(wishFor(missing(), missing(), headroom, true));
     if (first !== undefined) answers.push(first);
     for (const account of others) {
--- a/packages/ledger/test/escrow.test.ts
+++ b/packages/ledger/test/escrow.test.ts
@@ -35,7 +35,7 @@
   for (const one of steps) {
     if (one === 'late') world.deliverLate();
     else if (one === 'takeover') world.replaceHome();
-    else if ('passMs' in one) world.clock.advance(one.passMs);
+    else if ('passMs' in one) world.clock.skip(one.passMs);
     else if ('want' in one) await world.sync(one);
     else world.spend(one.spender, one.tokens, one.unused);
   }
--- a/packages/ledger/test/support/EscrowWorld.ts
+++ b/packages/ledger/test/support/EscrowWorld.ts
@@ -1,6 +1,6 @@
 import { Just, type Maybe, Nothing } from 'purify-ts';
 import { BudgetHome, type BudgetSync, type BudgetSynced, HomeAccount } from '../../src';
-import ManualClock from './ManualClock';
+import TestClock from '../../../model/test/support/TestClock';
 
 /** One call of a borrower, and what the network does to it. */
 interface Trip {
@@ -36,7 +36,7 @@
 
 /** One home and three borrowers on a network that loses, repeats and delays. */
 class EscrowWorld {
-  readonly clock = new ManualClock();
+  readonly clock = new TestClock();
 
   readonly uses: Use[] = [];
 
--- a/packages/fleet/test/support/TestClock.ts
+++ b/packages/model/test/support/TestClock.ts
@@ -1,4 +1,4 @@
-import type { Clock } from '@wisteriapath/model';
+import type { Clock } from '../../src';
 
 interface Sleeper {
   readonly atMs: number;
@@ -38,8 +38,19 @@
     this.now = endMs;
   }
 
-  private static async settle(): Promise<void> {
-    for (let turn = 0; turn < 40; turn += 1) await Promise.resolve();
+  /** Moves on by `durationMs` at once; what is due wakes after the caller's turn. */
+  skip(durationMs: number): void {
+    this.now += durationMs;
+    const due = this.sleepers.filter(({ atMs }) => atMs <= this.now);
+    this.sleepers = this.sleepers.filter(({ atMs }) => atMs > this.now);
+    due.forEach(({ wake }) => wake());
+  }
+
+  /** Lets all tasks run that wait for nothing but each other. */
+  private static settle(): Promise<void> {
+    return new Promise((resolve) => {
+      setImmediate(resolve);
+    });
   }
 }
 
