Many instances gather their beats at those that give orders

Every instance beat to every other five times a second: 28,500 datagrams a second in all. Ruled out: memory, and store calls.

Demand is told less often in proportion; larger machines give orders before smaller ones.

--- a/packages/edge/src/DemandTeller.ts
+++ b/packages/edge/src/DemandTeller.ts
@@ -9,12 +9,19 @@
   readonly instance: string;
   readonly rates: ModelRates;
   readonly loads: TargetLoads;
+  /** Instances that tell the placer, this one included. */
+  readonly instances: () => number;
   /** Passes a request on to the placer, wherever it is. */
   readonly tell: (request: PlacementRequest) => void;
 }
 
 const TELL_EVERY_MS = 100;
 const RATES_EVERY_MS = 150;
+/** Instances beyond which each tells less often, so that placers hear no more in all. */
+const INSTANCES_AT_FULL_PACE = 12;
+/** Longest times between two tellings, within what placers take for fresh. */
+const MOST_TELL_EVERY_MS = 300;
+const MOST_RATES_EVERY_MS = 1_000;
 
 /** Tells the placer what the requests of this instance wait for and use. */
 class DemandTeller {
@@ -26,16 +33,28 @@
 
   private isSoon = false;
 
+  private stopped = false;
+
   constructor(private readonly parts: Parts) {
     this.waiting = new WaitingModels(parts.clock, () => this.tellSoon());
   }
 
   start(): void {
-    this.timer = setInterval(() => this.tell(), TELL_EVERY_MS);
+    if (this.stopped) return;
+    const everyMs = Math.min(MOST_TELL_EVERY_MS, TELL_EVERY_MS * this.slowness);
+    this.timer = setTimeout(() => {
+      this.tell();
+      this.start();
+    }, everyMs);
   }
 
   stop(): void {
-    clearInterval(this.timer);
+    this.stopped = true;
+    clearTimeout(this.timer);
+  }
+
+  private get slowness(): number {
+    return Math.max(1, this.parts.instances() / INSTANCES_AT_FULL_PACE);
   }
 
   /** Tells at once, but once for all that begin to wait together. */
@@ -51,7 +70,8 @@
   private tell(): void {
     const waiting = this.waiting.demands;
     const nowMs = this.parts.clock.nowMs();
-    if (waiting.length === 0 && nowMs - this.toldMs < RATES_EVERY_MS) return;
+    const ratesEveryMs = Math.min(MOST_RATES_EVERY_MS, RATES_EVERY_MS * this.slowness);
+    if (waiting.length === 0 && nowMs - this.toldMs < ratesEveryMs) return;
     this.toldMs = nowMs;
     const { instance, rates, loads, tell } = this.parts;
     const { running, unreachable } = loads;
--- a/packages/edge/src/Edge.ts
+++ b/packages/edge/src/Edge.ts
@@ -1,6 +1,7 @@
 import type { Clock } from '@wisteriapath/model';
 import {
   type Beat,
+  BeatKind,
   DemandBook,
   type EventLog,
   Lease,
@@ -107,9 +108,10 @@
       instance: options.member.host,
       rates: this.rates,
       loads: this.loads,
+      instances: () => this.peers.instances(PEER_COUNTS_MS),
       tell: (request) => this.tellPlacer(request),
     });
-    const instances = () => 1 + this.peers.heardWithin(PEER_COUNTS_MS).length;
+    const instances = () => this.peers.instances(PEER_COUNTS_MS);
     this.limits = new WorkspaceLimits(clock, instances);
     this.peers = this.createPeers();
     this.lease = new Lease(
@@ -168,7 +170,7 @@
       version: () => this.view.desired?.version ?? 0,
       targets: () => this.table.size,
       isLeaseHeld: () => this.lease.isHeld(),
-      peers: () => this.peers.heard.length,
+      instances: () => this.peers.instances(PEER_COUNTS_MS),
     });
     const metricsAddress = `${options.member.host}:${options.metricsPort}`;
     this.listeners.push(await serveMetrics(metricsAddress, this.metrics.registry, log));
@@ -269,10 +271,10 @@
         clock,
         wallClock: this.ports.wallClock,
         log,
-        beat: () => this.beat(),
+        beat: (kind) => this.beat(kind),
         handlers: {
           beat: (beat) => {
-            this.limits.absorb(beat);
+            this.limits.absorb(beat, !this.lease.isCurrent && this.peers.isOursGathered(beat));
             const isNear = beat.member.failureDomain === options.member.failureDomain;
             if (isNear && beat.leaseOffset >= 0) this.lease.heard(beat.leaseOffset);
             if (beat.operatorOffset > this.operatorOffset) this.follower?.hurry();
@@ -320,13 +322,15 @@
     );
   }
 
-  private beat(): Omit<Beat, 'number' | 'holderHeard'> {
+  private beat(kind: BeatKind): Omit<Beat, 'number' | 'holderHeard' | 'kind' | 'counted'> {
+    const usage = this.limits.usage(kind);
+    if (kind === BeatKind.Own) this.limits.noteTold(usage);
     return {
       member: this.options.member,
       operatorOffset: this.operatorOffset,
       leaseOffset: this.lease.isCurrent ? this.lease.offset : -1,
       isStopping: this.isStopping,
-      usage: this.limits.usage,
+      usage,
     };
   }
 
@@ -336,7 +340,7 @@
 
   /** Place of this instance among the candidates for the lease of its failure domain. */
   private leaseRank(): number {
-    return this.isReady ? candidateRank(this.options.member, this.peers.heard) : -1;
+    return this.isReady ? candidateRank(this.options.member, this.peers.candidates) : -1;
   }
 
   /** Passes demand on to the instances that give orders. */
@@ -354,7 +358,7 @@
   }
 
   private connectionLimit(maxConnections: number): number {
-    return connectionShare(maxConnections, 1 + this.peers.heardWithin(PEER_COUNTS_MS).length);
+    return connectionShare(maxConnections, this.peers.instances(PEER_COUNTS_MS));
   }
 }
 
--- a/packages/edge/src/WorkspaceLimits.ts
+++ b/packages/edge/src/WorkspaceLimits.ts
@@ -1,5 +1,5 @@
 import type { Clock } from '@wisteriapath/model';
-import type { Beat, WorkspaceSpec } from '@wisteriapath/fleet';
+import { type Beat, BeatKind, type WorkspaceSpec } from '@wisteriapath/fleet';
 
 interface Level {
   /** What is left over all instances, as far as this one knows. */
@@ -15,7 +15,9 @@
 }
 
 interface PeerUse {
-  readonly incarnation: string;
+  /** Changes where the count begins anew. */
+  readonly series: string;
+  readonly kind: BeatKind;
   spent: number;
   /** Units a second. */
   rate: number;
@@ -28,13 +30,19 @@
 const OWN_BURST = 0.25;
 /** Time for which the others do not yet know what was spent. */
 const UNTOLD_S = 0.2;
+/** The same where a peer gathers it and tells it on. */
+const UNTOLD_POOLED_S = 0.6;
 /** What each of the others may be asked for meanwhile, beside what is asked for here. */
 const OTHERS_PART = 0.5;
 /** Part of the rate that is divided evenly; the rest follows demand. */
 const EVEN_PART = 0.2;
+/** Instances up to which it is that much; with more, the shares of those without callers would add up. */
+const EVEN_INSTANCES = 7;
 const DEMAND_HALF_LIFE_MS = 1_500;
 /** Age up to which a silent peer may still be spending its share. */
 const PEER_COUNTS_MS = 12_000;
+/** Age up to which the use that a peer reported counts as its rate now. */
+const REPORT_COUNTS_MS = 2_000;
 
 const MS_PER_S = 1_000;
 const LEAST_WAIT_MS = 50;
@@ -54,6 +62,14 @@
 
   private readonly peers = new Map<string, Map<string, PeerUse>>();
 
+  /** Units that peers reported as their own, by workspace, since the start. */
+  private readonly reported = new Map<string, number>();
+
+  /** What this instance last told the peer that gathers it. */
+  private readonly told = new Map<string, readonly [spent: number, rate: number]>();
+
+  private isPooled = false;
+
   private readonly startedMs: number;
 
   constructor(
@@ -68,9 +84,12 @@
   admit(spec: WorkspaceSpec, units: number): number {
     if (spec.ratePerS <= 0) return 0;
     const level = this.refilled(spec);
+    const demandBefore = this.demandOf(level);
     this.noteDemand(level, units);
     const share = this.share(spec.name, level);
-    const untold = this.demandOf(level) * UNTOLD_S * (this.instances() - 1) * OTHERS_PART;
+    // Among many instances one request alone says nothing of what the others are asked for.
+    const demand = this.isPooled ? demandBefore : this.demandOf(level);
+    const untold = demand * this.untoldS * (this.instances() - 1) * OTHERS_PART;
     const isPlenty = level.shared - units - untold >= spec.burst * SHARED_FLOOR;
     if (!isPlenty && level.own <= 0) {
       const perS = Math.max(spec.ratePerS * share, 1);
@@ -82,38 +101,80 @@
     return 0;
   }
 
-  /** Units admitted since the start and units a second asked for, for the peers. */
-  get usage(): readonly (readonly [string, number, number])[] {
-    return [...this.levels].map(
+  /** What a beat tells of the use of limits: workspace, units admitted since the start, units a second. */
+  usage(kind: BeatKind): Beat['usage'] {
+    const own = [...this.levels].map(
       ([name, level]) => [name, Math.round(level.spent), Math.round(this.demandOf(level))] as const,
     );
+    const tables: Record<BeatKind, () => Beat['usage']> = {
+      [BeatKind.Presence]: () => [],
+      [BeatKind.Own]: () => own,
+      [BeatKind.Pooled]: () => this.pooled(own),
+    };
+    return tables[kind]();
+  }
+
+  /** Notes what was told to the peer that gathers it, so that it is not taken for the use of others. */
+  noteTold(usage: Beat['usage']): void {
+    usage.forEach(([name, spent, rate]) => this.told.set(name, [spent, rate]));
   }
 
-  /** Takes in what a peer admitted. */
-  absorb({ member, usage }: Beat): void {
+  /** Takes in what a peer told; `isOurs` if what it gathered includes what this instance told it. */
+  absorb({ member, kind, usage }: Beat, isOurs = false): void {
     const nowMs = this.clock.nowMs();
-    usage.forEach(([name, spent, rate]) => {
+    const isPooled = kind === BeatKind.Pooled;
+    if (isPooled) this.isPooled = true;
+    const source = isPooled ? `pool of ${member.failureDomain}` : member.name;
+    const series = [member.name, member.incarnation, kind, isOurs].join(' ');
+    usage.forEach(([name, total, totalRate]) => {
+      const [toldSpent, toldRate] = (isOurs && this.told.get(name)) || [0, 0];
+      const spent = total - toldSpent;
+      const rate = Math.max(0, totalRate - toldRate);
       const uses = this.peers.get(name) ?? new Map<string, PeerUse>();
       this.peers.set(name, uses);
-      const known = uses.get(member.name);
-      const isSame = known?.incarnation === member.incarnation;
+      const known = uses.get(source);
+      const isSame = known?.series === series;
+      // What was spent before a series was first heard is not known to be recent, but for a process
+      // that has started anew and tells only of itself.
+      const before = known === undefined || isPooled ? spent : 0;
+      const delta = Math.max(0, spent - (isSame ? known.spent : before));
       const level = this.levels.get(name);
-      // What a peer spent before it was first heard is not known to be recent.
-      const before = known === undefined ? spent : 0;
-      const delta = spent - (isSame ? known.spent : before);
-      if (level !== undefined) level.shared -= Math.max(0, delta);
-      uses.set(member.name, { incarnation: member.incarnation, spent, rate, atMs: nowMs });
+      if (level !== undefined) level.shared -= delta;
+      if (kind === BeatKind.Own) this.reported.set(name, (this.reported.get(name) ?? 0) + delta);
+      const most = isSame ? Math.max(known.spent, spent) : spent;
+      uses.set(source, { series, kind, spent: most, rate, atMs: nowMs });
     });
   }
 
+  /** This instance's use and that of all that report to it. */
+  private pooled(own: Beat['usage']): Beat['usage'] {
+    const sums = new Map(own.map(([name, spent, rate]) => [name, { spent, rate }]));
+    const sinceMs = this.clock.nowMs() - REPORT_COUNTS_MS;
+    this.reported.forEach((reported, name) => {
+      const { spent, rate } = sums.get(name) ?? { spent: 0, rate: 0 };
+      const reporters = [...(this.peers.get(name)?.values() ?? [])].filter(
+        ({ atMs, kind }) => atMs >= sinceMs && kind === BeatKind.Own,
+      );
+      const rates = reporters.reduce((sum, use) => sum + use.rate, 0);
+      sums.set(name, { spent: spent + Math.round(reported), rate: rate + rates });
+    });
+    return [...sums].map(([name, { spent, rate }]) => [name, spent, rate] as const);
+  }
+
+  private get untoldS(): number {
+    return this.isPooled ? UNTOLD_POOLED_S : UNTOLD_S;
+  }
+
   private share(name: string, level: Level): number {
     const sinceMs = this.clock.nowMs() - PEER_COUNTS_MS;
     const peers = [...(this.peers.get(name)?.values() ?? [])].filter(({ atMs }) => atMs >= sinceMs);
     const own = this.demandOf(level);
     const total = peers.reduce((sum, { rate }) => sum + rate, own);
-    const even = 1 / Math.max(1, this.instances());
+    const instances = Math.max(1, this.instances());
+    const even = 1 / instances;
+    const evenPart = EVEN_PART * Math.min(1, EVEN_INSTANCES / instances);
     const byDemand = total > 0 ? own / total : even;
-    return EVEN_PART * even + (1 - EVEN_PART) * byDemand;
+    return evenPart * even + (1 - evenPart) * byDemand;
   }
 
   private demandOf(level: Level): number {
--- a/packages/edge/src/candidateRank.ts
+++ b/packages/edge/src/candidateRank.ts
@@ -7,16 +7,22 @@
 }
 
 /**
- * Place of an instance among the candidates for the lease of its failure domain; 0 is first.
+ * Place of an instance among the candidates for the lease of its failure domain; 0 is first. Larger machines
+ * come before smaller ones.
  *
  * @example
- * candidateRank(self, peers.heard);
+ * candidateRank(self, peers.candidates);
  */
 const candidateRank = (self: MemberRecord, peers: readonly Peer[]): number => {
-  const names = peers
+  const others = peers
     .filter(({ member, isStopping }) => member.failureDomain === self.failureDomain && !isStopping)
-    .map(({ member }) => member.name);
-  return rendezvousOrder('placer', [...names, self.name]).indexOf(self.name);
+    .map(({ member }) => member);
+  // Giving orders costs processor time, and machines may differ much.
+  const ofSize = (cores: number) =>
+    others.filter((member) => member.cores === cores).map(({ name }) => name);
+  const larger = others.filter(({ cores }) => cores > self.cores).length;
+  const order = rendezvousOrder('placer', [...ofSize(self.cores), self.name]);
+  return larger + order.indexOf(self.name);
 };
 
 export default candidateRank;
--- a/packages/edge/test/workspaceLimits.test.ts
+++ b/packages/edge/test/workspaceLimits.test.ts
@@ -1,5 +1,5 @@
 /** All instances together keep a workspace's rate and burst, and refuse little below it. */
-import type { Beat, WorkspaceSpec } from '@wisteriapath/fleet';
+import { type Beat, BeatKind, type WorkspaceSpec } from '@wisteriapath/fleet';
 import WorkspaceLimits from '../src/WorkspaceLimits';
 
 const SPEC: WorkspaceSpec = {
@@ -22,7 +22,8 @@
 const exchange = (limits: readonly WorkspaceLimits[], life: number): void => {
   limits.forEach((from, index) => {
     const member = { name: `one-${index}`, incarnation: `${life}`, failureDomain: 'a', host: '' };
-    const beat = { member, usage: from.usage } as unknown as Beat;
+    const kind = BeatKind.Own;
+    const beat = { member, kind, usage: from.usage(kind) } as unknown as Beat;
     limits.filter((to) => to !== from).forEach((to) => to.absorb(beat));
   });
 };
--- a/packages/fleet/src/Beat.ts
+++ b/packages/fleet/src/Beat.ts
@@ -1,3 +1,4 @@
+import type BeatKind from './BeatKind';
 import type MemberRecord from './MemberRecord';
 
 /** What an instance tells all peers, several times a second. */
@@ -12,6 +13,9 @@
   readonly number: number;
   /** Name of the peer that was last heard to give orders, and the number of that beat. */
   readonly holderHeard: readonly [string, number];
+  readonly kind: BeatKind;
+  /** Instances whose use this beat tells. */
+  readonly counted: number;
   /** Workspace, units admitted since the start, units a second asked for. */
   readonly usage: readonly (readonly [string, number, number])[];
 }
--- a/packages/fleet/src/DemandBook.ts
+++ b/packages/fleet/src/DemandBook.ts
@@ -9,10 +9,14 @@
   readonly atMs: number;
 }
 
+type Sums = Pick<DemandSnapshot, 'modelRates' | 'assetRates' | 'running'>;
+
 /** Age up to which the word of an instance on what waits counts. */
 const WAITING_FRESH_MS = 700;
 /** Age up to which the word of an instance on its rates counts. */
 const RATES_FRESH_MS = 3_000;
+/** Time for which sums over all instances are used again. */
+const SUMS_MS = 40;
 /** Time that a load takes at least. */
 const LEAST_LOAD_MS = 500;
 /** What a request that is late already counts beside one that can be in time. */
@@ -47,6 +51,8 @@
 class DemandBook {
   private readonly entries = new Map<string, Entry>();
 
+  private readonly sums = new Map<string, { readonly value: Sums; readonly atMs: number }>();
+
   constructor(private readonly clock: Clock) {}
 
   absorb(request: PlacementRequest): void {
@@ -65,9 +71,9 @@
         instances.set(asset, [...(instances.get(asset) ?? []), instance]);
       });
     });
-    const rates = this.rates(pool);
+    const sums = this.sumsOf(pool);
     const gains = [...merged].map(([asset, demand]) => {
-      const rate = (demand.adapter === null ? rates.modelRates : rates.assetRates).get(asset) ?? 0;
+      const rate = (demand.adapter === null ? sums.modelRates : sums.assetRates).get(asset) ?? 0;
       return { demand, gain: gainOf(demand, rate) };
     });
     gains.sort((one, other) => other.gain - one.gain);
@@ -75,7 +81,17 @@
     const unreachable = new Set(
       this.fresh(WAITING_FRESH_MS).flatMap((request) => request.unreachable),
     );
-    return { ...rates, waiting, instances, unreachable, running: this.running() };
+    return { ...sums, waiting, instances, unreachable };
+  }
+
+  /** Rates and requests under way, which change little between two passes of planning. */
+  private sumsOf(pool: string): Sums {
+    const nowMs = this.clock.nowMs();
+    const known = this.sums.get(pool);
+    if (known !== undefined && nowMs - known.atMs < SUMS_MS) return known.value;
+    const value = { ...this.rates(pool), running: this.running() };
+    this.sums.set(pool, { value, atMs: nowMs });
+    return value;
   }
 
   private rates(pool: string): Pick<DemandSnapshot, 'modelRates' | 'assetRates'> {
--- a/packages/fleet/src/MemberRecord.ts
+++ b/packages/fleet/src/MemberRecord.ts
@@ -5,6 +5,8 @@
   readonly incarnation: string;
   readonly failureDomain: string;
   readonly host: string;
+  /** Processor cores that its process may use. */
+  readonly cores: number;
 }
 
 export default MemberRecord;
--- a/packages/fleet/src/Peers.ts
+++ b/packages/fleet/src/Peers.ts
@@ -2,6 +2,7 @@
 import { decode, encode } from '@msgpack/msgpack';
 import type { Clock } from '@wisteriapath/model';
 import type Beat from './Beat';
+import BeatKind from './BeatKind';
 import type EventLog from './EventLog';
 import type MemberRecord from './MemberRecord';
 import type PeerHandlers from './PeerHandlers';
@@ -10,6 +11,8 @@
 import type PlacementUpdate from './PlacementUpdate';
 import type TargetNews from './TargetNews';
 import type WallClock from './WallClock';
+import beatRecipients from './beatRecipients';
+import MESH_INSTANCES from './meshInstances';
 import targetCodec from './targetCodec';
 
 interface Options {
@@ -28,8 +31,8 @@
   readonly wallClock: WallClock;
   readonly log: EventLog;
   readonly handlers: PeerHandlers;
-  /** What the next beat says, but for its number and the holder heard. */
-  readonly beat: () => Omit<Beat, 'number' | 'holderHeard'>;
+  /** What the next beat says, but for what is known here. */
+  readonly beat: (kind: BeatKind) => Omit<Beat, 'number' | 'holderHeard' | 'kind' | 'counted'>;
 }
 
 interface Peer {
@@ -37,6 +40,8 @@
   heardMs: number;
   isStopping: boolean;
   leaseOffset: number;
+  /** Instances whose use its beats tell. */
+  counted: number;
   /** Newest beat of this instance that the peer heard while this instance gave orders. */
   ackedBeat: number;
 }
@@ -64,6 +69,14 @@
 /** Silence after which a peer is dropped. */
 const FORGET_MS = 30_000;
 const BEATS_REMEMBERED = 32;
+/** Beats of which one goes to the seed hosts at which no peer is known. */
+const SEEDS_EVERY = 5;
+/** Age up to which what a peer reports counts as its use now. */
+const REPORT_COUNTS_MS = 2_000;
+/** Silence after which an instance of the own failure domain is no candidate for its lease. */
+const CANDIDATE_MS = 1_000;
+/** The same where instances show themselves to each other in turn. */
+const CANDIDATE_IN_TURN_MS = 3_000;
 
 /** Exchanges datagrams with the other instances. What is lost is sent anew with the next beat. */
 class Peers {
@@ -151,8 +164,54 @@
     this.beatNumber += 1;
     this.sent.push({ number: this.beatNumber, sentMs: clock.nowMs(), sentWallMs: wallClock() });
     if (this.sent.length > BEATS_REMEMBERED) this.sent.shift();
-    const { holderHeard } = this;
-    this.toAll(PeerMessageKind.Beat, { ...beat(), number: this.beatNumber, holderHeard });
+    const known = [...this.peers.values()];
+    const { failureDomain } = this.options;
+    const isPlacer = beat(BeatKind.Presence).leaseOffset >= 0;
+    const recipients = beatRecipients({
+      failureDomain,
+      isPlacer,
+      peers: known,
+      instances: Math.max(1 + known.length, this.instances(REPORT_COUNTS_MS)),
+      hub: this.hub,
+      placers: [...this.placers.values()],
+      number: this.beatNumber,
+    });
+    const bytesOf = new Map<BeatKind, Uint8Array>();
+    recipients.forEach(({ member, kind }) => {
+      const bytes = bytesOf.get(kind) ?? this.encodeBeat(kind);
+      bytesOf.set(kind, bytes);
+      this.socket?.send(bytes, this.options.port, member.host, () => {});
+    });
+    if (known.length === 0 || this.beatNumber % SEEDS_EVERY === 0) this.beatToSeeds();
+  }
+
+  /** The peer that gathers what this instance uses, where not all tell each other. */
+  get hub(): MemberRecord | undefined {
+    const { placers } = this;
+    const names = [...placers.values()].sort((one, other) => (one.name < other.name ? -1 : 1));
+    return placers.get(this.options.failureDomain) ?? names[0];
+  }
+
+  /** Peers that may take the lease of this instance's failure domain. */
+  get candidates(): readonly Peer[] {
+    const isInTurn = this.instances(REPORT_COUNTS_MS) > MESH_INSTANCES;
+    return this.heardWithin(isInTurn ? CANDIDATE_IN_TURN_MS : CANDIDATE_MS).filter(
+      ({ member }) => member.failureDomain === this.options.failureDomain,
+    );
+  }
+
+  /** Whether what a peer gathered includes what this instance reports, unless it gives orders itself. */
+  isOursGathered({ member, kind }: Beat): boolean {
+    return kind === BeatKind.Pooled && member.name === this.hub?.name;
+  }
+
+  /** Instances, this one included, of which the beats within `withinMs` tell. */
+  instances(withinMs: number): number {
+    const heard = this.heardWithin(withinMs);
+    const told = heard.reduce((sum, { counted }) => sum + counted, 0);
+    const hub = this.hub?.name;
+    const isCounted = heard.some(({ member, counted }) => member.name === hub && counted > 1);
+    return told + (isCounted ? 0 : 1);
   }
 
   sendDemand(host: string, request: PlacementRequest): void {
@@ -191,6 +250,29 @@
     flush();
   }
 
+  private encodeBeat(kind: BeatKind): Uint8Array {
+    const { beatNumber: number, holderHeard } = this;
+    const reporting = () => this.heardWithin(REPORT_COUNTS_MS).filter((peer) => peer.counted === 1);
+    const counted: Record<BeatKind, () => number> = {
+      [BeatKind.Presence]: () => 0,
+      [BeatKind.Own]: () => 1,
+      [BeatKind.Pooled]: () => 1 + reporting().length,
+    };
+    const told = { kind, counted: counted[kind](), number, holderHeard };
+    const beat: Beat = { ...this.parts.beat(kind), ...told };
+    return encode([PROTOCOL_VERSION, PeerMessageKind.Beat, beat]);
+  }
+
+  /** Shows this instance to those that may know more. */
+  private beatToSeeds(): void {
+    const known = new Set([...this.peers.values()].map(({ member }) => member.host));
+    known.add(this.options.host);
+    const unknown = this.options.seedHosts.filter((host) => !known.has(host));
+    if (unknown.length === 0) return;
+    const bytes = this.encodeBeat(BeatKind.Own);
+    unknown.forEach((host) => this.socket?.send(bytes, this.options.port, host, () => {}));
+  }
+
   private toAll(kind: PeerMessageKind, payload: unknown): void {
     this.sendToAll(encode([PROTOCOL_VERSION, kind, payload]));
   }
@@ -243,6 +325,7 @@
     peer.heardMs = this.parts.clock.nowMs();
     peer.isStopping = beat.isStopping;
     peer.leaseOffset = beat.leaseOffset;
+    peer.counted = beat.counted;
     const isNear = member.failureDomain === this.options.failureDomain;
     if (isNear && beat.leaseOffset >= 0) this.holderHeard = [member.name, beat.number];
     const [holder, number] = beat.holderHeard;
@@ -256,7 +339,7 @@
       heardMs,
       isStopping: false,
       leaseOffset: -1,
-
+      counted: 0,
       ackedBeat: 0,
     };
     this.peers.set(member.name, peer);
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -1,6 +1,7 @@
 /** What instances know together: desired state, targets, peers, the lease to give orders, placement. */
 export { default as assetId } from './assetId';
 export type { default as Authority } from './Authority';
+export { default as BeatKind } from './BeatKind';
 export type { default as Beat } from './Beat';
 export type { default as CallerLimits } from './CallerLimits';
 export type { default as Demand } from './Demand';
--- a/packages/fleet/test/lease.test.ts
+++ b/packages/fleet/test/lease.test.ts
@@ -1,6 +1,6 @@
 /** At no moment may two machines give orders, and their orders never alternate within the turn. */
+import TestClock from '@wisteriapath/test-clock';
 import { Lease, type LeaseRecord, type LeaseStore } from '../src';
-import TestClock from '../../model/test/support/TestClock';
 
 const TURN_MS = 3_000;
 
--- a/packages/fleet/test/placer.test.ts
+++ b/packages/fleet/test/placer.test.ts
@@ -1,4 +1,5 @@
 /** The placer gives an engine one change at a time, and never more than its memory holds. */
+import TestClock from '@wisteriapath/test-clock';
 import {
   type DesiredState,
   DemandBook,
@@ -8,7 +9,6 @@
   TargetTable,
 } from '../src';
 import FakeEngine from './support/FakeEngine';
-import TestClock from '../../model/test/support/TestClock';
 import builders from './support/builders';
 
 const MODELS = ['a', 'b', 'c', 'd', 'e', 'f'];
--- a/packages/fleet/test/targetTable.test.ts
+++ b/packages/fleet/test/targetTable.test.ts
@@ -1,6 +1,6 @@
 /** What an instance believes of targets, from entries that lag and from the placer. */
+import TestClock from '@wisteriapath/test-clock';
 import { type PlacementUpdate, TargetTable } from '../src';
-import TestClock from '../../model/test/support/TestClock';
 import builders from './support/builders';
 
 const update = (more: Pick<PlacementUpdate, 'stamp' | 'models'>): PlacementUpdate => ({
--- a/packages/ledger/test/support/EscrowWorld.ts
+++ b/packages/ledger/test/support/EscrowWorld.ts
@@ -1,6 +1,6 @@
 import { Just, type Maybe, Nothing } from 'purify-ts';
+import TestClock from '@wisteriapath/test-clock';
 import { BudgetHome, type BudgetSync, type BudgetSynced, HomeAccount } from '../../src';
-import TestClock from '../../../model/test/support/TestClock';
 
 /** One call of a borrower, and what the network does to it. */
 interface Trip {
--- a/packages/ledger/test/tokenPurse.test.ts
+++ b/packages/ledger/test/tokenPurse.test.ts
@@ -1,7 +1,7 @@
 /** A purse whose requests come faster than its home answers. */
 import { Just } from 'purify-ts';
 import { Deadline } from '@wisteriapath/model';
-import TestClock from '../../model/test/support/TestClock';
+import TestClock from '@wisteriapath/test-clock';
 import { type BudgetLink, HomeAccount, TokenPurse } from '../src';
 
 const ANSWER_MS = 50;
--- a/packages/model/test/support/TestClock.ts
+++ b/packages/test-clock/src/TestClock.ts
@@ -1,4 +1,4 @@
-import type { Clock } from '../../src';
+import type { Clock } from '@wisteriapath/model';
 
 interface Sleeper {
   readonly atMs: number;
--- /dev/null
+++ b/packages/test-clock/src/index.ts
@@ -0,0 +1,4 @@
+/** A clock for tests. */
+import TestClock from './TestClock';
+
+export default TestClock;
