--- a/packages/cli/test/budgets.test.ts
+++ b/packages/cli/test/budgets.test.ts
@@ -120,7 +120,9 @@
         budgets.ask(to(index), 'flood-key', 400),
       );
       const spent = spending(budgets.tokens('flood'), startedAt);
-      const kindsSeen = countBy(answers.map(({ status, error }) => String(error?.kind ?? status)));
+      const kindsSeen = countBy(
+        answers.map(({ status, error }) => String(error?.message ?? status)),
+      );
       const { roles } = await budgets.instances[0].operator.status();
       expect({ ...spent, kindsSeen, roles }).toEqual(
         expect.objectContaining({ isWithin: true, isOverHalf: true }),
--- a/packages/edge/src/LineLog.ts
+++ b/packages/edge/src/LineLog.ts
@@ -1,4 +1,5 @@
 import { write } from 'node:fs';
+import { setTimeout as sleep } from 'node:timers/promises';
 import { stringify } from 'logfmt';
 import type { EventLog } from '@wisteriapath/fleet';
 
@@ -6,6 +7,9 @@
 const FLUSH_EVERY_MS = 100;
 /** Bytes that may wait to be written; lines beyond are counted and left out. */
 const MOST_WAITING_BYTES = 262_144;
+/** Time that a write under way may take as the process ends. */
+const CLOSE_MS = 500;
+const CLOSE_LOOK_MS = 5;
 
 /** Writes one line of key=value pairs for each event, off the path of requests. */
 class LineLog implements EventLog {
@@ -36,6 +40,8 @@
   /** Writes what waits, as the process is about to end. */
   async close(): Promise<void> {
     clearTimeout(this.timer);
+    const giveUpAtMs = Date.now() + CLOSE_MS;
+    while (this.isWriting && Date.now() < giveUpAtMs) await sleep(CLOSE_LOOK_MS);
     await new Promise<void>((resolve) => {
       this.flush(resolve);
     });
--- a/packages/edge/src/SharedLimits.ts
+++ b/packages/edge/src/SharedLimits.ts
@@ -3,7 +3,6 @@
   /** Repeats for each request, and beside them in each window. */
   readonly retryRatio: number;
   readonly retrySlack: number;
-  readonly retryWindowMs: number;
 }
 
 export default SharedLimits;
--- a/packages/edge/src/TargetFinder.ts
+++ b/packages/edge/src/TargetFinder.ts
@@ -70,7 +70,7 @@
     const costs = usable.map((view) => {
       const away = view.entry.failureDomain === failureDomain ? 0 : OTHER_DOMAIN_COST;
       const cold = view.coldUntilMs > nowMs ? 1 : 0;
-      return { view, cost: loads.cost(view.entry.id) + away + cold + Math.random() * 0.01 };
+      return { view, cost: loads.cost(view.entry) + away + cold + Math.random() * 0.01 };
     });
     costs.sort((one, other) => one.cost - other.cost);
     return costs[0]?.view;
--- a/packages/edge/src/TargetLoads.ts
+++ b/packages/edge/src/TargetLoads.ts
@@ -1,4 +1,5 @@
 import type { Clock } from '@wisteriapath/model';
+import type { RegisteredTarget } from '@wisteriapath/fleet';
 import type AnswerFields from './AnswerFields';
 
 interface Load {
@@ -8,7 +9,6 @@
   readonly unanswered: Set<{ readonly sinceMs: number }>;
   /** Load that the target told last, without this instance's own part. */
   others: number;
-  slots: number;
   toldAtMs: number;
   /** When the last byte came from the target. */
   heardMs: number;
@@ -36,7 +36,6 @@
 const TOLD_HALF_LIFE_MS = 1_000;
 /** Time without a first byte after which a target is taken for silent. */
 const SILENT_MS = 700;
-const DEFAULT_SLOTS = 8;
 /** Places that a target that fails every request is behind one that fails none. */
 const FAILURE_COST = 3;
 /** Time without requests after a connection could not be opened; it doubles each time. */
@@ -61,9 +60,8 @@
         load.refusals = 0;
         load.heardMs = this.clock.nowMs();
         if (fields.load === null) return;
-        const { running, waiting, slots } = fields.load;
+        const { running, waiting } = fields.load;
         load.others = Math.max(0, running + waiting - this.own(id));
-        load.slots = slots;
         load.toldAtMs = this.clock.nowMs();
       },
       heard: () => {
@@ -90,12 +88,12 @@
   }
 
   /** Expected use of a target's places, with what speaks against it added; lower is better. */
-  cost(id: string): number {
+  cost({ id, slots }: Pick<RegisteredTarget, 'id' | 'slots'>): number {
     const load = this.loads.get(id);
     if (load === undefined) return 0;
     const nowMs = this.clock.nowMs();
     const others = load.others * 0.5 ** ((nowMs - load.toldAtMs) / TOLD_HALF_LIFE_MS);
-    const use = (this.own(id) + others) / load.slots;
+    const use = (this.own(id) + others) / Math.max(1, slots);
     const failures = load.failures * 0.5 ** ((nowMs - load.failedAtMs) / FAILURE_HALF_LIFE_MS);
     return use + failures * FAILURE_COST;
   }
@@ -151,7 +149,6 @@
       running: new Map(),
       unanswered: new Set(),
       others: 0,
-      slots: DEFAULT_SLOTS,
       toldAtMs: 0,
       heardMs: 0,
       unreachableUntilMs: 0,
--- a/packages/fleet/src/CallerLimits.ts
+++ b/packages/fleet/src/CallerLimits.ts
@@ -1,6 +1,5 @@
 /** What callers may send, and how long they may take. */
 interface CallerLimits {
-  readonly headerBytes: number;
   readonly bodyBytes: number;
   readonly headerTimeoutMs: number;
   readonly idleTimeoutMs: number;
--- a/packages/fleet/src/EngineSpec.ts
+++ b/packages/fleet/src/EngineSpec.ts
@@ -2,8 +2,6 @@
 
 /** What the engines of a pool have in common. */
 interface EngineSpec {
-  readonly slots: number;
-  readonly kvTokens: number;
   /** Memory for weights and adapters together. */
   readonly weightsMb: number;
   readonly adapterSlots: number;
--- a/packages/fleet/test/support/builders.ts
+++ b/packages/fleet/test/support/builders.ts
@@ -15,8 +15,6 @@
 const builders = {
   model,
   engineSpec: (...names: string[]): EngineSpec => ({
-    slots: 64,
-    kvTokens: 100_000,
     weightsMb: 220 * GB,
     adapterSlots: 8,
     storeLoadsPerS: 3,
