--- a/packages/fleet/src/Placer.ts
+++ b/packages/fleet/src/Placer.ts
@@ -8,6 +8,7 @@
 import type EngineControl from './EngineControl';
 import type EngineSpec from './EngineSpec';
 import type EventLog from './EventLog';
+import type ModelSpec from './ModelSpec';
 import type PlacementUpdate from './PlacementUpdate';
 import type PlannedLoad from './PlannedLoad';
 import StorePermits from './StorePermits';
@@ -73,12 +74,18 @@
   rates: ReadonlyMap<string, number>,
 ): boolean => plan.evictions.every(({ model }) => (rates.get(model) ?? 0) * 2 < rate);
 
+/** Least time between two lines on a model that waits for an engine. */
+const PUT_OFF_LOG_MS = 250;
+
 /** Decides what is loaded where, while this instance has the authority. */
 class Placer {
   private readonly desk: EngineDesk;
 
   private readonly permits: StorePermits;
 
+  /** When each model that waits for an engine was last logged. */
+  private readonly putOffLogged = new Map<string, number>();
+
   private stopped = false;
 
   private isPlanSoon = false;
@@ -187,9 +194,41 @@
     }
     // The placer of a better engine sees the same and is left to it, for a while.
     const second = planModel(spec, context, 'waiting');
-    if (second === undefined) return;
-    const patienceMs = second.fromStore ? OTHERS_STORE_MS : OTHERS_MS;
-    if (waitedMs >= patienceMs) void this.desk.carryOut(second);
+    const patienceMs = second?.fromStore ? OTHERS_STORE_MS : OTHERS_MS;
+    if (second !== undefined && waitedMs >= patienceMs) void this.desk.carryOut(second);
+    else this.logPutOff(spec, { waitedMs, best, second }, context);
+  }
+
+  /** One line in a while on a model that waits for an engine, and why. */
+  private logPutOff(
+    { name }: ModelSpec,
+    {
+      waitedMs,
+      best,
+      second,
+    }: {
+      readonly waitedMs: number;
+      readonly best: PlannedLoad | undefined;
+      readonly second: PlannedLoad | undefined;
+    },
+    { free, storeIsFree, copyIsSoon }: ReturnType<Placer['modelContext']>,
+  ): void {
+    const nowMs = this.parts.clock.nowMs();
+    if (nowMs - (this.putOffLogged.get(name) ?? -Infinity) < PUT_OFF_LOG_MS) return;
+    this.putOffLogged.set(name, nowMs);
+    const hasCopy = ({ entry }: TargetView) => entry.inMemory.has(name) || entry.onDisk.has(name);
+    const own = this.ownViews(free[0]?.entry.pool ?? '');
+    this.parts.log.event('load_put_off', {
+      model: name,
+      waited_ms: Math.round(waitedMs),
+      free: free.length,
+      free_with_copy: free.filter(hasCopy).length,
+      own_with_copy: own.filter(hasCopy).length,
+      store_is_free: storeIsFree,
+      copy_is_soon: copyIsSoon(name),
+      left_to: best === undefined ? '' : best.view.entry.failureDomain,
+      own_plan: second !== undefined,
+    });
   }
 
   private isComing(pool: string, model: string): boolean {
