--- a/packages/fleet/src/Placer.ts
+++ b/packages/fleet/src/Placer.ts
@@ -196,11 +196,12 @@
     const second = planModel(spec, context, 'waiting');
     const patienceMs = second?.fromStore ? OTHERS_STORE_MS : OTHERS_MS;
     if (second !== undefined && waitedMs >= patienceMs) void this.desk.carryOut(second);
-    else this.logPutOff(spec, { waitedMs, best, second }, context);
+    else this.logPutOff(round, spec, { waitedMs, best, second }, context);
   }
 
   /** One line in a while on a model that waits for an engine, and why. */
   private logPutOff(
+    { pool, demand }: Round,
     { name }: ModelSpec,
     {
       waitedMs,
@@ -217,11 +218,18 @@
     if (nowMs - (this.putOffLogged.get(name) ?? -Infinity) < PUT_OFF_LOG_MS) return;
     this.putOffLogged.set(name, nowMs);
     const hasCopy = ({ entry }: TargetView) => entry.inMemory.has(name) || entry.onDisk.has(name);
-    const own = this.ownViews(free[0]?.entry.pool ?? '');
+    const own = this.ownViews(pool);
+    const engines = own.map((view) => this.desk.engineOf(view));
     this.parts.log.event('load_put_off', {
       model: name,
       waited_ms: Math.round(waitedMs),
+      engines: own.length,
       free: free.length,
+      busy: engines.filter(({ isBusy }) => isBusy).length,
+      with_adapters_coming: engines.filter(({ adaptersComing }) => adaptersComing.size > 0).length,
+      avoided: engines.filter(({ avoidUntilMs }) => avoidUntilMs > nowMs).length,
+      unreachable: own.filter(({ entry }) => demand.unreachable.has(entry.id)).length,
+      not_known: engines.filter(({ orders }) => !orders.isKnown).length,
       free_with_copy: free.filter(hasCopy).length,
       own_with_copy: own.filter(hasCopy).length,
       store_is_free: storeIsFree,
