--- a/packages/edge/src/WorkspaceLimits.ts
+++ b/packages/edge/src/WorkspaceLimits.ts
@@ -6,6 +6,8 @@
   shared: number;
   /** What this instance may spend on its own when little is left over all. */
   own: number;
+  /** Whether much was left over all when a request last came. */
+  wasPlenty: boolean;
   atMs: number;
   /** Units admitted here since the start. */
   spent: number;
@@ -91,6 +93,11 @@
     const demand = this.isPooled ? demandBefore : this.demandOf(level);
     const untold = demand * this.untoldS * (this.instances() - 1) * OTHERS_PART;
     const isPlenty = level.shared - units - untold >= spec.burst * SHARED_FLOOR;
+    if (!isPlenty && level.wasPlenty && this.isPooled) {
+      // One request is much of the share of one of many, so that each must have earned its first.
+      level.own = Math.min(level.own, -units);
+    }
+    level.wasPlenty = isPlenty;
     if (!isPlenty && level.own <= 0) {
       const perS = Math.max(spec.ratePerS * share, 1);
       return Math.max(LEAST_WAIT_MS, ((units - level.own) / perS) * MS_PER_S);
@@ -196,6 +203,7 @@
       const level = {
         shared: Math.min(spec.burst, savedUp),
         own: 0,
+        wasPlenty: true,
         atMs: nowMs,
         spent: 0,
         demand: 0,
--- a/packages/edge/test/pooledLimits.test.ts
+++ b/packages/edge/test/pooledLimits.test.ts
@@ -103,6 +103,13 @@
     expect(play({ ...flood, hubEndsAtMs: 4_000 }).most).toBeLessThanOrEqual(BOUND);
   });
 
+  test("hold where one request is much of an instance's share", () => {
+    const large = { ...SPEC, ratePerS: 34_000, burst: 34_000 };
+    const bound = (large.ratePerS * (WINDOW_MS / 1_000) + large.burst) * 1.1 + 7_400;
+    const plan = { spec: large, costUnits: 3_000, perS: 6 * large.ratePerS, durationMs: 16_000 };
+    expect(play({ ...plan, asked: INSTANCES }).most).toBeLessThanOrEqual(bound);
+  });
+
   test('refuse nobody who asks for little, on any instance', () => {
     const small = { ...SPEC, ratePerS: 14_000, burst: 14_000 };
     const plan = { spec: small, costUnits: 1_700, perS: 12_600, durationMs: 20_000 };
--- a/packages/fleet/src/Placer.ts
+++ b/packages/fleet/src/Placer.ts
@@ -2,6 +2,7 @@
 import type Authority from './Authority';
 import assetId from './assetId';
 import type DemandBook from './DemandBook';
+import type Demand from './Demand';
 import type DemandSnapshot from './DemandSnapshot';
 import type DesiredState from './DesiredState';
 import EngineDesk from './EngineDesk';
@@ -74,6 +75,10 @@
   rates: ReadonlyMap<string, number>,
 ): boolean => plan.evictions.every(({ model }) => (rates.get(model) ?? 0) * 2 < rate);
 
+/** Part of the engines that may load from the weight store while models wait that have copies. */
+const STORE_PART_BUSY = 0.13;
+/** Time left of a change from which it is a load from the weight store. */
+const LONG_LOAD_MS = 1_000;
 /** Least time between two lines on a model that waits for an engine. */
 const PUT_OFF_LOG_MS = 250;
 
@@ -366,7 +371,7 @@
       rates: demand.modelRates,
       wanted: new Set(demand.waiting.map(({ model }) => model)),
       running: (id: string, model: string) => demand.running.get(id)?.get(model) ?? 0,
-      storeIsFree: this.permits.isFree,
+      storeIsFree: this.permits.isFree && this.mayLoadLong(views, demand.waiting),
       mayDrain: false,
       hasCopyElsewhere: (id: string, model: string) =>
         views.some(
@@ -380,6 +385,21 @@
     };
   }
 
+  /**
+   * Whether one more engine may be busy with the weight store: while models wait that have copies, only a
+   * small part of all engines, as each could load several of those in the same time.
+   */
+  private mayLoadLong(views: readonly TargetView[], waiting: readonly Demand[]): boolean {
+    const nowMs = this.parts.clock.nowMs();
+    const isLong = ({ entry, busyUntilMs }: TargetView) =>
+      (this.desk.get(entry.id)?.busyUntilMs ?? busyUntilMs) - nowMs > LONG_LOAD_MS;
+    const under = views.filter(isLong).length;
+    if (under < Math.max(1, Math.floor(views.length * STORE_PART_BUSY))) return true;
+    return !waiting.some(({ model }) =>
+      views.some(({ entry }) => entry.inMemory.has(model) || entry.onDisk.has(model)),
+    );
+  }
+
   /** Whether an engine that is busy, or not known yet, could load a model from a copy before the weight store would. */
   private copyIsSoon(views: readonly TargetView[], model: string, engine: EngineSpec): boolean {
     const spec = engine.models.get(model);
