--- a/packages/edge/src/WorkspaceLimits.ts
+++ b/packages/edge/src/WorkspaceLimits.ts
@@ -6,8 +6,6 @@
   shared: number;
   /** What this instance may spend on its own when little is left over all. */
   own: number;
-  /** Whether much was left over all when a request last came. */
-  wasPlenty: boolean;
   atMs: number;
   /** Units admitted here since the start. */
   spent: number;
@@ -34,6 +32,8 @@
 const UNTOLD_S = 0.2;
 /** The same where a peer gathers it and tells it on. */
 const UNTOLD_POOLED_S = 0.6;
+/** Requests for which an instance among many may be in debt to its own share. */
+const MOST_DEBT_REQUESTS = 3;
 /** What each of the others may be asked for meanwhile, beside what is asked for here. */
 const OTHERS_PART = 0.5;
 /** Part of the rate that is divided evenly; the rest follows demand. */
@@ -93,16 +93,13 @@
     const demand = this.isPooled ? demandBefore : this.demandOf(level);
     const untold = demand * this.untoldS * (this.instances() - 1) * OTHERS_PART;
     const isPlenty = level.shared - units - untold >= spec.burst * SHARED_FLOOR;
-    if (!isPlenty && level.wasPlenty && this.isPooled) {
-      // One request is much of the share of one of many, so that each must have earned its first.
-      level.own = Math.min(level.own, -units);
-    }
-    level.wasPlenty = isPlenty;
     if (!isPlenty && level.own <= 0) {
       const perS = Math.max(spec.ratePerS * share, 1);
       return Math.max(LEAST_WAIT_MS, ((units - level.own) / perS) * MS_PER_S);
     }
-    if (!isPlenty) level.own -= units;
+    // One request is much of the share of one of many: what they all drew at once they must earn first.
+    if (this.isPooled) level.own = Math.max(level.own - units, -MOST_DEBT_REQUESTS * units);
+    else if (!isPlenty) level.own -= units;
     level.shared -= units;
     level.spent += units;
     return 0;
@@ -203,7 +200,6 @@
       const level = {
         shared: Math.min(spec.burst, savedUp),
         own: 0,
-        wasPlenty: true,
         atMs: nowMs,
         spent: 0,
         demand: 0,
