--- a/packages/fleet/test/placer.test.ts
+++ b/packages/fleet/test/placer.test.ts
@@ -4,6 +4,7 @@
   type DesiredState,
   DemandBook,
   type EngineControl,
+  OrderKind,
   Placer,
   type PlacementRequest,
   TargetTable,
@@ -13,11 +14,11 @@
 
 const MODELS = ['a', 'b', 'c', 'd', 'e', 'f'];
 
-const start = (engineCount: number, loadMs = 500) => {
+const start = (engineCount: number, loadMs = 500, copied: readonly string[] = MODELS) => {
   const clock = new TestClock();
   const table = new TargetTable(clock);
   const engines = new Map<string, FakeEngine>();
-  const onDisk = new Set(MODELS);
+  const onDisk = new Set(copied);
   for (let number = 0; number < engineCount; number += 1) {
     const id = `engine-${number}`;
     const models = MODELS.slice(0, 3);
@@ -105,6 +106,17 @@
     expect(engines.get('engine-0')!.mostModels).toBe(3);
   });
 
+  test('keeps engines for models with copies, while these wait, and loads one from the weight store', async () => {
+    const { engines, run, wait } = start(8, 9_000, ['a', 'b', 'c', 'd']);
+    const waiting = [wait('d', 1_000), wait('e', 2_500), wait('f', 2_500)];
+    await run(2_000, { waiting });
+    const loaded = [...engines.values()].flatMap(({ orders }) =>
+      orders.filter(({ kind }) => kind === OrderKind.Load).map(({ model }) => model),
+    );
+    expect(loaded).toContain('d');
+    expect(loaded.filter((model) => model !== 'd')).toHaveLength(1);
+  });
+
   test('keeps to its own book where entries are behind', async () => {
     const { engines, table, run, wait } = start(1);
     await run(2_000, { waiting: [wait('d', 1_000)] });
