--- a/packages/fleet/src/EngineDesk.ts
+++ b/packages/fleet/src/EngineDesk.ts
@@ -96,9 +96,13 @@
     const asset = assetId(model, adapter);
     const leaving = evictions.map((one) => assetId(one.model, one.adapter)).join(',');
     const { log, clock, authority } = this.parts;
-    const fields = { engine: view.entry.id, asset, leaving, reason, from_store: fromStore };
     log.event('load_decided', {
-      ...fields,
+      engine: view.entry.id,
+      model,
+      adapter: adapter ?? '',
+      leaving,
+      reason,
+      from_store: fromStore,
       fence: authority.fence,
       in_memory: view.entry.inMemory.size,
       on_disk: view.entry.onDisk.size,
--- a/packages/fleet/src/Placer.ts
+++ b/packages/fleet/src/Placer.ts
@@ -2,20 +2,21 @@
 import type Authority from './Authority';
 import assetId from './assetId';
 import type DemandBook from './DemandBook';
-import type Demand from './Demand';
 import type DemandSnapshot from './DemandSnapshot';
 import type DesiredState from './DesiredState';
 import EngineDesk from './EngineDesk';
 import type EngineControl from './EngineControl';
 import type EngineSpec from './EngineSpec';
 import type EventLog from './EventLog';
-import type ModelSpec from './ModelSpec';
 import type PlacementUpdate from './PlacementUpdate';
 import type PlannedLoad from './PlannedLoad';
+import PutOffLog from './PutOffLog';
 import StorePermits from './StorePermits';
 import type TargetTable from './TargetTable';
 import type TargetView from './TargetView';
 import planAdapter from './planAdapter';
+import copyIsSoon from './copyIsSoon';
+import mayLoadLong from './mayLoadLong';
 import planModel from './planModel';
 
 interface Options {
@@ -75,21 +76,13 @@
   rates: ReadonlyMap<string, number>,
 ): boolean => plan.evictions.every(({ model }) => (rates.get(model) ?? 0) * 2 < rate);
 
-/** Part of the engines that may load from the weight store while models wait that have copies. */
-const STORE_PART_BUSY = 0.13;
-/** Time left of a change from which it is a load from the weight store. */
-const LONG_LOAD_MS = 1_000;
-/** Least time between two lines on a model that waits for an engine. */
-const PUT_OFF_LOG_MS = 250;
-
 /** Decides what is loaded where, while this instance has the authority. */
 class Placer {
   private readonly desk: EngineDesk;
 
   private readonly permits: StorePermits;
 
-  /** When each model that waits for an engine was last logged. */
-  private readonly putOffLogged = new Map<string, number>();
+  private readonly putOffLog: PutOffLog;
 
   private stopped = false;
 
@@ -107,6 +100,10 @@
       atOnce: Math.max(1, Math.floor(options.storeLoadsAtOnce / parts.activeDomains().length)),
     }));
     this.desk = new EngineDesk(parts, this.permits, () => this.plan());
+    this.putOffLog = new PutOffLog(parts, {
+      own: (pool) => this.ownViews(pool),
+      engineOf: (view) => this.desk.engineOf(view),
+    });
   }
 
   async run(): Promise<void> {
@@ -201,47 +198,7 @@
     const second = planModel(spec, context, 'waiting');
     const patienceMs = second?.fromStore ? OTHERS_STORE_MS : OTHERS_MS;
     if (second !== undefined && waitedMs >= patienceMs) void this.desk.carryOut(second);
-    else this.logPutOff(round, spec, { waitedMs, best, second }, context);
-  }
-
-  /** One line in a while on a model that waits for an engine, and why. */
-  private logPutOff(
-    { pool, demand }: Round,
-    { name }: ModelSpec,
-    {
-      waitedMs,
-      best,
-      second,
-    }: {
-      readonly waitedMs: number;
-      readonly best: PlannedLoad | undefined;
-      readonly second: PlannedLoad | undefined;
-    },
-    { free, storeIsFree, copyIsSoon }: ReturnType<Placer['modelContext']>,
-  ): void {
-    const nowMs = this.parts.clock.nowMs();
-    if (nowMs - (this.putOffLogged.get(name) ?? -Infinity) < PUT_OFF_LOG_MS) return;
-    this.putOffLogged.set(name, nowMs);
-    const hasCopy = ({ entry }: TargetView) => entry.inMemory.has(name) || entry.onDisk.has(name);
-    const own = this.ownViews(pool);
-    const engines = own.map((view) => this.desk.engineOf(view));
-    this.parts.log.event('load_put_off', {
-      model: name,
-      waited_ms: Math.round(waitedMs),
-      engines: own.length,
-      free: free.length,
-      busy: engines.filter(({ isBusy }) => isBusy).length,
-      with_adapters_coming: engines.filter(({ adaptersComing }) => adaptersComing.size > 0).length,
-      avoided: engines.filter(({ avoidUntilMs }) => avoidUntilMs > nowMs).length,
-      unreachable: own.filter(({ entry }) => demand.unreachable.has(entry.id)).length,
-      not_known: engines.filter(({ orders }) => !orders.isKnown).length,
-      free_with_copy: free.filter(hasCopy).length,
-      own_with_copy: own.filter(hasCopy).length,
-      store_is_free: storeIsFree,
-      copy_is_soon: copyIsSoon(name),
-      left_to: best === undefined ? '' : best.view.entry.failureDomain,
-      own_plan: second !== undefined,
-    });
+    else this.putOffLog.note({ round, model, waitedMs, best, second, context });
   }
 
   private isComing(pool: string, model: string): boolean {
@@ -360,6 +317,7 @@
       const isSound = own.avoidUntilMs <= nowMs && !demand.unreachable.has(view.entry.id);
       return isIdle && isSound && own.orders.isKnown;
     });
+    const outlook = { nowMs, engineOf: (id: string) => this.desk.get(id) };
     const replicas = new Map<string, number>();
     views.forEach(({ models }) =>
       models.forEach((_, model) => replicas.set(model, (replicas.get(model) ?? 0) + 1)),
@@ -371,7 +329,7 @@
       rates: demand.modelRates,
       wanted: new Set(demand.waiting.map(({ model }) => model)),
       running: (id: string, model: string) => demand.running.get(id)?.get(model) ?? 0,
-      storeIsFree: this.permits.isFree && this.mayLoadLong(views, demand.waiting),
+      storeIsFree: this.permits.isFree && mayLoadLong(views, demand.waiting, outlook),
       mayDrain: false,
       hasCopyElsewhere: (id: string, model: string) =>
         views.some(
@@ -379,42 +337,12 @@
             entry.id !== id &&
             (models.has(model) || entry.onDisk.has(model) || entry.inMemory.has(model)),
         ),
-      copyIsSoon: (model: string) => this.copyIsSoon(views, model, engine),
+      copyIsSoon: (model: string) => copyIsSoon(views, engine.models.get(model), outlook),
       residentMs: (id: string, model: string) =>
         nowMs - (this.desk.get(id)?.since.get(model) ?? -Infinity),
     };
   }
 
-  /**
-   * Whether one more engine may be busy with the weight store: while models wait that have copies, only a
-   * small part of all engines, as each could load several of those in the same time.
-   */
-  private mayLoadLong(views: readonly TargetView[], waiting: readonly Demand[]): boolean {
-    const nowMs = this.parts.clock.nowMs();
-    const isLong = ({ entry, busyUntilMs }: TargetView) =>
-      (this.desk.get(entry.id)?.busyUntilMs ?? busyUntilMs) - nowMs > LONG_LOAD_MS;
-    const under = views.filter(isLong).length;
-    if (under < Math.max(1, Math.floor(views.length * STORE_PART_BUSY))) return true;
-    return !waiting.some(({ model }) =>
-      views.some(({ entry }) => entry.inMemory.has(model) || entry.onDisk.has(model)),
-    );
-  }
-
-  /** Whether an engine that is busy, or not known yet, could load a model from a copy before the weight store would. */
-  private copyIsSoon(views: readonly TargetView[], model: string, engine: EngineSpec): boolean {
-    const spec = engine.models.get(model);
-    if (spec === undefined) return false;
-    const beforeMs = this.parts.clock.nowMs() + spec.storeLoadMs - spec.diskLoadMs;
-    const nowMs = this.parts.clock.nowMs();
-    return views.some(({ entry, busyUntilMs }) => {
-      const own = this.desk.get(entry.id);
-      const hasCopy = entry.onDisk.has(model) || entry.inMemory.has(model);
-      if (!hasCopy) return false;
-      if (own === undefined) return busyUntilMs > nowMs && busyUntilMs < beforeMs;
-      return !own.orders.isKnown || (own.isBusy && own.busyUntilMs < beforeMs);
-    });
-  }
-
   /** An engine of this placer as its own book has it. */
   private booked(view: TargetView): TargetView {
     return this.own([view]).length > 0 ? this.desk.engineOf(view).orders.viewOf(view) : view;
--- a/packages/trace/src/readStory.ts
+++ b/packages/trace/src/readStory.ts
@@ -7,7 +7,7 @@
 /** A log that can be read more than once. */
 type Source = () => AsyncIterable<string>;
 
-const ORDER_EVENTS = new Set(['load_decided', 'order_answered', 'order_ended']);
+const ORDER_EVENTS = new Set(['load_put_off', 'load_decided', 'order_answered', 'order_ended']);
 /** Time before a request in which an order for its model still explains it. */
 const ORDERS_BEFORE_MS = 10_000;
 
