A request that waits for a model tells how long it has waited

What goes by age - loads by the second-best engine, models in use that leave, gains for age - did not act. The test fails without the change.

--- a/packages/edge/src/TargetFinder.ts
+++ b/packages/edge/src/TargetFinder.ts
@@ -22,7 +22,8 @@
   async find(request: AdmittedRequest, search: Search): Promise<TargetView | undefined> {
     const { clock, table, waiting, loads, lastSendAtMs } = this.parts;
     const { pool, route, fields } = request;
-    let leave = (): void => {};
+    // Entered once, so that the placers hear how long the request has waited.
+    let leave: (() => void) | undefined;
     try {
       for (;;) {
         const best = this.best(request, search.excluded);
@@ -34,17 +35,19 @@
           !table
             .holding(pool.name, fields.model, fields.adapter)
             .some(({ entry }) => loads.isReachable(entry.id));
-        leave();
-        leave = isAbsent
-          ? waiting.enter(pool.name, fields.model, fields.adapter, route.latencyTargetMs)
-          : () => {};
+        if (isAbsent) {
+          leave ??= waiting.enter(pool.name, fields.model, fields.adapter, route.latencyTargetMs);
+        } else {
+          leave?.();
+          leave = undefined;
+        }
         await Promise.race([
           table.changes.next(),
           clock.sleep(Math.min(leftMs, isAbsent ? LOOK_AGAIN_MS * 4 : LOOK_AGAIN_MS)),
         ]);
       }
     } finally {
-      leave();
+      leave?.();
     }
   }
 
--- /dev/null
+++ b/packages/edge/test/targetFinder.test.ts
@@ -0,0 +1,34 @@
+/** A request that waits for a model tells the placers how long it has waited. */
+import TestClock from '@wisteriapath/test-clock';
+import { TargetTable, WaitingModels } from '@wisteriapath/fleet';
+import type AdmittedRequest from '../src/AdmittedRequest';
+import type EdgeParts from '../src/EdgeParts';
+import TargetFinder from '../src/TargetFinder';
+
+const WAIT_MS = 1_000;
+
+test('the time for which a request waits grows until it ends', async () => {
+  const clock = new TestClock();
+  const waiting = new WaitingModels(clock, () => {});
+  const parts = {
+    clock,
+    waiting,
+    table: new TargetTable(clock),
+    lastSendAtMs: () => Infinity,
+    loads: { isReachable: () => true },
+    connectionLimit: () => 1,
+  } as unknown as EdgeParts;
+  const request = {
+    pool: { name: 'guides', engine: {}, maxConnections: 1, coldPerS: 0 },
+    route: { latencyTargetMs: 2_000 },
+    fields: { model: 'm', adapter: null },
+  } as unknown as AdmittedRequest;
+  const gone = new AbortController().signal;
+  const search = { excluded: new Map(), untilMs: WAIT_MS, gone };
+  const found = new TargetFinder(parts).find(request, search);
+  await clock.advance(WAIT_MS * 0.9);
+  expect(waiting.demands.map(({ waitedMs }) => waitedMs)).toEqual([WAIT_MS * 0.9]);
+  await clock.advance(WAIT_MS);
+  expect(await found).toBeUndefined();
+  expect(waiting.demands).toEqual([]);
+});
--- a/packages/trace/src/Beliefs.ts
+++ b/packages/trace/src/Beliefs.ts
@@ -11,7 +11,7 @@
   started: () => ['process', 'running'],
   stopping: () => ['process', 'stopping'],
   desired_state: ({ version }) => ['desired state', `version ${version}`],
-  targets_listed: ({ count }) => ['targets', `${count} listed`],
+  targets_listed: ({ count }) => ['first list of targets', `${count} targets`],
   domains_out: ({ domains }) => ['domains', `out of service: ${domains || 'none'}`],
   store_reachable: ({ reachable, reason }) => [
     'store',
--- a/packages/trace/src/readStory.ts
+++ b/packages/trace/src/readStory.ts
@@ -8,6 +8,7 @@
 type Source = () => AsyncIterable<string>;
 
 const ORDER_EVENTS = new Set(['load_put_off', 'load_decided', 'order_answered', 'order_ended']);
+const REFUSED_EVENT = 'request_refused';
 /** Time before a request in which an order for its model still explains it. */
 const ORDERS_BEFORE_MS = 10_000;
 
@@ -49,7 +50,9 @@
   steps: readonly Step[],
   sources: readonly Source[],
 ): Promise<LogLine[]> => {
-  const model = steps.map(({ line }) => line.fields.model).find((name) => name) ?? '';
+  // A request that was refused before a target was looked for has nothing to do with orders.
+  const sought = steps.filter(({ line }) => line.event !== REFUSED_EVENT);
+  const model = sought.map(({ line }) => line.fields.model).find((name) => name) ?? '';
   if (model === '') return [];
   const fromMs = Math.min(...steps.map(({ line }) => startOf(line))) - ORDERS_BEFORE_MS;
   const untilMs = Math.max(...steps.map(({ line }) => line.timeMs));
