--- a/packages/fleet/src/Placer.ts
+++ b/packages/fleet/src/Placer.ts
@@ -56,8 +56,6 @@
 const TICK_MS = 40;
 /** Least time between two passes of planning. */
 const PLAN_EVERY_MS = 8;
-/** Part of the latency target after which a model in use may leave for one that is waited for. */
-const DRAIN_PART = 0.4;
 /** Time before the first order in which engines are asked what they hold. */
 const PREPARE_MS = 1_200;
 const ADAPTERS_IN_TRANSIT_PER_ENGINE = 4;
@@ -153,14 +151,13 @@
   private planPool(pool: string, engine: EngineSpec): void {
     const demand = this.parts.demand.snapshot(pool);
     const round: Round = { pool, engine, demand };
-    demand.waiting.forEach(({ model, adapter, waitedMs, latencyTargetMs }) => {
+    demand.waiting.forEach(({ model, adapter, waitedMs }) => {
       if (!engine.models.has(model)) return;
       const holding = this.parts.table
         .holding(pool, model, null)
         .filter(({ entry }) => !demand.unreachable.has(entry.id));
       if (holding.length === 0) {
-        const mayDrain = waitedMs >= latencyTargetMs * DRAIN_PART;
-        this.loadWaiting(round, model, { mayDrain, waitedMs });
+        this.loadWaiting(round, model, waitedMs);
       } else if (adapter !== null) {
         this.loadAdapter(round, model, adapter, holding, waitedMs >= OTHERS_ADAPTER_MS);
       }
@@ -179,13 +176,9 @@
     instances.forEach((instance) => this.parts.publish(updates, instance));
   }
 
-  private loadWaiting(
-    round: Round,
-    model: string,
-    { mayDrain, waitedMs }: { readonly mayDrain: boolean; readonly waitedMs: number },
-  ): void {
+  private loadWaiting(round: Round, model: string, waitedMs: number): void {
     if (this.isComing(round.pool, model)) return;
-    const context = { ...this.modelContext(round), mayDrain };
+    const context = this.modelContext(round);
     const spec = round.engine.models.get(model)!;
     const everywhere = { ...context, free: [...context.free, ...this.freeElsewhere(round)] };
     const best = planModel(spec, everywhere, 'waiting');
@@ -330,7 +323,6 @@
       wanted: new Set(demand.waiting.map(({ model }) => model)),
       running: (id: string, model: string) => demand.running.get(id)?.get(model) ?? 0,
       storeIsFree: this.permits.isFree && mayLoadLong(views, demand.waiting, outlook),
-      mayDrain: false,
       hasCopyElsewhere: (id: string, model: string) =>
         views.some(
           ({ entry, models }) =>
--- a/packages/fleet/src/planModel.ts
+++ b/packages/fleet/src/planModel.ts
@@ -10,8 +10,6 @@
   readonly free: readonly TargetView[];
   /** Replicas of each model in service, loads under way included. */
   readonly replicas: ReadonlyMap<string, number>;
-  /** Whether a model that is in use may leave; its engine changes nothing else until its runs end. */
-  readonly mayDrain: boolean;
   /** Requests a second by model. */
   readonly rates: ReadonlyMap<string, number>;
   /** Models that requests wait for. */
@@ -26,8 +24,6 @@
   readonly residentMs: (engine: string, model: string) => number;
 }
 
-/** Time that the requests under way on a model take to end, for which its engine changes nothing. */
-const DRAIN_MS = 1_500;
 /** Time for which a model that was just loaded counts as in use, before instances tell of it. */
 const UNTOLD_MS = 700;
 /** Time for which a loaded model stays, so that requests that waited for it are served. */
@@ -69,15 +65,15 @@
   const reloadMs = context.hasCopyElsewhere(view.entry.id, model)
     ? spec?.diskLoadMs
     : spec?.storeLoadMs;
-  const drainMs = isInUse(view, model, context) ? DRAIN_MS : 0;
-  return rate * (reloadMs ?? 0) * share + drainMs;
+  return rate * (reloadMs ?? 0) * share;
 };
 
+/** Models that may leave: an unload waits for the runs of a model, and its engine changes nothing meanwhile. */
 const evictable = (view: TargetView, context: Context): string[] =>
   [...view.models.keys()]
     .filter((model) => !context.wanted.has(model))
     .filter((model) => context.residentMs(view.entry.id, model) >= MIN_RESIDENT_MS)
-    .filter((model) => context.mayDrain || !isInUse(view, model, context))
+    .filter((model) => !isInUse(view, model, context))
     .sort((one, other) => evictionCost(view, one, context) - evictionCost(view, other, context));
 
 const optionOn = (
