Load from the weight store while most engines are free

Seven engines were replaced three times by empty ones, so few models had copies; one store load at a time was left while a model with a copy waited, though 3.4 of 4.6 engines of a failure domain were free (1,592 lines load_put_off, store_is_free=false in 1,582). The bound now acts only where half of the own engines or more are busy.

--- a/packages/fleet/src/Placer.ts
+++ b/packages/fleet/src/Placer.ts
@@ -74,6 +74,9 @@
   rates: ReadonlyMap<string, number>,
 ): boolean => plan.evictions.every(({ model }) => (rates.get(model) ?? 0) * 2 < rate);
 
+/** Part of the own engines that must be free for a load from the weight store to hold up nobody. */
+const MOSTLY_FREE_PART = 0.5;
+
 /** Decides what is loaded where, while this instance has the authority. */
 class Placer {
   private readonly desk: EngineDesk;
@@ -311,6 +314,7 @@
       return isIdle && isSound && own.orders.isKnown;
     });
     const outlook = { nowMs, engineOf: (id: string) => this.desk.get(id) };
+    const isMostlyFree = free.length > this.own(views).length * MOSTLY_FREE_PART;
     const replicas = new Map<string, number>();
     views.forEach(({ models }) =>
       models.forEach((_, model) => replicas.set(model, (replicas.get(model) ?? 0) + 1)),
@@ -322,7 +326,8 @@
       rates: demand.modelRates,
       wanted: new Set(demand.waiting.map(({ model }) => model)),
       running: (id: string, model: string) => demand.running.get(id)?.get(model) ?? 0,
-      storeIsFree: this.permits.isFree && mayLoadLong(views, demand.waiting, outlook),
+      storeIsFree:
+        this.permits.isFree && (isMostlyFree || mayLoadLong(views, demand.waiting, outlook)),
       hasCopyElsewhere: (id: string, model: string) =>
         views.some(
           ({ entry, models }) =>
--- a/packages/fleet/test/placer.test.ts
+++ b/packages/fleet/test/placer.test.ts
@@ -107,7 +107,7 @@
   });
 
   test('keeps engines for models with copies, while these wait, and loads one from the weight store', async () => {
-    const { engines, run, wait } = start(8, 9_000, ['a', 'b', 'c', 'd']);
+    const { engines, run, wait } = start(3, 9_000, ['a', 'b', 'c', 'd']);
     const waiting = [wait('d', 1_000), wait('e', 2_500), wait('f', 2_500)];
     await run(2_000, { waiting });
     const loaded = [...engines.values()].flatMap(({ orders }) =>
@@ -117,6 +117,15 @@
     expect(loaded.filter((model) => model !== 'd')).toHaveLength(1);
   });
 
+  test('loads from the weight store while most engines are free, though a model with a copy waits', async () => {
+    const { engines, run, wait } = start(8, 9_000, ['a', 'b', 'c', 'd']);
+    await run(2_000, { waiting: [wait('d', 1_000), wait('e', 2_500), wait('f', 2_500)] });
+    const loaded = [...engines.values()].flatMap(({ orders }) =>
+      orders.filter(({ kind }) => kind === OrderKind.Load).map(({ model }) => model),
+    );
+    expect(new Set(loaded)).toEqual(new Set(['d', 'e', 'f']));
+  });
+
   test('keeps to its own book where entries are behind', async () => {
     const { engines, table, run, wait } = start(1);
     await run(2_000, { waiting: [wait('d', 1_000)] });
