One virtual clock for the tests and the bench

The clock of the tests and the bench's VirtualClock did the same; the bench's, which also knows abort signals, stays, in a package of its own. Behaviour and assertions are unchanged.

--- a/packages/bench/src/createVirtualSystem.ts
+++ b/packages/bench/src/createVirtualSystem.ts
@@ -7,10 +7,10 @@
   type RetentionPolicy,
   RouteFeeder,
 } from '@wisteriapath/placement';
+import VirtualClock from '@wisteriapath/virtual-clock';
 import { Just } from 'purify-ts';
 import seedrandom from 'seedrandom';
 import type Deployment from './Deployment';
-import VirtualClock from './VirtualClock';
 import VirtualEngine from './VirtualEngine';
 import VirtualStore from './VirtualStore';
 
--- a/packages/bench/src/measureRefusals.ts
+++ b/packages/bench/src/measureRefusals.ts
@@ -1,6 +1,6 @@
 import seedrandom from 'seedrandom';
+import VirtualClock from '@wisteriapath/virtual-clock';
 import type Limiter from './Limiter';
-import VirtualClock from './VirtualClock';
 import limiters from './limiters';
 import printRow from './printRow';
 
--- a/packages/edge/test/targetFinder.test.ts
+++ b/packages/edge/test/targetFinder.test.ts
@@ -1,5 +1,5 @@
 /** A request that waits for a model tells the placers how long it has waited. */
-import TestClock from '@wisteriapath/test-clock';
+import VirtualClock from '@wisteriapath/virtual-clock';
 import { TargetTable, WaitingModels } from '@wisteriapath/fleet';
 import type AdmittedRequest from '../src/AdmittedRequest';
 import type EdgeParts from '../src/EdgeParts';
@@ -8,7 +8,7 @@
 const WAIT_MS = 1_000;
 
 test('the time for which a request waits grows until it ends', async () => {
-  const clock = new TestClock();
+  const clock = new VirtualClock();
   const waiting = new WaitingModels(clock, () => {});
   const parts = {
     clock,
--- a/packages/fleet/test/lease.test.ts
+++ b/packages/fleet/test/lease.test.ts
@@ -1,5 +1,5 @@
 /** At no moment may two machines give orders, and their orders never alternate within the turn. */
-import TestClock from '@wisteriapath/test-clock';
+import VirtualClock from '@wisteriapath/virtual-clock';
 import { Lease, type LeaseRecord, type LeaseStore } from '../src';
 
 const TURN_MS = 3_000;
@@ -33,7 +33,7 @@
 }
 
 const start = (names: readonly string[]) => {
-  const clock = new TestClock();
+  const clock = new VirtualClock();
   const store = new FakeStore();
   const orders: { machine: string; atMs: number }[] = [];
   const machines = new Map<string, Machine>();
--- a/packages/fleet/test/placer.test.ts
+++ b/packages/fleet/test/placer.test.ts
@@ -1,5 +1,5 @@
 /** The placer gives an engine one change at a time, and never more than its memory holds. */
-import TestClock from '@wisteriapath/test-clock';
+import VirtualClock from '@wisteriapath/virtual-clock';
 import {
   type DesiredState,
   DemandBook,
@@ -15,7 +15,7 @@
 const MODELS = ['a', 'b', 'c', 'd', 'e', 'f'];
 
 const start = (engineCount: number, loadMs = 500, copied: readonly string[] = MODELS) => {
-  const clock = new TestClock();
+  const clock = new VirtualClock();
   const table = new TargetTable(clock);
   const engines = new Map<string, FakeEngine>();
   const onDisk = new Set(copied);
--- a/packages/fleet/test/targetTable.test.ts
+++ b/packages/fleet/test/targetTable.test.ts
@@ -1,5 +1,5 @@
 /** What an instance believes of targets, from entries that lag and from the placer. */
-import TestClock from '@wisteriapath/test-clock';
+import VirtualClock from '@wisteriapath/virtual-clock';
 import { type PlacementUpdate, TargetTable } from '../src';
 import builders from './support/builders';
 
@@ -12,7 +12,7 @@
 });
 
 const start = () => {
-  const clock = new TestClock();
+  const clock = new VirtualClock();
   const table = new TargetTable(clock);
   const ids = (model: string) => table.holding('guides', model, null).map(({ entry }) => entry.id);
   return { clock, table, ids };
--- a/packages/ledger/test/support/EscrowWorld.ts
+++ b/packages/ledger/test/support/EscrowWorld.ts
@@ -1,5 +1,5 @@
 import { Just, type Maybe, Nothing } from 'purify-ts';
-import TestClock from '@wisteriapath/test-clock';
+import VirtualClock from '@wisteriapath/virtual-clock';
 import { BudgetHome, type BudgetSync, type BudgetSynced, HomeAccount } from '../../src';
 
 /** One call of a borrower, and what the network does to it. */
@@ -36,7 +36,7 @@
 
 /** One home and three borrowers on a network that loses, repeats and delays. */
 class EscrowWorld {
-  readonly clock = new TestClock();
+  readonly clock = new VirtualClock();
 
   readonly uses: Use[] = [];
 
--- a/packages/ledger/test/tokenPurse.test.ts
+++ b/packages/ledger/test/tokenPurse.test.ts
@@ -1,7 +1,7 @@
 /** A purse whose requests come faster than its home answers. */
 import { Just } from 'purify-ts';
 import { Deadline } from '@wisteriapath/model';
-import TestClock from '@wisteriapath/test-clock';
+import VirtualClock from '@wisteriapath/virtual-clock';
 import { type BudgetLink, HomeAccount, TokenPurse } from '../src';
 
 const ANSWER_MS = 50;
@@ -10,7 +10,7 @@
 
 /** A purse with one home that has plenty and takes its time. */
 const startPurse = () => {
-  const clock = new TestClock();
+  const clock = new VirtualClock();
   let calls = 0;
   let lentTotal = 0;
   const link: BudgetLink = {
--- a/packages/test-clock/src/index.ts
+++ /dev/null
@@ -1,4 +0,0 @@
-/** A clock for tests. */
-import TestClock from './TestClock';
-
-export default TestClock;
--- a/packages/bench/src/VirtualClock.ts
+++ b/packages/virtual-clock/src/VirtualClock.ts
@@ -46,6 +46,17 @@
     this.now = untilMs;
   }
 
+  /** Lets `durationMs` pass, waking sleepers in their order. */
+  advance(durationMs: number): Promise<void> {
+    return this.runUntil(this.now + durationMs);
+  }
+
+  /** Moves on by `durationMs` at once; what is due wakes after the caller's turn. */
+  skip(durationMs: number): void {
+    this.now += durationMs;
+    [...this.sleepers].filter(({ atMs }) => atMs <= this.now).forEach(({ wake }) => wake());
+  }
+
   private first(): Sleeper | undefined {
     let first: Sleeper | undefined;
     this.sleepers.forEach((sleeper) => {
--- /dev/null
+++ b/packages/virtual-clock/src/index.ts
@@ -0,0 +1,4 @@
+/** Time that passes only when told to. */
+import VirtualClock from './VirtualClock';
+
+export default VirtualClock;
