--- a/packages/edge/src/WorkspaceLimits.ts
+++ b/packages/edge/src/WorkspaceLimits.ts
@@ -89,9 +89,7 @@
     const demandBefore = this.demandOf(level);
     this.noteDemand(level, units);
     const share = this.share(spec.name, level);
-    // Among many instances one request alone says nothing of what the others are asked for.
-    const demand = this.isPooled ? demandBefore : this.demandOf(level);
-    const untold = demand * this.untoldS * (this.instances() - 1) * OTHERS_PART;
+    const untold = this.untold(level, demandBefore);
     const isPlenty = level.shared - units - untold >= spec.burst * SHARED_FLOOR;
     if (!isPlenty && level.own <= 0) {
       const perS = Math.max(spec.ratePerS * share, 1);
@@ -107,17 +105,20 @@
 
   /** What a beat tells of the use of limits: workspace, units admitted since the start, units a second. */
   usage(kind: BeatKind): Beat['usage'] {
-    const own = [...this.levels].map(
-      ([name, level]) => [name, Math.round(level.spent), Math.round(this.demandOf(level))] as const,
-    );
     const tables: Record<BeatKind, () => Beat['usage']> = {
       [BeatKind.Presence]: () => [],
-      [BeatKind.Own]: () => own,
-      [BeatKind.Pooled]: () => this.pooled(own),
+      [BeatKind.Own]: () => this.own,
+      [BeatKind.Pooled]: () => this.pooled,
     };
     return tables[kind]();
   }
 
+  private get own(): Beat['usage'] {
+    return [...this.levels].map(
+      ([name, level]) => [name, Math.round(level.spent), Math.round(this.demandOf(level))] as const,
+    );
+  }
+
   /** Notes what was told to the peer that gathers it, so that it is not taken for the use of others. */
   noteTold(usage: Beat['usage']): void {
     usage.forEach(([name, spent, rate]) => this.told.set(name, [spent, rate]));
@@ -151,8 +152,8 @@
   }
 
   /** This instance's use and that of all that report to it. */
-  private pooled(own: Beat['usage']): Beat['usage'] {
-    const sums = new Map(own.map(([name, spent, rate]) => [name, { spent, rate }]));
+  private get pooled(): Beat['usage'] {
+    const sums = new Map(this.own.map(([name, spent, rate]) => [name, { spent, rate }]));
     const sinceMs = this.clock.nowMs() - REPORT_COUNTS_MS;
     this.reported.forEach((reported, name) => {
       const { spent, rate } = sums.get(name) ?? { spent: 0, rate: 0 };
@@ -165,8 +166,13 @@
     return [...sums].map(([name, { spent, rate }]) => [name, spent, rate] as const);
   }
 
-  private get untoldS(): number {
-    return this.isPooled ? UNTOLD_POOLED_S : UNTOLD_S;
+  /** Units that the others may have spent and not told of yet. */
+  private untold(level: Level, demandBefore: number): number {
+    // Among many instances one request alone says nothing of what the others are asked for.
+    const [demand, untoldS] = this.isPooled
+      ? [demandBefore, UNTOLD_POOLED_S]
+      : [this.demandOf(level), UNTOLD_S];
+    return demand * untoldS * (this.instances() - 1) * OTHERS_PART;
   }
 
   private share(name: string, level: Level): number {
--- a/packages/fleet/src/Peers.ts
+++ b/packages/fleet/src/Peers.ts
@@ -181,7 +181,7 @@
     recipients.forEach(({ member, kind }) => {
       const bytes = bytesOf.get(kind) ?? this.encodeBeat(kind);
       bytesOf.set(kind, bytes);
-      this.socket?.send(bytes, this.options.port, member.host, () => {});
+      this.sendBytes(member.host, bytes);
     });
     if (known.length === 0 || this.beatNumber % SEEDS_EVERY === 0) this.beatToSeeds();
   }
@@ -267,12 +267,11 @@
 
   /** Shows this instance to those that may know more. */
   private beatToSeeds(): void {
-    const known = new Set([...this.peers.values()].map(({ member }) => member.host));
-    known.add(this.options.host);
+    const known = new Set([this.options.host, ...this.hosts]);
     const unknown = this.options.seedHosts.filter((host) => !known.has(host));
     if (unknown.length === 0) return;
     const bytes = this.encodeBeat(BeatKind.Own);
-    unknown.forEach((host) => this.socket?.send(bytes, this.options.port, host, () => {}));
+    unknown.forEach((host) => this.sendBytes(host, bytes));
   }
 
   private toAll(kind: PeerMessageKind, payload: unknown): void {
@@ -280,14 +279,22 @@
   }
 
   private sendToAll(bytes: Uint8Array): void {
-    const known = new Set([...this.peers.values()].map(({ member }) => member.host));
-    const hosts = new Set([...known, ...this.options.seedHosts]);
+    const hosts = new Set([...this.hosts, ...this.options.seedHosts]);
     hosts.delete(this.options.host);
-    hosts.forEach((host) => this.socket?.send(bytes, this.options.port, host, () => {}));
+    hosts.forEach((host) => this.sendBytes(host, bytes));
+  }
+
+  /** Hosts of all peers known. */
+  private get hosts(): readonly string[] {
+    return [...this.peers.values()].map(({ member }) => member.host);
   }
 
   private send(host: string, kind: PeerMessageKind, payload: unknown): void {
-    const bytes = encode([PROTOCOL_VERSION, kind, payload]);
+    this.sendBytes(host, encode([PROTOCOL_VERSION, kind, payload]));
+  }
+
+  private sendBytes(host: string, bytes: Uint8Array): void {
+    // What is lost is sent anew with the next beat.
     this.socket?.send(bytes, this.options.port, host, () => {});
   }
 
@@ -342,7 +349,7 @@
     const silent = placers.filter(({ host }) => host !== this.options.host && !heard.has(host));
     if (silent.length === 0) return;
     const bytes = this.encodeBeat(BeatKind.Presence);
-    silent.forEach(({ host }) => this.socket?.send(bytes, this.options.port, host, () => {}));
+    silent.forEach(({ host }) => this.sendBytes(host, bytes));
   }
 
   private remember(member: MemberRecord, heardMs: number): Peer {
--- a/packages/fleet/src/Placer.ts
+++ b/packages/fleet/src/Placer.ts
@@ -14,9 +14,10 @@
 import StorePermits from './StorePermits';
 import type TargetTable from './TargetTable';
 import type TargetView from './TargetView';
-import planAdapter from './planAdapter';
 import copyIsSoon from './copyIsSoon';
+import hasCopy from './hasCopy';
 import mayLoadLong from './mayLoadLong';
+import planAdapter from './planAdapter';
 import planModel from './planModel';
 
 interface Options {
@@ -74,9 +75,6 @@
   rates: ReadonlyMap<string, number>,
 ): boolean => plan.evictions.every(({ model }) => (rates.get(model) ?? 0) * 2 < rate);
 
-/** Part of the own engines that must be free for a load from the weight store to hold up nobody. */
-const MOSTLY_FREE_PART = 0.5;
-
 /** Decides what is loaded where, while this instance has the authority. */
 class Placer {
   private readonly desk: EngineDesk;
@@ -307,14 +305,15 @@
     const { table, clock } = this.parts;
     const nowMs = clock.nowMs();
     const views = table.inService(pool).map((view) => this.booked(view));
-    const free = this.own(views).filter((view) => {
-      const own = this.desk.engineOf(view);
-      const isIdle = !own.isBusy && own.adaptersComing.size === 0;
-      const isSound = own.avoidUntilMs <= nowMs && !demand.unreachable.has(view.entry.id);
-      return isIdle && isSound && own.orders.isKnown;
+    const own = this.own(views);
+    const free = own.filter((view) => {
+      const { isBusy, adaptersComing, avoidUntilMs, orders } = this.desk.engineOf(view);
+      const isIdle = !isBusy && adaptersComing.size === 0;
+      const isSound = avoidUntilMs <= nowMs && !demand.unreachable.has(view.entry.id);
+      return isIdle && isSound && orders.isKnown;
     });
     const outlook = { nowMs, engineOf: (id: string) => this.desk.get(id) };
-    const isMostlyFree = free.length > this.own(views).length * MOSTLY_FREE_PART;
+    const engines = { all: views, own: own.length, free: free.length };
     const replicas = new Map<string, number>();
     views.forEach(({ models }) =>
       models.forEach((_, model) => replicas.set(model, (replicas.get(model) ?? 0) + 1)),
@@ -326,13 +325,10 @@
       rates: demand.modelRates,
       wanted: new Set(demand.waiting.map(({ model }) => model)),
       running: (id: string, model: string) => demand.running.get(id)?.get(model) ?? 0,
-      storeIsFree:
-        this.permits.isFree && (isMostlyFree || mayLoadLong(views, demand.waiting, outlook)),
+      storeIsFree: this.permits.isFree && mayLoadLong(engines, demand.waiting, outlook),
       hasCopyElsewhere: (id: string, model: string) =>
         views.some(
-          ({ entry, models }) =>
-            entry.id !== id &&
-            (models.has(model) || entry.onDisk.has(model) || entry.inMemory.has(model)),
+          ({ entry, models }) => entry.id !== id && (models.has(model) || hasCopy(entry, model)),
         ),
       copyIsSoon: (model: string) => copyIsSoon(views, engine.models.get(model), outlook),
       residentMs: (id: string, model: string) =>
--- a/packages/fleet/src/PutOffLog.ts
+++ b/packages/fleet/src/PutOffLog.ts
@@ -4,6 +4,7 @@
 import type EventLog from './EventLog';
 import type PlannedLoad from './PlannedLoad';
 import type TargetView from './TargetView';
+import hasCopy from './hasCopy';
 
 interface Parts {
   readonly clock: Clock;
@@ -51,7 +52,7 @@
     const nowMs = this.parts.clock.nowMs();
     if (nowMs - (this.notedMs.get(model) ?? -Infinity) < EVERY_MS) return;
     this.notedMs.set(model, nowMs);
-    const hasCopy = ({ entry }: TargetView) => entry.inMemory.has(model) || entry.onDisk.has(model);
+    const holdsCopy = ({ entry }: TargetView) => hasCopy(entry, model);
     const own = this.engines.own(pool);
     const engines = own.map((view) => this.engines.engineOf(view));
     this.parts.log.event('load_put_off', {
@@ -64,8 +65,8 @@
       avoided: count(engines, ({ avoidUntilMs }) => avoidUntilMs > nowMs),
       unreachable: count(own, ({ entry }) => demand.unreachable.has(entry.id)),
       not_known: count(engines, ({ orders }) => !orders.isKnown),
-      free_with_copy: count(context.free, hasCopy),
-      own_with_copy: count(own, hasCopy),
+      free_with_copy: count(context.free, holdsCopy),
+      own_with_copy: count(own, holdsCopy),
       store_is_free: context.storeIsFree,
       copy_is_soon: context.copyIsSoon(model),
       left_to: best === undefined ? '' : best.view.entry.failureDomain,
--- a/packages/fleet/src/copyIsSoon.ts
+++ b/packages/fleet/src/copyIsSoon.ts
@@ -1,6 +1,7 @@
 import type EngineOutlook from './EngineOutlook';
 import type ModelSpec from './ModelSpec';
 import type TargetView from './TargetView';
+import hasCopy from './hasCopy';
 
 /**
  * Whether an engine that is busy, or not known yet, could load a model from a copy before the weight store
@@ -18,8 +19,7 @@
   const beforeMs = nowMs + spec.storeLoadMs - spec.diskLoadMs;
   return views.some(({ entry, busyUntilMs }) => {
     const own = engineOf(entry.id);
-    const hasCopy = entry.onDisk.has(spec.name) || entry.inMemory.has(spec.name);
-    if (!hasCopy) return false;
+    if (!hasCopy(entry, spec.name)) return false;
     if (own === undefined) return busyUntilMs > nowMs && busyUntilMs < beforeMs;
     return !own.orders.isKnown || (own.isBusy && own.busyUntilMs < beforeMs);
   });
--- /dev/null
+++ b/packages/fleet/src/hasCopy.ts
@@ -0,0 +1,12 @@
+import type RegisteredTarget from './RegisteredTarget';
+
+/**
+ * Whether an engine has a copy of a model in memory or on disk, from which a load is short.
+ *
+ * @example
+ * hasCopy(view.entry, 'llama');
+ */
+const hasCopy = ({ inMemory, onDisk }: RegisteredTarget, model: string): boolean =>
+  inMemory.has(model) || onDisk.has(model);
+
+export default hasCopy;
