One retry budget, one lookup of a key's workspace, one context of planning a pass

RetryBudget (routing) and RepeatBudget (edge) counted the same; the first, now in model with its limits as arguments, serves both. The placer built what plans go by anew for every model that waits; it is the same until a load is ordered, and is kept until then. The tests of limits share their workspace, bound and window; assertions are unchanged.

--- a/packages/daemon/src/Cradle.ts
+++ b/packages/daemon/src/Cradle.ts
@@ -9,7 +9,7 @@
   RolesState,
 } from '@wisteriapath/ledger';
 import type { HttpLog, LogPort, RecordIds, StreamReplica } from '@wisteriapath/log-client';
-import type { Clock } from '@wisteriapath/model';
+import type { Clock, RetryBudget } from '@wisteriapath/model';
 import type {
   DeathProver,
   HttpInstanceList,
@@ -23,7 +23,6 @@
   ClaimsState,
   GuardedTarget,
   PoisonRegistry,
-  RetryBudget,
   RouteCaller,
   ServiceCall,
   TargetClient,
--- a/packages/daemon/src/registerServing.ts
+++ b/packages/daemon/src/registerServing.ts
@@ -1,12 +1,11 @@
 import { asFunction, type AwilixContainer } from 'awilix';
 import { getRow } from '@wisteriapath/config';
-import { RouteKind, TableName } from '@wisteriapath/model';
+import { RetryBudget, RouteKind, TableName } from '@wisteriapath/model';
 import { placementDomains, RouteFeeder } from '@wisteriapath/placement';
 import {
   ClaimDesk,
   GuardedTarget,
   PoisonRegistry,
-  RetryBudget,
   RouteCaller,
   ServiceCall,
   TargetClient,
@@ -16,6 +15,8 @@
 import shareSuspects from './shareSuspects';
 
 const DRIFT_SHARE = 0.05;
+const RETRY_SHARE = 0.1;
+const RETRIES_SAVED_UP = 10;
 /** A placer that restarts is replaced within this time. */
 const PLACER_GRACE_MS = 1_500;
 
@@ -60,7 +61,7 @@
         new PoisonRegistry((suspicions) => shareSuspects(mesh, peerClients, suspicions)),
     ),
     guardedTarget: single(({ targetClient, poison }) => new GuardedTarget(targetClient, poison)),
-    retries: single(() => new RetryBudget()),
+    retries: single(() => new RetryBudget({ share: RETRY_SHARE, most: () => RETRIES_SAVED_UP })),
     claimDesk: single(
       ({ log, clock, ids, claimShards }) => new ClaimDesk({ log, clock, ids, shards: claimShards }),
     ),
--- a/packages/edge/src/RepeatBudget.ts
+++ b/packages/edge/src/RepeatBudget.ts
@@ -1,11 +1,12 @@
+import { RetryBudget } from '@wisteriapath/model';
 import type SharedLimits from './SharedLimits';
 
 /** Part of the shared limit that is used; the rest is for what other instances do not know. */
 const USED_PART = 0.75;
 
-/** This instance's part of the repeats that a pool may be sent beyond first requests. */
+/** This instance's part of the repeats that each pool may be sent beyond first requests. */
 class RepeatBudget {
-  private readonly levels = new Map<string, number>();
+  private readonly budgets = new Map<string, RetryBudget>();
 
   constructor(
     private readonly limits: SharedLimits,
@@ -14,24 +15,24 @@
 
   /** Notes a first request for a pool. */
   noteRequest(pool: string): void {
-    const added = this.limits.retryRatio * USED_PART;
-    this.levels.set(pool, Math.min(this.most, this.level(pool) + added));
+    this.budget(pool).noteRequest();
   }
 
   /** Takes one repeat; false if none is left. */
   take(pool: string): boolean {
-    const level = this.level(pool);
-    if (level < 1) return false;
-    this.levels.set(pool, level - 1);
-    return true;
+    return this.budget(pool).take();
   }
 
-  private level(pool: string): number {
-    return this.levels.get(pool) ?? this.most;
-  }
-
-  private get most(): number {
-    return Math.max(1, (this.limits.retrySlack * USED_PART) / Math.max(1, this.instances()));
+  private budget(pool: string): RetryBudget {
+    const known = this.budgets.get(pool);
+    if (known !== undefined) return known;
+    const { retryRatio, retrySlack } = this.limits;
+    const budget = new RetryBudget({
+      share: retryRatio * USED_PART,
+      most: () => Math.max(1, (retrySlack * USED_PART) / Math.max(1, this.instances())),
+    });
+    this.budgets.set(pool, budget);
+    return budget;
   }
 }
 
--- a/packages/edge/src/admit.ts
+++ b/packages/edge/src/admit.ts
@@ -14,6 +14,7 @@
 import choosePool from './choosePool';
 import matchRoute from './matchRoute';
 import readBody from './readBody';
+import workspaceOfKey from './workspaceOfKey';
 
 /** Callers of streams wait at least so long for an event. */
 const LEAST_PATIENCE_MS = 2_000;
@@ -27,7 +28,7 @@
   route: PathRoute,
   key: string,
 ): Either<ServeError, WorkspaceSpec | null> => {
-  const holder = state.workspaces?.find(({ keys }) => keys.includes(key)) ?? null;
+  const holder = workspaceOfKey(state, key);
   if (state.workspaces === null || route.open || holder !== null) return Right(holder);
   return notRun(ErrorKind.Unauthenticated, 'the key is unknown');
 };
--- a/packages/edge/src/handleRequest.ts
+++ b/packages/edge/src/handleRequest.ts
@@ -5,12 +5,10 @@
 import type RunEnd from './RunEnd';
 import RequestRun from './RequestRun';
 import admit from './admit';
+import workspaceOfKey from './workspaceOfKey';
 
 const STATUS_CLASS = 100;
 
-const workspaceOf = (parts: EdgeParts, key: string): string =>
-  parts.desired()?.workspaces?.find(({ keys }) => keys.includes(key))?.name ?? '';
-
 const report = (
   { log, metrics }: EdgeParts,
   { route, workspace, state, fields }: AdmittedRequest,
@@ -58,9 +56,10 @@
   await admitted.caseOf({
     Left: async (error) => {
       caller.refuse(error, fields.attemptId);
-      const version = parts.desired()?.version ?? 0;
+      const desired = parts.desired();
+      const version = desired?.version ?? 0;
       const { kind, message } = error;
-      const workspace = workspaceOf(parts, fields.key);
+      const workspace = workspaceOfKey(desired, fields.key)?.name ?? '';
       const tokens = fields.tokens ?? 0;
       const asked = { request: fields.attemptId, workspace, model: fields.model, tokens };
       log.event('request_refused', { ...asked, kind, message, version });
--- a/packages/edge/test/pooledLimits.test.ts
+++ b/packages/edge/test/pooledLimits.test.ts
@@ -1,23 +1,15 @@
 /** Many instances keep a workspace's limits together through those that gather what the others report. */
 import { type Beat, BeatKind, type WorkspaceSpec } from '@wisteriapath/fleet';
 import WorkspaceLimits from '../src/WorkspaceLimits';
+import workspaceLimit from './support/workspaceLimit';
 
-const SPEC: WorkspaceSpec = {
-  name: 'club',
-  keys: [],
-  priority: null,
-  ratePerS: 40_000,
-  burst: 40_000,
-  countsTokens: true,
-  plainTokens: 200,
-};
+const SPEC = workspaceLimit.spec(40_000);
 const INSTANCES = 60;
 const DOMAINS = 3;
 const BEAT_MS = 200;
-const WINDOW_MS = 8_000;
 const COST = 800;
 const FROM_MS = 12_000;
-const BOUND = (SPEC.ratePerS * (WINDOW_MS / 1_000) + SPEC.burst) * 1.1 + 7_400;
+const BOUND = workspaceLimit.bound(SPEC);
 
 interface Plan {
   readonly perS: number;
@@ -83,13 +75,8 @@
     const hubs = [passedMs < hubEndsAtMs ? 0 : DOMAINS, 1, 2];
     if (time.nowMs % BEAT_MS === 0) exchange(limits, hubs);
   }
-  const within = (atMs: number) =>
-    admitted
-      .filter((other) => other.atMs >= atMs && other.atMs < atMs + WINDOW_MS)
-      .reduce((sum, { units }) => sum + units, 0);
-  const starts = [...new Set(admitted.map(({ atMs }) => atMs))];
   const total = admitted.reduce((sum, { units }) => sum + units, 0);
-  return { share: total / (sent * costUnits), total, most: Math.max(...starts.map(within)) };
+  return { share: total / (sent * costUnits), total, most: workspaceLimit.mostInWindow(admitted) };
 };
 
 describe('limits that many instances keep through a few', () => {
@@ -104,14 +91,14 @@
   });
 
   test("hold where one request is much of an instance's share", () => {
-    const large = { ...SPEC, ratePerS: 34_000, burst: 34_000 };
-    const bound = (large.ratePerS * (WINDOW_MS / 1_000) + large.burst) * 1.1 + 7_400;
+    const large = workspaceLimit.spec(34_000);
+    const bound = workspaceLimit.bound(large);
     const plan = { spec: large, costUnits: 3_000, perS: 6 * large.ratePerS, durationMs: 16_000 };
     expect(play({ ...plan, asked: INSTANCES }).most).toBeLessThanOrEqual(bound);
   });
 
   test('refuse nobody who asks for little, on any instance', () => {
-    const small = { ...SPEC, ratePerS: 14_000, burst: 14_000 };
+    const small = workspaceLimit.spec(14_000);
     const plan = { spec: small, costUnits: 1_700, perS: 12_600, durationMs: 20_000 };
     expect(play({ ...plan, asked: INSTANCES }).share).toBeGreaterThan(0.999);
   });
--- /dev/null
+++ b/packages/edge/test/support/workspaceLimit.ts
@@ -0,0 +1,36 @@
+import type { WorkspaceSpec } from '@wisteriapath/fleet';
+
+interface Admission {
+  readonly atMs: number;
+  readonly units: number;
+}
+
+const WINDOW_MS = 8_000;
+
+/** A workspace whose burst is a second of its rate, and what the users allow it. */
+const workspaceLimit = {
+  spec: (ratePerS: number): WorkspaceSpec => ({
+    name: 'club',
+    keys: [],
+    priority: null,
+    ratePerS,
+    burst: ratePerS,
+    countsTokens: true,
+    plainTokens: 200,
+  }),
+
+  /** The users' bound for any window: a tenth beyond the limit, and some tokens. */
+  bound: ({ ratePerS, burst }: WorkspaceSpec): number =>
+    (ratePerS * (WINDOW_MS / 1_000) + burst) * 1.1 + 7_400,
+
+  /** Most units admitted in any window. */
+  mostInWindow: (admitted: readonly Admission[]): number => {
+    const within = (fromMs: number) =>
+      admitted
+        .filter(({ atMs }) => atMs >= fromMs && atMs < fromMs + WINDOW_MS)
+        .reduce((sum, { units }) => sum + units, 0);
+    return Math.max(...[...new Set(admitted.map(({ atMs }) => atMs))].map(within));
+  },
+};
+
+export default workspaceLimit;
--- a/packages/edge/test/workspaceLimits.test.ts
+++ b/packages/edge/test/workspaceLimits.test.ts
@@ -1,22 +1,13 @@
 /** All instances together keep a workspace's rate and burst, and refuse little below it. */
-import { type Beat, BeatKind, type WorkspaceSpec } from '@wisteriapath/fleet';
+import { type Beat, BeatKind } from '@wisteriapath/fleet';
 import WorkspaceLimits from '../src/WorkspaceLimits';
+import workspaceLimit from './support/workspaceLimit';
 
-const SPEC: WorkspaceSpec = {
-  name: 'club',
-  keys: [],
-  priority: null,
-  ratePerS: 10_000,
-  burst: 10_000,
-  countsTokens: true,
-  plainTokens: 200,
-};
-const WINDOW_MS = 8_000;
+const SPEC = workspaceLimit.spec(10_000);
 const BEAT_MS = 200;
 const COST = 800;
 const INSTANCES = 7;
-/** The users' bound: a tenth beyond the limit, and some tokens. */
-const BOUND = (SPEC.ratePerS * (WINDOW_MS / 1_000) + SPEC.burst) * 1.1 + 7_400;
+const BOUND = workspaceLimit.bound(SPEC);
 
 /** Lets every instance hear the beat of every other. */
 const exchange = (limits: readonly WorkspaceLimits[], life: number): void => {
@@ -59,13 +50,7 @@
     }
   }
   const total = admitted.reduce((sum, { units }) => sum + units, 0);
-  const most = Math.max(
-    ...admitted.map(({ atMs }) =>
-      admitted
-        .filter((other) => other.atMs >= atMs && other.atMs < atMs + WINDOW_MS)
-        .reduce((sum, { units }) => sum + units, 0),
-    ),
-  );
+  const most = workspaceLimit.mostInWindow(admitted);
   return { asked, total, most };
 };
 
--- a/packages/fleet/src/Placer.ts
+++ b/packages/fleet/src/Placer.ts
@@ -83,6 +83,9 @@
 
   private readonly putOffLog: PutOffLog;
 
+  private passContext:
+    { readonly round: Round; readonly context: ReturnType<Placer['modelContext']> } | undefined;
+
   private stopped = false;
 
   private isPlanSoon = false;
@@ -179,19 +182,19 @@
 
   private loadWaiting(round: Round, model: string, waitedMs: number): void {
     if (this.isComing(round.pool, model)) return;
-    const context = this.modelContext(round);
+    const context = this.contextOf(round);
     const spec = round.engine.models.get(model)!;
     const everywhere = { ...context, free: [...context.free, ...this.freeElsewhere(round)] };
     const best = planModel(spec, everywhere, 'waiting');
     const isOwn = best !== undefined && this.own([best.view]).length > 0;
     if (isOwn) {
-      void this.desk.carryOut(best);
+      this.carryOut(best);
       return;
     }
     // The placer of a better engine sees the same and is left to it, for a while.
     const second = planModel(spec, context, 'waiting');
     const patienceMs = second?.fromStore ? OTHERS_STORE_MS : OTHERS_MS;
-    if (second !== undefined && waitedMs >= patienceMs) void this.desk.carryOut(second);
+    if (second !== undefined && waitedMs >= patienceMs) this.carryOut(second);
     else this.putOffLog.note({ round, model, waitedMs, best, second, context });
   }
 
@@ -256,7 +259,7 @@
       inTransit: (id) => this.desk.get(id)?.adaptersComing.size ?? 0,
       inTransitLimit: ADAPTERS_IN_TRANSIT_PER_ENGINE,
     });
-    if (plan !== undefined) void this.desk.carryOut(plan);
+    if (plan !== undefined) this.carryOut(plan);
   }
 
   /** Gives busy models a further replica. */
@@ -272,11 +275,11 @@
         const active = this.parts.activeDomains();
         const others = active.filter((domain) => !domains.has(domain));
         if (!this.isMine(model, others.length > 0 ? others : active)) return;
-        const context = this.modelContext(round);
+        const context = this.contextOf(round);
         const spec = engine.models.get(model)!;
         const plan = planModel(spec, { ...context, storeIsFree: false }, 'busy');
         if (plan !== undefined && isWorthReplicating(plan, rate, demand.modelRates)) {
-          void this.desk.carryOut(plan);
+          this.carryOut(plan);
         }
       });
   }
@@ -297,8 +300,21 @@
       ({ name }) => !copied.has(name) && this.isMine(name, active) && !this.isComing(pool, name),
     );
     if (missing === undefined) return;
-    const plan = planModel(missing, this.modelContext(round), 'ahead');
-    if (plan !== undefined) void this.desk.carryOut(plan);
+    const plan = planModel(missing, this.contextOf(round), 'ahead');
+    if (plan !== undefined) this.carryOut(plan);
+  }
+
+  private carryOut(plan: PlannedLoad): void {
+    this.passContext = undefined;
+    void this.desk.carryOut(plan);
+  }
+
+  /** What plans of a pass go by; the same until a load is ordered. */
+  private contextOf(round: Round): ReturnType<Placer['modelContext']> {
+    if (this.passContext?.round !== round) {
+      this.passContext = { round, context: this.modelContext(round) };
+    }
+    return this.passContext.context;
   }
 
   private modelContext({ pool, engine, demand }: Round) {
--- a/packages/model/src/index.ts
+++ b/packages/model/src/index.ts
@@ -11,6 +11,7 @@
 export { default as Ran } from './Ran';
 export { default as rendezvousOrder } from './rendezvousOrder';
 export { default as RequestClass } from './RequestClass';
+export { default as RetryBudget } from './RetryBudget';
 export type { default as Route } from './Route';
 export { default as RouteKind } from './RouteKind';
 export { default as ServeError } from './ServeError';
--- a/packages/routing/src/ModelCall.ts
+++ b/packages/routing/src/ModelCall.ts
@@ -1,6 +1,11 @@
 import type { Dispatcher } from 'undici';
 import { type Either, Left, Right } from 'purify-ts';
-import { type Clock, rendezvousOrder, type ServeError } from '@wisteriapath/model';
+import {
+  type Clock,
+  rendezvousOrder,
+  type RetryBudget,
+  type ServeError,
+} from '@wisteriapath/model';
 import { assetsOf, type Slot, TargetOutcome } from '@wisteriapath/placement';
 import type AnswerSink from './AnswerSink';
 import Attempt from './Attempt';
@@ -10,7 +15,6 @@
 import CompletionWriter from './CompletionWriter';
 import ExchangeFailure from './ExchangeFailure';
 import type GuardedTarget from './GuardedTarget';
-import type RetryBudget from './RetryBudget';
 import type RouteCaller from './RouteCaller';
 import readEvents from './readEvents';
 import requestFingerprint from './requestFingerprint';
--- a/packages/routing/src/ServiceCall.ts
+++ b/packages/routing/src/ServiceCall.ts
@@ -1,5 +1,12 @@
 import { type Either, Left, Right } from 'purify-ts';
-import { type Clock, ErrorKind, Ran, ServeError, sha256Hex } from '@wisteriapath/model';
+import {
+  type Clock,
+  ErrorKind,
+  Ran,
+  type RetryBudget,
+  ServeError,
+  sha256Hex,
+} from '@wisteriapath/model';
 import { type Slot, TargetOutcome } from '@wisteriapath/placement';
 import type AnswerSink from './AnswerSink';
 import Attempt from './Attempt';
@@ -10,7 +17,6 @@
 import ExchangeFailure from './ExchangeFailure';
 import type GuardedTarget from './GuardedTarget';
 import type HttpCall from './HttpCall';
-import type RetryBudget from './RetryBudget';
 import type RouteCaller from './RouteCaller';
 import requestFingerprint from './requestFingerprint';
 
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -13,7 +13,6 @@
 export { default as parseCompletion } from './parseCompletion';
 export { default as ModelCall } from './ModelCall';
 export { default as PoisonRegistry } from './PoisonRegistry';
-export { default as RetryBudget } from './RetryBudget';
 export { default as RouteCaller } from './RouteCaller';
 export type { default as RoutingEvent } from './RoutingEvent';
 export { default as ServiceCall } from './ServiceCall';
