--- a/packages/edge/src/Edge.ts
+++ b/packages/edge/src/Edge.ts
@@ -143,7 +143,7 @@
       waiting: this.demandTeller.waiting,
       rates: this.rates,
       loads: this.loads,
-      coldGate: new ColdGate(clock, instances),
+      coldGate: new ColdGate({ clock, log, metrics: this.metrics, instances }),
       limits: this.limits,
       repeats: new RepeatBudget(options.shared, instances),
       crashes: this.crashes,
--- a/packages/edge/src/EdgeMetrics.ts
+++ b/packages/edge/src/EdgeMetrics.ts
@@ -33,6 +33,20 @@
     registers: [this.registry],
   });
 
+  readonly coldSends = new Counter({
+    name: 'wisteriapath_edge_cold_sends_total',
+    help: 'Requests sent to targets that were known to be cold',
+    labelNames: ['pool'],
+    registers: [this.registry],
+  });
+
+  readonly coldHeldBack = new Counter({
+    name: 'wisteriapath_edge_cold_held_back_total',
+    help: 'Times a request passed over a cold target because its rate was used up',
+    labelNames: ['pool'],
+    registers: [this.registry],
+  });
+
   /** A gauge whose value is read when metrics are collected. */
   gauge(name: string, help: string, read: () => number): void {
     const gauge: Gauge = new Gauge({
--- a/packages/edge/src/StoreView.ts
+++ b/packages/edge/src/StoreView.ts
@@ -19,6 +19,9 @@
   readonly pass: (news: TargetNews) => void;
 }
 
+/** By how much longer a known target must be cold to be worth a line; entries are read some time after they are written. */
+const COLDER_MS = 500;
+
 /** What this instance knows from the platform's store. */
 class StoreView implements StoreEvents {
   private state: DesiredState | undefined;
@@ -70,7 +73,10 @@
     const { table, log, forgotten } = this.parts;
     targets.forEach((target) => {
       this.logTarget(target);
+      const coldBeforeMs = table.get(target.id)?.coldUntilMs ?? Infinity;
       table.absorb(target);
+      const coldMs = (table.get(target.id)?.coldUntilMs ?? 0) - coldBeforeMs;
+      if (target.coldLeftMs > 0 && coldMs > COLDER_MS) this.logCold(target);
     });
     gone.forEach((id) => {
       table.remove(id);
@@ -88,6 +94,11 @@
     const fields = { target: id, pool, address, leaving: isLeaving, cold_ms: coldLeftMs };
     this.parts.log.event('target_seen', fields);
   }
+
+  private logCold({ id, coldLeftMs, entryNumber, bornMs }: RegisteredTarget): void {
+    const fields = { target: id, cold_ms: coldLeftMs, entry: entryNumber, born_ms: bornMs };
+    this.parts.log.event('target_cold', fields);
+  }
 }
 
 export default StoreView;
--- a/packages/edge/src/TargetAttempt.ts
+++ b/packages/edge/src/TargetAttempt.ts
@@ -85,7 +85,7 @@
     const { view, request, caller } = context;
     const { pool, fields } = request;
     const passage = parts.loads.enter(view.entry.id, fields.model, fields.adapter);
-    parts.coldGate.note(view, pool.coldPerS);
+    parts.coldGate.note(view, pool.coldPerS, fields.attemptId);
     const exchange = parts.connections.send(this.call(), {
       begin: (status, headers) => {
         const valid = this.begin(status, headers);
