A request takes its place on a target as it chooses it

Cause: check, then act, with a wait between. Requests that wait for a model are woken together by one change of the table. Each asked ColdGate.allows and TargetLoads.own as it chose, but what it takes was noted only when its attempt began, after the others had looked. All of a pile went to the engine that got the model.

Now the finder takes the place (connection, cost, part of a cold target's rate) in the same turn in which it chooses, and the attempt is handed the place. ColdGate has one call that looks and takes, so the two cannot be called apart. A place that is not used is released.

--- a/packages/edge/src/ColdGate.ts
+++ b/packages/edge/src/ColdGate.ts
@@ -27,19 +27,18 @@
 
   constructor(private readonly parts: Parts) {}
 
-  /** Whether a target may be sent one more request; `coldPerS` is its limit over all instances. */
-  allows(view: TargetView, coldPerS: number): boolean {
-    if (!this.isCold(view, coldPerS)) return true;
-    const level = this.refilled(view, coldPerS);
-    if (level.left >= 1) return true;
-    this.noteHeldBack(view, level);
-    return false;
-  }
-
-  note(view: TargetView, coldPerS: number, request: string): void {
-    if (!this.isCold(view, coldPerS)) return;
+  /**
+   * Takes one request out of what a target may be sent, `coldPerS` a second over all instances; false if
+   * nothing is left. Targets that are not cold may be sent any number.
+   */
+  take(view: TargetView, coldPerS: number, request: string): boolean {
     const { clock, log, metrics, instances } = this.parts;
+    if (coldPerS <= 0 || view.coldUntilMs <= clock.nowMs()) return true;
     const level = this.refilled(view, coldPerS);
+    if (level.left < 1) {
+      this.noteHeldBack(view, level);
+      return false;
+    }
     level.left -= 1;
     metrics.coldSends.inc({ pool: view.entry.pool });
     log.event('cold_send', {
@@ -50,6 +49,7 @@
       per_s: coldPerS,
       instances: instances(),
     });
+    return true;
   }
 
   private noteHeldBack({ entry }: TargetView, level: Level): void {
@@ -68,10 +68,6 @@
     });
   }
 
-  private isCold({ coldUntilMs }: TargetView, coldPerS: number): boolean {
-    return coldPerS > 0 && coldUntilMs > this.parts.clock.nowMs();
-  }
-
   private refilled({ entry }: TargetView, coldPerS: number): Level {
     const { clock, instances } = this.parts;
     const nowMs = clock.nowMs();
--- /dev/null
+++ b/packages/edge/src/Passage.ts
@@ -0,0 +1,15 @@
+import type AnswerFields from './AnswerFields';
+
+/** The place that one request takes on a target, to be left once by `released` or `ended`. */
+interface Passage {
+  answered(fields: AnswerFields): void;
+  /** Notes that bytes came. */
+  heard(): void;
+  /** Notes that no connection could be opened. */
+  refused(): void;
+  /** Leaves a place that was not used. */
+  released(): void;
+  ended(isFailure: boolean): void;
+}
+
+export default Passage;
--- a/packages/edge/src/RequestRun.ts
+++ b/packages/edge/src/RequestRun.ts
@@ -3,6 +3,7 @@
 import type AdmittedRequest from './AdmittedRequest';
 import AttemptOutcome from './AttemptOutcome';
 import type CallerExchange from './CallerExchange';
+import type ChosenTarget from './ChosenTarget';
 import type EdgeParts from './EdgeParts';
 import EventFramer from './EventFramer';
 import type RunEnd from './RunEnd';
@@ -54,11 +55,15 @@
     this.parts.repeats.noteRequest(pool.name);
     if (pool.engine !== null) this.parts.rates.note(pool.name, fields.model, fields.adapter);
     for (;;) {
-      const view = await this.find();
-      if (this.caller.gone.aborted) return this.end(null, 0);
-      if (view === undefined) return this.giveUp('no target could be had in time');
+      const chosen = await this.find();
+      if (this.caller.gone.aborted) {
+        chosen?.passage.released();
+        return this.end(null, 0);
+      }
+      if (chosen === undefined) return this.giveUp('no target could be had in time');
+      const { view } = chosen;
       const attempt = new TargetAttempt(this.parts, {
-        view,
+        chosen,
         request: this.request,
         caller: this.caller,
         framer: this.framer,
@@ -81,7 +86,7 @@
     return this.request.route.nature === RouteNature.Idempotent || this.framer !== null;
   }
 
-  private async find(): Promise<TargetView | undefined> {
+  private async find(): Promise<ChosenTarget | undefined> {
     const { clock } = this.parts;
     const { patienceAtMs, pool, route } = this.request;
     const startedMs = clock.nowMs();
@@ -89,9 +94,9 @@
     const plainMs = startedMs + route.latencyTargetMs * PLAIN_WAIT_PART;
     const untilMs = pool.engine === null ? Math.min(lastMs, plainMs) : lastMs;
     const search = { excluded: this.excluded, untilMs, gone: this.caller.gone };
-    const view = await this.finder.find(this.request, search);
+    const chosen = await this.finder.find(this.request, search);
     this.waitedMs += clock.nowMs() - startedMs;
-    return view;
+    return chosen;
   }
 
   /** Takes in a failed attempt; answers with the end if no other may follow. */
--- a/packages/edge/src/TargetAttempt.ts
+++ b/packages/edge/src/TargetAttempt.ts
@@ -1,8 +1,9 @@
-import { RouteNature, type TargetView } from '@wisteriapath/fleet';
+import { RouteNature } from '@wisteriapath/fleet';
 import type AdmittedRequest from './AdmittedRequest';
 import type AnswerFields from './AnswerFields';
 import AttemptOutcome from './AttemptOutcome';
 import type CallerExchange from './CallerExchange';
+import type ChosenTarget from './ChosenTarget';
 import type EdgeParts from './EdgeParts';
 import type EventFramer from './EventFramer';
 import ExchangeEnd from './ExchangeEnd';
@@ -29,7 +30,7 @@
 }
 
 interface Context {
-  readonly view: TargetView;
+  readonly chosen: ChosenTarget;
   readonly request: AdmittedRequest;
   readonly caller: CallerExchange;
   /** Present where the stream may go on elsewhere. */
@@ -82,10 +83,9 @@
 
   async run(): Promise<AttemptOutcome> {
     const { parts, context } = this;
-    const { view, request, caller } = context;
-    const { pool, fields } = request;
-    const passage = parts.loads.enter(view.entry.id, fields.model, fields.adapter);
-    parts.coldGate.note(view, pool.coldPerS, fields.attemptId);
+    const { request, caller } = context;
+    const { passage } = context.chosen;
+    const { pool } = request;
     const exchange = parts.connections.send(this.call(), {
       begin: (status, headers) => {
         const valid = this.begin(status, headers);
@@ -134,15 +134,16 @@
   }
 
   private call() {
-    const { view, request, caller, framer } = this.context;
+    const { chosen, request, caller, framer } = this.context;
+    const { address, id } = chosen.view.entry;
     const { workspace, route, deadlineAtMs, body } = request;
     const remainingMs = Math.max(1, Math.floor(deadlineAtMs - this.parts.clock.nowMs()));
     return {
-      address: view.entry.address,
+      address,
       method: caller.request.method ?? 'GET',
       path: caller.request.url ?? '/',
       headers: this.parts.dialect.forTarget(caller.request.rawHeaders, {
-        targetId: view.entry.id,
+        targetId: id,
         remainingMs,
         workspace: workspace?.name ?? null,
         priority: workspace?.priority ?? route.priority,
@@ -165,11 +166,13 @@
 
   /** Whether the stream could go on at another target now. */
   private hasAlternative(): boolean {
-    const { view, request } = this.context;
+    const { chosen, request } = this.context;
     const { model, adapter } = request.fields;
     return this.parts.table
       .holding(request.pool.name, model, adapter)
-      .some(({ entry }) => entry.id !== view.entry.id && this.parts.loads.isReachable(entry.id));
+      .some(
+        ({ entry }) => entry.id !== chosen.view.entry.id && this.parts.loads.isReachable(entry.id),
+      );
   }
 
   private begin(status: number, headers: HeaderRecord): boolean {
--- a/packages/edge/src/TargetFinder.ts
+++ b/packages/edge/src/TargetFinder.ts
@@ -1,5 +1,6 @@
 import type { TargetView } from '@wisteriapath/fleet';
 import type AdmittedRequest from './AdmittedRequest';
+import type ChosenTarget from './ChosenTarget';
 import type EdgeParts from './EdgeParts';
 
 interface Search {
@@ -18,16 +19,16 @@
 class TargetFinder {
   constructor(private readonly parts: EdgeParts) {}
 
-  /** The best target; undefined if none could be had in time. */
-  async find(request: AdmittedRequest, search: Search): Promise<TargetView | undefined> {
+  /** The best target with a place on it; undefined if none could be had in time. */
+  async find(request: AdmittedRequest, search: Search): Promise<ChosenTarget | undefined> {
     const { clock, table, waiting, loads, lastSendAtMs } = this.parts;
     const { pool, route, fields } = request;
     // Entered once, so that the placers hear how long the request has waited.
     let leave: (() => void) | undefined;
     try {
       for (;;) {
-        const best = this.best(request, search.excluded);
-        if (best !== undefined) return best;
+        const chosen = this.choose(request, search.excluded);
+        if (chosen !== undefined) return chosen;
         const leftMs = Math.min(search.untilMs, lastSendAtMs()) - clock.nowMs();
         if (leftMs <= 0 || search.gone.aborted) return undefined;
         const isAbsent =
@@ -51,12 +52,26 @@
     }
   }
 
-  private best(
+  /** Takes a place on the best target before any other request can look. */
+  private choose(
     request: AdmittedRequest,
     excluded: ReadonlyMap<string, number>,
-  ): TargetView | undefined {
-    const { clock, table, loads, coldGate, connectionLimit, failureDomain } = this.parts;
+  ): ChosenTarget | undefined {
+    const { loads, coldGate } = this.parts;
     const { pool, fields } = request;
+    const { model, adapter, attemptId } = fields;
+    const view = this.ranked(request, excluded).find((one) =>
+      coldGate.take(one, pool.coldPerS, attemptId),
+    );
+    return view && { view, passage: loads.enter(view.entry.id, model, adapter) };
+  }
+
+  /** The targets that could take a request, the best first. */
+  private ranked(
+    { pool, fields }: AdmittedRequest,
+    excluded: ReadonlyMap<string, number>,
+  ): readonly TargetView[] {
+    const { clock, table, loads, connectionLimit, failureDomain } = this.parts;
     const nowMs = clock.nowMs();
     const limit = connectionLimit(pool.maxConnections);
     const views =
@@ -64,11 +79,10 @@
         ? table.inService(pool.name)
         : table.holding(pool.name, fields.model, fields.adapter);
     const usable = views.filter(
-      (view) =>
-        (excluded.get(view.entry.id) ?? 0) <= nowMs &&
-        loads.isReachable(view.entry.id) &&
-        loads.own(view.entry.id) < limit &&
-        coldGate.allows(view, pool.coldPerS),
+      ({ entry }) =>
+        (excluded.get(entry.id) ?? 0) <= nowMs &&
+        loads.isReachable(entry.id) &&
+        loads.own(entry.id) < limit,
     );
     const costs = usable.map((view) => {
       const away = view.entry.failureDomain === failureDomain ? 0 : OTHER_DOMAIN_COST;
@@ -76,7 +90,7 @@
       return { view, cost: loads.cost(view.entry) + away + cold + Math.random() * 0.01 };
     });
     costs.sort((one, other) => one.cost - other.cost);
-    return costs[0]?.view;
+    return costs.map(({ view }) => view);
   }
 }
 
--- a/packages/edge/src/TargetLoads.ts
+++ b/packages/edge/src/TargetLoads.ts
@@ -1,6 +1,6 @@
 import type { Clock } from '@wisteriapath/model';
 import type { RegisteredTarget } from '@wisteriapath/fleet';
-import type AnswerFields from './AnswerFields';
+import type Passage from './Passage';
 
 interface Load {
   /** Requests of this instance under way, by `model/adapter`. */
@@ -21,16 +21,6 @@
   failedAtMs: number;
 }
 
-/** One request that is under way on a target. */
-interface Passage {
-  answered(fields: AnswerFields): void;
-  /** Notes that bytes came. */
-  heard(): void;
-  /** Notes that no connection could be opened. */
-  refused(): void;
-  ended(isFailure: boolean): void;
-}
-
 const FAILURE_WEIGHT = 0.3;
 const FAILURE_HALF_LIFE_MS = 1_500;
 const TOLD_HALF_LIFE_MS = 1_000;
@@ -48,12 +38,19 @@
 
   constructor(private readonly clock: Clock) {}
 
+  /** Takes a place on a target for a request; it counts as under way from now on. */
   enter(id: string, model: string, adapter: string | null): Passage {
     const load = this.load(id);
     const key = `${model}/${adapter ?? ''}`;
     const mark = { sinceMs: this.clock.nowMs() };
     load.running.set(key, (load.running.get(key) ?? 0) + 1);
     load.unanswered.add(mark);
+    const leave = () => {
+      load.unanswered.delete(mark);
+      const left = (load.running.get(key) ?? 1) - 1;
+      if (left > 0) load.running.set(key, left);
+      else load.running.delete(key);
+    };
     return {
       answered: (fields) => {
         load.unanswered.delete(mark);
@@ -72,11 +69,9 @@
         load.unreachableUntilMs = this.clock.nowMs() + waitMs;
         load.refusals += 1;
       },
+      released: leave,
       ended: (isFailure) => {
-        load.unanswered.delete(mark);
-        const left = (load.running.get(key) ?? 1) - 1;
-        if (left > 0) load.running.set(key, left);
-        else load.running.delete(key);
+        leave();
         this.noteOutcome(load, isFailure);
       },
     };
--- a/packages/edge/test/targetFinder.test.ts
+++ b/packages/edge/test/targetFinder.test.ts
@@ -1,8 +1,9 @@
-/** A request that waits for a model tells the placers how long it has waited. */
+/** How requests wait for targets, and what those that are woken together take. */
 import VirtualClock from '@wisteriapath/virtual-clock';
 import { TargetTable, WaitingModels } from '@wisteriapath/fleet';
 import type AdmittedRequest from '../src/AdmittedRequest';
 import type EdgeParts from '../src/EdgeParts';
+import TargetLoads from '../src/TargetLoads';
 import TargetFinder from '../src/TargetFinder';
 
 const WAIT_MS = 1_000;
@@ -32,3 +33,47 @@
   expect(await found).toBeUndefined();
   expect(waiting.demands).toEqual([]);
 });
+
+test('requests that are woken together open no more connections than the part of their instance', async () => {
+  const clock = new VirtualClock();
+  const table = new TargetTable(clock);
+  const parts = {
+    clock,
+    table,
+    waiting: new WaitingModels(clock, () => {}),
+    lastSendAtMs: () => Infinity,
+    loads: new TargetLoads(clock),
+    coldGate: { take: () => true },
+    connectionLimit: (most: number) => most,
+    failureDomain: 'a',
+  } as unknown as EdgeParts;
+  const request = {
+    pool: { name: 'guides', engine: {}, maxConnections: 2, coldPerS: 0 },
+    route: { latencyTargetMs: 2_000 },
+    fields: { model: 'm', adapter: null, attemptId: 'one' },
+  } as unknown as AdmittedRequest;
+  const search = {
+    excluded: new Map(),
+    untilMs: WAIT_MS,
+    gone: new AbortController().signal,
+  };
+  const finder = new TargetFinder(parts);
+  const found = Promise.all(Array.from({ length: 5 }, () => finder.find(request, search)));
+  await clock.advance(WAIT_MS / 2);
+  table.absorb({
+    id: 'target-0',
+    bornMs: 1,
+    pool: 'guides',
+    address: '127.0.0.1:1',
+    failureDomain: 'a',
+    slots: 8,
+    isLeaving: false,
+    coldLeftMs: 0,
+    entryNumber: 1,
+    models: new Map([['m', new Set<string>()]]),
+    inMemory: new Set(),
+    onDisk: new Set(),
+  });
+  await clock.advance(WAIT_MS);
+  expect((await found).filter((chosen) => chosen !== undefined).length).toBe(2);
+});
