An engine that turns cold again before it was warm is news for the other instances

Cause: isSameEntry compares only whether some cold time is left, so an entry that is cold for longer was left out of what the reading instance passes on; the others took the engine for warm at the end of the first cold time. They heard the offset move, so they did not read for themselves either.

Now the table says what is news: another content, or a cold time that ends later than is believed here.

--- a/packages/edge/src/StoreView.ts
+++ b/packages/edge/src/StoreView.ts
@@ -1,7 +1,6 @@
 import {
   type DesiredState,
   type EventLog,
-  isSameEntry,
   type RegisteredTarget,
   type StoreEvents,
   type TargetNews,
@@ -19,9 +18,6 @@
   readonly pass: (news: TargetNews) => void;
 }
 
-/** By how much longer a known target must be cold to be worth a line; entries are read some time after they are written. */
-const COLDER_MS = 500;
-
 /** What this instance knows from the platform's store. */
 class StoreView implements StoreEvents {
   private state: DesiredState | undefined;
@@ -60,9 +56,7 @@
 
   targets(news: TargetNews): void {
     // Peers that have heard all news so far know what this instance knew.
-    const targets = news.targets.filter(
-      (target) => !isSameEntry(target, this.parts.table.get(target.id)?.entry),
-    );
+    const targets = news.targets.filter((target) => this.parts.table.isNews(target));
     this.takeTargets(news);
     // After a full list the peers may lack more than what is new here.
     if (news.from !== null) this.parts.pass({ ...news, targets });
@@ -73,10 +67,8 @@
     const { table, log, forgotten } = this.parts;
     targets.forEach((target) => {
       this.logTarget(target);
-      const coldBeforeMs = table.get(target.id)?.coldUntilMs ?? Infinity;
+      if (table.isColder(target)) this.logCold(target);
       table.absorb(target);
-      const coldMs = (table.get(target.id)?.coldUntilMs ?? 0) - coldBeforeMs;
-      if (target.coldLeftMs > 0 && coldMs > COLDER_MS) this.logCold(target);
     });
     gone.forEach((id) => {
       table.remove(id);
--- a/packages/edge/test/targetFinder.test.ts
+++ b/packages/edge/test/targetFinder.test.ts
@@ -5,6 +5,7 @@
 import type EdgeParts from '../src/EdgeParts';
 import TargetLoads from '../src/TargetLoads';
 import TargetFinder from '../src/TargetFinder';
+import targetEntry from './support/targetEntry';
 
 const WAIT_MS = 1_000;
 
@@ -60,20 +61,7 @@
   const finder = new TargetFinder(parts);
   const found = Promise.all(Array.from({ length: 5 }, () => finder.find(request, search)));
   await clock.advance(WAIT_MS / 2);
-  table.absorb({
-    id: 'target-0',
-    bornMs: 1,
-    pool: 'guides',
-    address: '127.0.0.1:1',
-    failureDomain: 'a',
-    slots: 8,
-    isLeaving: false,
-    coldLeftMs: 0,
-    entryNumber: 1,
-    models: new Map([['m', new Set<string>()]]),
-    inMemory: new Set(),
-    onDisk: new Set(),
-  });
+  table.absorb(targetEntry());
   await clock.advance(WAIT_MS);
   expect((await found).filter((chosen) => chosen !== undefined).length).toBe(2);
 });
--- a/packages/fleet/src/TargetTable.ts
+++ b/packages/fleet/src/TargetTable.ts
@@ -1,5 +1,6 @@
 import type { Clock } from '@wisteriapath/model';
 import assetId from './assetId';
+import isSameEntry from './isSameEntry';
 import Notifier from './Notifier';
 import type PlacementUpdate from './PlacementUpdate';
 import type RegisteredTarget from './RegisteredTarget';
@@ -22,6 +23,10 @@
   absentUntilMs: Map<string, number>;
 }
 
+const isOlder = (entry: RegisteredTarget, known: RegisteredTarget): boolean =>
+  entry.bornMs < known.bornMs ||
+  (entry.bornMs === known.bornMs && entry.entryNumber < known.entryNumber);
+
 /** The targets of all pools as this instance knows them. */
 class TargetTable {
   private readonly rows = new Map<string, Row>();
@@ -33,6 +38,18 @@
 
   constructor(private readonly clock: Clock) {}
 
+  /** Whether an entry says what is not known here; instances that know the same need not be told of others. */
+  isNews(entry: RegisteredTarget): boolean {
+    return !isSameEntry(entry, this.rows.get(entry.id)?.entry) || this.isColder(entry);
+  }
+
+  /** Whether an entry says that a known target stays cold for longer than was believed. */
+  isColder(entry: RegisteredTarget): boolean {
+    const known = this.rows.get(entry.id);
+    if (known === undefined || entry.coldLeftMs <= 0 || isOlder(entry, known.entry)) return false;
+    return this.clock.nowMs() + entry.coldLeftMs > known.coldUntilMs;
+  }
+
   /** Takes in an entry; one older than what is known changes nothing. */
   absorb(entry: RegisteredTarget): void {
     const known = this.rows.get(entry.id);
@@ -51,8 +68,7 @@
       this.changes.notify();
       return;
     }
-    const isOld = entry.entryNumber < known.entry.entryNumber;
-    if (entry.bornMs < known.entry.bornMs || isOld) return;
+    if (isOlder(entry, known.entry)) return;
     known.entry = entry;
     known.coldUntilMs = coldUntilMs;
     if (this.clock.nowMs() < known.placerWordUntilMs) return;
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -13,7 +13,6 @@
 export type { default as EngineReport } from './EngineReport';
 export type { default as EngineSpec } from './EngineSpec';
 export type { default as EventLog } from './EventLog';
-export { default as isSameEntry } from './isSameEntry';
 export { default as Lease } from './Lease';
 export type { default as LeaseRecord } from './LeaseRecord';
 export type { default as LeaseStore } from './LeaseStore';
--- a/packages/fleet/src/isSameEntry.ts
+++ b/packages/fleet/src/isSameEntry.ts
@@ -1,6 +1,6 @@
 import type RegisteredTarget from './RegisteredTarget';
 
-/** What of an entry is news: its number changes each time, and the cold time left runs down. */
+/** What of an entry tells something new: its number changes each time, and the cold time left runs down. */
 const contentOf = ({
   entryNumber: _,
   coldLeftMs,
@@ -18,10 +18,10 @@
   ]);
 
 /**
- * Whether an entry says nothing that another did not.
+ * Whether an entry says the same as another, but for how much longer the target stays cold.
  *
  * @example
- * const news = targets.filter((target) => !isSameEntry(target, table.get(target.id)?.entry));
+ * isSameEntry(entry, { ...entry, entryNumber: entry.entryNumber + 1 }); // true
  */
 const isSameEntry = (one: RegisteredTarget, other: RegisteredTarget | undefined): boolean =>
   other !== undefined && contentOf(one) === contentOf(other);
