The parts of many instances do not add up to a flood of a cold target

Cause: each instance begins with one whole request for each target and saves up one while nobody asks.

Now the part comes from the tolerance that the settings state. Where one saved request of each instance fits into it, nothing changes.

Edge.ts had grown too long: the listener for callers is a file of its own.

--- a/packages/edge/src/ColdGate.ts
+++ b/packages/edge/src/ColdGate.ts
@@ -1,9 +1,14 @@
 import type { Clock } from '@wisteriapath/model';
 import type { EventLog, TargetView } from '@wisteriapath/fleet';
 import type EdgeMetrics from './EdgeMetrics';
+import type SharedLimits from './SharedLimits';
+import coldShare from './coldShare';
 
 interface Level {
+  /** Requests that may be sent now. */
   left: number;
+  /** What may be saved up while no request asks. */
+  savedMost: number;
   atMs: number;
   /** Requests that found nothing left since the last line that told of them. */
   heldBack: number;
@@ -14,6 +19,9 @@
   readonly clock: Clock;
   readonly log: EventLog;
   readonly metrics: EdgeMetrics;
+  readonly limits: SharedLimits;
+  /** Between 0 and 1. */
+  readonly random: () => number;
   /** Instances that may be sending, this one included. */
   readonly instances: () => number;
 }
@@ -21,6 +29,10 @@
 /** Least time between two lines on requests that one target could not be sent. */
 const HELD_BACK_EVERY_MS = 500;
 
+const MS_PER_S = 1_000;
+/** Time between two looks after which no request is taken to be waiting. */
+const ASKED_MS = 100;
+
 /** Bounds what this instance sends to targets that are cold. */
 class ColdGate {
   private readonly levels = new Map<string, Level>();
@@ -40,6 +52,7 @@
       return false;
     }
     level.left -= 1;
+    level.savedMost = this.drawSaved(coldPerS);
     metrics.coldSends.inc({ pool: view.entry.pool });
     log.event('cold_send', {
       request,
@@ -69,15 +82,27 @@
   }
 
   private refilled({ entry }: TargetView, coldPerS: number): Level {
-    const { clock, instances } = this.parts;
+    const { clock, limits, instances } = this.parts;
     const nowMs = clock.nowMs();
     const known = this.levels.get(entry.id);
-    const level = known ?? { left: 1, atMs: nowMs, heldBack: 0, toldMs: -Infinity };
-    const perS = coldPerS / Math.max(1, instances());
-    level.left = Math.min(1, level.left + (perS * (nowMs - level.atMs)) / 1_000);
-    level.atMs = nowMs;
-    this.levels.set(entry.id, level);
-    return level;
+    if (known === undefined) {
+      const left = this.drawSaved(coldPerS);
+      const level = { left, savedMost: left, atMs: nowMs, heldBack: 0, toldMs: -Infinity };
+      this.levels.set(entry.id, level);
+      return level;
+    }
+    const elapsedMs = nowMs - known.atMs;
+    const earned = (coldShare(coldPerS, instances(), limits).perS * elapsedMs) / MS_PER_S;
+    const most = elapsedMs > ASKED_MS ? Math.max(known.left, known.savedMost) : 1;
+    known.left = Math.min(most, known.left + earned);
+    known.atMs = nowMs;
+    return known;
+  }
+
+  /** What this instance may have saved up for a target before a request asks for it. */
+  private drawSaved(coldPerS: number): number {
+    const { limits, random, instances } = this.parts;
+    return coldShare(coldPerS, instances(), limits).isWhole ? 1 : random();
   }
 }
 
--- a/packages/edge/src/Edge.ts
+++ b/packages/edge/src/Edge.ts
@@ -11,6 +11,7 @@
   type StoreFollower,
   TargetTable,
 } from '@wisteriapath/fleet';
+import CallerListener from './CallerListener';
 import ColdGate from './ColdGate';
 import CrashCounts from './CrashCounts';
 import DemandTeller from './DemandTeller';
@@ -25,11 +26,9 @@
 import TargetConnections from './TargetConnections';
 import TargetLoads from './TargetLoads';
 import WorkspaceLimits from './WorkspaceLimits';
-import callerServerOptions from './callerServerOptions';
 import candidateRank from './candidateRank';
 import connectionShare from './connectionShare';
 import findPeers from './findPeers';
-import handleRequest from './handleRequest';
 import isFirstReader from './isFirstReader';
 import serveMetrics from './serveMetrics';
 import watchInstance from './watchInstance';
@@ -38,8 +37,6 @@
 /** Age up to which a silent peer may still be spending shared limits. */
 const PEER_COUNTS_MS = 12_000;
 const STORE_LOADS_AT_ONCE = 4;
-/** Beyond the longest idle time after which callers use a connection again. */
-const IDLE_MARGIN_MS = 2_000;
 /** Time for which new connections are taken after the order to stop, until the balancer knows. */
 const BALANCER_LAG_MS = 2_600;
 /** Part of the grace that is left unused, so that the process ends by itself. */
@@ -54,8 +51,6 @@
 
   private lastSendAtMs = Infinity;
 
-  private requestsUnderWay = 0;
-
   private listeners: HttpListener[] = [];
 
   private follower: StoreFollower | undefined;
@@ -84,6 +79,8 @@
 
   private readonly parts: EdgeParts;
 
+  private readonly callers: CallerListener;
+
   constructor(
     private readonly options: EdgeOptions,
     private readonly ports: EdgePorts,
@@ -94,7 +91,7 @@
     this.view = new StoreView({
       table: this.table,
       log,
-      changed: () => this.applyCallerLimits(),
+      changed: ({ limits }) => this.callers.setLimits(limits),
       forgotten: () => this.forgetTargets(),
       pass: (news) => {
         if (this.readsForAll) this.peers.sendTargets(news);
@@ -143,7 +140,14 @@
       waiting: this.demandTeller.waiting,
       rates: this.rates,
       loads: this.loads,
-      coldGate: new ColdGate({ clock, log, metrics: this.metrics, instances }),
+      coldGate: new ColdGate({
+        clock,
+        log,
+        metrics: this.metrics,
+        limits: options.shared,
+        random: Math.random,
+        instances,
+      }),
       limits: this.limits,
       repeats: new RepeatBudget(options.shared, instances),
       crashes: this.crashes,
@@ -154,6 +158,7 @@
         this.peers.sendSuspects([[fingerprint, target]]);
       },
     };
+    this.callers = new CallerListener(this.parts, log);
   }
 
   /** Starts to serve; ready once the store has been read. */
@@ -165,7 +170,7 @@
     this.listeners.push(readiness);
     this.follower = this.ports.follow(this.view, () => this.readsForAll);
     await this.peers.start();
-    await this.openCallers();
+    this.listeners.unshift(await this.callers.open(options.callersAddress));
     watchInstance(this.metrics, {
       version: () => this.view.desired?.version ?? 0,
       targets: () => this.table.size,
@@ -191,13 +196,13 @@
     this.isStopping = true;
     const startedMs = this.clock.nowMs();
     this.lastSendAtMs = startedMs + BALANCER_LAG_MS;
-    this.log.event('stopping', { under_way: this.requestsUnderWay });
+    this.log.event('stopping', { under_way: this.callers.underWay });
     this.peers.sendBeat();
     await this.lease.stop();
     await this.clock.sleep(BALANCER_LAG_MS - (this.clock.nowMs() - startedMs));
     this.listeners.forEach((listener) => listener.stopAccepting());
     const endMs = startedMs + this.options.graceMs - GRACE_MARGIN_MS;
-    while (this.requestsUnderWay > 0 && this.clock.nowMs() < endMs) {
+    while (this.callers.underWay > 0 && this.clock.nowMs() < endMs) {
       await this.clock.sleep(STOP_LOOK_MS);
       // Answers that began before the order to stop left their connections open.
       this.listeners.forEach((listener) => listener.closeIdle());
@@ -208,41 +213,13 @@
     this.peers.stop();
     this.listeners.forEach((listener) => listener.destroy());
     await this.parts.connections.close();
-    this.log.event('stopped', { under_way: this.requestsUnderWay });
+    this.log.event('stopped', { under_way: this.callers.underWay });
   }
 
   private get isReady(): boolean {
     return !this.isStopping && this.view.isWhole;
   }
 
-  private async openCallers(): Promise<void> {
-    const callers = await HttpListener.open(
-      this.options.callersAddress,
-      callerServerOptions,
-      this.log,
-      (request, response) => {
-        this.requestsUnderWay += 1;
-        response.on('close', () => {
-          this.requestsUnderWay -= 1;
-        });
-        handleRequest(this.parts, request, response).catch((error: Error) => {
-          this.log.event('request_crashed', { error: error.stack ?? error.message });
-          response.destroy();
-        });
-      },
-    );
-    this.listeners.unshift(callers);
-    this.applyCallerLimits();
-  }
-
-  private applyCallerLimits(): void {
-    const limits = this.view.desired?.limits;
-    const server = this.listeners[0]?.server;
-    if (limits === undefined || server === undefined) return;
-    server.headersTimeout = limits.headerTimeoutMs;
-    server.keepAliveTimeout = limits.idleTimeoutMs + IDLE_MARGIN_MS;
-  }
-
   /** Whether this instance reads the targets' entries and passes them on. */
   private get readsForAll(): boolean {
     const placers = [...this.peers.placers.values()].map(({ name }) => name);
