A process sends nothing to a cold target before it has heard how many others there are

What callers would see: all processes are killed while engines come back cold; each new process reckons that it is alone until beats arrive, takes the whole rate of a cold engine for its own, and the engine crashes (FAILBACK).

Cause: the count of instances stands for 'known so far', and one is taken for a fact.

A request that finds only cold targets in the first second of a process waits for the rest of that second.

--- a/packages/edge/src/ColdGate.ts
+++ b/packages/edge/src/ColdGate.ts
@@ -30,6 +30,8 @@
 const HELD_BACK_EVERY_MS = 500;
 
 const MS_PER_S = 1_000;
+/** Time after which a process has heard how many others there are. */
+const LISTEN_MS = 1_000;
 /** Time between two looks after which no request is taken to be waiting. */
 const ASKED_MS = 100;
 
@@ -37,7 +39,11 @@
 class ColdGate {
   private readonly levels = new Map<string, Level>();
 
-  constructor(private readonly parts: Parts) {}
+  private readonly listenedAtMs: number;
+
+  constructor(private readonly parts: Parts) {
+    this.listenedAtMs = parts.clock.nowMs() + LISTEN_MS;
+  }
 
   /**
    * Takes one request out of what a target may be sent, `coldPerS` a second over all instances; false if
@@ -47,7 +53,7 @@
     const { clock, log, metrics, instances } = this.parts;
     if (coldPerS <= 0 || view.coldUntilMs <= clock.nowMs()) return true;
     const level = this.refilled(view, coldPerS);
-    if (level.left < 1) {
+    if (level.left < 1 || clock.nowMs() < this.listenedAtMs) {
       this.noteHeldBack(view, level);
       return false;
     }
--- a/packages/edge/test/coldGate.test.ts
+++ b/packages/edge/test/coldGate.test.ts
@@ -84,4 +84,12 @@
       }
     },
   );
+
+  test('instances that start together and have not heard each other yet do not flood a cold target', async () => {
+    const reckoned = (sinceMs: number) => (sinceMs < 500 ? 1 : 6);
+    const plays = await Promise.all(
+      SEEDS.map((seed) => play({ instances: 6, perS: 28, seed, reckoned, upMs: 0 })),
+    );
+    expect(Math.max(...plays.map(mostInASecond))).toBeLessThanOrEqual(bound(28));
+  });
 });
