Targets whose bytes come without end are left, and their callers are answered

What callers would see: a target in trouble sends bytes without end; the request waits until its route's time-out and is answered 504, though another target could have run it. An event without end grew in memory, and each block was copied once more.

Heads were bounded by the HTTP client.

Now every answer has a most size for what it is (64 KB of refusal, 8 MB of answer, 1 MB of one event, eight interim answers), a refusal has 150 ms to end, and what goes beyond is logged (answer_too_long), closed and tried elsewhere as far as the request may be. What a target said, not run, stays true.

--- a/packages/edge/src/TargetAttempt.ts
+++ b/packages/edge/src/TargetAttempt.ts
@@ -1,6 +1,8 @@
 import { RouteNature } from '@wisteriapath/fleet';
 import type AdmittedRequest from './AdmittedRequest';
 import type AnswerFields from './AnswerFields';
+import AnswerMode from './AnswerMode';
+import AnswerSize from './AnswerSize';
 import AttemptOutcome from './AttemptOutcome';
 import type CallerExchange from './CallerExchange';
 import type ChosenTarget from './ChosenTarget';
@@ -9,20 +11,6 @@
 import ExchangeEnd from './ExchangeEnd';
 import type HeaderRecord from './HeaderRecord';
 
-/** How an answer is handled, by what its first line and headers say. */
-enum Mode {
-  /** No answer yet. */
-  None = 'none',
-  /** The target has not run the request. */
-  NotRun = 'not_run',
-  /** Passed on as it arrives. */
-  Streamed = 'streamed',
-  /** Passed on as a whole. */
-  Whole = 'whole',
-  /** No answer that may be passed on. */
-  Invalid = 'invalid',
-}
-
 interface KeptAnswer {
   readonly status: number;
   readonly headers: Record<string, string | string[]>;
@@ -44,7 +32,8 @@
 const OK = 200;
 const NOT_OK = 300;
 const SERVER_ERROR = 500;
-const MOST_KEPT_BYTES = 8_388_608;
+/** Wait for the end of a refusal before its connection is given up. */
+const REFUSAL_END_MS = 150;
 const SILENCE_LOOK_MS = 250;
 /** Pause in a stream that may go on elsewhere, after which its target is left. */
 const SILENT_STREAM_MS = 1_200;
@@ -53,7 +42,7 @@
 
 /** One exchange of a request with a target. */
 class TargetAttempt {
-  private mode = Mode.None;
+  private mode = AnswerMode.None;
 
   private status = 0;
 
@@ -63,7 +52,11 @@
 
   private chunks: Buffer[] = [];
 
-  private keptBytes = 0;
+  private readonly size = new AnswerSize();
+
+  private refusalTimer: NodeJS.Timeout | undefined;
+
+  private abort: (() => void) | undefined;
 
   private lastByteMs: number;
 
@@ -97,7 +90,7 @@
         return this.data(chunk, () => exchange.resume());
       },
     });
-    const stop = () => exchange.abort();
+    this.abort = () => exchange.abort();
     const leave = () => {
       if (request.route.nature !== RouteNature.Once) exchange.abort();
     };
@@ -105,22 +98,23 @@
     const timer = setTimeout(
       () => {
         this.isOver = true;
-        stop();
+        this.abort?.();
       },
       Math.max(0, leftMs),
     );
     const watch =
-      context.framer === null ? undefined : setInterval(() => this.watch(stop), SILENCE_LOOK_MS);
+      context.framer === null ? undefined : setInterval(() => this.watch(), SILENCE_LOOK_MS);
     caller.gone.addEventListener('abort', leave);
     const end = await exchange.ended;
     clearTimeout(timer);
     clearInterval(watch);
+    clearTimeout(this.refusalTimer);
     caller.gone.removeEventListener('abort', leave);
     const outcome = this.conclude(end);
     if (outcome === AttemptOutcome.NotSent) passage.refused();
     const isFailure = [AttemptOutcome.Broken, AttemptOutcome.NotSent, AttemptOutcome.Silent];
     const isBad = isFailure.includes(outcome) || this.status >= SERVER_ERROR;
-    passage.ended(isBad || (outcome === AttemptOutcome.TimeOver && this.mode === Mode.None));
+    passage.ended(isBad || (outcome === AttemptOutcome.TimeOver && this.mode === AnswerMode.None));
     parts.metrics.exchanges.inc({ pool: pool.name, end });
     return outcome;
   }
@@ -154,14 +148,14 @@
   }
 
   /** Leaves a target whose stream has fallen silent. */
-  private watch(stop: () => void): void {
+  private watch(): void {
     const silentMs = this.parts.clock.nowMs() - this.lastByteMs;
     const { latencyTargetMs } = this.context.request.route;
     const limitMs =
-      this.mode === Mode.Streamed ? SILENT_STREAM_MS : latencyTargetMs + SILENT_START_MS;
+      this.mode === AnswerMode.Streamed ? SILENT_STREAM_MS : latencyTargetMs + SILENT_START_MS;
     if (silentMs < limitMs || !this.hasAlternative()) return;
     this.isSilent = true;
-    stop();
+    this.abort?.();
   }
 
   /** Whether the stream could go on at another target now. */
@@ -184,13 +178,15 @@
     this.headers = headers;
     this.fields = fields;
     const isSuccess = status >= OK && status < NOT_OK;
-    if (fields.hasNotRun) this.mode = Mode.NotRun;
-    else if (isSuccess && !fields.hasReceipt) this.mode = Mode.Invalid;
+    if (fields.hasNotRun) {
+      this.mode = AnswerMode.NotRun;
+      this.refusalTimer = setTimeout(() => this.abort?.(), REFUSAL_END_MS);
+    } else if (isSuccess && !fields.hasReceipt) this.mode = AnswerMode.Invalid;
     else if (isSuccess && request.route.nature === RouteNature.Stream) {
-      this.mode = Mode.Streamed;
+      this.mode = AnswerMode.Streamed;
       if (!caller.hasBegun) caller.begin(status, this.answerHeaders());
-    } else this.mode = Mode.Whole;
-    return this.mode !== Mode.Invalid;
+    } else this.mode = AnswerMode.Whole;
+    return this.mode !== AnswerMode.Invalid;
   }
 
   private answerHeaders(): Record<string, string | string[]> {
@@ -203,17 +199,29 @@
   private data(chunk: Buffer, resume: () => void): boolean {
     this.lastByteMs = this.parts.clock.nowMs();
     const { caller, framer } = this.context;
-    if (this.mode === Mode.Streamed) {
+    if (!this.size.add(this.mode, chunk)) {
+      this.tooLong();
+      return true;
+    }
+    if (this.mode === AnswerMode.Streamed) {
       return caller.write(framer === null ? chunk : framer.push(chunk), resume);
     }
-    this.keptBytes += chunk.length;
-    if (this.keptBytes <= MOST_KEPT_BYTES) this.chunks.push(chunk);
+    this.chunks.push(chunk);
     return true;
   }
 
+  /** Gives up an exchange whose bytes can be no answer. */
+  private tooLong(): void {
+    const { chosen, request } = this.context;
+    const fields = { request: request.fields.attemptId, target: chosen.view.entry.id };
+    this.parts.log.event('answer_too_long', { ...fields, mode: this.mode });
+    this.chunks = [];
+    this.abort?.();
+  }
+
   private conclude(end: ExchangeEnd): AttemptOutcome {
     const { caller, framer } = this.context;
-    if (this.mode === Mode.NotRun) return AttemptOutcome.NotRun;
+    if (this.mode === AnswerMode.NotRun) return AttemptOutcome.NotRun;
     if (caller.gone.aborted) return AttemptOutcome.CallerLeft;
     if (end === ExchangeEnd.Complete) return this.complete();
     framer?.reset();
@@ -224,7 +232,7 @@
 
   private complete(): AttemptOutcome {
     const { caller, framer, keepsFailure } = this.context;
-    if (this.mode === Mode.Streamed) {
+    if (this.mode === AnswerMode.Streamed) {
       if (framer?.isMidEvent) {
         framer.reset();
         return AttemptOutcome.Broken;
@@ -232,7 +240,7 @@
       caller.end();
       return AttemptOutcome.Answered;
     }
-    if (this.mode !== Mode.Whole || this.keptBytes > MOST_KEPT_BYTES) return AttemptOutcome.Broken;
+    if (this.mode !== AnswerMode.Whole) return AttemptOutcome.Broken;
     const body = Buffer.concat(this.chunks);
     const headers: Record<string, string | string[]> = {
       ...this.parts.dialect.forCaller(this.headers),
--- a/packages/edge/src/TargetConnections.ts
+++ b/packages/edge/src/TargetConnections.ts
@@ -30,6 +30,8 @@
 }
 
 const CONNECT_TIMEOUT_MS = 500;
+/** Most interim answers, such as early hints, before the final one. */
+const MOST_INTERIM = 8;
 /** Idle time after which a connection is closed where the target does not say. */
 const IDLE_MS = 1_200;
 /** Time by which connections are closed before the target would. */
@@ -52,6 +54,7 @@
     let isAborted = false;
     let isCrossed = false;
     let isSent = false;
+    let interim = 0;
     let settle: (end: ExchangeEnd) => void = () => {};
     const ended = new Promise<ExchangeEnd>((resolve) => {
       settle = resolve;
@@ -75,7 +78,11 @@
         else isSent = true;
       },
       onResponseStart: (_, status, headers) => {
-        if (status < 200) return;
+        if (status < 200) {
+          interim += 1;
+          if (interim > MOST_INTERIM) controller?.abort(new Error('interim answers without end'));
+          return;
+        }
         if (handler.begin(status, headers)) return;
         isCrossed = true;
         controller?.abort(new Error('answer of another request'));
