What allows a request is looked at again after its wait

What callers would see: a request that waits for a model runs although its key was withdrawn, or its route taken away, seconds before; and after its caller has given up it is still sent, with a millisecond left to run.

Cause, the class of the incident: check, then act, with a wait between. Key and route were checked on arrival only; the finder looked for a target before it looked at the time, so a request whose time had passed while the process stood still was sent if a target was free.

Now the finder asks before each choice whether the request is over (caller gone, time gone, forbidden), and the run asks once more as it takes the target. A later desired state that still allows the request changes nothing.

--- a/packages/edge/src/RequestRun.ts
+++ b/packages/edge/src/RequestRun.ts
@@ -9,6 +9,7 @@
 import type RunEnd from './RunEnd';
 import TargetAttempt from './TargetAttempt';
 import TargetFinder from './TargetFinder';
+import authorize from './authorize';
 
 /** Time before the deadline at which a request that could not be sent is refused. */
 const REFUSE_MARGIN_MS = 60;
@@ -17,6 +18,8 @@
 /** Time for which a target that refused a request is not asked again for it. */
 const EXCLUDED_MS = 150;
 const MOST_SENDS = 6;
+/** Time after which a request may come back that is only to be looked at anew. */
+const AT_ONCE_MS = 50;
 /** Outcomes after which the target may have run the request. */
 const MAY_HAVE_RUN = new Set([AttemptOutcome.Broken, AttemptOutcome.Failed, AttemptOutcome.Silent]);
 /** Share of the latency target for which a request waits for a target of a plain pool. */
@@ -60,6 +63,11 @@
         chosen?.passage.released();
         return this.end(null, 0);
       }
+      const denial = this.denial();
+      if (denial !== undefined) {
+        chosen?.passage.released();
+        return this.runs > 0 ? this.giveUp(denial.message) : this.refuse(denial);
+      }
       if (chosen === undefined) return this.giveUp('no target could be had in time');
       const { view } = chosen;
       const attempt = new TargetAttempt(this.parts, {
@@ -82,6 +90,28 @@
     }
   }
 
+  /** Whether nobody would have an answer that came now. */
+  private get isOver(): boolean {
+    const { caller, request, parts } = this;
+    const lastMs = caller.hasBegun ? request.deadlineAtMs : request.patienceAtMs;
+    const isLate = parts.clock.nowMs() > lastMs - LEAST_RUN_MS;
+    return isLate || caller.gone.aborted || this.denial() !== undefined;
+  }
+
+  /** Why the request may no longer run, if a desired state that came meanwhile forbids it. */
+  private denial(): ServeError | undefined {
+    const { state, fields, workspace } = this.request;
+    const current = this.parts.desired();
+    if (current === undefined || current === state) return undefined;
+    return authorize(current, fields, this.caller.request.url ?? '/').caseOf({
+      Left: (error) => error,
+      Right: (allowed) =>
+        allowed.workspace?.name === workspace?.name
+          ? undefined
+          : ServeError.notRun(ErrorKind.NoTarget, 'the key went to another workspace', AT_ONCE_MS),
+    });
+  }
+
   private get isRepeatable(): boolean {
     return this.request.route.nature === RouteNature.Idempotent || this.framer !== null;
   }
@@ -93,7 +123,7 @@
     const lastMs = patienceAtMs - REFUSE_MARGIN_MS;
     const plainMs = startedMs + route.latencyTargetMs * PLAIN_WAIT_PART;
     const untilMs = pool.engine === null ? Math.min(lastMs, plainMs) : lastMs;
-    const search = { excluded: this.excluded, untilMs, gone: this.caller.gone };
+    const search = { excluded: this.excluded, untilMs, isOver: () => this.isOver };
     const chosen = await this.finder.find(this.request, search);
     this.waitedMs += clock.nowMs() - startedMs;
     return chosen;
--- a/packages/edge/src/TargetFinder.ts
+++ b/packages/edge/src/TargetFinder.ts
@@ -8,7 +8,8 @@
   readonly excluded: ReadonlyMap<string, number>;
   /** When the search ends. */
   readonly untilMs: number;
-  readonly gone: AbortSignal;
+  /** Whether the request may no longer be sent, however many targets there are. */
+  readonly isOver: () => boolean;
 }
 
 /** Part of a target's places that being in another failure domain is worth. */
@@ -27,10 +28,11 @@
     let leave: (() => void) | undefined;
     try {
       for (;;) {
+        if (search.isOver()) return undefined;
         const chosen = this.choose(request, search.excluded);
         if (chosen !== undefined) return chosen;
         const leftMs = Math.min(search.untilMs, lastSendAtMs()) - clock.nowMs();
-        if (leftMs <= 0 || search.gone.aborted) return undefined;
+        if (leftMs <= 0) return undefined;
         const isAbsent =
           pool.engine !== null &&
           !table
--- a/packages/edge/src/admit.ts
+++ b/packages/edge/src/admit.ts
@@ -1,20 +1,14 @@
 import { createHash } from 'node:crypto';
 import { type Either, Left, Right } from 'purify-ts';
 import { ErrorKind, ServeError } from '@wisteriapath/model';
-import {
-  type DesiredState,
-  type PathRoute,
-  RouteNature,
-  type WorkspaceSpec,
-} from '@wisteriapath/fleet';
+import { type PathRoute, RouteNature, type WorkspaceSpec } from '@wisteriapath/fleet';
 import type AdmittedRequest from './AdmittedRequest';
 import type CallerExchange from './CallerExchange';
 import type CallerFields from './CallerFields';
 import type EdgeParts from './EdgeParts';
+import authorize from './authorize';
 import choosePool from './choosePool';
-import matchRoute from './matchRoute';
 import readBody from './readBody';
-import workspaceOfKey from './workspaceOfKey';
 
 /** Callers of streams wait at least so long for an event. */
 const LEAST_PATIENCE_MS = 2_000;
@@ -22,17 +16,6 @@
 const notRun = (kind: ErrorKind, message: string, retryAfterMs?: number) =>
   Left(ServeError.notRun(kind, message, retryAfterMs));
 
-/** The workspace that holds a key; `null` where the route needs none. */
-const findWorkspace = (
-  state: DesiredState,
-  route: PathRoute,
-  key: string,
-): Either<ServeError, WorkspaceSpec | null> => {
-  const holder = workspaceOfKey(state, key);
-  if (state.workspaces === null || route.open || holder !== null) return Right(holder);
-  return notRun(ErrorKind.Unauthenticated, 'the key is unknown');
-};
-
 const unitsOf = (workspace: WorkspaceSpec, fields: CallerFields): number =>
   workspace.countsTokens ? (fields.tokens ?? workspace.plainTokens) : 1;
 
@@ -67,11 +50,9 @@
   if (state === undefined) return notRun(ErrorKind.NoTarget, 'no desired state is known yet', 500);
   const { request } = exchange;
   const path = request.url ?? '/';
-  const route = matchRoute(state.routes, fields.host, path);
-  if (route === undefined) return notRun(ErrorKind.UnknownRoute, 'no route matches');
-  const found = findWorkspace(state, route, fields.key);
-  if (found.isLeft()) return Left(found.extract());
-  const workspace = found.unsafeCoerce();
+  const allowed = authorize(state, fields, path);
+  if (allowed.isLeft()) return Left(allowed.extract());
+  const { route, workspace } = allowed.unsafeCoerce();
   const read = await readBody(request, state.limits.bodyBytes);
   if (read.isLeft()) return Left(read.extract());
   const body = read.unsafeCoerce();
--- a/packages/edge/test/targetFinder.test.ts
+++ b/packages/edge/test/targetFinder.test.ts
@@ -25,8 +25,7 @@
     route: { latencyTargetMs: 2_000 },
     fields: { model: 'm', adapter: null },
   } as unknown as AdmittedRequest;
-  const gone = new AbortController().signal;
-  const search = { excluded: new Map(), untilMs: WAIT_MS, gone };
+  const search = { excluded: new Map(), untilMs: WAIT_MS, isOver: () => false };
   const found = new TargetFinder(parts).find(request, search);
   await clock.advance(WAIT_MS * 0.9);
   expect(waiting.demands.map(({ waitedMs }) => waitedMs)).toEqual([WAIT_MS * 0.9]);
@@ -56,7 +55,7 @@
   const search = {
     excluded: new Map(),
     untilMs: WAIT_MS,
-    gone: new AbortController().signal,
+    isOver: () => false,
   };
   const finder = new TargetFinder(parts);
   const found = Promise.all(Array.from({ length: 5 }, () => finder.find(request, search)));
