What placers and entries repeat wakes nobody that waits

Cause: each word of a placer and each entry wakes every request that waits, also when it says what is known. Placers repeat their word to those who wait with every plan, so a pile of requests looks through all engines many times a second, and the process has no time left. Node.js takes one new connection a turn of its event loop (ten connections that wait take ten turns, tried with Node.js 20), so long turns starve new callers first.

Test: targetTable.test.ts, five repeated words and entries woke the waiters seven times before, two are right.

--- a/packages/fleet/src/TargetTable.ts
+++ b/packages/fleet/src/TargetTable.ts
@@ -1,6 +1,7 @@
 import type { Clock } from '@wisteriapath/model';
 import assetId from './assetId';
 import isSameEntry from './isSameEntry';
+import isSameModels from './isSameModels';
 import Notifier from './Notifier';
 import type PlacementUpdate from './PlacementUpdate';
 import type RegisteredTarget from './RegisteredTarget';
@@ -69,11 +70,12 @@
       return;
     }
     if (isOlder(entry, known.entry)) return;
+    const isSame = isSameEntry(entry, known.entry);
     known.entry = entry;
     known.coldUntilMs = coldUntilMs;
-    if (this.clock.nowMs() < known.placerWordUntilMs) return;
-    known.models = entry.models;
-    this.changes.notify();
+    if (this.clock.nowMs() >= known.placerWordUntilMs) this.hold(known, entry.models);
+    // The engine may take work again for another reason than its models.
+    if (!isSame) this.changes.notify();
   }
 
   /** Takes in what the placer knows of an engine after its orders. */
@@ -86,10 +88,16 @@
     known.placerStamp = update.stamp;
     known.loading = update.loading;
     known.busyUntilMs = this.clock.nowMs() + update.busyForMs;
-    known.models = new Map(update.models.map(([model, adapters]) => [model, new Set(adapters)]));
     known.placerWordUntilMs = this.clock.nowMs() + PLACER_WORD_MS;
     known.absentUntilMs.clear();
-    this.changes.notify();
+    this.hold(known, new Map(update.models.map(([model, adapters]) => [model, new Set(adapters)])));
+  }
+
+  /** Notes what an engine holds; placers repeat it often, and each notice makes every waiter look. */
+  private hold(row: Row, models: Row['models']): void {
+    const isSame = isSameModels(models, row.models);
+    Object.assign(row, { models });
+    if (!isSame) this.changes.notify();
   }
 
   /** Notes that an engine refused a request because it lacks the model or adapter. */
--- a/packages/fleet/test/targetTable.test.ts
+++ b/packages/fleet/test/targetTable.test.ts
@@ -67,4 +67,26 @@
     await clock.advance(1_100);
     expect(ids('a')).toEqual(['one']);
   });
+
+  test('what a placer or an entry repeats wakes none of those that wait', async () => {
+    const { clock, table } = start();
+    let woken = 0;
+    const count = async () => {
+      for (;;) {
+        await table.changes.next();
+        woken += 1;
+      }
+    };
+    void count();
+    table.absorb(builders.target('one', ['a']));
+    await clock.advance(10);
+    for (let number = 1; number <= 5; number += 1) {
+      table.absorbPlacement(update({ stamp: [1, number], models: [['a', []]] }));
+      table.absorb(builders.target('one', ['a'], { entryNumber: 1 + number }));
+      await clock.advance(10);
+    }
+    table.absorbPlacement(update({ stamp: [1, 6], models: [['a', ['a1']]] }));
+    await clock.advance(10);
+    expect(woken).toBe(2);
+  });
 });
