--- a/packages/edge/src/ColdGate.ts
+++ b/packages/edge/src/ColdGate.ts
@@ -71,6 +71,13 @@
     return true;
   }
 
+  /** Forgets targets that are gone. */
+  retain(ids: ReadonlySet<string>): void {
+    this.levels.forEach((_, id) => {
+      if (!ids.has(id)) this.levels.delete(id);
+    });
+  }
+
   private noteHeldBack({ entry }: TargetView, level: Level): void {
     const { clock, log, metrics, instances } = this.parts;
     const nowMs = clock.nowMs();
--- a/packages/edge/src/Edge.ts
+++ b/packages/edge/src/Edge.ts
@@ -229,7 +229,9 @@
 
   private forgetTargets(): void {
     const views = this.table.everything();
-    this.loads.retain(new Set(views.map(({ entry }) => entry.id)));
+    const ids = new Set(views.map(({ entry }) => entry.id));
+    this.loads.retain(ids);
+    this.parts.coldGate.retain(ids);
     this.parts.connections.retain(new Set(views.map(({ entry }) => entry.address)));
   }
 
