--- a/packages/edge/src/ColdGate.ts
+++ b/packages/edge/src/ColdGate.ts
@@ -7,7 +7,7 @@
 interface Level {
   /** Requests that may be sent now. */
   left: number;
-  /** What may be saved up while no request asks. */
+  /** Most that is saved up while no request waits. */
   savedMost: number;
   atMs: number;
   /** Requests that found nothing left since the last line that told of them. */
@@ -28,11 +28,10 @@
 
 /** Least time between two lines on requests that one target could not be sent. */
 const HELD_BACK_EVERY_MS = 500;
-
 const MS_PER_S = 1_000;
 /** Time after which a process has heard how many others there are. */
 const LISTEN_MS = 1_000;
-/** Time between two looks after which no request is taken to be waiting. */
+/** Time without a request that asks for a target, after which none is taken to be waiting. */
 const ASKED_MS = 100;
 
 /** Bounds what this instance sends to targets that are cold. */
--- a/packages/edge/src/RequestRun.ts
+++ b/packages/edge/src/RequestRun.ts
@@ -18,7 +18,7 @@
 /** Time for which a target that refused a request is not asked again for it. */
 const EXCLUDED_MS = 150;
 const MOST_SENDS = 6;
-/** Time after which a request may come back that is only to be looked at anew. */
+/** Time after which a request may come back that only has to be admitted again. */
 const AT_ONCE_MS = 50;
 /** Outcomes after which the target may have run the request. */
 const MAY_HAVE_RUN = new Set([AttemptOutcome.Broken, AttemptOutcome.Failed, AttemptOutcome.Silent]);
@@ -90,7 +90,7 @@
     }
   }
 
-  /** Whether nobody would have an answer that came now. */
+  /** Whether the request is no longer worth sending: too late, its caller gone, or forbidden meanwhile. */
   private get isOver(): boolean {
     const { caller, request, parts } = this;
     const lastMs = caller.hasBegun ? request.deadlineAtMs : request.patienceAtMs;
--- a/packages/edge/test/coldGate.test.ts
+++ b/packages/edge/test/coldGate.test.ts
@@ -73,7 +73,7 @@
   );
 
   test.each(SIZES)(
-    '%i instances that ask again after a pause do not flood one',
+    '%i instances that ask again after a pause do not flood a cold target',
     async (instances) => {
       const asksEveryMs = 700;
       for (const perS of RATES) {
--- a/packages/fleet/src/TargetTable.ts
+++ b/packages/fleet/src/TargetTable.ts
@@ -39,7 +39,7 @@
 
   constructor(private readonly clock: Clock) {}
 
-  /** Whether an entry says what is not known here; instances that know the same need not be told of others. */
+  /** Whether an entry tells something new, of which the other instances have to hear. */
   isNews(entry: RegisteredTarget): boolean {
     return !isSameEntry(entry, this.rows.get(entry.id)?.entry) || this.isColder(entry);
   }
