An event that arrives in small pieces is copied once

What callers would see: a target pours an event without end in small pieces, and the process has no time for others.

Cause: the framer copied all that had come of an event with each further piece.

--- /dev/null
+++ b/packages/edge/test/eventFramer.test.ts
@@ -0,0 +1,33 @@
+/** Streams are cut into whole events however their bytes arrive. */
+import fc from 'fast-check';
+import EventFramer from '../src/EventFramer';
+
+const texts = fc.array(
+  fc.oneof(fc.constantFrom('\n', '\n\n', 'id: 7\n', 'id: 12\ndata: x\n\n'), fc.string()),
+);
+
+test('whole events come through once, in order, whatever the chunks are', () => {
+  fc.assert(
+    fc.property(texts, (parts) => {
+      const bytes = Buffer.from(parts.join(''));
+      const framer = new EventFramer();
+      const passed = Buffer.concat(parts.map((part) => framer.push(Buffer.from(part))));
+      const waiting = bytes.subarray(passed.length);
+      expect(Buffer.concat([passed, waiting])).toEqual(bytes);
+      expect(passed.length === 0 || passed.toString().endsWith('\n\n')).toBe(true);
+      expect(waiting.includes('\n\n')).toBe(false);
+      expect(framer.isMidEvent).toBe(passed.length < bytes.length);
+    }),
+  );
+});
+
+test('a long event that arrives in small pieces is not copied again with each', () => {
+  const PIECES = 16_384;
+  const piece = Buffer.alloc(1_024, 'x');
+  const framer = new EventFramer();
+  const startedMs = performance.now();
+  for (let count = 0; count < PIECES; count += 1) framer.push(piece);
+  // Sixteen megabytes: a copy of all that came for each piece would take 130 gigabytes of copies.
+  expect(performance.now() - startedMs).toBeLessThan(1_000);
+  expect(framer.push(Buffer.from('\n\n')).length).toBe(PIECES * piece.length + 2);
+});
