--- a/packages/edge/src/CallerListener.ts
+++ b/packages/edge/src/CallerListener.ts
@@ -1,4 +1,4 @@
-import type { CallerLimits, EventLog } from '@wisteriapath/fleet';
+import type { CallerLimits } from '@wisteriapath/fleet';
 import type EdgeParts from './EdgeParts';
 import HttpListener from './HttpListener';
 import callerServerOptions from './callerServerOptions';
@@ -15,10 +15,7 @@
 
   private limits: CallerLimits | undefined;
 
-  constructor(
-    private readonly parts: EdgeParts,
-    private readonly log: EventLog,
-  ) {}
+  constructor(private readonly parts: EdgeParts) {}
 
   get underWay(): number {
     return this.requestsUnderWay;
@@ -26,7 +23,8 @@
 
   /** Listens at `host:port`. */
   async open(address: string): Promise<HttpListener> {
-    const { parts, log } = this;
+    const { parts } = this;
+    const { log } = parts;
     const listener = await HttpListener.open(
       address,
       callerServerOptions,
--- a/packages/edge/src/ColdGate.ts
+++ b/packages/edge/src/ColdGate.ts
@@ -15,6 +15,8 @@
   toldMs: number;
 }
 
+type Share = ReturnType<typeof coldShare>;
+
 interface Parts {
   readonly clock: Clock;
   readonly log: EventLog;
@@ -49,15 +51,17 @@
    * nothing is left. Targets that are not cold may be sent any number.
    */
   take(view: TargetView, coldPerS: number, request: string): boolean {
-    const { clock, log, metrics, instances } = this.parts;
+    const { clock, log, metrics, limits, instances } = this.parts;
     if (coldPerS <= 0 || view.coldUntilMs <= clock.nowMs()) return true;
-    const level = this.refilled(view, coldPerS);
+    const reckoned = instances();
+    const share = coldShare(coldPerS, reckoned, limits);
+    const level = this.refilled(view, share);
     if (level.left < 1 || clock.nowMs() < this.listenedAtMs) {
-      this.noteHeldBack(view, level);
+      this.noteHeldBack(view, level, reckoned);
       return false;
     }
     level.left -= 1;
-    level.savedMost = this.drawSaved(coldPerS);
+    level.savedMost = this.drawSaved(share);
     metrics.coldSends.inc({ pool: view.entry.pool });
     log.event('cold_send', {
       request,
@@ -65,7 +69,7 @@
       cold_left_ms: Math.round(view.coldUntilMs - clock.nowMs()),
       left: level.left.toFixed(2),
       per_s: coldPerS,
-      instances: instances(),
+      instances: reckoned,
     });
     return true;
   }
@@ -77,8 +81,8 @@
     });
   }
 
-  private noteHeldBack({ entry }: TargetView, level: Level): void {
-    const { clock, log, metrics, instances } = this.parts;
+  private noteHeldBack({ entry }: TargetView, level: Level, instances: number): void {
+    const { clock, log, metrics } = this.parts;
     const nowMs = clock.nowMs();
     metrics.coldHeldBack.inc({ pool: entry.pool });
     const looks = level.heldBack + 1;
@@ -89,22 +93,21 @@
       target: entry.id,
       looks,
       left: level.left.toFixed(2),
-      instances: instances(),
+      instances,
     });
   }
 
-  private refilled({ entry }: TargetView, coldPerS: number): Level {
-    const { clock, limits, instances } = this.parts;
-    const nowMs = clock.nowMs();
+  private refilled({ entry }: TargetView, share: Share): Level {
+    const nowMs = this.parts.clock.nowMs();
     const known = this.levels.get(entry.id);
     if (known === undefined) {
-      const left = this.drawSaved(coldPerS);
+      const left = this.drawSaved(share);
       const level = { left, savedMost: left, atMs: nowMs, heldBack: 0, toldMs: -Infinity };
       this.levels.set(entry.id, level);
       return level;
     }
     const elapsedMs = nowMs - known.atMs;
-    const earned = (coldShare(coldPerS, instances(), limits).perS * elapsedMs) / MS_PER_S;
+    const earned = (share.perS * elapsedMs) / MS_PER_S;
     const most = elapsedMs > ASKED_MS ? Math.max(known.left, known.savedMost) : 1;
     known.left = Math.min(most, known.left + earned);
     known.atMs = nowMs;
@@ -112,9 +115,8 @@
   }
 
   /** What this instance may have saved up for a target before a request asks for it. */
-  private drawSaved(coldPerS: number): number {
-    const { limits, random, instances } = this.parts;
-    return coldShare(coldPerS, instances(), limits).isWhole ? 1 : random();
+  private drawSaved({ isWhole }: Share): number {
+    return isWhole ? 1 : this.parts.random();
   }
 }
 
--- a/packages/edge/src/Edge.ts
+++ b/packages/edge/src/Edge.ts
@@ -158,7 +158,7 @@
         this.peers.sendSuspects([[fingerprint, target]]);
       },
     };
-    this.callers = new CallerListener(this.parts, log);
+    this.callers = new CallerListener(this.parts);
   }
 
   /** Starts to serve; ready once the store has been read. */
--- a/packages/edge/src/RequestRun.ts
+++ b/packages/edge/src/RequestRun.ts
@@ -1,5 +1,5 @@
 import { ErrorKind, ServeError } from '@wisteriapath/model';
-import { RouteNature, type TargetView } from '@wisteriapath/fleet';
+import { type DesiredState, RouteNature, type TargetView } from '@wisteriapath/fleet';
 import type AdmittedRequest from './AdmittedRequest';
 import AttemptOutcome from './AttemptOutcome';
 import type CallerExchange from './CallerExchange';
@@ -25,6 +25,11 @@
 /** Share of the latency target for which a request waits for a target of a plain pool. */
 const PLAIN_WAIT_PART = 0.5;
 
+interface Judgement {
+  readonly state: DesiredState;
+  readonly denial: ServeError | undefined;
+}
+
 /** Carries out one admitted request. */
 class RequestRun {
   private readonly excluded = new Map<string, number>();
@@ -43,6 +48,9 @@
 
   private lastFailure: TargetAttempt | null = null;
 
+  /** What the newest desired state that was asked says of the request. */
+  private judged: Judgement | undefined;
+
   constructor(
     private readonly parts: EdgeParts,
     private readonly request: AdmittedRequest,
@@ -103,13 +111,17 @@
     const { state, fields, workspace } = this.request;
     const current = this.parts.desired();
     if (current === undefined || current === state) return undefined;
-    return authorize(current, fields, this.caller.request.url ?? '/').caseOf({
+    // Asked with every look of a request that waits.
+    if (this.judged?.state === current) return this.judged.denial;
+    const denial = authorize(current, fields, this.caller.request.url ?? '/').caseOf({
       Left: (error) => error,
-      Right: (allowed) =>
+      Right: (allowed): ServeError | undefined =>
         allowed.workspace?.name === workspace?.name
           ? undefined
           : ServeError.notRun(ErrorKind.NoTarget, 'the key went to another workspace', AT_ONCE_MS),
     });
+    this.judged = { state: current, denial };
+    return denial;
   }
 
   private get isRepeatable(): boolean {
