--- a/packages/edge/src/Edge.ts
+++ b/packages/edge/src/Edge.ts
@@ -267,9 +267,22 @@
             this.demand.record(report);
             if (report.waiting.length > 0) this.placer.schedulePlanning();
           },
-          targets: (update) => {
-            if (this.follower?.acceptRelayed(update)) {
-              this.storeView.applyTargets({ ...update, from: update.from ?? 0 });
+          targets: (update, reader) => {
+            const ownOffset = this.follower?.targetsOffset ?? 0;
+            const isAccepted = this.follower?.acceptRelayed(update) ?? false;
+            if (update.targets.length + update.gone.length > 0 || !isAccepted) {
+              log.event('targets_relayed', {
+                reader,
+                from: update.from ?? -1,
+                to: update.to,
+                own: ownOffset,
+                targets: update.targets.length,
+                gone: update.gone.length,
+                accepted: isAccepted,
+              });
+            }
+            if (isAccepted) {
+              this.storeView.applyTargets({ ...update, from: update.from ?? 0 }, reader);
             }
           },
           placement: (updates) => updates.forEach((update) => this.table.applyPlacement(update)),
--- a/packages/edge/src/StoreView.ts
+++ b/packages/edge/src/StoreView.ts
@@ -18,6 +18,9 @@
   readonly relay: (update: TargetUpdate) => void;
 }
 
+/** Name of the store as the source of an update, in log lines. */
+const STORE = 'store';
+
 /** The view that this instance has of the platform's store. */
 class StoreView implements StoreEvents {
   private state: DesiredState | undefined;
@@ -59,22 +62,22 @@
   targets(update: TargetUpdate): void {
     // Peers that received every earlier update already have the entries that are not new here.
     const targets = update.targets.filter((target) => this.deps.table.hasNewContent(target));
-    this.applyTargets(update);
+    this.applyTargets(update, STORE);
     // After a full list the peers may lack more than the entries that are new here, so nothing is relayed.
     if (update.from !== null) this.deps.relay({ ...update, targets });
   }
 
-  /** Applies an update of targets from the store or from a peer. */
-  applyTargets({ from, targets, gone }: TargetUpdate): void {
+  /** Applies an update of targets; `source` is the store or the name of the peer that relayed it. */
+  applyTargets({ from, to, targets, gone }: TargetUpdate, source: string): void {
     const { table, log, onTargetsRemoved } = this.deps;
     targets.forEach((target) => {
-      this.logTarget(target);
+      this.logTarget(target, source, to);
       if (table.hasLongerColdTime(target)) this.logCold(target);
       table.applyEntry(target);
     });
     gone.forEach((id) => {
       table.remove(id);
-      log.event('target_gone', { target: id });
+      log.event('target_gone', { target: id, source, offset: to });
     });
     if (gone.length > 0) onTargetsRemoved();
     if (from !== null) return;
@@ -82,11 +85,12 @@
     log.event('targets_listed', { count: targets.length });
   }
 
-  private logTarget({ id, pool, address, isLeaving, coldLeftMs }: RegisteredTarget): void {
+  private logTarget(target: RegisteredTarget, source: string, offset: number): void {
+    const { id, pool, address, isLeaving, coldLeftMs, entryNumber } = target;
     const known = this.deps.table.get(id);
     if (known !== undefined && known.entry.isLeaving === isLeaving) return;
     const fields = { target: id, pool, address, leaving: isLeaving, cold_ms: coldLeftMs };
-    this.deps.log.event('target_seen', fields);
+    this.deps.log.event('target_seen', { ...fields, entry: entryNumber, source, offset });
   }
 
   private logCold({ id, coldLeftMs, entryNumber, bornMs }: RegisteredTarget): void {
--- a/packages/fleet/src/Peers.ts
+++ b/packages/fleet/src/Peers.ts
@@ -60,6 +60,8 @@
 
 /** A target update as a datagram carries it. */
 type PackedTargetUpdate = Omit<TargetUpdate, 'targets'> & {
+  /** Name of the instance that read the update from the store. */
+  readonly reader: string;
   readonly targets: readonly ReturnType<typeof targetCodec.pack>[];
 };
 
@@ -258,7 +260,11 @@
    * store.
    */
   sendTargets(update: TargetUpdate): void {
-    const packed: PackedTargetUpdate = { ...update, targets: update.targets.map(targetCodec.pack) };
+    const packed: PackedTargetUpdate = {
+      ...update,
+      reader: this.options.name,
+      targets: update.targets.map(targetCodec.pack),
+    };
     const bytes = encode([PROTOCOL_VERSION, PeerMessageKind.Targets, packed]);
     if (bytes.length <= MAX_TARGET_UPDATE_BYTES) this.broadcastBytes(bytes);
   }
@@ -357,8 +363,8 @@
     table[kind]?.();
   }
 
-  private receiveTargets({ targets, ...rest }: PackedTargetUpdate): void {
-    this.parts.handlers.targets({ ...rest, targets: targets.map(targetCodec.unpack) });
+  private receiveTargets({ targets, reader, ...rest }: PackedTargetUpdate): void {
+    this.parts.handlers.targets({ ...rest, targets: targets.map(targetCodec.unpack) }, reader);
   }
 
   private receiveHeartbeat(heartbeat: Heartbeat): void {
--- a/packages/fleet/src/StoreFollower.ts
+++ b/packages/fleet/src/StoreFollower.ts
@@ -4,6 +4,8 @@
 interface StoreFollower {
   /** Offset up to which the operator's records have been read. */
   readonly operatorOffset: number;
+  /** Offset up to which the targets' records are known. */
+  readonly targetsOffset: number;
   /** Reads the operator's records at once, because a peer has read further. */
   refresh(): void;
   /**
