Order what instances know of the store by its offsets

Callers saw: requests reach an engine ten seconds after it left (DRAIN), on instances that had known of its removal.

Cause: an instance that returns from a time without the store reads on from its old offset and relays records that its peers have long passed, without the removals, which it holds back for 2.3 s. Its peers took any update that began before their own offset, and a removed target left nothing by which its old entry could be told from a new one. Class: a late replica overwrites newer knowledge.

Change: TopicReplica merges records by offset, whoever brings them. What lies before the end of the replica is accounted for and is not taken; deletions are kept, so that peers can be told; what a peer lacks follows from its offset, so a relay has also what the reader learned from others. Whether a deletion is final travels with it.

Ruled out: engines that registered again (the entry has its old number), own reads of old records (source is the peer).

--- a/packages/edge/src/Edge.ts
+++ b/packages/edge/src/Edge.ts
@@ -9,6 +9,7 @@
   Peers,
   Placer,
   type StoreFollower,
+  StoreTopic,
   TargetTable,
 } from '@wisteriapath/fleet';
 import CallerListener from './CallerListener';
@@ -89,12 +90,15 @@
   ) {
     this.table = new TargetTable(clock);
     this.storeView = new StoreView({
+      clock,
       table: this.table,
+      decoder: ports.decoder,
       log,
+      settlingMs: () => this.follower?.settlingMs ?? 0,
       onDesiredState: ({ limits }) => this.callers.setLimits(limits),
       onTargetsRemoved: () => this.dropRemovedTargets(),
-      relay: (update) => {
-        if (this.isStoreReader) this.peers.sendTargets(update);
+      relayTargets: (span) => {
+        if (this.isStoreReader) this.peers.sendTargets(span);
       },
     });
     this.demand = new DemandAggregator(clock);
@@ -261,30 +265,12 @@
             if (isSameDomain && heartbeat.leaseOffset >= 0) {
               this.lease.observeHolder(heartbeat.leaseOffset);
             }
-            if (heartbeat.operatorOffset > this.operatorOffset) this.follower?.refresh();
           },
           demand: (report) => {
             this.demand.record(report);
             if (report.waiting.length > 0) this.placer.schedulePlanning();
           },
-          targets: (update, reader) => {
-            const ownOffset = this.follower?.targetsOffset ?? 0;
-            const isAccepted = this.follower?.acceptRelayed(update) ?? false;
-            if (update.targets.length + update.gone.length > 0 || !isAccepted) {
-              log.event('targets_relayed', {
-                reader,
-                from: update.from ?? -1,
-                to: update.to,
-                own: ownOffset,
-                targets: update.targets.length,
-                gone: update.gone.length,
-                accepted: isAccepted,
-              });
-            }
-            if (isAccepted) {
-              this.storeView.applyTargets({ ...update, from: update.from ?? 0 }, reader);
-            }
-          },
+          targets: (span, sender) => this.storeView.mergeFromPeer(StoreTopic.Targets, span, sender),
           placement: (updates) => updates.forEach((update) => this.table.applyPlacement(update)),
           suspects: (pairs) =>
             pairs.forEach(([fingerprint, target]) => this.crashes.record(fingerprint, target)),
@@ -324,17 +310,13 @@
     if (kind === HeartbeatKind.Own) this.limits.recordReport(usage);
     return {
       member: this.options.member,
-      operatorOffset: this.operatorOffset,
+      operatorOffset: this.storeView.end(StoreTopic.Operator) ?? 0,
       leaseOffset: this.lease.isCurrent ? this.lease.offset : -1,
       isStopping: this.isStopping,
       usage,
     };
   }
 
-  private get operatorOffset(): number {
-    return this.follower?.operatorOffset ?? 0;
-  }
-
   /** Returns the rank of this instance among the candidates for the lease of its failure domain; -1 if not ready. */
   private leaseRank(): number {
     return this.isReady ? candidateRank(this.options.member, this.peers.candidates) : -1;
--- a/packages/edge/src/EdgePorts.ts
+++ b/packages/edge/src/EdgePorts.ts
@@ -2,7 +2,8 @@
   EngineControl,
   LeaseStore,
   MemberStore,
-  StoreEvents,
+  RecordDecoder,
+  RecordSink,
   StoreFollower,
   WallClock,
 } from '@wisteriapath/fleet';
@@ -15,8 +16,11 @@
   readonly leaseStore: LeaseStore;
   readonly memberStore: MemberStore;
   readonly wallClock: WallClock;
-  /** Starts to follow the store; `reads` tells whether this instance reads the targets for all peers. */
-  readonly followStore: (events: StoreEvents, reads: () => boolean) => StoreFollower;
+  readonly decoder: RecordDecoder;
+  /**
+   * Starts to read the store into a sink; `isSharedReader` tells whether this instance reads the targets for all peers.
+   */
+  readonly followStore: (sink: RecordSink, isSharedReader: () => boolean) => StoreFollower;
 }
 
 export default EdgePorts;
--- a/packages/edge/src/StoreView.ts
+++ b/packages/edge/src/StoreView.ts
@@ -1,102 +1,273 @@
+import type { Clock } from '@wisteriapath/model';
 import {
   type DesiredState,
   type EventLog,
+  type KeyedRecord,
+  type RecordDecoder,
+  type RecordSink,
+  type RecordSpan,
   type RegisteredTarget,
-  type StoreEvents,
+  StoreTopic,
   type TargetTable,
-  type TargetUpdate,
+  TopicReplica,
 } from '@wisteriapath/fleet';
 
 interface Dependencies {
+  readonly clock: Clock;
   readonly table: TargetTable;
+  readonly decoder: RecordDecoder;
   readonly log: EventLog;
+  /** Time after which a deletion that was read from the store is final. */
+  readonly settlingMs: () => number;
   /** Called when a newer desired state comes into force. */
   readonly onDesiredState: (state: DesiredState) => void;
   /** Called when targets are gone, so that state held by their ids and addresses can be dropped. */
   readonly onTargetsRemoved: () => void;
-  /** Relays an update from the store to the peers. */
-  readonly relay: (update: TargetUpdate) => void;
+  /** Relays records of the targets that were read from the store to the peers. */
+  readonly relayTargets: (span: RecordSpan) => void;
 }
 
-/** Name of the store as the source of an update, in log lines. */
+/** The deletion of a target that is not final yet. */
+interface PendingRemoval {
+  readonly offset: number;
+  /** When it is final, on the monotonic clock; undefined if this instance read it from the store itself. */
+  readonly atMs: number | undefined;
+}
+
+/** Name of the store as the source of records, in log lines. */
 const STORE = 'store';
 
-/** The view that this instance has of the platform's store. */
-class StoreView implements StoreEvents {
+/**
+ * What this instance knows of the platform's store, whoever brought it: the store itself or a peer. Records are merged
+ * by their offsets, and what they say is applied to the desired state and to the table of targets.
+ */
+class StoreView implements RecordSink {
+  private readonly replicas: Readonly<Record<StoreTopic, TopicReplica>>;
+
   private state: DesiredState | undefined;
 
-  private hasTargetList = false;
+  private readonly drained = new Set<string>();
 
-  constructor(private readonly deps: Dependencies) {}
+  /** Deletions of known targets that are not final yet, by id. */
+  private readonly pendingRemovals = new Map<string, PendingRemoval>();
+
+  constructor(private readonly deps: Dependencies) {
+    const createReplica = () => new TopicReplica(deps.clock);
+    this.replicas = {
+      [StoreTopic.Operator]: createReplica(),
+      [StoreTopic.Targets]: createReplica(),
+    };
+  }
 
   /** The newest desired state seen by this process. */
   get desired(): DesiredState | undefined {
     return this.state;
   }
 
-  /** Whether both the desired state and the list of targets have been read. */
+  /** Whether both the desired state and the list of targets are known. */
   get isLoaded(): boolean {
-    return this.state !== undefined && this.hasTargetList;
+    return this.state !== undefined && this.end(StoreTopic.Targets) !== undefined;
+  }
+
+  end(topic: StoreTopic): number | undefined {
+    return this.replicas[topic].end;
+  }
+
+  confirmedAtMs(topic: StoreTopic): number {
+    return this.replicas[topic].confirmedAtMs;
+  }
+
+  behindSinceMs(topic: StoreTopic): number | undefined {
+    return this.replicas[topic].behindSinceMs;
+  }
+
+  /** Returns what an instance lacks that knows a topic up to `from`; a list of all keys if that is `null`. */
+  since(topic: StoreTopic, from: number | null): RecordSpan {
+    return this.replicas[topic].since(from, (key) => this.removalWaitMs(key));
+  }
+
+  mergeFromStore(topic: StoreTopic, span: RecordSpan): void {
+    this.merge(topic, span, STORE);
+    // After a list of all keys the peers may lack more than is new here; they notice that by its offsets.
+    if (topic === StoreTopic.Targets && span.from !== null) {
+      this.deps.relayTargets(this.since(topic, span.from));
+    }
+  }
+
+  /** Merges records that a peer sent. */
+  mergeFromPeer(topic: StoreTopic, span: RecordSpan, peer: string): void {
+    const replica = this.replicas[topic];
+    if (span.records.length > 0 || replica.isBeyond(span)) {
+      this.deps.log.event('records_from_peer', {
+        topic,
+        peer,
+        from: span.from ?? -1,
+        to: span.to,
+        own: replica.end ?? -1,
+        records: span.records.length,
+      });
+    }
+    this.merge(topic, span, peer);
+  }
+
+  private merge(topic: StoreTopic, span: RecordSpan, source: string): void {
+    const replica = this.replicas[topic];
+    const isFirstList = replica.end === undefined && span.from === null;
+    const merges: Readonly<Record<StoreTopic, () => void>> = {
+      [StoreTopic.Operator]: () =>
+        this.applyOperatorRecords(
+          replica.merge(span, () => false),
+          source,
+        ),
+      [StoreTopic.Targets]: () => this.mergeTargets(replica, span, source),
+    };
+    merges[topic]();
+    if (!isFirstList) return;
+    this.deps.log.event('records_listed', {
+      topic,
+      source,
+      to: span.to,
+      keys: span.records.length,
+    });
+  }
+
+  private applyOperatorRecords(records: readonly KeyedRecord[], source: string): void {
+    const { decoder, log, table } = this.deps;
+    const drainedBefore = [...this.drained].join();
+    records.forEach((record) => {
+      const domain = decoder.drainedDomain(record.key);
+      if (domain !== undefined && record.value.length > 0) this.drained.add(domain);
+      else if (domain !== undefined) this.drained.delete(domain);
+      else if (decoder.isDesiredState(record.key)) this.applyDesiredState(record, source);
+    });
+    if (drainedBefore === [...this.drained].join()) return;
+    table.setDrainedDomains(new Set(this.drained));
+    log.event('domains_out', { domains: [...this.drained].join(','), source });
   }
 
   /** Puts a desired state into force if it is newer than the current one. */
-  desiredState(state: DesiredState): void {
+  private applyDesiredState({ value, offset, ageMs }: KeyedRecord, source: string): void {
+    if (value.length === 0) return;
+    const { decoder, log } = this.deps;
+    const state = decoder.desiredState(value);
+    if (state === undefined) {
+      log.event('desired_state_unreadable', { bytes: value.length, offset, source });
+      return;
+    }
     if (state.version <= (this.state?.version ?? 0)) return;
     this.state = state;
     this.deps.onDesiredState(state);
-    const { log } = this.deps;
     const { version, routes, pools, workspaces } = state;
-    log.event('desired_state', { version, routes: routes.length, pools: pools.size });
+    const origin = { source, offset, age_ms: Math.round(ageMs) };
+    log.event('desired_state', { version, routes: routes.length, pools: pools.size, ...origin });
     workspaces?.forEach(({ name, ratePerS, burst, keys }) => {
       const limits = { rate_per_s: ratePerS, burst, keys: keys.length };
       log.event('workspace', { version, workspace: name, ...limits });
     });
   }
 
-  drainedDomains(domains: ReadonlySet<string>): void {
-    this.deps.table.setDrainedDomains(domains);
-    this.deps.log.event('domains_out', { domains: [...domains].join(',') });
+  private mergeTargets(replica: TopicReplica, span: RecordSpan, source: string): void {
+    const { table } = this.deps;
+    const entries = new Map<KeyedRecord, RegisteredTarget | undefined>();
+    const entryOf = (record: KeyedRecord): RegisteredTarget | undefined => {
+      if (!entries.has(record)) entries.set(record, this.decodeTarget(record));
+      return entries.get(record);
+    };
+    const isRepeat = (record: KeyedRecord): boolean => {
+      const entry = entryOf(record);
+      return entry !== undefined && !table.hasNewContent(entry);
+    };
+    replica.merge(span, isRepeat).forEach((record) => {
+      if (record.value.length === 0) this.scheduleRemoval(record, source);
+      else this.applyTarget(record, entryOf(record), source);
+    });
   }
 
-  /** Applies an update from the store and relays what is new to the peers. */
-  targets(update: TargetUpdate): void {
-    // Peers that received every earlier update already have the entries that are not new here.
-    const targets = update.targets.filter((target) => this.deps.table.hasNewContent(target));
-    this.applyTargets(update, STORE);
-    // After a full list the peers may lack more than the entries that are new here, so nothing is relayed.
-    if (update.from !== null) this.deps.relay({ ...update, targets });
+  private decodeTarget({ key, value, ageMs }: KeyedRecord): RegisteredTarget | undefined {
+    if (value.length === 0) return undefined;
+    const entry = this.deps.decoder.target(key, value);
+    if (entry === undefined) return undefined;
+    return { ...entry, coldLeftMs: Math.max(0, entry.coldLeftMs - ageMs) };
   }
 
-  /** Applies an update of targets; `source` is the store or the name of the peer that relayed it. */
-  applyTargets({ from, to, targets, gone }: TargetUpdate, source: string): void {
-    const { table, log, onTargetsRemoved } = this.deps;
-    targets.forEach((target) => {
-      this.logTarget(target, source, to);
-      if (table.hasLongerColdTime(target)) this.logCold(target);
-      table.applyEntry(target);
-    });
-    gone.forEach((id) => {
-      table.remove(id);
-      log.event('target_gone', { target: id, source, offset: to });
-    });
-    if (gone.length > 0) onTargetsRemoved();
-    if (from !== null) return;
-    this.hasTargetList = true;
-    log.event('targets_listed', { count: targets.length });
+  private applyTarget(
+    record: KeyedRecord,
+    entry: RegisteredTarget | undefined,
+    source: string,
+  ): void {
+    const { table, log } = this.deps;
+    const { key, offset } = record;
+    if (entry === undefined) {
+      log.event('target_entry_unreadable', { target: key, offset, source });
+      return;
+    }
+    this.pendingRemovals.delete(key);
+    this.logTarget(entry, record, source);
+    if (table.hasLongerColdTime(entry)) this.logCold(entry);
+    table.applyEntry(entry);
   }
 
-  private logTarget(target: RegisteredTarget, source: string, offset: number): void {
-    const { id, pool, address, isLeaving, coldLeftMs, entryNumber } = target;
+  private logTarget(
+    { id, pool, address, isLeaving, coldLeftMs, entryNumber }: RegisteredTarget,
+    { offset, ageMs }: KeyedRecord,
+    source: string,
+  ): void {
     const known = this.deps.table.get(id);
     if (known !== undefined && known.entry.isLeaving === isLeaving) return;
-    const fields = { target: id, pool, address, leaving: isLeaving, cold_ms: coldLeftMs };
-    this.deps.log.event('target_seen', { ...fields, entry: entryNumber, source, offset });
+    this.deps.log.event('target_seen', {
+      target: id,
+      pool,
+      address,
+      leaving: isLeaving,
+      cold_ms: coldLeftMs,
+      entry: entryNumber,
+      source,
+      offset,
+      age_ms: Math.round(ageMs),
+    });
   }
 
   private logCold({ id, coldLeftMs, entryNumber, bornMs }: RegisteredTarget): void {
     const fields = { target: id, cold_ms: coldLeftMs, entry: entryNumber, born_ms: bornMs };
     this.deps.log.event('target_cold', fields);
   }
+
+  /** Removes a target as soon as the deletion of its entry is final. */
+  private scheduleRemoval({ key, offset, settlesInMs }: KeyedRecord, source: string): void {
+    const { clock, table, log } = this.deps;
+    if (table.get(key) === undefined) return;
+    const atMs = source === STORE ? undefined : clock.nowMs() + settlesInMs;
+    this.pendingRemovals.set(key, { offset, atMs });
+    const waitMs = this.removalWaitMs(key);
+    if (waitMs > 0) {
+      log.event('target_missing', {
+        target: key,
+        source,
+        offset,
+        settles_in_ms: Math.round(waitMs),
+      });
+    }
+    void this.removeWhenFinal(key, offset, source);
+  }
+
+  private async removeWhenFinal(id: string, offset: number, source: string): Promise<void> {
+    const { clock, table, log, onTargetsRemoved } = this.deps;
+    const isPending = () => this.pendingRemovals.get(id)?.offset === offset;
+    while (isPending() && this.removalWaitMs(id) > 0) await clock.sleep(this.removalWaitMs(id));
+    if (!isPending()) return;
+    this.pendingRemovals.delete(id);
+    table.remove(id);
+    log.event('target_gone', { target: id, source, offset });
+    onTargetsRemoved();
+  }
+
+  /** Returns the time after which the deletion of a target's entry is final; 0 if it is. */
+  private removalWaitMs(id: string): number {
+    const pending = this.pendingRemovals.get(id);
+    if (pending === undefined) return 0;
+    if (pending.atMs === undefined) return this.deps.settlingMs();
+    return Math.max(0, pending.atMs - this.deps.clock.nowMs());
+  }
 }
 
 export default StoreView;
--- a/packages/edge/src/index.ts
+++ b/packages/edge/src/index.ts
@@ -7,4 +7,5 @@
 export { default as LineLog } from './LineLog';
 export type { default as RequestFields } from './RequestFields';
 export type { default as ResponseFields } from './ResponseFields';
+export { default as StoreView } from './StoreView';
 export type { default as TargetHeaderInput } from './TargetHeaderInput';
--- a/packages/fleet/src/PeerHandlers.ts
+++ b/packages/fleet/src/PeerHandlers.ts
@@ -1,15 +1,15 @@
 import type Heartbeat from './Heartbeat';
 import type DemandReport from './DemandReport';
 import type PlacementUpdate from './PlacementUpdate';
-import type TargetUpdate from './TargetUpdate';
+import type RecordSpan from './RecordSpan';
 
 /** Handlers of the datagrams that peers send. */
 interface PeerHandlers {
   heartbeat(heartbeat: Heartbeat): void;
   demand(report: DemandReport): void;
   placement(updates: readonly PlacementUpdate[]): void;
-  /** Receives an update that the instance named `reader` read from the store. */
-  targets(update: TargetUpdate, reader: string): void;
+  /** Receives what the instance named `sender` read from the topic of the targets. */
+  targets(span: RecordSpan, sender: string): void;
   /** Receives pairs of a request's fingerprint and the id of a target that it may have crashed. */
   suspects(pairs: readonly (readonly [string, string])[]): void;
 }
--- a/packages/fleet/src/Peers.ts
+++ b/packages/fleet/src/Peers.ts
@@ -10,11 +10,11 @@
 import PeerMessageKind from './PeerMessageKind';
 import type DemandReport from './DemandReport';
 import type PlacementUpdate from './PlacementUpdate';
-import type TargetUpdate from './TargetUpdate';
 import type WallClock from './WallClock';
 import FULL_MESH_MAX_INSTANCES from './fullMeshMaxInstances';
 import heartbeatRecipients from './heartbeatRecipients';
-import targetCodec from './targetCodec';
+import type RecordSpan from './RecordSpan';
+import recordSpanCodec from './recordSpanCodec';
 
 interface Options {
   readonly name: string;
@@ -58,18 +58,11 @@
   readonly sentWallMs: number;
 }
 
-/** A target update as a datagram carries it. */
-type PackedTargetUpdate = Omit<TargetUpdate, 'targets'> & {
-  /** Name of the instance that read the update from the store. */
-  readonly reader: string;
-  readonly targets: readonly ReturnType<typeof targetCodec.pack>[];
-};
-
 const PROTOCOL_VERSION = 1;
 /** Size up to which a datagram fits into one packet. */
 const MAX_DATAGRAM_BYTES = 1_200;
-/** Size limit of a target update, whose datagram may be sent in fragments. */
-const MAX_TARGET_UPDATE_BYTES = 48_000;
+/** Size limit of relayed records, whose datagram may be sent in fragments. */
+const MAX_TARGETS_BYTES = 48_000;
 const APPROXIMATE_PLACEMENT_BYTES = 60;
 const APPROXIMATE_MODEL_BYTES = 40;
 /** Time without a heartbeat after which a peer no longer counts as live. */
@@ -256,17 +249,13 @@
   }
 
   /**
-   * Relays changes of the targets. Skips an update that is too long; the peers read it from the
-   * store.
+   * Relays records of the targets. Skips a span that is too long for a datagram; the peers notice
+   * that they lack it.
    */
-  sendTargets(update: TargetUpdate): void {
-    const packed: PackedTargetUpdate = {
-      ...update,
-      reader: this.options.name,
-      targets: update.targets.map(targetCodec.pack),
-    };
-    const bytes = encode([PROTOCOL_VERSION, PeerMessageKind.Targets, packed]);
-    if (bytes.length <= MAX_TARGET_UPDATE_BYTES) this.broadcastBytes(bytes);
+  sendTargets(span: RecordSpan): void {
+    const payload = [this.options.name, recordSpanCodec.encode(span)];
+    const bytes = encode([PROTOCOL_VERSION, PeerMessageKind.Targets, payload]);
+    if (bytes.length <= MAX_TARGETS_BYTES) this.broadcastBytes(bytes);
   }
 
   /** Sends placement updates to `host`, or to all peers, in as many datagrams as needed. */
@@ -363,8 +352,8 @@
     table[kind]?.();
   }
 
-  private receiveTargets({ targets, reader, ...rest }: PackedTargetUpdate): void {
-    this.parts.handlers.targets({ ...rest, targets: targets.map(targetCodec.unpack) }, reader);
+  private receiveTargets([sender, bytes]: readonly [string, Uint8Array]): void {
+    this.parts.handlers.targets(recordSpanCodec.decode(bytes), sender);
   }
 
   private receiveHeartbeat(heartbeat: Heartbeat): void {
