Let an instance that lags read from its peers what they know of the store

Cause: knowledge travelled from the store, through one elected reader, to the others. An instance that read for itself told nobody, and the operator's records were never relayed: a heartbeat that was ahead made the receiver ask the same store again.

Change: heartbeats carry the offsets of both topics; who lags for 100 ms reads what it lacks from the peer that is ahead, over HTTP on the peers' port, as the store wrote it.

--- a/packages/edge/src/Edge.ts
+++ b/packages/edge/src/Edge.ts
@@ -22,6 +22,7 @@
 import type EdgePorts from './EdgePorts';
 import HttpListener from './HttpListener';
 import ModelRates from './ModelRates';
+import PeerCatchUp from './PeerCatchUp';
 import PoolRetryBudgets from './PoolRetryBudgets';
 import StoreView from './StoreView';
 import TargetConnections from './TargetConnections';
@@ -33,6 +34,7 @@
 import isElectedReader from './isElectedReader';
 import registerInstanceGauges from './registerInstanceGauges';
 import serveMetrics from './serveMetrics';
+import serveRecords from './serveRecords';
 
 const HEARTBEAT_INTERVAL_MS = 200;
 /** Silence after which a peer is assumed to spend nothing more of the shared limits. */
@@ -74,6 +76,8 @@
 
   private readonly peers: Peers;
 
+  private readonly catchUp: PeerCatchUp;
+
   private readonly lease: Lease;
 
   private readonly placer: Placer;
@@ -114,6 +118,12 @@
     });
     const instances = () => this.peers.instanceCount(PEER_SPENDING_TIMEOUT_MS);
     this.limits = new WorkspaceLimits(clock, instances);
+    this.catchUp = new PeerCatchUp(options.peerPort, {
+      clock,
+      log,
+      metrics: this.metrics,
+      view: this.storeView,
+    });
     this.peers = this.createPeers();
     this.lease = new Lease(
       {
@@ -173,11 +183,14 @@
     });
     this.listeners.push(readiness);
     this.follower = this.ports.followStore(this.storeView, () => this.isStoreReader);
+    const peerAddress = `${options.member.host}:${options.peerPort}`;
+    this.listeners.push(await serveRecords(peerAddress, this.storeView, log));
     await this.peers.start();
     this.listeners.unshift(await this.callers.open(options.callersAddress));
     registerInstanceGauges(this.metrics, {
       version: () => this.storeView.desired?.version ?? 0,
       targets: () => this.table.size,
+      targetsAgeMs: () => this.clock.nowMs() - this.storeView.confirmedAtMs(StoreTopic.Targets),
       isLeaseHeld: () => this.lease.isHeld(),
       instances: () => this.peers.instanceCount(PEER_SPENDING_TIMEOUT_MS),
     });
@@ -216,6 +229,7 @@
     this.follower?.stop();
     this.peers.stop();
     this.listeners.forEach((listener) => listener.destroy());
+    await this.catchUp.close();
     await this.deps.connections.close();
     this.log.event('stopped', { under_way: this.callers.activeRequests });
   }
@@ -265,6 +279,7 @@
             if (isSameDomain && heartbeat.leaseOffset >= 0) {
               this.lease.observeHolder(heartbeat.leaseOffset);
             }
+            this.catchUp.observe(heartbeat);
           },
           demand: (report) => {
             this.demand.record(report);
@@ -311,6 +326,7 @@
     return {
       member: this.options.member,
       operatorOffset: this.storeView.end(StoreTopic.Operator) ?? 0,
+      targetsOffset: this.storeView.end(StoreTopic.Targets) ?? 0,
       leaseOffset: this.lease.isCurrent ? this.lease.offset : -1,
       isStopping: this.isStopping,
       usage,
--- a/packages/edge/src/EdgeMetrics.ts
+++ b/packages/edge/src/EdgeMetrics.ts
@@ -47,6 +47,13 @@
     registers: [this.registry],
   });
 
+  readonly peerReads = new Counter({
+    name: 'wisteriapath_edge_peer_reads_total',
+    help: 'Reads of missing records from peers by topic and outcome',
+    labelNames: ['topic', 'outcome'],
+    registers: [this.registry],
+  });
+
   /** Registers a gauge whose value is read when the metrics are collected. */
   gauge(name: string, help: string, read: () => number): void {
     const gauge: Gauge = new Gauge({
--- a/packages/edge/src/StoreView.ts
+++ b/packages/edge/src/StoreView.ts
@@ -81,6 +81,11 @@
     return this.replicas[topic].behindSinceMs;
   }
 
+  /** Notes that another instance knows a topic up to an offset. */
+  observeEnd(topic: StoreTopic, offset: number): void {
+    this.replicas[topic].observeEnd(offset);
+  }
+
   /** Returns what an instance lacks that knows a topic up to `from`; a list of all keys if that is `null`. */
   since(topic: StoreTopic, from: number | null): RecordSpan {
     return this.replicas[topic].since(from, (key) => this.removalWaitMs(key));
--- a/packages/edge/src/registerInstanceGauges.ts
+++ b/packages/edge/src/registerInstanceGauges.ts
@@ -1,8 +1,12 @@
 import type EdgeMetrics from './EdgeMetrics';
 
+const MS_PER_S = 1_000;
+
 interface InstanceState {
   readonly version: () => number;
   readonly targets: () => number;
+  /** Time since the list of targets was known to be complete. */
+  readonly targetsAgeMs: () => number;
   readonly isLeaseHeld: () => boolean;
   readonly instances: () => number;
 }
@@ -11,11 +15,16 @@
  * Registers gauges for the state of an instance.
  *
  * @example
- * registerInstanceGauges(metrics, { version: () => 3, targets: () => 8, isLeaseHeld, instances });
+ * registerInstanceGauges(metrics, { version: () => 3, targets, targetsAgeMs, isLeaseHeld, instances });
  */
 const registerInstanceGauges = (metrics: EdgeMetrics, state: InstanceState): void => {
   metrics.gauge('desired_version', 'Version of the desired state in force', state.version);
   metrics.gauge('targets', 'Number of registered targets', state.targets);
+  metrics.gauge(
+    'targets_age_seconds',
+    'Time since the list of targets was known to be complete',
+    () => state.targetsAgeMs() / MS_PER_S,
+  );
   metrics.gauge('lease_held', 'Whether this instance holds the lease to issue orders', () =>
     Number(state.isLeaseHeld()),
   );
--- a/packages/fleet/src/Heartbeat.ts
+++ b/packages/fleet/src/Heartbeat.ts
@@ -5,8 +5,10 @@
 interface Heartbeat {
   /** The sender. */
   readonly member: MemberRecord;
-  /** Store offset up to which the sender has read the operator's records. */
+  /** Store offset up to which the sender knows the operator's records. */
   readonly operatorOffset: number;
+  /** Store offset up to which the sender knows the targets' records. */
+  readonly targetsOffset: number;
   /** Offset of the lease record under which the sender gives orders; -1 if it gives none. */
   readonly leaseOffset: number;
   /** Whether the sender is shutting down. */
--- a/packages/fleet/test/peers.test.ts
+++ b/packages/fleet/test/peers.test.ts
@@ -30,6 +30,7 @@
   const content: HeartbeatContent = {
     member,
     operatorOffset: 0,
+    targetsOffset: 0,
     leaseOffset: isPlacer ? 1 : -1,
     isStopping: false,
     usage: [],
--- a/packages/fleet/test/topicReplica.test.ts
+++ b/packages/fleet/test/topicReplica.test.ts
@@ -1,87 +1,12 @@
 /** Guards that replicas of a topic agree in the end and never go back, whatever spans reach them in which order. */
 import fc from 'fast-check';
-import VirtualClock from '@wisteriapath/virtual-clock';
-import { type KeyedRecord, type RecordSpan, TopicReplica } from '../src';
+import type { RecordSpan } from '../src';
+import FakeTopic from './support/FakeTopic';
+import ReplicaHolder from './support/ReplicaHolder';
+import contentOf from './support/contentOf';
 
 const KEYS = ['a', 'b', 'c'];
 
-const record = (key: string, offset: number, text: string): KeyedRecord => ({
-  key,
-  offset,
-  value: Buffer.from(text),
-  ageMs: 0,
-  settlesInMs: 0,
-});
-
-const span = (from: number | null, to: number, records: readonly KeyedRecord[]): RecordSpan => ({
-  from,
-  to,
-  records,
-  hasEveryRecord: from !== null,
-  settlesInMs: 0,
-});
-
-/** A topic of the store: what was written to it, in order. */
-class Topic {
-  readonly log: KeyedRecord[] = [];
-
-  write(key: string, text: string): void {
-    this.log.push(record(key, this.log.length, text));
-  }
-
-  list(): RecordSpan {
-    const newest = new Map(this.log.map((written) => [written.key, written]));
-    const live = [...newest.values()].filter(({ value }) => value.length > 0);
-    return span(null, this.log.length, live);
-  }
-
-  read(from: number): RecordSpan {
-    return span(from, this.log.length, this.log.slice(from));
-  }
-
-  get content(): readonly string[] {
-    return contentOf(this.list());
-  }
-}
-
-const contentOf = ({ records }: RecordSpan): readonly string[] =>
-  records
-    .filter(({ value }) => value.length > 0)
-    .map(({ key, value }) => `${key}=${Buffer.from(value).toString()}`)
-    .sort();
-
-/** A replica that remembers the content of each key, by which it tells repeats. */
-class Instance {
-  readonly replica = new TopicReplica(new VirtualClock());
-
-  private readonly content = new Map<string, string>();
-
-  private readonly newestOffsets = new Map<string, number>();
-
-  wentBack = false;
-
-  merge(given: RecordSpan): void {
-    const isRepeat = ({ key, value }: KeyedRecord) =>
-      value.length > 0 && this.content.get(key) === Buffer.from(value).toString();
-    this.replica.merge(given, isRepeat).forEach(({ key, value, offset }) => {
-      if ((this.newestOffsets.get(key) ?? -1) >= offset) this.wentBack = true;
-      this.newestOffsets.set(key, offset);
-      this.content.set(key, Buffer.from(value).toString());
-    });
-  }
-
-  since(from: number | null): RecordSpan {
-    return this.replica.since(from, () => 0);
-  }
-
-  get applied(): readonly string[] {
-    return [...this.content]
-      .filter(([, text]) => text !== '')
-      .map(([key, text]) => `${key}=${text}`)
-      .sort();
-  }
-}
-
 const step = fc.oneof(
   fc.record({
     kind: fc.constant('write' as const),
@@ -104,8 +29,8 @@
 test('whatever order, loss and repetition of spans: no replica goes back, and all end with what the store holds', () => {
   fc.assert(
     fc.property(fc.array(step, { maxLength: 60 }), (steps) => {
-      const topic = new Topic();
-      const instances = [new Instance(), new Instance(), new Instance()];
+      const topic = new FakeTopic();
+      const instances = [new ReplicaHolder(), new ReplicaHolder(), new ReplicaHolder()];
       const messages: RecordSpan[] = [];
       steps.forEach((next) => {
         if (next.kind === 'write') topic.write(next.key, next.text);
@@ -134,9 +59,9 @@
 });
 
 test('an old span that arrives after a deletion does not bring the key back', () => {
-  const topic = new Topic();
+  const topic = new FakeTopic();
   topic.write('a', 'ready');
-  const current = new Instance();
+  const current = new ReplicaHolder();
   current.merge(topic.list());
   topic.write('a', 'leaving');
   const late = topic.read(1);
@@ -147,9 +72,9 @@
 });
 
 test('a relayed span has what its reader learned from others, for peers that lost it', () => {
-  const topic = new Topic();
+  const topic = new FakeTopic();
   topic.write('a', 'ready');
-  const [reader, other, peer] = [new Instance(), new Instance(), new Instance()];
+  const [reader, other, peer] = [new ReplicaHolder(), new ReplicaHolder(), new ReplicaHolder()];
   [reader, other, peer].forEach((instance) => instance.merge(topic.list()));
   topic.write('a', 'leaving');
   other.merge(topic.read(1));
@@ -161,9 +86,9 @@
 });
 
 test('an instance that knows less than the remembered deletions gets a list of all keys', () => {
-  const topic = new Topic();
+  const topic = new FakeTopic();
   topic.write('a', 'ready');
-  const [current, behind] = [new Instance(), new Instance()];
+  const [current, behind] = [new ReplicaHolder(), new ReplicaHolder()];
   [current, behind].forEach((instance) => instance.merge(topic.list()));
   topic.write('a', '');
   for (let number = 0; number < 2_100; number += 1) topic.write(`gone-${number}`, '');
