Choose the reader of the targets among instances that the store answers

Change: heartbeats say whether the store answered the last call; isStoreReader chooses among those it answers, a placer if there is one, otherwise any. Edge parts with the handlers of what peers send.

--- a/packages/edge/src/Edge.ts
+++ b/packages/edge/src/Edge.ts
@@ -30,8 +30,9 @@
 import WorkspaceLimits from './WorkspaceLimits';
 import announceAndListMembers from './announceAndListMembers';
 import candidateRank from './candidateRank';
+import createPeerHandlers from './createPeerHandlers';
 import connectionShare from './connectionShare';
-import isElectedReader from './isElectedReader';
+import isStoreReader from './isStoreReader';
 import registerInstanceGauges from './registerInstanceGauges';
 import serveMetrics from './serveMetrics';
 import serveRecords from './serveRecords';
@@ -240,9 +241,22 @@
 
   /** Whether this instance reads the targets' entries from the store and relays them to the peers. */
   private get isStoreReader(): boolean {
-    const placers = [...this.peers.placers.values()].map(({ name }) => name);
-    if (!this.lease.isCurrent) return placers.length === 0 && this.leaseRank() === 0;
-    return isElectedReader(this.options.member.name, placers);
+    const placers = new Set([...this.peers.placers.values()].map(({ name }) => name));
+    const peers = this.peers.livePeers.map(({ member: { name }, reachesStore }) => ({
+      name,
+      reachesStore,
+      isPlacer: placers.has(name),
+    }));
+    const self = {
+      name: this.options.member.name,
+      reachesStore: this.reachesStore,
+      isPlacer: this.lease.isCurrent,
+    };
+    return isStoreReader(self, peers);
+  }
+
+  private get reachesStore(): boolean {
+    return this.follower?.isReachable ?? false;
   }
 
   private dropRemovedTargets(): void {
@@ -269,27 +283,18 @@
         wallClock: this.ports.wallClock,
         log,
         heartbeatContent: (kind) => this.heartbeatContent(kind),
-        handlers: {
-          heartbeat: (heartbeat) => {
-            this.limits.applyHeartbeat(
-              heartbeat,
-              !this.lease.isCurrent && this.peers.isOwnUsageIncluded(heartbeat),
-            );
-            const isSameDomain = heartbeat.member.failureDomain === options.member.failureDomain;
-            if (isSameDomain && heartbeat.leaseOffset >= 0) {
-              this.lease.observeHolder(heartbeat.leaseOffset);
-            }
-            this.catchUp.observe(heartbeat);
-          },
-          demand: (report) => {
-            this.demand.record(report);
-            if (report.waiting.length > 0) this.placer.schedulePlanning();
-          },
-          targets: (span, sender) => this.storeView.mergeFromPeer(StoreTopic.Targets, span, sender),
-          placement: (updates) => updates.forEach((update) => this.table.applyPlacement(update)),
-          suspects: (pairs) =>
-            pairs.forEach(([fingerprint, target]) => this.crashes.record(fingerprint, target)),
-        },
+        handlers: createPeerHandlers({
+          failureDomain: options.member.failureDomain,
+          storeView: this.storeView,
+          catchUp: this.catchUp,
+          limits: this.limits,
+          demand: this.demand,
+          table: this.table,
+          crashes: this.crashes,
+          lease: () => this.lease,
+          placer: () => this.placer,
+          peers: () => this.peers,
+        }),
       },
     );
   }
@@ -327,6 +332,7 @@
       member: this.options.member,
       operatorOffset: this.storeView.end(StoreTopic.Operator) ?? 0,
       targetsOffset: this.storeView.end(StoreTopic.Targets) ?? 0,
+      reachesStore: this.reachesStore,
       leaseOffset: this.lease.isCurrent ? this.lease.offset : -1,
       isStopping: this.isStopping,
       usage,
--- /dev/null
+++ b/packages/edge/src/createPeerHandlers.ts
@@ -0,0 +1,53 @@
+import {
+  type DemandAggregator,
+  type Lease,
+  type PeerHandlers,
+  type Peers,
+  type Placer,
+  StoreTopic,
+  type TargetTable,
+} from '@wisteriapath/fleet';
+import type CrashCounts from './CrashCounts';
+import type PeerCatchUp from './PeerCatchUp';
+import type StoreView from './StoreView';
+import type WorkspaceLimits from './WorkspaceLimits';
+
+interface Dependencies {
+  readonly failureDomain: string;
+  readonly storeView: StoreView;
+  readonly catchUp: PeerCatchUp;
+  readonly limits: WorkspaceLimits;
+  readonly demand: DemandAggregator;
+  readonly table: TargetTable;
+  readonly crashes: CrashCounts;
+  readonly lease: () => Lease;
+  readonly placer: () => Placer;
+  readonly peers: () => Peers;
+}
+
+/**
+ * Creates the handlers of what peers send.
+ *
+ * @example
+ * const handlers = createPeerHandlers(deps);
+ */
+const createPeerHandlers = (deps: Dependencies): PeerHandlers => ({
+  heartbeat: (heartbeat) => {
+    const lease = deps.lease();
+    const includesOwnUsage = !lease.isCurrent && deps.peers().isOwnUsageIncluded(heartbeat);
+    deps.limits.applyHeartbeat(heartbeat, includesOwnUsage);
+    const isSameDomain = heartbeat.member.failureDomain === deps.failureDomain;
+    if (isSameDomain && heartbeat.leaseOffset >= 0) lease.observeHolder(heartbeat.leaseOffset);
+    deps.catchUp.observe(heartbeat);
+  },
+  demand: (report) => {
+    deps.demand.record(report);
+    if (report.waiting.length > 0) deps.placer().schedulePlanning();
+  },
+  targets: (span, sender) => deps.storeView.mergeFromPeer(StoreTopic.Targets, span, sender),
+  placement: (updates) => updates.forEach((update) => deps.table.applyPlacement(update)),
+  suspects: (pairs) =>
+    pairs.forEach(([fingerprint, target]) => deps.crashes.record(fingerprint, target)),
+});
+
+export default createPeerHandlers;
--- a/packages/fleet/src/Heartbeat.ts
+++ b/packages/fleet/src/Heartbeat.ts
@@ -9,6 +9,8 @@
   readonly operatorOffset: number;
   /** Store offset up to which the sender knows the targets' records. */
   readonly targetsOffset: number;
+  /** Whether the store answered the sender's last call. */
+  readonly reachesStore: boolean;
   /** Offset of the lease record under which the sender gives orders; -1 if it gives none. */
   readonly leaseOffset: number;
   /** Whether the sender is shutting down. */
--- a/packages/fleet/src/Peers.ts
+++ b/packages/fleet/src/Peers.ts
@@ -41,6 +41,8 @@
   /** When its last heartbeat arrived, on the monotonic clock; -Infinity if none has. */
   lastHeartbeatMs: number;
   isStopping: boolean;
+  /** Whether the store answered its last call. */
+  reachesStore: boolean;
   leaseOffset: number;
   /** Number of instances whose usage its heartbeats report. */
   counted: number;
@@ -365,6 +367,8 @@
         : this.addPeer(member, this.parts.clock.nowMs());
     peer.lastHeartbeatMs = this.parts.clock.nowMs();
     peer.isStopping = heartbeat.isStopping;
+    // Instances of an earlier build do not say.
+    peer.reachesStore = heartbeat.reachesStore ?? true;
     peer.leaseOffset = heartbeat.leaseOffset;
     peer.counted = heartbeat.counted;
     const isLocal = member.failureDomain === this.options.failureDomain;
@@ -392,6 +396,7 @@
       member,
       lastHeartbeatMs,
       isStopping: false,
+      reachesStore: false,
       leaseOffset: -1,
       counted: 0,
       ackedNumber: 0,
--- a/packages/fleet/src/StoreFollower.ts
+++ b/packages/fleet/src/StoreFollower.ts
@@ -1,5 +1,7 @@
 /** A running task that reads the platform's store. */
 interface StoreFollower {
+  /** Whether the store answered the last call. */
+  readonly isReachable: boolean;
   /** Time after which a deletion that was read from the store is final; live targets may still register again. */
   readonly settlingMs: number;
   stop(): void;
--- a/packages/fleet/test/peers.test.ts
+++ b/packages/fleet/test/peers.test.ts
@@ -31,6 +31,7 @@
     member,
     operatorOffset: 0,
     targetsOffset: 0,
+    reachesStore: true,
     leaseOffset: isPlacer ? 1 : -1,
     isStopping: false,
     usage: [],
