Odd entries among those of the targets neither fail requests nor stop the following of the store

Deep nesting (100,000 levels) was no fault here: it parses, or does not, without an exception that leaves the parser.

--- a/packages/edge/src/Edge.ts
+++ b/packages/edge/src/Edge.ts
@@ -107,6 +107,7 @@
       },
     });
     this.demand = new DemandAggregator(clock);
+    const instances = () => this.peers.instanceCount(PEER_SPENDING_TIMEOUT_MS);
     this.rates = new ModelRates(clock);
     this.loads = new TargetLoads(clock);
     this.demandReporter = new DemandReporter({
@@ -114,10 +115,9 @@
       instance: options.member.host,
       rates: this.rates,
       loads: this.loads,
-      instances: () => this.peers.instanceCount(PEER_SPENDING_TIMEOUT_MS),
+      instances,
       send: (report) => this.reportDemand(report),
     });
-    const instances = () => this.peers.instanceCount(PEER_SPENDING_TIMEOUT_MS);
     this.limits = new WorkspaceLimits(clock, instances);
     this.catchUp = new PeerCatchUp(options.peerPort, {
       clock,
@@ -200,10 +200,9 @@
     void this.lease.run();
     void this.placer.run();
     this.demandReporter.start();
-    const { memberStore } = this.ports;
     const isOver = () => this.isStopping;
-    void announceAndListMembers(memberStore, this.clock, options.member, isOver).then((members) =>
-      this.peers.addMembers(members),
+    void announceAndListMembers(this.ports.memberStore, this.clock, options.member, isOver).then(
+      (members) => this.peers.addMembers(members),
     );
     log.event('started', { callers: options.callersAddress, domain: options.member.failureDomain });
   }
--- a/packages/edge/src/TargetConnections.ts
+++ b/packages/edge/src/TargetConnections.ts
@@ -51,7 +51,6 @@
 
   /** Sends a request and passes the response to a handler. */
   send(request: TargetRequest, handler: ResponseHandler): Exchange {
-    const pool = this.poolOf(request.address);
     let controller: Dispatcher.DispatchController | undefined;
     let isAborted = false;
     let isRejected = false;
@@ -104,7 +103,8 @@
         headers,
         body: body.length === 0 ? null : body,
       };
-      pool.dispatch(options, dispatch);
+      // Throws if the address is not valid.
+      this.poolOf(request.address).dispatch(options, dispatch);
     } catch (error) {
       settle(failure(error as NodeJS.ErrnoException));
     }
--- a/packages/fleet/src/TargetTable.ts
+++ b/packages/fleet/src/TargetTable.ts
@@ -22,8 +22,16 @@
   lastStamp: PlacementUpdate['stamp'];
   /** Until when `model` or `model/adapter` counts as absent. */
   absentUntilMs: Map<string, number>;
+  /** Entries that were ignored as older, in a row and each newer than the one before it. */
+  olderEntries: RegisteredTarget[];
 }
 
+/**
+ * Older entries in a row after which they are believed. One or two may be writes that were carried out late; more are
+ * from a target whose entry another writer had overwritten.
+ */
+const OLDER_ENTRIES_TO_BELIEVE = 3;
+
 const isOlder = (entry: RegisteredTarget, known: RegisteredTarget): boolean =>
   entry.bornMs < known.bornMs ||
   (entry.bornMs === known.bornMs && entry.entryNumber < known.entryNumber);
@@ -51,29 +59,43 @@
     return this.clock.nowMs() + entry.coldLeftMs > known.coldUntilMs;
   }
 
-  /** Applies an entry; ignores one that is older than the known entry. */
+  /** Applies an entry; ignores one that is older than the known entry, but for the third in a row. */
   applyEntry(entry: RegisteredTarget): void {
     const known = this.rows.get(entry.id);
-    const coldUntilMs = this.clock.nowMs() + entry.coldLeftMs;
     if (known === undefined || entry.bornMs > known.entry.bornMs) {
-      this.rows.set(entry.id, {
-        entry,
-        models: entry.models,
-        coldUntilMs,
-        loading: null,
-        busyUntilMs: 0,
-        placementPrecedenceUntilMs: 0,
-        lastStamp: [0, 0],
-        absentUntilMs: new Map(),
-      });
-      this.changes.notify();
+      this.addRow(entry);
+      return;
+    }
+    if (!isOlder(entry, known.entry)) {
+      this.updateRow(known, entry);
       return;
     }
-    if (isOlder(entry, known.entry)) return;
-    const isSame = isSameEntry(entry, known.entry);
-    known.entry = entry;
-    known.coldUntilMs = coldUntilMs;
-    if (this.clock.nowMs() >= known.placementPrecedenceUntilMs) this.setModels(known, entry.models);
+    const last = known.olderEntries.at(-1);
+    const continues = last !== undefined && isOlder(last, entry);
+    known.olderEntries = continues ? [...known.olderEntries, entry] : [entry];
+    if (known.olderEntries.length >= OLDER_ENTRIES_TO_BELIEVE) this.addRow(entry);
+  }
+
+  private addRow(entry: RegisteredTarget): void {
+    this.rows.set(entry.id, {
+      entry,
+      models: entry.models,
+      coldUntilMs: this.clock.nowMs() + entry.coldLeftMs,
+      loading: null,
+      busyUntilMs: 0,
+      placementPrecedenceUntilMs: 0,
+      lastStamp: [0, 0],
+      absentUntilMs: new Map(),
+      olderEntries: [],
+    });
+    this.changes.notify();
+  }
+
+  private updateRow(row: Row, entry: RegisteredTarget): void {
+    const isSame = isSameEntry(entry, row.entry);
+    const coldUntilMs = this.clock.nowMs() + entry.coldLeftMs;
+    Object.assign(row, { entry, coldUntilMs, olderEntries: [] });
+    if (this.clock.nowMs() >= row.placementPrecedenceUntilMs) this.setModels(row, entry.models);
     // A change other than of its models can also make the engine usable again.
     if (!isSame) this.changes.notify();
   }
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -39,6 +39,7 @@
 export { default as recordSpanCodec } from './recordSpanCodec';
 export type { default as RegisteredTarget } from './RegisteredTarget';
 export { default as RouteSemantics } from './RouteSemantics';
+export { default as runLoop } from './runLoop';
 export type { default as StoreFollower } from './StoreFollower';
 export { default as StoreTopic } from './StoreTopic';
 export { default as TopicReplica } from './TopicReplica';
--- a/packages/fleet/test/targetTable.test.ts
+++ b/packages/fleet/test/targetTable.test.ts
@@ -37,6 +37,18 @@
     expect([ids('a'), ids('b')]).toEqual([[], ['one']]);
   });
 
+  test('a target whose entry was overwritten is believed again after three entries in a row', () => {
+    const { table, ids } = start();
+    table.applyEntry(builders.target('one', ['a'], { entryNumber: 5 }));
+    table.applyEntry(builders.target('one', ['forged'], { entryNumber: 9_000, bornMs: 9_000 }));
+    [6, 7].forEach((entryNumber) =>
+      table.applyEntry(builders.target('one', ['a'], { entryNumber })),
+    );
+    expect(ids('a')).toEqual([]);
+    table.applyEntry(builders.target('one', ['a'], { entryNumber: 8 }));
+    expect(ids('a')).toEqual(['one']);
+  });
+
   test('a target that restarted under the same id holds what its new entry says', () => {
     const { table, ids } = start();
     table.applyEntry(builders.target('one', ['a'], { entryNumber: 50 }));
