A refusal that a target writes twice is not taken for the answer to a later send

Callers saw (test): a request that may run once ran twice, and 'not run' was said of a request that was running. All sends of a request carry its one id, so a refusal that comes again on a kept connection fits the next send there; an answer without any id was taken as well.

Change: a request goes to a target that refused it only on a new connection, and a refusal counts only if it names the request. One new connection for each such repeat is the price.

--- a/packages/edge/src/RequestExecution.ts
+++ b/packages/edge/src/RequestExecution.ts
@@ -39,6 +39,9 @@
 class RequestExecution {
   private readonly excluded = new Map<string, number>();
 
+  /** Ids of the targets that refused the request. */
+  private readonly refusedBy = new Set<string>();
+
   private readonly framer: EventFramer | null;
 
   private readonly finder: TargetFinder;
@@ -90,6 +93,7 @@
         request: this.request,
         caller: this.caller,
         framer: this.framer,
+        wasRefused: this.refusedBy.has(view.entry.id),
         keepsFailure: this.isRetryable && this.executions + 1 < this.request.route.attempts,
       });
       this.sends += 1;
@@ -171,6 +175,7 @@
     });
     if (outcome === AttemptOutcome.DeadlineExceeded) return this.failWithTimeout();
     this.excluded.set(id, clock.nowMs() + EXCLUSION_MS);
+    if (outcome === AttemptOutcome.NotExecuted) this.refusedBy.add(id);
     if (POSSIBLY_EXECUTED.has(outcome)) {
       this.executions += 1;
       this.excluded.set(id, Infinity);
--- a/packages/edge/src/TargetAttempt.ts
+++ b/packages/edge/src/TargetAttempt.ts
@@ -24,6 +24,8 @@
   readonly caller: CallerExchange;
   /** Present if the stream can be resumed at another target. */
   readonly framer: EventFramer | null;
+  /** Whether the target has refused this request before. */
+  readonly wasRefused: boolean;
   /** Whether an error response of the target is kept instead of passed on, because another attempt may follow. */
   readonly keepsFailure: boolean;
 }
@@ -150,6 +152,8 @@
         resumeAfterEventId: framer?.lastEventId ?? null,
       }),
       body,
+      // On the old one, the target might write its refusal once more.
+      needsNewConnection: this.context.wasRefused,
     };
   }
 
@@ -180,8 +184,7 @@
   private handleHeaders(status: number, headers: HeaderRecord): boolean {
     const { request, caller } = this.context;
     const fields = this.deps.dialect.parseResponse(status, headers);
-    const isMismatched = fields.attemptId !== '' && fields.attemptId !== request.fields.attemptId;
-    if (isMismatched) return false;
+    if (!this.isOwnResponse(fields)) return false;
     this.status = status;
     this.headers = headers;
     this.fields = fields;
@@ -197,6 +200,13 @@
     return this.mode !== ResponseMode.Invalid;
   }
 
+  /** Whether a response is to this request. One that says that the request was not executed must name it. */
+  private isOwnResponse({ attemptId, isNotExecuted }: ResponseFields): boolean {
+    return (
+      (attemptId === '' && !isNotExecuted) || attemptId === this.context.request.fields.attemptId
+    );
+  }
+
   private responseHeaders(): Record<string, string | string[]> {
     const headers = this.deps.dialect.callerHeaders(this.headers);
     // A stream that is resumed at another target may have a different length.
--- a/packages/edge/src/TargetConnections.ts
+++ b/packages/edge/src/TargetConnections.ts
@@ -1,4 +1,4 @@
-import { buildConnector, type Dispatcher, Pool } from 'undici';
+import { buildConnector, Client, type Dispatcher, Pool } from 'undici';
 import { isUnsent } from '@wisteriapath/model';
 import ExchangeEnd from './ExchangeEnd';
 import type HeaderRecord from './HeaderRecord';
@@ -11,6 +11,8 @@
   /** Names and values in turn. */
   readonly headers: string[];
   readonly body: Buffer;
+  /** Whether a connection is used that has carried no earlier exchange. */
+  readonly needsNewConnection: boolean;
 }
 
 /** The callbacks for a response as it arrives. */
@@ -35,9 +37,13 @@
 const MAX_INTERIM = 8;
 /** Idle time after which a connection is closed if the target announces none. */
 const DEFAULT_IDLE_TIMEOUT_MS = 1_200;
+/** Longest idle time that a target may announce. */
+const MAX_IDLE_TIMEOUT_MS = 60_000;
 /** Time by which a connection is closed earlier than the target would close it. */
 const IDLE_MARGIN_MS = 300;
 
+const originOf = (address: string): string => `http://${address}`;
+
 /** The pools of connections to targets; a connection carries one exchange at a time. */
 class TargetConnections {
   private readonly pools = new Map<string, Pool>();
@@ -47,6 +53,16 @@
 
   private readonly connector = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
 
+  private readonly clientOptions: Client.Options = {
+    pipelining: 1,
+    connect: (options, done) => this.connect(options, done),
+    keepAliveTimeout: DEFAULT_IDLE_TIMEOUT_MS,
+    keepAliveMaxTimeout: MAX_IDLE_TIMEOUT_MS,
+    keepAliveTimeoutThreshold: IDLE_MARGIN_MS,
+    headersTimeout: 0,
+    bodyTimeout: 0,
+  };
+
   constructor(private readonly maxConnectionsPerTarget: () => number) {}
 
   /** Sends a request and passes the response to a handler. */
@@ -104,7 +120,11 @@
         body: body.length === 0 ? null : body,
       };
       // Throws if the address is not valid.
-      this.poolOf(request.address).dispatch(options, dispatch);
+      const dispatcher = request.needsNewConnection
+        ? this.createClient(request.address)
+        : this.poolOf(request.address);
+      dispatcher.dispatch(options, dispatch);
+      if (dispatcher instanceof Client) void dispatcher.close();
     } catch (error) {
       settle(failure(error as NodeJS.ErrnoException));
     }
@@ -146,18 +166,17 @@
     });
   }
 
+  /** Creates a client for a single exchange. */
+  private createClient(address: string): Client {
+    return new Client(originOf(address), this.clientOptions);
+  }
+
   private poolOf(address: string): Pool {
     const known = this.pools.get(address);
     if (known !== undefined) return known;
-    const pool = new Pool(`http://${address}`, {
+    const pool = new Pool(originOf(address), {
+      ...this.clientOptions,
       connections: this.maxConnectionsPerTarget(),
-      pipelining: 1,
-      connect: (options, done) => this.connect(options, done),
-      keepAliveTimeout: DEFAULT_IDLE_TIMEOUT_MS,
-      keepAliveMaxTimeout: 60_000,
-      keepAliveTimeoutThreshold: IDLE_MARGIN_MS,
-      headersTimeout: 0,
-      bodyTimeout: 0,
     });
     this.pools.set(address, pool);
     return pool;
