A resumed stream goes on only with a stream of the same kind

Callers saw (test): after a stream broke off, a 2xx of the next target that is no stream was joined to it, and a 204 ended it as complete. Errors, refusals and misdirected requests left no trace before, whether an event, part of one or nothing had been sent; the tests keep that so.

Change: once the caller's answer has started, a success counts only with status 200 and the media type that was started with.

--- a/packages/edge/src/CallerExchange.ts
+++ b/packages/edge/src/CallerExchange.ts
@@ -1,11 +1,14 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { errorResponses, type ServeError } from '@wisteriapath/model';
 import type Dialect from './Dialect';
+import mediaTypeOf from './mediaTypeOf';
 
 /** One caller's request together with its response, which is started once and ended once. */
 class CallerExchange {
   private readonly disconnected = new AbortController();
 
+  private mediaType = '';
+
   constructor(
     readonly request: IncomingMessage,
     private readonly response: ServerResponse,
@@ -28,9 +31,15 @@
     return this.response.headersSent;
   }
 
+  /** Media type of the response as it was started; empty if it had none. */
+  get startedMediaType(): string {
+    return this.mediaType;
+  }
+
   /** Sends status and headers. */
   start(status: number, headers: Readonly<Record<string, string | string[]>>): void {
     if (this.shouldCloseConnection()) this.response.shouldKeepAlive = false;
+    this.mediaType = mediaTypeOf(headers['content-type']);
     this.response.writeHead(status, headers);
   }
 
--- a/packages/edge/src/TargetAttempt.ts
+++ b/packages/edge/src/TargetAttempt.ts
@@ -10,6 +10,7 @@
 import type ResponseFields from './ResponseFields';
 import ResponseMode from './ResponseMode';
 import ResponseSizeLimit from './ResponseSizeLimit';
+import mediaTypeOf from './mediaTypeOf';
 
 /** A complete response, with the headers for the caller. */
 interface KeptResponse {
@@ -192,8 +193,9 @@
     if (fields.isNotExecuted) {
       this.mode = ResponseMode.NotExecuted;
       this.refusalTimer = setTimeout(() => this.abort?.(), REFUSAL_BODY_TIMEOUT_MS);
-    } else if (isSuccess && !fields.hasReceipt) this.mode = ResponseMode.Invalid;
-    else if (isSuccess && request.route.semantics === RouteSemantics.Stream) {
+    } else if (isSuccess && (!fields.hasReceipt || !this.fitsStartedResponse())) {
+      this.mode = ResponseMode.Invalid;
+    } else if (isSuccess && request.route.semantics === RouteSemantics.Stream) {
       this.mode = ResponseMode.Streamed;
       if (!caller.hasStarted) caller.start(status, this.responseHeaders());
     } else this.mode = ResponseMode.Buffered;
@@ -207,6 +209,14 @@
     );
   }
 
+  /** Whether a response can go on with what the caller has received so far: a stream of the same kind. */
+  private fitsStartedResponse(): boolean {
+    const { caller } = this.context;
+    if (!caller.hasStarted) return true;
+    const hasSameType = mediaTypeOf(this.headers['content-type']) === caller.startedMediaType;
+    return this.status === OK && hasSameType;
+  }
+
   private responseHeaders(): Record<string, string | string[]> {
     const headers = this.deps.dialect.callerHeaders(this.headers);
     // A stream that is resumed at another target may have a different length.
