Keep to what targets say in their answers: leaving, and pauses

Callers saw: nothing was read of Server-Leaving and Retry-After, so an engine that said that it leaves, or wants nothing for a while, was sent on to until the store's record came, if one came.

Change: the dialect decodes both once. A target that says that it leaves gets nothing more from that moment, in every path that chooses targets, whatever an older record says; it holds until the target starts anew or registers anew. Its kept connections close as they fall idle. Peers hear of it at once and with each heartbeat; where peers alone say so of every target of a pool, the pool is still used. After a 503 with Retry-After a target gets no request until the time is over; if all targets of a pool pause, callers are told the time that is left.

The bounds hold at the send: the HTTP client has no limit of its own any more, so no request waits in it, and each is checked again just before its first byte.

--- a/packages/edge/src/AttemptOutcome.ts
+++ b/packages/edge/src/AttemptOutcome.ts
@@ -6,6 +6,8 @@
   NotExecuted = 'not_run',
   /** No byte of the request was sent. */
   NotSent = 'not_sent',
+  /** No byte of the request was sent, since the target became unusable or the request ended meanwhile. */
+  Withheld = 'withheld',
   /** The target may have run the request, and no complete response arrived. */
   Broken = 'broken',
   /** The target ran the request and failed; its response is kept. */
--- a/packages/edge/src/Edge.ts
+++ b/packages/edge/src/Edge.ts
@@ -7,7 +7,7 @@
   HeartbeatKind,
   Lease,
   Peers,
-  Placer,
+  type Placer,
   type StoreFollower,
   StoreTopic,
   TargetTable,
@@ -27,10 +27,12 @@
 import StoreView from './StoreView';
 import TargetConnections from './TargetConnections';
 import TargetLoads from './TargetLoads';
+import TargetSignals from './TargetSignals';
 import WorkspaceLimits from './WorkspaceLimits';
 import announceAndListMembers from './announceAndListMembers';
 import candidateRank from './candidateRank';
 import createPeerHandlers from './createPeerHandlers';
+import createPlacer from './createPlacer';
 import connectionShare from './connectionShare';
 import isStoreReader from './isStoreReader';
 import registerInstanceGauges from './registerInstanceGauges';
@@ -40,7 +42,6 @@
 const HEARTBEAT_INTERVAL_MS = 200;
 /** Silence after which a peer is assumed to spend nothing more of the shared limits. */
 const PEER_SPENDING_TIMEOUT_MS = 12_000;
-const MAX_CONCURRENT_STORE_LOADS = 4;
 /** Time for which connections are still accepted after the stop signal, until the balancer has noticed it. */
 const BALANCER_LAG_MS = 2_600;
 /** Part of the grace period that is left unused, so that the process exits before it is killed. */
@@ -79,6 +80,8 @@
 
   private readonly catchUp: PeerCatchUp;
 
+  private readonly signals: TargetSignals;
+
   private readonly lease: Lease;
 
   private readonly placer: Placer;
@@ -125,6 +128,13 @@
       metrics: this.metrics,
       view: this.storeView,
     });
+    const connections = new TargetConnections();
+    this.signals = new TargetSignals({
+      table: this.table,
+      connections,
+      log,
+      announce: (targets) => this.peers.sendLeavingTargets(targets),
+    });
     this.peers = this.createPeers();
     this.lease = new Lease(
       {
@@ -141,7 +151,17 @@
         rank: () => this.leaseRank(),
       },
     );
-    this.placer = this.createPlacer();
+    this.placer = createPlacer({
+      options,
+      ports,
+      clock,
+      log,
+      lease: this.lease,
+      table: this.table,
+      demand: this.demand,
+      desired: () => this.storeView.desired,
+      peers: this.peers,
+    });
     this.deps = {
       clock,
       log,
@@ -166,7 +186,8 @@
       limits: this.limits,
       retryBudgets: new PoolRetryBudgets(options.sharedLimits, instances),
       crashes: this.crashes,
-      connections: new TargetConnections(() => this.connectionsPerTarget()),
+      connections,
+      signals: this.signals,
       connectionLimit: (maxConnections) => this.connectionLimit(maxConnections),
       reportCrash: (fingerprint, target) => {
         if (!this.crashes.record(fingerprint, target)) return;
@@ -290,6 +311,7 @@
           demand: this.demand,
           table: this.table,
           crashes: this.crashes,
+          signals: this.signals,
           lease: () => this.lease,
           placer: () => this.placer,
           peers: () => this.peers,
@@ -298,32 +320,6 @@
     );
   }
 
-  private createPlacer(): Placer {
-    const { options, clock, log, ports } = this;
-    return new Placer(
-      {
-        failureDomain: options.member.failureDomain,
-        maxConcurrentStoreLoads: MAX_CONCURRENT_STORE_LOADS,
-        weightStoreWindowMs: options.weightStoreWindowMs,
-      },
-      {
-        clock,
-        authority: this.lease,
-        control: ports.engineControl,
-        table: this.table,
-        demand: this.demand,
-        log,
-        desired: () => this.storeView.desired,
-        activeDomains: () => [
-          ...new Set([options.member.failureDomain, ...this.peers.placers.keys()]),
-        ],
-        publish: (updates, instance) => {
-          if (instance !== options.member.host) this.peers.sendPlacement(updates, instance);
-        },
-      },
-    );
-  }
-
   private heartbeatContent(kind: HeartbeatKind): HeartbeatContent {
     const usage = this.limits.usage(kind);
     if (kind === HeartbeatKind.Own) this.limits.recordReport(usage);
@@ -332,6 +328,7 @@
       operatorOffset: this.storeView.end(StoreTopic.Operator) ?? 0,
       targetsOffset: this.storeView.end(StoreTopic.Targets) ?? 0,
       reachesStore: this.reachesStore,
+      leavingTargets: this.table.selfDeclaredLeaving,
       leaseOffset: this.lease.isCurrent ? this.lease.offset : -1,
       isStopping: this.isStopping,
       usage,
@@ -352,11 +349,6 @@
     this.peers.placers.forEach(({ host }) => this.peers.sendDemand(host, report));
   }
 
-  private connectionsPerTarget(): number {
-    const pools = [...(this.storeView.desired?.pools.values() ?? [])];
-    return this.connectionLimit(Math.max(1, ...pools.map(({ maxConnections }) => maxConnections)));
-  }
-
   private connectionLimit(maxConnections: number): number {
     return connectionShare(maxConnections, this.peers.instanceCount(PEER_SPENDING_TIMEOUT_MS));
   }
--- a/packages/edge/src/EdgeDependencies.ts
+++ b/packages/edge/src/EdgeDependencies.ts
@@ -8,6 +8,7 @@
 import type PoolRetryBudgets from './PoolRetryBudgets';
 import type TargetConnections from './TargetConnections';
 import type TargetLoads from './TargetLoads';
+import type TargetSignals from './TargetSignals';
 import type WorkspaceLimits from './WorkspaceLimits';
 
 /** The components that request handling depends on. */
@@ -30,6 +31,7 @@
   readonly retryBudgets: PoolRetryBudgets;
   readonly crashes: CrashCounts;
   readonly connections: TargetConnections;
+  readonly signals: TargetSignals;
   /** Returns this instance's share of the maximum number of connections to one target of a pool. */
   readonly connectionLimit: (maxConnections: number) => number;
   /** Records that the connection to a target broke under a request, and informs the peers. */
--- a/packages/edge/src/ExchangeEnd.ts
+++ b/packages/edge/src/ExchangeEnd.ts
@@ -4,6 +4,8 @@
   Complete = 'complete',
   /** No byte of the request can have been sent. */
   NotSent = 'not_sent',
+  /** No byte of the request was sent, since it must not be sent any more. */
+  Withheld = 'withheld',
   /** The connection broke, or the response was not valid. */
   Broken = 'broken',
   /** The response was rejected: it belongs to another request, or is not valid. */
--- a/packages/edge/src/RequestExecution.ts
+++ b/packages/edge/src/RequestExecution.ts
@@ -26,6 +26,8 @@
   AttemptOutcome.Failed,
   AttemptOutcome.Stalled,
 ]);
+/** Outcomes after which no target got the request, so that another attempt is no repeat. */
+const UNSENT = new Set([AttemptOutcome.NotSent, AttemptOutcome.Withheld]);
 /** Fraction of the latency target for which a request waits for a target of a pool of services. */
 const SERVICE_WAIT_FRACTION = 0.5;
 
@@ -86,13 +88,14 @@
         chosen?.reservation.release();
         return this.executions > 0 ? this.fail(denial.message) : this.sendError(denial);
       }
-      if (chosen === undefined) return this.fail('no target became available in time');
+      if (chosen === undefined) return this.failUnserved();
       const { view } = chosen;
       const attempt = new TargetAttempt(this.deps, {
         chosen,
         request: this.request,
         caller: this.caller,
         framer: this.framer,
+        isOver: () => this.isOver,
         wasRefused: this.refusedBy.has(view.entry.id),
         keepsFailure: this.isRetryable && this.executions + 1 < this.request.route.attempts,
       });
@@ -193,7 +196,7 @@
     if (mayHaveRun && (!this.isRetryable || this.executions >= route.attempts)) return false;
     if (deadlineAtMs - clock.nowMs() < MIN_RUN_MS || this.sends >= MAX_SENDS) return false;
     if (crashes.isQuarantined(fingerprint)) return false;
-    return outcome === AttemptOutcome.NotSent || retryBudgets.tryTake(pool.name);
+    return UNSENT.has(outcome) || retryBudgets.tryTake(pool.name);
   }
 
   /** Ends the request after its last attempt, with the kept response of a failed attempt if there is one. */
@@ -211,11 +214,16 @@
     return this.sendError(ServeError.maybeExecuted(ErrorKind.DeadlineExpired, message));
   }
 
-  private fail(message: string): RequestResult {
+  private failUnserved(): RequestResult {
+    const pauseMs = this.finder.pauseMs(this.request.pool.name);
+    return this.fail('no target became available in time', pauseMs);
+  }
+
+  private fail(message: string, retryAfterMs?: number): RequestResult {
     const error =
       this.executions > 0
         ? ServeError.maybeExecuted(ErrorKind.TargetFailed, message)
-        : ServeError.notExecuted(ErrorKind.NoTarget, message);
+        : ServeError.notExecuted(ErrorKind.NoTarget, message, retryAfterMs);
     return this.sendError(error);
   }
 
--- a/packages/edge/src/ResponseFields.ts
+++ b/packages/edge/src/ResponseFields.ts
@@ -8,6 +8,10 @@
   readonly isNotExecuted: boolean;
   /** Whether the address belongs to another target now, or the target does not hold the model. */
   readonly isMisdirected: boolean;
+  /** Whether the target says that it is leaving. */
+  readonly isLeaving: boolean;
+  /** Time for which the target, overloaded, wants no requests from this instance; `null` if it does not say. */
+  readonly pauseMs: number | null;
   /** The load that the target reports, in requests; `null` if absent. */
   readonly load: {
     readonly running: number;
--- a/packages/edge/src/TargetAttempt.ts
+++ b/packages/edge/src/TargetAttempt.ts
@@ -25,6 +25,8 @@
   readonly caller: CallerExchange;
   /** Present if the stream can be resumed at another target. */
   readonly framer: EventFramer | null;
+  /** Whether the request must not be sent any more. */
+  readonly isOver: () => boolean;
   /** Whether the target has refused this request before. */
   readonly wasRefused: boolean;
   /** Whether an error response of the target is kept instead of passed on, because another attempt may follow. */
@@ -87,7 +89,10 @@
     const exchange = deps.connections.send(this.buildRequest(), {
       onHeaders: (status, headers) => {
         const isValid = this.handleHeaders(status, headers);
-        if (this.fields !== null) reservation.recordResponse(this.fields);
+        if (this.fields !== null) {
+          reservation.recordResponse(this.fields);
+          deps.signals.record(context.chosen.view.entry, this.fields);
+        }
         return isValid;
       },
       onData: (chunk) => {
@@ -155,6 +160,7 @@
       body,
       // On the old one, the target might write its refusal once more.
       needsNewConnection: this.context.wasRefused,
+      maySend: () => !this.context.isOver() && this.deps.table.mayReceive(chosen.view.entry),
     };
   }
 
@@ -251,6 +257,7 @@
     const { caller, framer } = this.context;
     if (this.mode === ResponseMode.NotExecuted) return AttemptOutcome.NotExecuted;
     if (caller.disconnectSignal.aborted) return AttemptOutcome.CallerDisconnected;
+    if (end === ExchangeEnd.Withheld) return AttemptOutcome.Withheld;
     if (end === ExchangeEnd.Complete) return this.completeResponse();
     framer?.reset();
     if (this.hasStalled) return AttemptOutcome.Stalled;
--- a/packages/edge/src/TargetConnections.ts
+++ b/packages/edge/src/TargetConnections.ts
@@ -13,6 +13,8 @@
   readonly body: Buffer;
   /** Whether a connection is used that has carried no earlier exchange. */
   readonly needsNewConnection: boolean;
+  /** Asked just before the first byte is sent, as a connection may have had to be opened first. */
+  readonly maySend: () => boolean;
 }
 
 /** The callbacks for a response as it arrives. */
@@ -63,14 +65,13 @@
     bodyTimeout: 0,
   };
 
-  constructor(private readonly maxConnectionsPerTarget: () => number) {}
-
   /** Sends a request and passes the response to a handler. */
   send(request: TargetRequest, handler: ResponseHandler): Exchange {
     let controller: Dispatcher.DispatchController | undefined;
     let isAborted = false;
     let isRejected = false;
     let isSent = false;
+    let isWithheld = false;
     let interim = 0;
     let settle: (end: ExchangeEnd) => void = () => {};
     const ended = new Promise<ExchangeEnd>((resolve) => {
@@ -83,6 +84,7 @@
     };
     const failure = (error: NodeJS.ErrnoException): ExchangeEnd => {
       if (isRejected) return ExchangeEnd.Rejected;
+      if (isWithheld) return ExchangeEnd.Withheld;
       if (!isSent || isUnsent(error.code)) {
         return isAborted ? ExchangeEnd.Aborted : ExchangeEnd.NotSent;
       }
@@ -92,7 +94,11 @@
       onRequestStart: (started) => {
         controller = started;
         if (isAborted) started.abort(new Error('exchange aborted by this instance'));
-        else isSent = true;
+        else if (request.maySend()) isSent = true;
+        else {
+          isWithheld = true;
+          started.abort(new Error('the request must not be sent any more'));
+        }
       },
       onResponseStart: (_, status, headers) => {
         if (status < 200) {
@@ -140,6 +146,13 @@
     });
   }
 
+  /** Closes the connections to an address as they become idle. */
+  retire(address: string): void {
+    const pool = this.pools.get(address);
+    this.pools.delete(address);
+    void pool?.close();
+  }
+
   /** Destroys all connections. */
   async close(): Promise<void> {
     await Promise.all([...this.pools.values()].map((pool) => pool.destroy()));
@@ -174,10 +187,8 @@
   private poolOf(address: string): Pool {
     const known = this.pools.get(address);
     if (known !== undefined) return known;
-    const pool = new Pool(originOf(address), {
-      ...this.clientOptions,
-      connections: this.maxConnectionsPerTarget(),
-    });
+    // Without a limit, so that no request waits for a connection: whoever sends keeps to the limit.
+    const pool = new Pool(originOf(address), { ...this.clientOptions, connections: null });
     this.pools.set(address, pool);
     return pool;
   }
--- a/packages/edge/src/TargetFinder.ts
+++ b/packages/edge/src/TargetFinder.ts
@@ -32,7 +32,7 @@
         const chosen = this.reserveBest(request, search.excluded);
         if (chosen !== undefined) return chosen;
         const leftMs = Math.min(search.untilMs, sendCutoffAtMs()) - clock.nowMs();
-        if (leftMs <= 0) return undefined;
+        if (leftMs <= 0 || (this.pauseMs(pool.name) ?? 0) >= leftMs) return undefined;
         const isAbsent =
           pool.engine !== null &&
           !table
@@ -59,6 +59,16 @@
     }
   }
 
+  /** Returns the time after which a target of a pool takes requests again; undefined unless all of them are paused. */
+  pauseMs(pool: string): number | undefined {
+    const { clock, table } = this.deps;
+    const pausesMs = table
+      .inService(pool)
+      .map(({ pausedUntilMs }) => pausedUntilMs - clock.nowMs());
+    const shortestMs = Math.min(...pausesMs);
+    return pausesMs.length > 0 && shortestMs > 0 ? shortestMs : undefined;
+  }
+
   /** Reserves the best target synchronously, so that no other request can choose in between. */
   private reserveBest(
     request: AdmittedRequest,
@@ -86,8 +96,9 @@
         ? table.inService(pool.name)
         : table.holding(pool.name, fields.model, fields.adapter);
     const usable = views.filter(
-      ({ entry }) =>
+      ({ entry, pausedUntilMs }) =>
         (excluded.get(entry.id) ?? 0) <= nowMs &&
+        pausedUntilMs <= nowMs &&
         loads.isReachable(entry.id) &&
         loads.ownRequests(entry.id) < limit,
     );
--- a/packages/edge/src/createPeerHandlers.ts
+++ b/packages/edge/src/createPeerHandlers.ts
@@ -10,6 +10,7 @@
 import type CrashCounts from './CrashCounts';
 import type PeerCatchUp from './PeerCatchUp';
 import type StoreView from './StoreView';
+import type TargetSignals from './TargetSignals';
 import type WorkspaceLimits from './WorkspaceLimits';
 
 interface Dependencies {
@@ -20,6 +21,7 @@
   readonly demand: DemandAggregator;
   readonly table: TargetTable;
   readonly crashes: CrashCounts;
+  readonly signals: TargetSignals;
   readonly lease: () => Lease;
   readonly placer: () => Placer;
   readonly peers: () => Peers;
@@ -39,12 +41,15 @@
     const isSameDomain = heartbeat.member.failureDomain === deps.failureDomain;
     if (isSameDomain && heartbeat.leaseOffset >= 0) lease.observeHolder(heartbeat.leaseOffset);
     deps.catchUp.observe(heartbeat);
+    // Instances of an earlier build do not say.
+    deps.signals.recordFromPeer(heartbeat.leavingTargets ?? []);
   },
   demand: (report) => {
     deps.demand.record(report);
     if (report.waiting.length > 0) deps.placer().schedulePlanning();
   },
   targets: (span, sender) => deps.storeView.mergeFromPeer(StoreTopic.Targets, span, sender),
+  leavingTargets: (targets) => deps.signals.recordFromPeer(targets),
   placement: (updates) => updates.forEach((update) => deps.table.applyPlacement(update)),
   suspects: (pairs) =>
     pairs.forEach(([fingerprint, target]) => deps.crashes.record(fingerprint, target)),
--- a/packages/fleet/src/Heartbeat.ts
+++ b/packages/fleet/src/Heartbeat.ts
@@ -11,6 +11,8 @@
   readonly targetsOffset: number;
   /** Whether the store answered the sender's last call. */
   readonly reachesStore: boolean;
+  /** Targets that said that they are leaving, by id and start. */
+  readonly leavingTargets: readonly (readonly [string, number])[];
   /** Offset of the lease record under which the sender gives orders; -1 if it gives none. */
   readonly leaseOffset: number;
   /** Whether the sender is shutting down. */
--- a/packages/fleet/src/PeerMessageKind.ts
+++ b/packages/fleet/src/PeerMessageKind.ts
@@ -7,6 +7,8 @@
   Placement = 3,
   /** Fingerprints of requests that were in progress on targets when these crashed. */
   Suspects = 4,
+  /** Targets that said that they are leaving, by id and start. */
+  LeavingTargets = 7,
   /** Records of the targets, sent by the instance that reads the store for all. Kind 5 had another format. */
   Targets = 6,
 }
--- a/packages/fleet/src/Peers.ts
+++ b/packages/fleet/src/Peers.ts
@@ -246,6 +246,10 @@
     this.send(host, PeerMessageKind.Demand, report);
   }
 
+  sendLeavingTargets(targets: readonly (readonly [string, number])[]): void {
+    this.broadcast(PeerMessageKind.LeavingTargets, targets);
+  }
+
   sendSuspects(pairs: readonly (readonly [string, string])[]): void {
     this.broadcast(PeerMessageKind.Suspects, pairs);
   }
@@ -350,6 +354,7 @@
       [PeerMessageKind.Placement]: () => handlers.placement(payload as PlacementUpdate[]),
       [PeerMessageKind.Targets]: () => this.receiveTargets(payload),
       [PeerMessageKind.Suspects]: () => handlers.suspects(payload),
+      [PeerMessageKind.LeavingTargets]: () => handlers.leavingTargets(payload),
     };
     table[kind]?.();
   }
--- a/packages/fleet/src/TargetTable.ts
+++ b/packages/fleet/src/TargetTable.ts
@@ -1,6 +1,7 @@
 import type { Clock } from '@wisteriapath/model';
 import assetId from './assetId';
 import hasSameModels from './hasSameModels';
+import LeavingSource from './LeavingSource';
 import isSameEntry from './isSameEntry';
 import Notifier from './Notifier';
 import type PlacementUpdate from './PlacementUpdate';
@@ -22,6 +23,8 @@
   lastStamp: PlacementUpdate['stamp'];
   /** Until when `model` or `model/adapter` counts as absent. */
   absentUntilMs: Map<string, number>;
+  leavingSource: LeavingSource;
+  pausedUntilMs: number;
   /** Entries that were ignored as older, in a row and each newer than the one before it. */
   olderEntries: RegisteredTarget[];
 }
@@ -77,6 +80,8 @@
   }
 
   private addRow(entry: RegisteredTarget): void {
+    const known = this.rows.get(entry.id);
+    const isSameStart = known?.entry.bornMs === entry.bornMs;
     this.rows.set(entry.id, {
       entry,
       models: entry.models,
@@ -86,6 +91,8 @@
       placementPrecedenceUntilMs: 0,
       lastStamp: [0, 0],
       absentUntilMs: new Map(),
+      leavingSource: isSameStart ? known.leavingSource : LeavingSource.None,
+      pausedUntilMs: isSameStart ? known.pausedUntilMs : 0,
       olderEntries: [],
     });
     this.changes.notify();
@@ -134,6 +141,43 @@
     this.rows.get(id)?.absentUntilMs.set(assetId(model, adapter), untilMs);
   }
 
+  /**
+   * Notes that a target said that it is leaving, which holds until it starts anew or registers anew; returns whether
+   * that is new.
+   */
+  markLeaving(id: string, bornMs: number, source: LeavingSource): boolean {
+    const row = this.rows.get(id);
+    if (row === undefined || row.entry.bornMs !== bornMs || row.leavingSource >= source) {
+      return false;
+    }
+    row.leavingSource = source;
+    return true;
+  }
+
+  /** Targets that said that they are leaving, with their start; their entries may not say so yet. */
+  get selfDeclaredLeaving(): readonly (readonly [string, number])[] {
+    return [...this.rows.values()]
+      .filter(({ leavingSource }) => leavingSource !== LeavingSource.None)
+      .map(({ entry }) => [entry.id, entry.bornMs] as const);
+  }
+
+  /** Notes that a target, in its life that started at `bornMs`, wants no requests from this instance for a while. */
+  pause(id: string, bornMs: number, forMs: number): void {
+    const row = this.rows.get(id);
+    if (row === undefined || row.entry.bornMs !== bornMs) return;
+    row.pausedUntilMs = Math.max(row.pausedUntilMs, this.clock.nowMs() + forMs);
+  }
+
+  /** Whether a target, in its life that started at `bornMs`, may still be given new work. */
+  mayReceive({ id, bornMs, pool }: RegisteredTarget): boolean {
+    const row = this.rows.get(id);
+    return (
+      row?.entry.bornMs === bornMs &&
+      row.pausedUntilMs <= this.clock.nowMs() &&
+      this.inService(pool).includes(row)
+    );
+  }
+
   remove(id: string): void {
     this.rows.delete(id);
   }
@@ -159,14 +203,24 @@
 
   /** Returns all targets of a pool. */
   inPool(pool: string): readonly TargetView[] {
-    return [...this.rows.values()].filter(({ entry }) => entry.pool === pool);
+    return this.rowsInPool(pool);
   }
 
-  /** Returns the targets of a pool that may be given new work. */
+  /**
+   * Returns the targets of a pool that may be given new work. Where only leaving ones are left, those count of which
+   * peers alone say that they leave: a word that was forged or misread elsewhere must not empty a pool.
+   */
   inService(pool: string): readonly TargetView[] {
-    return this.inPool(pool).filter(
+    const open = this.rowsInPool(pool).filter(
       ({ entry }) => !entry.isLeaving && !this.drained.has(entry.failureDomain),
     );
+    const staying = open.filter(({ leavingSource }) => leavingSource === LeavingSource.None);
+    if (staying.length > 0) return staying;
+    return open.filter(({ leavingSource }) => leavingSource === LeavingSource.Peer);
+  }
+
+  private rowsInPool(pool: string): readonly Row[] {
+    return [...this.rows.values()].filter(({ entry }) => entry.pool === pool);
   }
 
   /** Returns the targets of a pool that hold a model, or one of its adapters, and may be given new work. */
--- a/packages/fleet/src/TargetView.ts
+++ b/packages/fleet/src/TargetView.ts
@@ -7,6 +7,8 @@
   readonly models: ReadonlyMap<string, ReadonlySet<string>>;
   /** When the target stops being cold. */
   readonly coldUntilMs: number;
+  /** Until when the target wants no requests from this instance. */
+  readonly pausedUntilMs: number;
   /** Model that is being loaded, as announced by the placer. */
   readonly loading: string | null;
   /** When the change announced by the placer is expected to end. */
--- a/packages/fleet/test/peers.test.ts
+++ b/packages/fleet/test/peers.test.ts
@@ -32,6 +32,7 @@
     operatorOffset: 0,
     targetsOffset: 0,
     reachesStore: true,
+    leavingTargets: [],
     leaseOffset: isPlacer ? 1 : -1,
     isStopping: false,
     usage: [],
@@ -56,6 +57,7 @@
         placement: () => {},
         targets: () => {},
         suspects: () => {},
+        leavingTargets: () => {},
       },
     },
   );
