Ignore heartbeats that newer ones have overtaken

A heartbeat that arrives after a newer one of the same run set back what a peer was known to hold and to reach, for up to one interval. The test failed before (7, 9, 8, 9, 10 were taken).

--- a/packages/fleet/src/Peers.ts
+++ b/packages/fleet/src/Peers.ts
@@ -40,6 +40,8 @@
   readonly member: MemberRecord;
   /** When its last heartbeat arrived, on the monotonic clock; -Infinity if none has. */
   lastHeartbeatMs: number;
+  /** Number of its newest heartbeat. */
+  newestNumber: number;
   isStopping: boolean;
   /** Whether the store answered its last call. */
   reachesStore: boolean;
@@ -370,6 +372,9 @@
       known?.member.incarnation === member.incarnation
         ? known
         : this.addPeer(member, this.parts.clock.nowMs());
+    // Datagrams may overtake each other.
+    if (heartbeat.number < peer.newestNumber) return;
+    peer.newestNumber = heartbeat.number;
     peer.lastHeartbeatMs = this.parts.clock.nowMs();
     peer.isStopping = heartbeat.isStopping;
     // Instances of an earlier build do not say.
@@ -400,6 +405,7 @@
     const peer = {
       member,
       lastHeartbeatMs,
+      newestNumber: 0,
       isStopping: false,
       reachesStore: false,
       leaseOffset: -1,
--- a/packages/fleet/test/peers.test.ts
+++ b/packages/fleet/test/peers.test.ts
@@ -1,7 +1,15 @@
 /** Instances on loopback addresses discover each other, however late one of them starts. */
 import { createSocket } from 'node:dgram';
+import { encode } from '@msgpack/msgpack';
 import { systemClock } from '@wisteriapath/model';
-import { type HeartbeatContent, type MemberRecord, Peers } from '../src';
+import {
+  type Heartbeat,
+  type HeartbeatContent,
+  HeartbeatKind,
+  type MemberRecord,
+  PeerMessageKind,
+  Peers,
+} from '../src';
 
 const DOMAINS = ['a', 'b'];
 const INSTANCES_PER_DOMAIN = 10;
@@ -25,7 +33,27 @@
   })),
 );
 
-const startPeers = async (member: MemberRecord, port: number): Promise<Peers> => {
+const heartbeatOf = (member: MemberRecord, number: number): Heartbeat => ({
+  member,
+  operatorOffset: 0,
+  targetsOffset: 0,
+  reachesStore: true,
+  leavingTargets: [],
+  leaseOffset: -1,
+  isStopping: false,
+  usage: [],
+  number,
+  holderHeard: ['', 0],
+  kind: HeartbeatKind.Own,
+  placers: [],
+  counted: 1,
+});
+
+const startPeers = async (
+  member: MemberRecord,
+  port: number,
+  onHeartbeat: (heartbeat: Heartbeat) => void = () => {},
+): Promise<Peers> => {
   const isPlacer = member.name.endsWith('0');
   const content: HeartbeatContent = {
     member,
@@ -52,7 +80,7 @@
       log: { event: () => {} },
       heartbeatContent: () => content,
       handlers: {
-        heartbeat: () => {},
+        heartbeat: onHeartbeat,
         demand: () => {},
         placement: () => {},
         targets: () => {},
@@ -65,6 +93,25 @@
   return peers;
 };
 
+test('a heartbeat that arrives after a newer one of the same run is ignored', async () => {
+  const port = await freePort();
+  const [self, peer] = MEMBERS;
+  const heard: number[] = [];
+  const peers = await startPeers(self, port, ({ number }) => heard.push(number));
+  const socket = createSocket('udp4');
+  const send = (number: number) =>
+    socket.send(encode([1, PeerMessageKind.Heartbeat, heartbeatOf(peer, number)]), port, self.host);
+  try {
+    [7, 9, 8, 9, 10].forEach((number) => send(number));
+    const deadlineMs = Date.now() + 5_000;
+    while (!heard.includes(10) && Date.now() < deadlineMs) await systemClock.sleep(20);
+    expect(heard).toEqual([7, 9, 9, 10]);
+  } finally {
+    socket.close();
+    peers.stop();
+  }
+});
+
 test('an instance that is unknown to all others discovers all placers', async () => {
   const port = await freePort();
   const early = MEMBERS.slice(0, -1);
