--- a/packages/edge/src/EventFramer.ts
+++ b/packages/edge/src/EventFramer.ts
@@ -1,10 +1,11 @@
-const EVENT_END = Buffer.from('\n\n');
-const ID_LINE = /^id: ?(.*)$/m;
+import EventBoundaries from './EventBoundaries';
 
-const NEWLINE = 0x0a;
+const ID_LINES = /^id: ?(.*)$/gm;
 
 /** Splits an event stream at event boundaries and tracks the id of the last complete event. */
 class EventFramer {
+  private boundaries = new EventBoundaries();
+
   /** The chunks of the event that is not complete yet. */
   private pending: Buffer[] = [];
 
@@ -13,7 +14,7 @@
 
   /** Adds a chunk; returns the bytes up to the end of the last complete event and keeps the rest. */
   push(chunk: Buffer): Buffer {
-    const end = this.endOfEvents(chunk);
+    const end = this.boundaries.push(chunk);
     if (end === 0) {
       if (chunk.length > 0) this.pending.push(chunk);
       return Buffer.alloc(0);
@@ -24,28 +25,25 @@
     return complete;
   }
 
-  /** Returns the offset at which the last complete event ends in a chunk; 0 if none ends in it. */
-  private endOfEvents(chunk: Buffer): number {
-    const end = chunk.lastIndexOf(EVENT_END);
-    if (end >= 0) return end + EVENT_END.length;
-    // The blank line may be split between two chunks.
-    return chunk[0] === NEWLINE && this.pending.at(-1)?.at(-1) === NEWLINE ? 1 : 0;
-  }
-
   /** Whether part of an event has arrived and the rest is missing. */
   get hasPartialEvent(): boolean {
     return this.pending.length > 0;
   }
 
+  /** Whether an event has arrived completely, from this target or an earlier one. */
+  get hasEvent(): boolean {
+    return this.lastEventId !== null || this.boundaries.hasEvent;
+  }
+
   /** Drops the partial event, before the stream is resumed at another target. */
   reset(): void {
     this.pending = [];
+    this.boundaries = new EventBoundaries();
   }
 
   private recordIds(complete: Buffer): void {
-    const events = complete.toString('latin1').split('\n\n');
-    const ids = events.map((event) => ID_LINE.exec(event)?.[1]).filter((id) => id !== undefined);
-    this.lastEventId = ids.at(-1) ?? this.lastEventId;
+    const ids = [...complete.toString('latin1').matchAll(ID_LINES)];
+    this.lastEventId = ids.at(-1)?.[1] ?? this.lastEventId;
   }
 }
 
