--- a/packages/edge/src/CrashCounts.ts
+++ b/packages/edge/src/CrashCounts.ts
@@ -1,4 +1,5 @@
 import { LRUCache } from 'lru-cache';
+import type { EventLog } from '@wisteriapath/fleet';
 
 const MAX_REQUESTS = 5_000;
 const RETENTION_MS = 120_000;
@@ -12,12 +13,20 @@
     ttl: RETENTION_MS,
   });
 
-  /** Records that the connection to a target broke while it ran a request; returns whether this is new. */
-  record(fingerprint: string, target: string): boolean {
+  constructor(private readonly log: EventLog) {}
+
+  /**
+   * Records that the connection to a target broke while it ran a request; returns whether this is new. `source` says
+   * who saw it.
+   */
+  record(fingerprint: string, target: string, source: 'self' | 'peer'): boolean {
     const targets = this.crashes.get(fingerprint) ?? new Set<string>();
     const isNew = !targets.has(target);
     targets.add(target);
     this.crashes.set(fingerprint, targets);
+    if (isNew) {
+      this.log.event('crash_counted', { fingerprint, target, source, crashes: targets.size });
+    }
     return isNew;
   }
 
--- a/packages/edge/src/Edge.ts
+++ b/packages/edge/src/Edge.ts
@@ -72,7 +72,7 @@
 
   private readonly loads: TargetLoads;
 
-  private readonly crashes = new CrashCounts();
+  private readonly crashes: CrashCounts;
 
   private readonly limits: WorkspaceLimits;
 
@@ -96,6 +96,7 @@
     private readonly clock: Clock,
     private readonly log: EventLog,
   ) {
+    this.crashes = new CrashCounts(log);
     this.table = new TargetTable(clock);
     this.storeView = new StoreView({
       clock,
@@ -190,7 +191,7 @@
       signals: this.signals,
       connectionLimit: (maxConnections) => this.connectionLimit(maxConnections),
       reportCrash: (fingerprint, target) => {
-        if (!this.crashes.record(fingerprint, target)) return;
+        if (!this.crashes.record(fingerprint, target, 'self')) return;
         this.peers.sendSuspects([[fingerprint, target]]);
       },
     };
--- a/packages/edge/src/RequestExecution.ts
+++ b/packages/edge/src/RequestExecution.ts
@@ -18,6 +18,7 @@
 /** Time for which a target that refused a request is not chosen for it again. */
 const EXCLUSION_MS = 150;
 const MAX_SENDS = 6;
+const MAX_LOGGED_PARTS = 8;
 /** Retry delay for a request that only has to be admitted again. */
 const READMISSION_DELAY_MS = 50;
 /** Outcomes after which the target may have run the request. */
@@ -174,6 +175,8 @@
       target: id,
       outcome,
       status: attempt.statusCode,
+      began: attempt.hasBegun,
+      shared_parts: fields.sharedParts.slice(0, MAX_LOGGED_PARTS).join(','),
       sends: this.sends,
     });
     if (outcome === AttemptOutcome.DeadlineExceeded) return this.failWithTimeout();
--- a/packages/edge/src/RequestFields.ts
+++ b/packages/edge/src/RequestFields.ts
@@ -11,6 +11,8 @@
   readonly adapter: string | null;
   /** Tokens of the prompt plus the maximum number of tokens to generate; `null` if absent. */
   readonly tokens: number | null;
+  /** Ids of the parts of the prompt that other requests may share, in order: all but the last. */
+  readonly sharedParts: readonly string[];
   /** API key; empty if absent. */
   readonly key: string;
 }
--- a/packages/edge/src/TargetAttempt.ts
+++ b/packages/edge/src/TargetAttempt.ts
@@ -4,6 +4,7 @@
 import type CallerExchange from './CallerExchange';
 import type ChosenTarget from './ChosenTarget';
 import type EdgeDependencies from './EdgeDependencies';
+import EventBoundaries from './EventBoundaries';
 import type EventFramer from './EventFramer';
 import ExchangeEnd from './ExchangeEnd';
 import type HeaderRecord from './HeaderRecord';
@@ -60,6 +61,9 @@
 
   private readonly size = new ResponseSizeLimit();
 
+  /** Where the events of a stream end that is passed on as it arrives. */
+  private readonly boundaries = new EventBoundaries();
+
   private refusalTimer: NodeJS.Timeout | undefined;
 
   private abort: (() => void) | undefined;
@@ -137,6 +141,12 @@
     return this.status;
   }
 
+  /** Whether the target has begun to answer: with a complete event of a stream, or with a whole response. */
+  get hasBegun(): boolean {
+    const { hasEvent } = this.context.framer ?? this.boundaries;
+    return hasEvent || this.keptResponse !== null;
+  }
+
   get isMisdirected(): boolean {
     return this.fields?.isMisdirected ?? false;
   }
@@ -238,7 +248,9 @@
       return true;
     }
     if (this.mode === ResponseMode.Streamed) {
-      return caller.write(framer === null ? chunk : framer.push(chunk), resume);
+      if (framer !== null) return caller.write(framer.push(chunk), resume);
+      this.boundaries.push(chunk);
+      return caller.write(chunk, resume);
     }
     this.chunks.push(chunk);
     return true;
--- a/packages/edge/src/createPeerHandlers.ts
+++ b/packages/edge/src/createPeerHandlers.ts
@@ -52,7 +52,7 @@
   leavingTargets: (targets) => deps.signals.recordFromPeer(targets),
   placement: (updates) => updates.forEach((update) => deps.table.applyPlacement(update)),
   suspects: (pairs) =>
-    pairs.forEach(([fingerprint, target]) => deps.crashes.record(fingerprint, target)),
+    pairs.forEach(([fingerprint, target]) => deps.crashes.record(fingerprint, target, 'peer')),
 });
 
 export default createPeerHandlers;
