Keep parts of prompts that crash targets from the next ones

Cause: crashes were counted by a hash of the whole request, which no two requests with the part share, and against every request in flight, whether it could have been the cause or not. Now: a request is described by its traits (fingerprint, shared parts). If a target ends (it refuses connections), the traits of the requests that it had not begun to answer are suspected; an answer that begins acquits all its traits, everywhere. Two crashes of unknown traits convict, four successive ones of traits that were answered before, three broken connections of a target that lives. A convicted request is refused at once with the time of the next trial; trials are claimed before all peers, after 8 s, 32 s, ... What was at all crashes of a convicted trait that the request lacks is tried at once, so that the first part and the subject, which come with the part each time, are acquitted. Crashes and acquittals merge in any order (property test); heartbeats repeat convictions, so that restarts and lost datagrams do not lose them. Ruled out: lost datagrams as the cause (counts arrived); resets and lost answers (targets that still accept connections weigh less).

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -3,6 +3,7 @@
 
 const PACKAGE_ORDER = [
   'model',
+  'suspects',
   'log-client',
   'config',
   'peer',
@@ -16,7 +17,7 @@
 ];
 
 /** Packages of the users' platform, above `model` only. */
-const EDGE_ORDER = ['model', 'fleet', 'edge', 'platform'];
+const EDGE_ORDER = ['model', 'suspects', 'fleet', 'edge', 'platform'];
 
 /** Packages that may be imported by each package: only those further down. */
 const dependencyDirection = PACKAGE_ORDER.map((name, position) => ({
@@ -41,7 +42,7 @@
       {
         patterns: [
           ...EDGE_ORDER.slice(position + 1),
-          ...PACKAGE_ORDER.filter((other) => other !== 'model'),
+          ...PACKAGE_ORDER.filter((other) => !EDGE_ORDER.includes(other)),
           'standins',
         ].map((other) => ({ group: [`@wisteriapath/${other}`, `@wisteriapath/${other}/*`] })),
       },
--- a/packages/edge/src/AdmittedRequest.ts
+++ b/packages/edge/src/AdmittedRequest.ts
@@ -1,7 +1,7 @@
 import type { DesiredState, PathRoute, PoolSpec, WorkspaceSpec } from '@wisteriapath/fleet';
 import type RequestFields from './RequestFields';
 
-/** A request that has passed authorization, limits and quarantine. */
+/** A request that has passed authorization and limits. */
 interface AdmittedRequest {
   /** The desired state in force when the request was admitted. */
   readonly state: DesiredState;
@@ -11,8 +11,8 @@
   readonly workspace: WorkspaceSpec | null;
   readonly fields: RequestFields;
   readonly body: Buffer;
-  /** Hash of path, workspace and body; the same for every attempt of a caller. */
-  readonly fingerprint: string;
+  /** What is suspected if a target crashes under the request. */
+  readonly traits: readonly string[];
   /** Time by which the request must be answered, on the monotonic clock. */
   readonly deadlineAtMs: number;
   /** Time at which the caller gives up if no event of a stream has arrived, on the monotonic clock. */
--- a/packages/edge/src/Edge.ts
+++ b/packages/edge/src/Edge.ts
@@ -1,4 +1,5 @@
 import type { Clock } from '@wisteriapath/model';
+import { SuspectRegistry } from '@wisteriapath/suspects';
 import {
   DemandAggregator,
   type DemandReport,
@@ -14,7 +15,6 @@
 } from '@wisteriapath/fleet';
 import CallerListener from './CallerListener';
 import ColdTargetLimiter from './ColdTargetLimiter';
-import CrashCounts from './CrashCounts';
 import DemandReporter from './DemandReporter';
 import type EdgeDependencies from './EdgeDependencies';
 import EdgeMetrics from './EdgeMetrics';
@@ -27,6 +27,7 @@
 import StoreView from './StoreView';
 import TargetConnections from './TargetConnections';
 import TargetLoads from './TargetLoads';
+import TargetProbe from './TargetProbe';
 import TargetSignals from './TargetSignals';
 import WorkspaceLimits from './WorkspaceLimits';
 import announceAndListMembers from './announceAndListMembers';
@@ -72,7 +73,7 @@
 
   private readonly loads: TargetLoads;
 
-  private readonly crashes: CrashCounts;
+  private readonly suspects: SuspectRegistry;
 
   private readonly limits: WorkspaceLimits;
 
@@ -96,7 +97,6 @@
     private readonly clock: Clock,
     private readonly log: EventLog,
   ) {
-    this.crashes = new CrashCounts(log);
     this.table = new TargetTable(clock);
     this.storeView = new StoreView({
       clock,
@@ -136,6 +136,11 @@
       log,
       announce: (targets) => this.peers.sendLeavingTargets(targets),
     });
+    this.suspects = new SuspectRegistry({
+      clock,
+      log,
+      announce: (update) => this.peers.sendSuspects(update),
+    });
     this.peers = this.createPeers();
     this.lease = new Lease(
       {
@@ -186,14 +191,11 @@
       }),
       limits: this.limits,
       retryBudgets: new PoolRetryBudgets(options.sharedLimits, instances),
-      crashes: this.crashes,
+      suspects: this.suspects,
+      probe: new TargetProbe(),
       connections,
       signals: this.signals,
       connectionLimit: (maxConnections) => this.connectionLimit(maxConnections),
-      reportCrash: (fingerprint, target) => {
-        if (!this.crashes.record(fingerprint, target, 'self')) return;
-        this.peers.sendSuspects([[fingerprint, target]]);
-      },
     };
     this.callers = new CallerListener(this.deps);
   }
@@ -216,6 +218,7 @@
       targetsAgeMs: () => this.clock.nowMs() - this.storeView.confirmedAtMs(StoreTopic.Targets),
       isLeaseHeld: () => this.lease.isHeld(),
       instances: () => this.peers.instanceCount(PEER_SPENDING_TIMEOUT_MS),
+      convictedTraits: () => this.suspects.convictedCount,
     });
     const metricsAddress = `${options.member.host}:${options.metricsPort}`;
     this.listeners.push(await serveMetrics(metricsAddress, this.metrics.registry, log));
@@ -311,7 +314,7 @@
           limits: this.limits,
           demand: this.demand,
           table: this.table,
-          crashes: this.crashes,
+          suspects: this.suspects,
           signals: this.signals,
           lease: () => this.lease,
           placer: () => this.placer,
@@ -330,6 +333,7 @@
       targetsOffset: this.storeView.end(StoreTopic.Targets) ?? 0,
       reachesStore: this.reachesStore,
       leavingTargets: this.table.selfDeclaredLeaving,
+      suspects: this.suspects.repeatConvictions(),
       leaseOffset: this.lease.isCurrent ? this.lease.offset : -1,
       isStopping: this.isStopping,
       usage,
--- a/packages/edge/src/EdgeDependencies.ts
+++ b/packages/edge/src/EdgeDependencies.ts
@@ -1,13 +1,14 @@
 import type { Clock } from '@wisteriapath/model';
+import type { SuspectRegistry } from '@wisteriapath/suspects';
 import type { DesiredState, EventLog, TargetTable, WaitingRequests } from '@wisteriapath/fleet';
 import type ColdTargetLimiter from './ColdTargetLimiter';
-import type CrashCounts from './CrashCounts';
 import type Dialect from './Dialect';
 import type EdgeMetrics from './EdgeMetrics';
 import type ModelRates from './ModelRates';
 import type PoolRetryBudgets from './PoolRetryBudgets';
 import type TargetConnections from './TargetConnections';
 import type TargetLoads from './TargetLoads';
+import type TargetProbe from './TargetProbe';
 import type TargetSignals from './TargetSignals';
 import type WorkspaceLimits from './WorkspaceLimits';
 
@@ -29,13 +30,12 @@
   readonly coldTargetLimiter: ColdTargetLimiter;
   readonly limits: WorkspaceLimits;
   readonly retryBudgets: PoolRetryBudgets;
-  readonly crashes: CrashCounts;
+  readonly suspects: SuspectRegistry;
+  readonly probe: TargetProbe;
   readonly connections: TargetConnections;
   readonly signals: TargetSignals;
   /** Returns this instance's share of the maximum number of connections to one target of a pool. */
   readonly connectionLimit: (maxConnections: number) => number;
-  /** Records that the connection to a target broke under a request, and informs the peers. */
-  readonly reportCrash: (fingerprint: string, target: string) => void;
 }
 
 export default EdgeDependencies;
--- a/packages/edge/src/RequestExecution.ts
+++ b/packages/edge/src/RequestExecution.ts
@@ -1,5 +1,6 @@
 import { ErrorKind, ServeError } from '@wisteriapath/model';
 import { type DesiredState, RouteSemantics, type TargetView } from '@wisteriapath/fleet';
+import { SuspectVerdict } from '@wisteriapath/suspects';
 import type AdmittedRequest from './AdmittedRequest';
 import AttemptOutcome from './AttemptOutcome';
 import type CallerExchange from './CallerExchange';
@@ -10,6 +11,7 @@
 import TargetAttempt from './TargetAttempt';
 import TargetFinder from './TargetFinder';
 import authorize from './authorize';
+import suspectError from './suspectError';
 
 /** Time before the deadline at which a request that could not be sent is refused. */
 const REFUSAL_MARGIN_MS = 60;
@@ -19,6 +21,7 @@
 const EXCLUSION_MS = 150;
 const MAX_SENDS = 6;
 const MAX_LOGGED_PARTS = 8;
+const TRIAL_POLL_INTERVAL_MS = 25;
 /** Retry delay for a request that only has to be admitted again. */
 const READMISSION_DELAY_MS = 50;
 /** Outcomes after which the target may have run the request. */
@@ -60,6 +63,12 @@
 
   private lastFailure: TargetAttempt | null = null;
 
+  /** Whether a target has begun to answer. */
+  private hasBegun = false;
+
+  /** Whether the request is being tried though it is suspected. */
+  private holdsTrial = false;
+
   /** The result of authorizing the request against the newest desired state, cached. */
   private lastAuthorization: Authorization | undefined;
 
@@ -79,35 +88,40 @@
     this.deps.retryBudgets.recordRequest(pool.name);
     if (pool.engine !== null) this.deps.rates.record(pool.name, fields.model, fields.adapter);
     for (;;) {
+      await this.waitForTrial();
       const chosen = await this.findTarget();
       if (this.caller.disconnectSignal.aborted) {
         chosen?.reservation.release();
         return this.result(null, 0);
       }
-      const denial = this.authorizationError();
+      const denial = this.denial();
       if (denial !== undefined) {
         chosen?.reservation.release();
         return this.executions > 0 ? this.fail(denial.message) : this.sendError(denial);
       }
       if (chosen === undefined) return this.failUnserved();
+      if (!this.claimTrialIfDue()) {
+        chosen.reservation.release();
+        continue;
+      }
       const { view } = chosen;
       const attempt = new TargetAttempt(this.deps, {
         chosen,
         request: this.request,
         caller: this.caller,
         framer: this.framer,
-        isOver: () => this.isOver,
+        maySend: () => !this.isOver && this.judgement.verdict === SuspectVerdict.Clear,
         wasRefused: this.refusedBy.has(view.entry.id),
         keepsFailure: this.isRetryable && this.executions + 1 < this.request.route.attempts,
+        onBegun: () => this.recordBegun(),
       });
+      const sentAtMs = this.deps.clock.nowMs();
       this.sends += 1;
       this.lastTargetId = view.entry.id;
       const outcome = await attempt.run();
-      if (outcome === AttemptOutcome.Answered) {
-        this.deps.crashes.clear(this.request.fingerprint);
-        return this.result(null, attempt.statusCode);
-      }
+      if (outcome === AttemptOutcome.Answered) return this.result(null, attempt.statusCode);
       if (outcome === AttemptOutcome.CallerDisconnected) return this.result(null, 0);
+      if (outcome === AttemptOutcome.Broken) await this.reportCrash(view, sentAtMs);
       const result = this.handleFailure(view, attempt, outcome);
       if (result !== undefined) return result;
     }
@@ -118,7 +132,55 @@
     const { caller, request, deps } = this;
     const lastMs = caller.hasStarted ? request.deadlineAtMs : request.firstEventDeadlineAtMs;
     const isLate = deps.clock.nowMs() > lastMs - MIN_RUN_MS;
-    return isLate || caller.disconnectSignal.aborted || this.authorizationError() !== undefined;
+    return isLate || caller.disconnectSignal.aborted || this.denial() !== undefined;
+  }
+
+  /** Returns why the request may not be sent any more, though it was admitted; undefined if it may. */
+  private denial(): ServeError | undefined {
+    return this.authorizationError() ?? this.suspectError();
+  }
+
+  private suspectError(): ServeError | undefined {
+    const { verdict, waitMs } = this.judgement;
+    return verdict === SuspectVerdict.Refused ? suspectError(waitMs) : undefined;
+  }
+
+  private get judgement() {
+    const { suspects } = this.deps;
+    return suspects.judge(this.holdsTrial ? [] : this.request.traits);
+  }
+
+  /** Waits while another request with the same suspected traits is being tried. */
+  private async waitForTrial(): Promise<void> {
+    const { clock } = this.deps;
+    while (this.judgement.verdict === SuspectVerdict.Wait && !this.isOver) {
+      await clock.sleep(TRIAL_POLL_INTERVAL_MS);
+    }
+  }
+
+  /** Claims the trial of the request if it may be sent only as one; returns false if another is being tried. */
+  private claimTrialIfDue(): boolean {
+    const { verdict } = this.judgement;
+    if (verdict !== SuspectVerdict.Trial) return verdict === SuspectVerdict.Clear;
+    this.holdsTrial = true;
+    this.deps.suspects.claimTrial(this.request.traits);
+    return true;
+  }
+
+  private recordBegun(): void {
+    if (this.hasBegun) return;
+    this.hasBegun = true;
+    this.deps.suspects.recordAnswer(this.request.traits);
+  }
+
+  /** Reports that the target that ran the request crashed or broke the connection, unless it had begun to answer. */
+  private async reportCrash({ entry }: TargetView, sentAtMs: number): Promise<void> {
+    this.holdsTrial = false;
+    if (this.hasBegun) return;
+    const hasEnded = await this.deps.probe.hasEnded(entry.address);
+    const crashId = `${entry.id}@${entry.bornMs}`;
+    const { traits } = this.request;
+    this.deps.suspects.recordCrash({ crashId, hasEnded, traits, sentAtMs });
   }
 
   /** Returns why a desired state that is newer than the admission forbids the request; undefined if it does not. */
@@ -167,7 +229,7 @@
     outcome: AttemptOutcome,
   ): RequestResult | undefined {
     const { clock, log, table } = this.deps;
-    const { route, fields, fingerprint } = this.request;
+    const { route, fields } = this.request;
     const { id } = view.entry;
     log.event('attempt_failed', {
       request: fields.attemptId,
@@ -175,7 +237,7 @@
       target: id,
       outcome,
       status: attempt.statusCode,
-      began: attempt.hasBegun,
+      began: this.hasBegun,
       shared_parts: fields.sharedParts.slice(0, MAX_LOGGED_PARTS).join(','),
       sends: this.sends,
     });
@@ -188,17 +250,16 @@
     }
     if (attempt.isMisdirected) table.markAbsent(id, fields.model, fields.adapter);
     if (attempt.keptResponse !== null) this.lastFailure = attempt;
-    if (outcome === AttemptOutcome.Broken) this.deps.reportCrash(fingerprint, id);
     return this.canRetry(outcome) ? undefined : this.finishWithoutRetry();
   }
 
   private canRetry(outcome: AttemptOutcome): boolean {
-    const { clock, retryBudgets, crashes } = this.deps;
-    const { route, pool, deadlineAtMs, fingerprint } = this.request;
+    const { clock, retryBudgets } = this.deps;
+    const { route, pool, deadlineAtMs } = this.request;
     const mayHaveRun = this.executions > 0;
     if (mayHaveRun && (!this.isRetryable || this.executions >= route.attempts)) return false;
     if (deadlineAtMs - clock.nowMs() < MIN_RUN_MS || this.sends >= MAX_SENDS) return false;
-    if (crashes.isQuarantined(fingerprint)) return false;
+    if (this.suspectError() !== undefined) return false;
     return UNSENT.has(outcome) || retryBudgets.tryTake(pool.name);
   }
 
--- a/packages/edge/src/TargetAttempt.ts
+++ b/packages/edge/src/TargetAttempt.ts
@@ -26,12 +26,14 @@
   readonly caller: CallerExchange;
   /** Present if the stream can be resumed at another target. */
   readonly framer: EventFramer | null;
-  /** Whether the request must not be sent any more. */
-  readonly isOver: () => boolean;
+  /** Whether the request may still be sent. */
+  readonly maySend: () => boolean;
   /** Whether the target has refused this request before. */
   readonly wasRefused: boolean;
   /** Whether an error response of the target is kept instead of passed on, because another attempt may follow. */
   readonly keepsFailure: boolean;
+  /** Called when the target has begun to answer: with a complete event of a stream, or with a whole response. */
+  readonly onBegun: () => void;
 }
 
 /** Time beyond the deadline for which the target's own timeout response is awaited. */
@@ -141,12 +143,6 @@
     return this.status;
   }
 
-  /** Whether the target has begun to answer: with a complete event of a stream, or with a whole response. */
-  get hasBegun(): boolean {
-    const { hasEvent } = this.context.framer ?? this.boundaries;
-    return hasEvent || this.keptResponse !== null;
-  }
-
   get isMisdirected(): boolean {
     return this.fields?.isMisdirected ?? false;
   }
@@ -170,7 +166,7 @@
       body,
       // On the old one, the target might write its refusal once more.
       needsNewConnection: this.context.wasRefused,
-      maySend: () => !this.context.isOver() && this.deps.table.mayReceive(chosen.view.entry),
+      maySend: () => this.context.maySend() && this.deps.table.mayReceive(chosen.view.entry),
     };
   }
 
@@ -247,13 +243,19 @@
       this.abortOversized();
       return true;
     }
-    if (this.mode === ResponseMode.Streamed) {
-      if (framer !== null) return caller.write(framer.push(chunk), resume);
-      this.boundaries.push(chunk);
-      return caller.write(chunk, resume);
+    if (this.mode !== ResponseMode.Streamed) {
+      this.chunks.push(chunk);
+      return true;
     }
-    this.chunks.push(chunk);
-    return true;
+    const bytes = framer === null ? this.passOn(chunk) : framer.push(chunk);
+    const { hasEvent } = framer ?? this.boundaries;
+    if (hasEvent) this.context.onBegun();
+    return caller.write(bytes, resume);
+  }
+
+  private passOn(chunk: Buffer): Buffer {
+    this.boundaries.push(chunk);
+    return chunk;
   }
 
   /** Aborts an exchange whose response exceeds its size limit. */
@@ -295,6 +297,7 @@
     const isHead = caller.request.method === 'HEAD';
     if (!isHead) headers['content-length'] = String(body.length);
     this.keptResponse = { status: this.status, headers, body };
+    this.context.onBegun();
     if (caller.hasStarted) return AttemptOutcome.Failed;
     if (this.status >= SERVER_ERROR && keepsFailure) return AttemptOutcome.Failed;
     TargetAttempt.sendResponse(caller, this.keptResponse);
--- a/packages/edge/src/admit.ts
+++ b/packages/edge/src/admit.ts
@@ -1,7 +1,7 @@
-import { createHash } from 'node:crypto';
 import { type Either, Left, Right } from 'purify-ts';
 import { ErrorKind, ServeError } from '@wisteriapath/model';
 import { type PathRoute, RouteSemantics, type WorkspaceSpec } from '@wisteriapath/fleet';
+import { SuspectVerdict } from '@wisteriapath/suspects';
 import type AdmittedRequest from './AdmittedRequest';
 import type CallerExchange from './CallerExchange';
 import type EdgeDependencies from './EdgeDependencies';
@@ -9,6 +9,8 @@
 import authorize from './authorize';
 import choosePool from './choosePool';
 import readBody from './readBody';
+import suspectError from './suspectError';
+import traitsOf from './traitsOf';
 
 /** Minimum time for which callers of streams wait for an event. */
 const MIN_FIRST_EVENT_WAIT_MS = 2_000;
@@ -25,14 +27,8 @@
     ? Math.max(MIN_FIRST_EVENT_WAIT_MS, 4 * latencyTargetMs, 8 * gapTargetMs)
     : Infinity;
 
-const fingerprintOf = (path: string, workspace: WorkspaceSpec | null, body: Buffer): string =>
-  createHash('sha1')
-    .update(`${workspace?.name ?? ''}\n${path}\n`)
-    .update(body)
-    .digest('base64');
-
 /**
- * Reads a request and checks its route, key, size, quarantine and rate limit.
+ * Reads a request and checks its route, key, size, rate limit and whether it may crash targets.
  *
  * @example
  * const admitted = await admit(deps, exchange, fields, deps.clock.nowMs());
@@ -56,10 +52,9 @@
   const read = await readBody(request, state.limits.maxBodyBytes);
   if (read.isLeft()) return Left(read.extract());
   const body = read.unsafeCoerce();
-  const fingerprint = fingerprintOf(path, workspace, body);
-  if (deps.crashes.isQuarantined(fingerprint)) {
-    return notRun(ErrorKind.TargetFailed, 'the request broke the connections to several targets');
-  }
+  const traits = traitsOf(workspace?.name ?? '', path, body, fields.sharedParts);
+  const { verdict, waitMs: suspectWaitMs } = deps.suspects.judge(traits);
+  if (verdict === SuspectVerdict.Refused) return Left(suspectError(suspectWaitMs));
   const pool = state.pools.get(choosePool(route, Math.random()) ?? '');
   if (pool === undefined) return notRun(ErrorKind.RouteIncomplete, 'the route has no pool');
   const waitMs = workspace === null ? 0 : deps.limits.admit(workspace, unitsOf(workspace, fields));
@@ -73,7 +68,7 @@
     workspace,
     fields,
     body,
-    fingerprint,
+    traits,
     deadlineAtMs,
     firstEventDeadlineAtMs,
   });
--- a/packages/edge/src/createPeerHandlers.ts
+++ b/packages/edge/src/createPeerHandlers.ts
@@ -7,7 +7,7 @@
   StoreTopic,
   type TargetTable,
 } from '@wisteriapath/fleet';
-import type CrashCounts from './CrashCounts';
+import type { SuspectRegistry } from '@wisteriapath/suspects';
 import type PeerCatchUp from './PeerCatchUp';
 import type StoreView from './StoreView';
 import type TargetSignals from './TargetSignals';
@@ -20,7 +20,7 @@
   readonly limits: WorkspaceLimits;
   readonly demand: DemandAggregator;
   readonly table: TargetTable;
-  readonly crashes: CrashCounts;
+  readonly suspects: SuspectRegistry;
   readonly signals: TargetSignals;
   readonly lease: () => Lease;
   readonly placer: () => Placer;
@@ -43,6 +43,9 @@
     deps.catchUp.observe(heartbeat);
     // Instances of an earlier build do not say.
     deps.signals.recordFromPeer(heartbeat.leavingTargets ?? []);
+    if (heartbeat.suspects === undefined) return;
+    const missed = deps.suspects.merge(heartbeat.suspects);
+    if (missed !== undefined) deps.peers().sendSuspects(missed, heartbeat.member.host);
   },
   demand: (report) => {
     deps.demand.record(report);
@@ -51,8 +54,9 @@
   targets: (span, sender) => deps.storeView.mergeFromPeer(StoreTopic.Targets, span, sender),
   leavingTargets: (targets) => deps.signals.recordFromPeer(targets),
   placement: (updates) => updates.forEach((update) => deps.table.applyPlacement(update)),
-  suspects: (pairs) =>
-    pairs.forEach(([fingerprint, target]) => deps.crashes.record(fingerprint, target, 'peer')),
+  suspects: (update) => {
+    deps.suspects.merge(update);
+  },
 });
 
 export default createPeerHandlers;
--- a/packages/edge/src/registerInstanceGauges.ts
+++ b/packages/edge/src/registerInstanceGauges.ts
@@ -9,13 +9,15 @@
   readonly targetsAgeMs: () => number;
   readonly isLeaseHeld: () => boolean;
   readonly instances: () => number;
+  /** Number of parts and requests that are kept from targets. */
+  readonly convictedTraits: () => number;
 }
 
 /**
  * Registers gauges for the state of an instance.
  *
  * @example
- * registerInstanceGauges(metrics, { version: () => 3, targets, targetsAgeMs, isLeaseHeld, instances });
+ * registerInstanceGauges(metrics, { version: () => 3, targets, targetsAgeMs, isLeaseHeld, instances, convictedTraits });
  */
 const registerInstanceGauges = (metrics: EdgeMetrics, state: InstanceState): void => {
   metrics.gauge('desired_version', 'Version of the desired state in force', state.version);
@@ -28,6 +30,11 @@
   metrics.gauge('lease_held', 'Whether this instance holds the lease to issue orders', () =>
     Number(state.isLeaseHeld()),
   );
+  metrics.gauge(
+    'suspects_convicted',
+    'Number of prompt parts and requests that are kept from targets since these crashed',
+    state.convictedTraits,
+  );
   metrics.gauge('instances', 'Number of active instances, including this one', state.instances);
 };
 
--- a/packages/fleet/src/Heartbeat.ts
+++ b/packages/fleet/src/Heartbeat.ts
@@ -1,3 +1,4 @@
+import type { SuspectUpdate } from '@wisteriapath/suspects';
 import type HeartbeatKind from './HeartbeatKind';
 import type MemberRecord from './MemberRecord';
 
@@ -13,6 +14,8 @@
   readonly reachesStore: boolean;
   /** Targets that said that they are leaving, by id and start. */
   readonly leavingTargets: readonly (readonly [string, number])[];
+  /** The newest convictions of what crashes targets; absent if there are none. */
+  readonly suspects?: SuspectUpdate;
   /** Offset of the lease record under which the sender gives orders; -1 if it gives none. */
   readonly leaseOffset: number;
   /** Whether the sender is shutting down. */
--- a/packages/fleet/src/PeerHandlers.ts
+++ b/packages/fleet/src/PeerHandlers.ts
@@ -1,3 +1,4 @@
+import type { SuspectUpdate } from '@wisteriapath/suspects';
 import type Heartbeat from './Heartbeat';
 import type DemandReport from './DemandReport';
 import type PlacementUpdate from './PlacementUpdate';
@@ -12,8 +13,8 @@
   targets(span: RecordSpan, sender: string): void;
   /** Receives targets that said that they are leaving, by id and start. */
   leavingTargets(targets: readonly (readonly [string, number])[]): void;
-  /** Receives pairs of a request's fingerprint and the id of a target that it may have crashed. */
-  suspects(pairs: readonly (readonly [string, string])[]): void;
+  /** Receives what a peer knows of requests that crash targets. */
+  suspects(update: SuspectUpdate): void;
 }
 
 export default PeerHandlers;
--- a/packages/fleet/src/PeerMessageKind.ts
+++ b/packages/fleet/src/PeerMessageKind.ts
@@ -5,12 +5,12 @@
   Demand = 2,
   /** Placement of models, sent by the placer. */
   Placement = 3,
-  /** Fingerprints of requests that were in progress on targets when these crashed. */
-  Suspects = 4,
   /** Targets that said that they are leaving, by id and start. */
   LeavingTargets = 7,
   /** Records of the targets, sent by the instance that reads the store for all. Kind 5 had another format. */
   Targets = 6,
+  /** Crashes of targets, and acquittals of what is suspected of them. Kind 4 had another format. */
+  Suspects = 8,
 }
 
 export default PeerMessageKind;
--- a/packages/fleet/src/Peers.ts
+++ b/packages/fleet/src/Peers.ts
@@ -1,6 +1,7 @@
 import { createSocket, type Socket } from 'node:dgram';
 import { decode, encode } from '@msgpack/msgpack';
 import type { Clock } from '@wisteriapath/model';
+import type { SuspectUpdate } from '@wisteriapath/suspects';
 import type Heartbeat from './Heartbeat';
 import type HeartbeatContent from './HeartbeatContent';
 import HeartbeatKind from './HeartbeatKind';
@@ -252,8 +253,10 @@
     this.broadcast(PeerMessageKind.LeavingTargets, targets);
   }
 
-  sendSuspects(pairs: readonly (readonly [string, string])[]): void {
-    this.broadcast(PeerMessageKind.Suspects, pairs);
+  /** Sends what is known of requests that crash targets to `host`, or to all peers. */
+  sendSuspects(update: SuspectUpdate, host?: string): void {
+    if (host === undefined) this.broadcast(PeerMessageKind.Suspects, update);
+    else this.send(host, PeerMessageKind.Suspects, update);
   }
 
   /**
--- a/packages/model/src/ErrorKind.ts
+++ b/packages/model/src/ErrorKind.ts
@@ -15,6 +15,7 @@
   PlacementUnavailable = 'placement_unavailable',
   TargetFailed = 'target_failed',
   Quarantined = 'quarantined',
+  CrashSuspected = 'crash_suspected',
   LogUnavailable = 'log_unavailable',
   ClaimInProgress = 'claim_in_progress',
   OutcomeUnknown = 'outcome_unknown',
--- a/packages/model/src/errorResponses.ts
+++ b/packages/model/src/errorResponses.ts
@@ -23,6 +23,7 @@
   [ErrorKind.PlacementUnavailable]: { status: HttpStatus.Unavailable, retryAfterMs: LONG_RETRY_MS },
   [ErrorKind.TargetFailed]: { status: HttpStatus.BadGateway, retryAfterMs: SHORT_RETRY_MS },
   [ErrorKind.Quarantined]: { status: HttpStatus.Unprocessable, retryAfterMs: NO_RETRY },
+  [ErrorKind.CrashSuspected]: { status: HttpStatus.Unavailable, retryAfterMs: LONG_RETRY_MS },
   [ErrorKind.LogUnavailable]: { status: HttpStatus.Unavailable, retryAfterMs: LONG_RETRY_MS },
   [ErrorKind.ClaimInProgress]: { status: HttpStatus.Conflict, retryAfterMs: LONG_RETRY_MS },
   [ErrorKind.OutcomeUnknown]: { status: HttpStatus.BadGateway, retryAfterMs: NO_RETRY },
--- /dev/null
+++ b/packages/suspects/src/TraitRecord.ts
@@ -0,0 +1,96 @@
+interface Sighting {
+  /** When the target crashed, on the monotonic clock. */
+  readonly crashedAtMs: number;
+  /** When the request was sent, on the monotonic clock. */
+  readonly sentAtMs: number;
+  /** Whether the target is known to have ended. */
+  readonly hasEnded: boolean;
+}
+
+const MAX_CRASHES = 16;
+const MAX_ACQUITTED = 64;
+const CRASH_WEIGHT = 3;
+const BROKEN_CONNECTION_WEIGHT = 2;
+
+const weightOf = (sightings: readonly Sighting[]): number =>
+  sightings.reduce(
+    (sum, { hasEnded }) => sum + (hasEnded ? CRASH_WEIGHT : BROKEN_CONNECTION_WEIGHT),
+    0,
+  );
+
+/** The crashes that one trait is suspected of, and those of which it was acquitted. */
+class TraitRecord {
+  private readonly crashes = new Map<string, Sighting>();
+
+  private readonly acquitted = new Set<string>();
+
+  /** Time until which a request with the trait is being tried, on the monotonic clock. */
+  trialUntilMs = -Infinity;
+
+  /** Adds a crash; returns whether it is new, or known to be one only now. */
+  add(crashId: string, sighting: Sighting): boolean {
+    const known = this.crashes.get(crashId);
+    const isNews = known === undefined || (sighting.hasEnded && !known.hasEnded);
+    if (!isNews || this.acquitted.has(crashId)) return false;
+    this.crashes.set(crashId, sighting);
+    this.crashIds.slice(0, -MAX_CRASHES).forEach((oldest) => this.crashes.delete(oldest));
+    return true;
+  }
+
+  /** Removes crashes, also those that are reported only later. */
+  acquit(crashIds: readonly string[]): void {
+    crashIds.forEach((crashId) => {
+      this.crashes.delete(crashId);
+      this.acquitted.add(crashId);
+    });
+    [...this.acquitted]
+      .slice(0, -MAX_ACQUITTED)
+      .forEach((crashId) => this.acquitted.delete(crashId));
+  }
+
+  wasAcquittedOf(crashId: string): boolean {
+    return this.acquitted.has(crashId);
+  }
+
+  get crashIds(): readonly string[] {
+    return [...this.crashes.keys()];
+  }
+
+  get sightings(): readonly (readonly [crashId: string, sighting: Sighting])[] {
+    return [...this.crashes];
+  }
+
+  /** What all crashes weigh together. */
+  get weight(): number {
+    return weightOf([...this.crashes.values()]);
+  }
+
+  /** What those crashes weigh that did not come at once. */
+  get successiveWeight(): number {
+    return weightOf(this.successive);
+  }
+
+  /** Crashes of which each request was sent after the crash before: what ends many targets at once counts once. */
+  get successive(): readonly Sighting[] {
+    const inOrder = [...this.crashes.values()].sort(
+      (one, other) => one.crashedAtMs - other.crashedAtMs,
+    );
+    let lastMs = -Infinity;
+    return inOrder.filter(({ crashedAtMs, sentAtMs }) => {
+      if (sentAtMs < lastMs) return false;
+      lastMs = crashedAtMs;
+      return true;
+    });
+  }
+
+  get lastCrashAtMs(): number {
+    return Math.max(...[...this.crashes.values()].map(({ crashedAtMs }) => crashedAtMs));
+  }
+
+  /** Whether each crash of this trait is also one of the other's. */
+  isWithin(other: TraitRecord): boolean {
+    return this.crashIds.every((crashId) => other.crashes.has(crashId));
+  }
+}
+
+export default TraitRecord;
--- /dev/null
+++ b/packages/suspects/test/suspectRegistry.test.ts
@@ -0,0 +1,306 @@
+/** What crashes targets is stopped after few crashes, and nothing else is stopped for long. */
+import fc from 'fast-check';
+import type { Clock } from '@wisteriapath/model';
+import { SuspectRegistry, type SuspectUpdate, SuspectVerdict } from '../src';
+
+const FIRST_TRIAL_MS = 8_000;
+const LONGEST_TRIAL_MS = 600_000;
+
+class ManualClock implements Clock {
+  now = 0;
+
+  nowMs = () => this.now;
+
+  sleep = (durationMs: number) => {
+    this.now += durationMs;
+    return Promise.resolve();
+  };
+}
+
+const MAX_TRAITS = 50;
+const silentLog = { event: () => {} };
+
+/** Creates an instance that has no peers. */
+const createSingle = (clock: Clock) =>
+  new SuspectRegistry({ clock, log: silentLog, announce: () => {} }, MAX_TRAITS);
+
+/** Creates instances whose updates wait until they are delivered. */
+const createFleet = (size: number) => {
+  const clock = new ManualClock();
+  const waiting: { readonly to: number; readonly update: SuspectUpdate }[] = [];
+  const registries = Array.from(
+    { length: size },
+    (_, from) =>
+      new SuspectRegistry(
+        {
+          clock,
+          log: silentLog,
+          announce: (update) => {
+            const others = Array.from({ length: size }, (__, to) => to).filter((to) => to !== from);
+            waiting.push(...others.map((to) => ({ to, update })));
+          },
+        },
+        MAX_TRAITS,
+      ),
+  );
+  const deliver = () => waiting.splice(0).forEach(({ to, update }) => registries[to].merge(update));
+  return { clock, registries, waiting, deliver };
+};
+
+const crash = (registry: SuspectRegistry, crashId: string, traits: string[], sentAtMs: number) =>
+  registry.recordCrash({ crashId, hasEnded: true, traits, sentAtMs });
+
+const judge = (registry: SuspectRegistry, ...traits: string[]) => registry.judge(traits).verdict;
+
+describe('a part that crashes targets', () => {
+  test('is refused everywhere after two crashes, and those that share all else are served', () => {
+    const { registries, deliver } = createFleet(3);
+    const [one, other, third] = registries;
+    third.recordAnswer(['first', 'subject']);
+    crash(one, 'crash-1', ['request-1', 'first', 'subject', 'deadly'], 0);
+    crash(other, 'crash-2', ['request-2', 'first', 'subject', 'deadly'], 0);
+    deliver();
+    third.recordAnswer(['first', 'subject']);
+    deliver();
+    registries.forEach((registry) => {
+      expect(judge(registry, 'request-3', 'first', 'subject', 'deadly')).toBe(
+        SuspectVerdict.Refused,
+      );
+      expect(judge(registry, 'request-4', 'first', 'subject')).toBe(SuspectVerdict.Clear);
+    });
+  });
+
+  test('is not told from what came with it each time until a request without it has been tried', () => {
+    const { registries, deliver } = createFleet(2);
+    const [one, other] = registries;
+    crash(one, 'crash-1', ['first', 'deadly'], 0);
+    crash(one, 'crash-2', ['first', 'deadly'], 0);
+    deliver();
+    expect(judge(other, 'first', 'deadly')).toBe(SuspectVerdict.Refused);
+    expect(judge(other, 'first')).toBe(SuspectVerdict.Trial);
+    other.claimTrial(['first']);
+    deliver();
+    expect(judge(one, 'first')).toBe(SuspectVerdict.Wait);
+    other.recordAnswer(['first']);
+    deliver();
+    expect(judge(one, 'first')).toBe(SuspectVerdict.Clear);
+    expect(judge(one, 'first', 'deadly')).toBe(SuspectVerdict.Refused);
+  });
+
+  test('crashes few targets however its requests come, and is tried more and more rarely', () => {
+    const arrivals = fc.array(fc.record({ instance: fc.nat(6), afterMs: fc.nat(2_000) }), {
+      minLength: 200,
+      maxLength: 400,
+    });
+    fc.assert(
+      fc.property(arrivals, (requests) => {
+        const { clock, registries, deliver } = createFleet(7);
+        let crashes = 0;
+        requests.forEach(({ instance, afterMs }, number) => {
+          clock.now += afterMs;
+          const registry = registries[instance];
+          const traits = [`request-${number}`, 'deadly'];
+          const verdict = judge(registry, ...traits);
+          if (verdict !== SuspectVerdict.Clear && verdict !== SuspectVerdict.Trial) return;
+          if (verdict === SuspectVerdict.Trial) registry.claimTrial(traits);
+          crashes += 1;
+          crash(registry, `crash-${crashes}`, traits, clock.now);
+          deliver();
+        });
+        const delaysMs = [8_000, 32_000, 128_000, 512_000];
+        const trials = delaysMs.filter(
+          (_, count) => delaysMs.slice(0, count + 1).reduce((sum, ms) => sum + ms, 0) < clock.now,
+        );
+        expect(crashes).toBeLessThanOrEqual(2 + trials.length);
+      }),
+    );
+  });
+
+  test('is refused again by an instance that starts anew, once a peer repeats its convictions', () => {
+    const { clock, registries, deliver } = createFleet(2);
+    crash(registries[0], 'crash-1', ['deadly'], 0);
+    crash(registries[0], 'crash-2', ['deadly'], 0);
+    deliver();
+    clock.now = 1_000;
+    const restarted = createSingle(clock);
+    restarted.merge(registries[1].repeatConvictions()!);
+    expect(restarted.judge(['deadly'])).toEqual({
+      verdict: SuspectVerdict.Refused,
+      waitMs: FIRST_TRIAL_MS - 1_000,
+    });
+  });
+});
+
+describe('without a part that crashes targets', () => {
+  test('one crash of many targets at once convicts nothing that was answered before', () => {
+    const { clock, registries, deliver } = createFleet(3);
+    registries.forEach((registry) => registry.recordAnswer(['first']));
+    clock.now = 1_000;
+    Array.from({ length: 8 }, (_, target) =>
+      crash(registries[target % 3], `crash-${target}`, ['first'], 900),
+    );
+    deliver();
+    expect(registries.map((registry) => judge(registry, 'first'))).toEqual(
+      Array(3).fill(SuspectVerdict.Clear),
+    );
+  });
+
+  test('broken connections to two targets that live convict nothing, and those to three do', () => {
+    const { clock } = createFleet(1);
+    const registry = createSingle(clock);
+    const breakAt = (crashId: string, hasEnded = false) =>
+      registry.recordCrash({ crashId, hasEnded, traits: ['request-1'], sentAtMs: 0 });
+    ['target-1', 'target-2', 'target-2'].forEach((target) => breakAt(target));
+    expect(judge(registry, 'request-1')).toBe(SuspectVerdict.Clear);
+    breakAt('target-3');
+    expect(judge(registry, 'request-1')).toBe(SuspectVerdict.Refused);
+  });
+
+  test('a crash that several instances report counts once', () => {
+    const { registries, deliver } = createFleet(3);
+    registries.forEach((registry) => crash(registry, 'crash-1', ['first'], 0));
+    deliver();
+    expect(judge(registries[0], 'first')).toBe(SuspectVerdict.Clear);
+  });
+
+  const step = fc.oneof(
+    fc.record({
+      kind: fc.constant('crash' as const),
+      at: fc.nat(2),
+      trait: fc.nat(3),
+      id: fc.nat(9),
+    }),
+    fc.record({
+      kind: fc.constant('answer' as const),
+      at: fc.nat(2),
+      trait: fc.nat(3),
+      id: fc.nat(9),
+    }),
+    fc.record({
+      kind: fc.constant('deliver' as const),
+      at: fc.nat(2),
+      trait: fc.nat(3),
+      id: fc.nat(9),
+    }),
+    fc.record({
+      kind: fc.constant('lose' as const),
+      at: fc.nat(2),
+      trait: fc.nat(3),
+      id: fc.nat(9),
+    }),
+  );
+
+  test('no trait is refused for good, whatever the order of crashes, answers and updates', () => {
+    fc.assert(
+      fc.property(fc.array(step, { maxLength: 60 }), (steps) => {
+        const { clock, registries, waiting, deliver } = createFleet(3);
+        const handlers = {
+          crash: (at: number, trait: string, id: number) =>
+            crash(registries[at], `crash-${id}`, [trait], clock.now - 100),
+          answer: (at: number, trait: string) => registries[at].recordAnswer([trait]),
+          deliver,
+          lose: () => {
+            waiting.splice(0);
+          },
+        };
+        steps.forEach(({ kind, at, trait, id }) => {
+          clock.now += 50;
+          handlers[kind](at, `trait-${trait}`, id);
+        });
+        clock.now += LONGEST_TRIAL_MS;
+        registries.forEach((registry) => {
+          for (let trait = 0; trait < 4; trait += 1) {
+            expect([SuspectVerdict.Clear, SuspectVerdict.Trial]).toContain(
+              judge(registry, `trait-${trait}`),
+            );
+          }
+        });
+        registries[0].recordAnswer(Array.from({ length: 4 }, (_, trait) => `trait-${trait}`));
+        // What was lost is repeated by heartbeats, and answered where it is refuted.
+        for (let round = 0; round < 2; round += 1) {
+          registries.forEach((registry, from) => {
+            const told = registry.repeatConvictions();
+            if (told === undefined) return;
+            registries.forEach((receiver, to) => {
+              if (to === from) return;
+              const missed = receiver.merge(told);
+              if (missed !== undefined) registry.merge(missed);
+            });
+          });
+        }
+        registries.forEach((registry) => {
+          for (let trait = 0; trait < 4; trait += 1) {
+            expect([SuspectVerdict.Clear, SuspectVerdict.Trial]).toContain(
+              judge(registry, `trait-${trait}`),
+            );
+          }
+        });
+      }),
+      { numRuns: 500 },
+    );
+  });
+
+  test('updates that arrive in any order, and more than once, leave the same convictions', () => {
+    const { clock, registries, waiting } = createFleet(2);
+    const trait = fc.constantFrom('a', 'b', 'c');
+    const crashFact = fc.record({ kind: fc.constant('crash' as const), trait, id: fc.nat(5) });
+    const acquittal = fc.record({ kind: fc.constant('acquittal' as const), trait, id: fc.nat(5) });
+    const toUpdate = ({ kind, trait: name, id }: { kind: string; trait: string; id: number }) => {
+      const crashId = `crash-${id}`;
+      // Each crash at a time of its own, whoever tells of it.
+      const report = {
+        crashId,
+        hasEnded: true,
+        traits: [name],
+        ageMs: 1_000 * (6 - id),
+        sentBeforeMs: 100,
+      };
+      return {
+        crashes: kind === 'crash' ? [report] : [],
+        acquittals: kind === 'crash' ? [] : [{ trait: name, crashIds: [crashId] }],
+        trials: [],
+      };
+    };
+    expect([registries.length, waiting.length]).toEqual([2, 0]);
+    fc.assert(
+      fc.property(
+        fc.array(fc.oneof(crashFact, acquittal), { maxLength: 20 }),
+        fc.infiniteStream(fc.nat()),
+        (facts, order) => {
+          const shuffled = [...facts, ...facts]
+            .map((fact) => ({ fact, key: order.next().value as number }))
+            .sort((one, other) => one.key - other.key);
+          const inOrder = createSingle(clock);
+          const other = createSingle(clock);
+          facts.forEach((fact) => inOrder.merge(toUpdate(fact)));
+          shuffled.forEach(({ fact }) => other.merge(toUpdate(fact)));
+          ['a', 'b', 'c'].forEach((name) =>
+            expect(other.judge([name])).toEqual(inOrder.judge([name])),
+          );
+        },
+      ),
+      { numRuns: 1_000 },
+    );
+  });
+
+  test('the state stays bounded, whatever is reported', () => {
+    const { clock } = createFleet(1);
+    const registry = createSingle(clock);
+    for (let number = 0; number < 10 * MAX_TRAITS; number += 1) {
+      crash(registry, 'crash-1', [`trait-${number}`], 0);
+      crash(registry, 'crash-2', [`trait-${number}`], 0);
+    }
+    expect(registry.convictedCount).toBe(MAX_TRAITS);
+    expect(JSON.stringify(registry.repeatConvictions()).length).toBeLessThan(2_000);
+  });
+
+  test('a conviction ends when no target has crashed for long', () => {
+    const { clock } = createFleet(1);
+    const registry = createSingle(clock);
+    crash(registry, 'crash-1', ['part'], 0);
+    crash(registry, 'crash-2', ['part'], 0);
+    clock.now += 1_800_001;
+    expect(registry.repeatConvictions()).toBeUndefined();
+    expect(judge(registry, 'part')).toBe(SuspectVerdict.Clear);
+  });
+});
