A stream that ends inside an event is broken off, also where it cannot be resumed

Callers saw: a stream with neither length nor chunks whose target closed the connection in the middle of an event, or with no event at all, was ended as whole (on routes whose streams cannot be resumed; the same with a length or with whole chunks). Cause: only the framer of resumable streams was asked for an event without end. Now the ends of events are followed on every event stream; one that ends inside an event, or without framing and without an event, is a break: the caller's answer is aborted. The length of a stream is not passed on, as its last byte would make it look whole. Evidence: brokenOffAnswers.test.ts; four cases failed before, 'no event' and the length came with the fix. The report on an engine that stops in the middle of its answer's head cannot happen here: 96 cases (six places within the head, closed and reset, new and kept connections, all four kinds of route) pass on the code before as well.

--- a/packages/edge/src/TargetAttempt.ts
+++ b/packages/edge/src/TargetAttempt.ts
@@ -41,6 +41,7 @@
 const OK = 200;
 const MULTIPLE_CHOICES = 300;
 const SERVER_ERROR = 500;
+const EVENT_STREAM = 'text/event-stream';
 /** Time to wait for the end of a refusal before its connection is closed. */
 const REFUSAL_BODY_TIMEOUT_MS = 150;
 const STALL_CHECK_INTERVAL_MS = 250;
@@ -231,8 +232,8 @@
 
   private responseHeaders(): Record<string, string | string[]> {
     const headers = this.deps.dialect.callerHeaders(this.headers);
-    // A stream that is resumed at another target may have a different length.
-    if (this.context.framer !== null) delete headers['content-length'];
+    // A stream may be resumed at another target, or end inside an event when all bytes of its length have been passed on.
+    delete headers['content-length'];
     return headers;
   }
 
@@ -282,8 +283,8 @@
   private completeResponse(): AttemptOutcome {
     const { caller, framer, keepsFailure } = this.context;
     if (this.mode === ResponseMode.Streamed) {
-      if (framer?.hasPartialEvent) {
-        framer.reset();
+      if (this.isStreamBrokenOff) {
+        framer?.reset();
         return AttemptOutcome.Broken;
       }
       caller.end();
@@ -304,6 +305,22 @@
     return AttemptOutcome.Answered;
   }
 
+  /** Whether a stream ended inside an event, or with its connection before any event. */
+  private get isStreamBrokenOff(): boolean {
+    const { framer } = this.context;
+    if (framer !== null) return framer.hasPartialEvent || (this.isUnframed && !framer.hasEvent);
+    const { isInsideEvent, hasEvent } = this.boundaries;
+    const mediaType = mediaTypeOf(this.headers['content-type']);
+    const isEventStream = mediaType === '' || mediaType === EVENT_STREAM;
+    return isEventStream && (isInsideEvent || (this.isUnframed && !hasEvent));
+  }
+
+  /** Whether the response has neither a length nor chunks, so that only the end of its connection ends it. */
+  private get isUnframed(): boolean {
+    const { 'content-length': length, 'transfer-encoding': encoding } = this.headers;
+    return length === undefined && encoding === undefined;
+  }
+
   /** Passes a complete response on to the caller. */
   static sendResponse(caller: CallerExchange, { status, headers, body }: KeptResponse): void {
     caller.start(status, headers);
