In a planned stop, answer each request that was taken before the process ends

Cause: Edge.stop destroyed the connections at the end of the grace without an answer; the time from which nothing is sent was looked at only by requests that wait for a target. A store port that never answers, or throws, held up the whole stop, as it was awaited first. Now Shutdown says when nothing more is sent (also to a second target, and just before the first byte), and at the end each request in progress gets its answer: 502, which leaves the outcome open, if it may have run; 503 if it has not. Streams that have begun are aborted.

--- a/packages/edge/src/AttemptOutcome.ts
+++ b/packages/edge/src/AttemptOutcome.ts
@@ -16,6 +16,8 @@
   Stalled = 'silent',
   CallerDisconnected = 'caller_left',
   DeadlineExceeded = 'time_over',
+  /** This instance had to stop before the target had answered. */
+  Stopped = 'stopped',
 }
 
 export default AttemptOutcome;
--- a/packages/edge/src/Edge.ts
+++ b/packages/edge/src/Edge.ts
@@ -24,6 +24,7 @@
 import ModelRates from './ModelRates';
 import PeerCatchUp from './PeerCatchUp';
 import PoolRetryBudgets from './PoolRetryBudgets';
+import Shutdown from './Shutdown';
 import StoreView from './StoreView';
 import TargetConnections from './TargetConnections';
 import TargetLoads from './TargetLoads';
@@ -43,19 +44,12 @@
 const HEARTBEAT_INTERVAL_MS = 200;
 /** Silence after which a peer is assumed to spend nothing more of the shared limits. */
 const PEER_SPENDING_TIMEOUT_MS = 12_000;
-/** Time for which connections are still accepted after the stop signal, until the balancer has noticed it. */
-const BALANCER_LAG_MS = 2_600;
-/** Part of the grace period that is left unused, so that the process exits before it is killed. */
-const GRACE_MARGIN_MS = 500;
-const STOP_POLL_INTERVAL_MS = 50;
 
 /** An entry instance in front of targets that register themselves. */
 class Edge {
   private readonly storeView: StoreView;
 
-  private isStopping = false;
-
-  private sendCutoffAtMs = Infinity;
+  private readonly shutdown: Shutdown;
 
   private listeners: HttpListener[] = [];
 
@@ -97,6 +91,11 @@
     private readonly clock: Clock,
     private readonly log: EventLog,
   ) {
+    this.shutdown = new Shutdown({
+      clock,
+      graceMs: options.shutdownGraceMs,
+      activeRequests: () => this.callers.activeRequests,
+    });
     this.table = new TargetTable(clock);
     this.storeView = new StoreView({
       clock,
@@ -175,8 +174,9 @@
       dialect: ports.dialect,
       failureDomain: options.member.failureDomain,
       desired: () => this.storeView.desired,
-      isStopping: () => this.isStopping,
-      sendCutoffAtMs: () => this.sendCutoffAtMs,
+      isStopping: () => this.shutdown.hasBegun,
+      sendCutoffAtMs: () => this.shutdown.sendCutoffAtMs,
+      stopSignal: this.shutdown.finalSignal,
       table: this.table,
       waiting: this.demandReporter.waiting,
       rates: this.rates,
@@ -225,7 +225,7 @@
     void this.lease.run();
     void this.placer.run();
     this.demandReporter.start();
-    const isOver = () => this.isStopping;
+    const isOver = () => this.shutdown.hasBegun;
     void announceAndListMembers(this.ports.memberStore, this.clock, options.member, isOver).then(
       (members) => this.peers.addMembers(members),
     );
@@ -234,21 +234,12 @@
 
   /** Finishes the requests in progress and stops within the grace period. */
   async stop(): Promise<void> {
-    if (this.isStopping) return;
-    this.isStopping = true;
-    const startedMs = this.clock.nowMs();
-    this.sendCutoffAtMs = startedMs + BALANCER_LAG_MS;
+    if (this.shutdown.hasBegun) return;
     this.log.event('stopping', { under_way: this.callers.activeRequests });
+    const finished = this.shutdown.run(this.listeners);
     this.peers.sendHeartbeat();
-    await this.lease.stop();
-    await this.clock.sleep(BALANCER_LAG_MS - (this.clock.nowMs() - startedMs));
-    this.listeners.forEach((listener) => listener.stopAccepting());
-    const endMs = startedMs + this.options.shutdownGraceMs - GRACE_MARGIN_MS;
-    while (this.callers.activeRequests > 0 && this.clock.nowMs() < endMs) {
-      await this.clock.sleep(STOP_POLL_INTERVAL_MS);
-      // Responses that started before the stop signal leave their connections open.
-      this.listeners.forEach((listener) => listener.closeIdle());
-    }
+    void this.releaseLease();
+    await finished;
     this.placer.stop();
     this.demandReporter.stop();
     this.follower?.stop();
@@ -259,8 +250,17 @@
     this.log.event('stopped', { under_way: this.callers.activeRequests });
   }
 
+  /** Releases the lease, which a silent store must not let delay the rest of the stop. */
+  private async releaseLease(): Promise<void> {
+    try {
+      await this.lease.stop();
+    } catch (error) {
+      this.log.event('lease_release_failed', { error: (error as Error).message });
+    }
+  }
+
   private get isReady(): boolean {
-    return !this.isStopping && this.storeView.isLoaded;
+    return !this.shutdown.hasBegun && this.storeView.isLoaded;
   }
 
   /** Whether this instance reads the targets' entries from the store and relays them to the peers. */
@@ -335,7 +335,7 @@
       leavingTargets: this.table.selfDeclaredLeaving,
       suspects: this.suspects.repeatConvictions(),
       leaseOffset: this.lease.isCurrent ? this.lease.offset : -1,
-      isStopping: this.isStopping,
+      isStopping: this.shutdown.hasBegun,
       usage,
     };
   }
--- a/packages/edge/src/EdgeDependencies.ts
+++ b/packages/edge/src/EdgeDependencies.ts
@@ -23,6 +23,8 @@
   readonly isStopping: () => boolean;
   /** Returns the time from which no request is sent to targets, because the process is shutting down. */
   readonly sendCutoffAtMs: () => number;
+  /** Aborts at the end of a shutdown, when requests in progress must be answered at once. */
+  readonly stopSignal: AbortSignal;
   readonly table: TargetTable;
   readonly waiting: WaitingRequests;
   readonly rates: ModelRates;
--- a/packages/edge/src/RequestExecution.ts
+++ b/packages/edge/src/RequestExecution.ts
@@ -137,7 +137,14 @@
 
   /** Returns why the request may not be sent any more, though it was admitted; undefined if it may. */
   private denial(): ServeError | undefined {
-    return this.authorizationError() ?? this.suspectError();
+    return this.stopError() ?? this.authorizationError() ?? this.suspectError();
+  }
+
+  /** Returns a refusal once a shutdown leaves no time to run a request; a stream that has begun may go on. */
+  private stopError(): ServeError | undefined {
+    const { clock, sendCutoffAtMs } = this.deps;
+    if (this.caller.hasStarted || clock.nowMs() < sendCutoffAtMs()) return undefined;
+    return ServeError.notExecuted(ErrorKind.Stopping, 'this instance is shutting down');
   }
 
   private suspectError(): ServeError | undefined {
@@ -242,6 +249,7 @@
       sends: this.sends,
     });
     if (outcome === AttemptOutcome.DeadlineExceeded) return this.failWithTimeout();
+    if (outcome === AttemptOutcome.Stopped) return this.failStopped();
     this.excluded.set(id, clock.nowMs() + EXCLUSION_MS);
     if (outcome === AttemptOutcome.NotExecuted) this.refusedBy.add(id);
     if (POSSIBLY_EXECUTED.has(outcome)) {
@@ -278,6 +286,11 @@
     return this.sendError(ServeError.maybeExecuted(ErrorKind.DeadlineExpired, message));
   }
 
+  private failStopped(): RequestResult {
+    const message = 'this instance had to stop before the target had answered';
+    return this.sendError(ServeError.maybeExecuted(ErrorKind.TargetFailed, message));
+  }
+
   private failUnserved(): RequestResult {
     const pauseMs = this.finder.pauseMs(this.request.pool.name);
     return this.fail('no target became available in time', pauseMs);
--- /dev/null
+++ b/packages/edge/src/Shutdown.ts
@@ -0,0 +1,70 @@
+import { setMaxListeners } from 'node:events';
+import type { Clock } from '@wisteriapath/model';
+import type HttpListener from './HttpListener';
+
+interface Parts {
+  readonly clock: Clock;
+  /** Time from the stop signal until the process is killed. */
+  readonly graceMs: number;
+  /** Returns the number of callers' requests in progress. */
+  readonly activeRequests: () => number;
+}
+
+/** Time for which connections are still accepted after the stop signal, until the balancer has noticed it. */
+const BALANCER_LAG_MS = 2_600;
+/** Part of the grace period that is left unused, so that the process exits before it is killed. */
+const GRACE_MARGIN_MS = 500;
+/** Time for the last answers to requests whose targets have not finished by the end of the grace period. */
+const FINAL_ANSWERS_MS = 200;
+const POLL_INTERVAL_MS = 50;
+
+/** The planned stop of an instance: when it stops taking requests, sending them to targets, and waiting for targets. */
+class Shutdown {
+  private readonly controller = new AbortController();
+
+  private cutoffAtMs = Infinity;
+
+  constructor(private readonly parts: Parts) {
+    // Each request in progress listens to it.
+    setMaxListeners(0, this.controller.signal);
+  }
+
+  get hasBegun(): boolean {
+    return this.cutoffAtMs !== Infinity;
+  }
+
+  /** Time from which no request is sent to targets, on the monotonic clock. */
+  get sendCutoffAtMs(): number {
+    return this.cutoffAtMs;
+  }
+
+  /** Aborts when requests in progress must be answered at once. */
+  get finalSignal(): AbortSignal {
+    return this.controller.signal;
+  }
+
+  /** Finishes the requests in progress, and has the others answered before the grace period ends. */
+  async run(listeners: readonly HttpListener[]): Promise<void> {
+    const { clock, graceMs } = this.parts;
+    const startedMs = clock.nowMs();
+    this.cutoffAtMs = startedMs + BALANCER_LAG_MS;
+    await clock.sleep(BALANCER_LAG_MS);
+    listeners.forEach((listener) => listener.stopAccepting());
+    const endMs = startedMs + graceMs - GRACE_MARGIN_MS;
+    await this.finishRequests(listeners, endMs);
+    this.controller.abort();
+    await this.finishRequests(listeners, endMs + FINAL_ANSWERS_MS);
+  }
+
+  /** Waits until no request is in progress, until `endMs` at the latest. */
+  private async finishRequests(listeners: readonly HttpListener[], endMs: number): Promise<void> {
+    const { clock, activeRequests } = this.parts;
+    while (activeRequests() > 0 && clock.nowMs() < endMs) {
+      await clock.sleep(POLL_INTERVAL_MS);
+      // Responses that started before the stop signal leave their connections open.
+      listeners.forEach((listener) => listener.closeIdle());
+    }
+  }
+}
+
+export default Shutdown;
--- a/packages/edge/src/TargetAttempt.ts
+++ b/packages/edge/src/TargetAttempt.ts
@@ -123,12 +123,15 @@
       context.framer === null
         ? undefined
         : setInterval(() => this.abortIfStalled(), STALL_CHECK_INTERVAL_MS);
+    const abortOnStop = () => exchange.abort();
     caller.disconnectSignal.addEventListener('abort', abortOnDisconnect);
+    deps.stopSignal.addEventListener('abort', abortOnStop);
     const end = await exchange.ended;
     clearTimeout(deadlineTimer);
     clearInterval(stallTimer);
     clearTimeout(this.refusalTimer);
     caller.disconnectSignal.removeEventListener('abort', abortOnDisconnect);
+    deps.stopSignal.removeEventListener('abort', abortOnStop);
     const outcome = this.outcomeOf(end);
     if (outcome === AttemptOutcome.NotSent) reservation.recordConnectFailure();
     const failureOutcomes = [AttemptOutcome.Broken, AttemptOutcome.NotSent, AttemptOutcome.Stalled];
@@ -275,6 +278,7 @@
     if (end === ExchangeEnd.Withheld) return AttemptOutcome.Withheld;
     if (end === ExchangeEnd.Complete) return this.completeResponse();
     framer?.reset();
+    if (this.deps.stopSignal.aborted) return AttemptOutcome.Stopped;
     if (this.hasStalled) return AttemptOutcome.Stalled;
     if (this.hasTimedOut) return AttemptOutcome.DeadlineExceeded;
     return end === ExchangeEnd.NotSent ? AttemptOutcome.NotSent : AttemptOutcome.Broken;
--- a/packages/edge/src/admit.ts
+++ b/packages/edge/src/admit.ts
@@ -49,7 +49,7 @@
   const allowed = authorize(state, fields, path);
   if (allowed.isLeft()) return Left(allowed.extract());
   const { route, workspace } = allowed.unsafeCoerce();
-  const read = await readBody(request, state.limits.maxBodyBytes);
+  const read = await readBody(request, state.limits.maxBodyBytes, deps.stopSignal);
   if (read.isLeft()) return Left(read.extract());
   const body = read.unsafeCoerce();
   const traits = traitsOf(workspace?.name ?? '', path, body, fields.sharedParts);
