--- a/packages/routing/src/GuardedTargetClient.ts
+++ b/packages/routing/src/GuardedTargetClient.ts
@@ -9,6 +9,8 @@
 /** An exchange with a target whose response has begun. */
 interface Exchange {
   readonly response: Dispatcher.ResponseData;
+  /** Records that the target has begun to answer. */
+  markBegun(): void;
   /** Records that the response was complete. */
   markFinished(): void;
   /** Records that the target refused the request without running it, which clears no suspect. */
@@ -59,7 +61,7 @@
     fingerprint: string,
     call: Call,
   ): Promise<Either<ExchangeFailure, Exchange>> {
-    const { end, targetCrashed } = this.poison.trackInflight(target, fingerprint);
+    const { begun, end, targetCrashed } = this.poison.trackInflight(target, fingerprint);
     const fail = (failure: ExchangeFailure): ExchangeFailure => {
       if (failure === ExchangeFailure.Broken) targetCrashed();
       end();
@@ -68,6 +70,7 @@
     const sent = await this.client.send(url, call);
     return sent.bimap(fail, (response) => ({
       response,
+      markBegun: begun,
       markFinished: () => {
         end();
         this.poison.noteFinished(fingerprint);
--- a/packages/routing/src/ModelCall.ts
+++ b/packages/routing/src/ModelCall.ts
@@ -138,7 +138,7 @@
     }
     const isSlow = this.parts.clock.nowMs() - startedMs > SLOW_FIRST_BYTE_MS;
     try {
-      await this.relay(exchange.response.body);
+      await this.relay(exchange.response.body, () => exchange.markBegun());
       exchange.markFinished();
       slot.release(isSlow ? TargetOutcome.Slow : TargetOutcome.Succeeded);
       return undefined;
@@ -171,10 +171,11 @@
    * Writes the engine's events to the caller. Throws if the stream ends before the last event.
    * Reads the rest of the body after that event too, so that the connection can be reused.
    */
-  private async relay(body: Dispatcher.ResponseData['body']): Promise<void> {
+  private async relay(body: Dispatcher.ResponseData['body'], onBegun: () => void): Promise<void> {
     let isDone = false;
     try {
       for await (const data of readEvents(body)) {
+        onBegun();
         if (data === DONE_EVENT_DATA) {
           await this.writer.finish();
           isDone = true;
