Repeat convictions in a fifth of the heartbeats, a few at a time, so that they fit into a packet

Eight convictions with four crashes each took 3,008 bytes in each heartbeat (30 a second at seven instances). Now at most three, chosen at random, in one heartbeat of five: 1,146 bytes at most. One conviction takes 212.

--- a/packages/edge/src/Edge.ts
+++ b/packages/edge/src/Edge.ts
@@ -36,12 +36,14 @@
 import createPeerHandlers from './createPeerHandlers';
 import createPlacer from './createPlacer';
 import connectionShare from './connectionShare';
-import isStoreReader from './isStoreReader';
+import readsStoreForAll from './readsStoreForAll';
 import registerInstanceGauges from './registerInstanceGauges';
 import serveMetrics from './serveMetrics';
 import serveRecords from './serveRecords';
 
 const HEARTBEAT_INTERVAL_MS = 200;
+/** Fraction of the heartbeats that repeat convictions. */
+const REPEATED_FRACTION = 0.2;
 /** Silence after which a peer is assumed to spend nothing more of the shared limits. */
 const PEER_SPENDING_TIMEOUT_MS = 12_000;
 
@@ -203,13 +205,10 @@
   /** Starts to serve. The instance reports ready once the store has been read. */
   async start(): Promise<void> {
     const { options, log } = this;
-    const readiness = await HttpListener.open(options.readinessAddress, {}, log, (_, response) => {
-      response.writeHead(this.isReady ? 200 : 503, { 'content-length': '0' }).end();
-    });
-    this.listeners.push(readiness);
+    this.listeners.push(await this.openReadiness());
     this.follower = this.ports.followStore(this.storeView, () => this.isStoreReader);
-    const peerAddress = `${options.member.host}:${options.peerPort}`;
-    this.listeners.push(await serveRecords(peerAddress, this.storeView, log));
+    const { host } = options.member;
+    this.listeners.push(await serveRecords(`${host}:${options.peerPort}`, this.storeView, log));
     await this.peers.start();
     this.listeners.unshift(await this.callers.open(options.callersAddress));
     registerInstanceGauges(this.metrics, {
@@ -220,15 +219,12 @@
       instances: () => this.peers.instanceCount(PEER_SPENDING_TIMEOUT_MS),
       convictedTraits: () => this.suspects.convictedCount,
     });
-    const metricsAddress = `${options.member.host}:${options.metricsPort}`;
+    const metricsAddress = `${host}:${options.metricsPort}`;
     this.listeners.push(await serveMetrics(metricsAddress, this.metrics.registry, log));
     void this.lease.run();
     void this.placer.run();
     this.demandReporter.start();
-    const isOver = () => this.shutdown.hasBegun;
-    void announceAndListMembers(this.ports.memberStore, this.clock, options.member, isOver).then(
-      (members) => this.peers.addMembers(members),
-    );
+    void this.learnMembers();
     log.event('started', { callers: options.callersAddress, domain: options.member.failureDomain });
   }
 
@@ -259,24 +255,28 @@
     }
   }
 
+  private async learnMembers(): Promise<void> {
+    const isOver = () => this.shutdown.hasBegun;
+    const { memberStore } = this.ports;
+    const { member } = this.options;
+    this.peers.addMembers(await announceAndListMembers(memberStore, this.clock, member, isOver));
+  }
+
+  private openReadiness(): Promise<HttpListener> {
+    return HttpListener.open(this.options.readinessAddress, {}, this.log, (_, response) => {
+      response.writeHead(this.isReady ? 200 : 503, { 'content-length': '0' }).end();
+    });
+  }
+
   private get isReady(): boolean {
     return !this.shutdown.hasBegun && this.storeView.isLoaded;
   }
 
   /** Whether this instance reads the targets' entries from the store and relays them to the peers. */
   private get isStoreReader(): boolean {
-    const placers = new Set([...this.peers.placers.values()].map(({ name }) => name));
-    const peers = this.peers.livePeers.map(({ member: { name }, reachesStore }) => ({
-      name,
-      reachesStore,
-      isPlacer: placers.has(name),
-    }));
-    const self = {
-      name: this.options.member.name,
-      reachesStore: this.reachesStore,
-      isPlacer: this.lease.isCurrent,
-    };
-    return isStoreReader(self, peers);
+    const { name } = this.options.member;
+    const { reachesStore } = this;
+    return readsStoreForAll({ name, reachesStore, isPlacer: this.lease.isCurrent }, this.peers);
   }
 
   private get reachesStore(): boolean {
@@ -333,7 +333,7 @@
       targetsOffset: this.storeView.end(StoreTopic.Targets) ?? 0,
       reachesStore: this.reachesStore,
       leavingTargets: this.table.selfDeclaredLeaving,
-      suspects: this.suspects.repeatConvictions(),
+      suspects: Math.random() < REPEATED_FRACTION ? this.suspects.repeatConvictions() : undefined,
       leaseOffset: this.lease.isCurrent ? this.lease.offset : -1,
       isStopping: this.shutdown.hasBegun,
       usage,
--- a/packages/fleet/src/Heartbeat.ts
+++ b/packages/fleet/src/Heartbeat.ts
@@ -14,7 +14,7 @@
   readonly reachesStore: boolean;
   /** Targets that said that they are leaving, by id and start. */
   readonly leavingTargets: readonly (readonly [string, number])[];
-  /** The newest convictions of what crashes targets; absent if there are none. */
+  /** Convictions of what crashes targets; absent in most heartbeats. */
   readonly suspects?: SuspectUpdate;
   /** Offset of the lease record under which the sender gives orders; -1 if it gives none. */
   readonly leaseOffset: number;
--- a/packages/suspects/src/SuspectRegistry.ts
+++ b/packages/suspects/src/SuspectRegistry.ts
@@ -42,9 +42,10 @@
 const MAX_TRIAL_DELAY_MS = 600_000;
 /** Time in which a trial is decided: the target has begun to answer, or has crashed. */
 const TRIAL_MS = 5_000;
-/** Convicted traits, and crashes of each, that are told again and again. */
-const MAX_TOLD_TRAITS = 8;
-const MAX_TOLD_CRASHES = 4;
+/** Convicted traits that are repeated at once, so that a heartbeat with them fits into a packet. */
+const MAX_REPEATED_TRAITS = 3;
+/** Crashes of each that are repeated: as many as convict. */
+const MAX_REPEATED_CRASHES = 4;
 const CLEAR: Judgement = { verdict: SuspectVerdict.Clear, waitMs: 0 };
 const WAIT: Judgement = { verdict: SuspectVerdict.Wait, waitMs: 0 };
 const TRIAL: Judgement = { verdict: SuspectVerdict.Trial, waitMs: 0 };
@@ -131,8 +132,8 @@
   }
 
   /**
-   * Drops convictions that have expired, and returns the newest of the others for peers that may have missed them;
-   * undefined if there are none.
+   * Drops convictions that have expired, and returns a few of the others, chosen at random, for peers that may have
+   * missed them; undefined if there are none.
    */
   repeatConvictions(): SuspectUpdate | undefined {
     const nowMs = this.parts.clock.nowMs();
@@ -140,10 +141,15 @@
       if (lastCrashAtMs < nowMs - RETENTION_MS) this.records.delete(trait);
     });
     if (this.convicted.size === 0) return undefined;
-    const told = [...this.convicted].slice(-MAX_TOLD_TRAITS);
-    const crashes = told.flatMap(([trait, record]) =>
+    const first = Math.floor(Math.random() * this.convicted.size);
+    const convicted = [...this.convicted];
+    const repeated = [...convicted.slice(first), ...convicted.slice(0, first)].slice(
+      0,
+      MAX_REPEATED_TRAITS,
+    );
+    const crashes = repeated.flatMap(([trait, record]) =>
       record.sightings
-        .slice(-MAX_TOLD_CRASHES)
+        .slice(-MAX_REPEATED_CRASHES)
         .map(([crashId, { crashedAtMs, sentAtMs, hasEnded }]) => ({
           crashId,
           hasEnded,
--- a/packages/suspects/test/suspectRegistry.test.ts
+++ b/packages/suspects/test/suspectRegistry.test.ts
@@ -217,7 +217,7 @@
         });
         registries[0].recordAnswer(Array.from({ length: 4 }, (_, trait) => `trait-${trait}`));
         // What was lost is repeated by heartbeats, and answered where it is refuted.
-        for (let round = 0; round < 2; round += 1) {
+        for (let round = 0; round < 20; round += 1) {
           registries.forEach((registry, from) => {
             const told = registry.repeatConvictions();
             if (told === undefined) return;
@@ -291,7 +291,7 @@
       crash(registry, 'crash-2', [`trait-${number}`], 0);
     }
     expect(registry.convictedCount).toBe(MAX_TRAITS);
-    expect(JSON.stringify(registry.repeatConvictions()).length).toBeLessThan(2_000);
+    expect(JSON.stringify(registry.repeatConvictions()).length).toBeLessThan(1_500);
   });
 
   test('a conviction ends when no target has crashed for long', () => {
