--- a/packages/fleet/src/TargetTable.ts
+++ b/packages/fleet/src/TargetTable.ts
@@ -201,11 +201,6 @@
     return [...this.rows.values()];
   }
 
-  /** Returns all targets of a pool. */
-  inPool(pool: string): readonly TargetView[] {
-    return this.rowsInPool(pool);
-  }
-
   /**
    * Returns the targets of a pool that may be given new work. Where only leaving ones are left, those count of which
    * peers alone say that they leave: a word that was forged or misread elsewhere must not empty a pool.
