Own protocol: an event that cannot be read is no crash of its engine

What is blamed must be able to be the cause: an unreadable event has an error of its own now and ends only its own exchange.

--- a/packages/routing/src/CompletionWriter.ts
+++ b/packages/routing/src/CompletionWriter.ts
@@ -1,14 +1,6 @@
+import type CompletionChunk from './CompletionChunk';
 import type ResponseSink from './ResponseSink';
-
-interface Choice {
-  readonly text?: string;
-  readonly delta?: { readonly content?: string };
-}
-
-interface Chunk {
-  readonly choices?: readonly Choice[];
-  readonly usage?: { readonly prompt_tokens: number; readonly completion_tokens: number };
-}
+import parseChunk from './parseChunk';
 
 const STREAM_HEADERS = { 'content-type': 'text/event-stream', 'cache-control': 'no-cache' };
 const OK = 200;
@@ -20,7 +12,7 @@
 
   private text = '';
 
-  private usage: Chunk['usage'];
+  private usage: CompletionChunk['usage'];
 
   constructor(
     private readonly sink: ResponseSink,
@@ -34,9 +26,9 @@
     return this.usage && this.usage.prompt_tokens + this.usage.completion_tokens;
   }
 
-  /** Handles the data of one event of the engine: a JSON chunk. */
+  /** Handles the data of one event of the engine: a JSON chunk. Throws `UnreadableResponse` if it is none. */
   async writeEvent(data: string): Promise<void> {
-    const chunk = JSON.parse(data) as Chunk;
+    const chunk = parseChunk(data);
     const [choice] = chunk.choices ?? [];
     const text = choice?.delta?.content ?? choice?.text;
     if (text !== undefined) {
--- a/packages/routing/src/GuardedTargetClient.ts
+++ b/packages/routing/src/GuardedTargetClient.ts
@@ -5,6 +5,7 @@
 import type PoisonRegistry from './PoisonRegistry';
 import PoisonVerdict from './PoisonVerdict';
 import TargetClient from './TargetClient';
+import UnreadableResponse from './UnreadableResponse';
 
 /** An exchange with a target whose response has begun. */
 interface Exchange {
@@ -15,7 +16,7 @@
   markFinished(): void;
   /** Records that the target refused the request without running it, which clears no suspect. */
   markRefused(): void;
-  /** Records that the response broke off, and returns the failure. */
+  /** Records that the response broke off or cannot be read, and returns the failure. */
   markBroken(error: unknown): ExchangeFailure;
 }
 
@@ -76,7 +77,11 @@
         this.poison.noteFinished(fingerprint);
       },
       markRefused: end,
-      markBroken: (error) => fail(TargetClient.failureOf(error)),
+      markBroken: (error) => {
+        if (!(error instanceof UnreadableResponse)) return fail(TargetClient.failureOf(error));
+        end();
+        return ExchangeFailure.Broken;
+      },
     }));
   }
 }
