A heartbeat that repeats no conviction is read without an error

Cause: the codec turns an absent value into null, and the receiver asked for undefined; the heartbeat itself had been taken by then, and so had convictions, so that no rule hung on it, but the log was flooded and each heartbeat cost an exception. Now the field is null where there is none, on both sides.

--- a/packages/edge/src/Edge.ts
+++ b/packages/edge/src/Edge.ts
@@ -333,7 +333,7 @@
       targetsOffset: this.storeView.end(StoreTopic.Targets) ?? 0,
       reachesStore: this.reachesStore,
       leavingTargets: this.table.selfDeclaredLeaving,
-      suspects: Math.random() < REPEATED_FRACTION ? this.suspects.repeatConvictions() : undefined,
+      suspects: Math.random() < REPEATED_FRACTION ? this.suspects.repeatConvictions() : null,
       leaseOffset: this.lease.isCurrent ? this.lease.offset : -1,
       isStopping: this.shutdown.hasBegun,
       usage,
--- a/packages/edge/src/createPeerHandlers.ts
+++ b/packages/edge/src/createPeerHandlers.ts
@@ -43,8 +43,10 @@
     deps.catchUp.observe(heartbeat);
     // Instances of an earlier build do not say.
     deps.signals.recordFromPeer(heartbeat.leavingTargets ?? []);
-    if (heartbeat.suspects === undefined) return;
-    const missed = deps.suspects.merge(heartbeat.suspects);
+    // Instances of an earlier build do not say.
+    const suspects = heartbeat.suspects ?? null;
+    if (suspects === null) return;
+    const missed = deps.suspects.merge(suspects);
     if (missed !== undefined) deps.peers().sendSuspects(missed, heartbeat.member.host);
   },
   demand: (report) => {
--- a/packages/fleet/src/Heartbeat.ts
+++ b/packages/fleet/src/Heartbeat.ts
@@ -14,8 +14,8 @@
   readonly reachesStore: boolean;
   /** Targets that said that they are leaving, by id and start. */
   readonly leavingTargets: readonly (readonly [string, number])[];
-  /** Convictions of what crashes targets; absent in most heartbeats. */
-  readonly suspects?: SuspectUpdate;
+  /** Convictions of what crashes targets; `null` in most heartbeats. */
+  readonly suspects: SuspectUpdate | null;
   /** Offset of the lease record under which the sender gives orders; -1 if it gives none. */
   readonly leaseOffset: number;
   /** Whether the sender is shutting down. */
--- a/packages/suspects/src/SuspectRegistry.ts
+++ b/packages/suspects/src/SuspectRegistry.ts
@@ -133,14 +133,14 @@
 
   /**
    * Drops convictions that have expired, and returns a few of the others, chosen at random, for peers that may have
-   * missed them; undefined if there are none.
+   * missed them; `null` if there are none.
    */
-  repeatConvictions(): SuspectUpdate | undefined {
+  repeatConvictions(): SuspectUpdate | null {
     const nowMs = this.parts.clock.nowMs();
     this.convicted.forEach(({ lastCrashAtMs }, trait) => {
       if (lastCrashAtMs < nowMs - RETENTION_MS) this.records.delete(trait);
     });
-    if (this.convicted.size === 0) return undefined;
+    if (this.convicted.size === 0) return null;
     const first = Math.floor(Math.random() * this.convicted.size);
     const convicted = [...this.convicted];
     const repeated = [...convicted.slice(first), ...convicted.slice(0, first)].slice(
--- a/packages/suspects/test/suspectRegistry.test.ts
+++ b/packages/suspects/test/suspectRegistry.test.ts
@@ -220,7 +220,7 @@
         for (let round = 0; round < 20; round += 1) {
           registries.forEach((registry, from) => {
             const told = registry.repeatConvictions();
-            if (told === undefined) return;
+            if (told === null) return;
             registries.forEach((receiver, to) => {
               if (to === from) return;
               const missed = receiver.merge(told);
@@ -300,7 +300,7 @@
     crash(registry, 'crash-1', ['part'], 0);
     crash(registry, 'crash-2', ['part'], 0);
     clock.now += 1_800_001;
-    expect(registry.repeatConvictions()).toBeUndefined();
+    expect(registry.repeatConvictions()).toBeNull();
     expect(judge(registry, 'part')).toBe(SuspectVerdict.Clear);
   });
 });
