--- a/packages/suspects/src/TraitRecord.ts
+++ b/packages/suspects/src/TraitRecord.ts
@@ -9,6 +9,10 @@
 
 const MAX_CRASHES = 16;
 const MAX_ACQUITTED = 64;
+/** Trials that are kept, ended ones too; there is one at a time but for those that lost datagrams hide from each other. */
+const MAX_TRIALS = 16;
+/** Crashes in waves that do not count against a trait: a few, as what crashes targets may also do so during waves. */
+const MAX_EXCUSED_CRASHES = 2;
 const CRASH_WEIGHT = 3;
 const BROKEN_CONNECTION_WEIGHT = 2;
 
@@ -24,8 +28,30 @@
 
   private readonly acquitted = new Set<string>();
 
-  /** Time until which a request with the trait is being tried, on the monotonic clock. */
-  trialUntilMs = -Infinity;
+  /** Trials of requests with the trait: until when no other is tried, on the monotonic clock, by claim. */
+  private readonly trials = new Map<string, number>();
+
+  /** When a trial is decided at the latest that is under way now; -Infinity if none is. */
+  get trialUntilMs(): number {
+    return Math.max(-Infinity, ...this.trials.values());
+  }
+
+  /** Notes a trial; one that has ended stays so, also if its claim arrives later. */
+  claimTrial(claimId: string, untilMs: number): void {
+    if (!this.trials.has(claimId)) this.trials.set(claimId, untilMs);
+    this.dropOldTrials();
+  }
+
+  endTrial(claimId: string): void {
+    this.trials.set(claimId, -Infinity);
+    this.dropOldTrials();
+  }
+
+  private dropOldTrials(): void {
+    [...this.trials.keys()]
+      .slice(0, -MAX_TRIALS)
+      .forEach((claimId) => this.trials.delete(claimId));
+  }
 
   /** Adds a crash; returns whether it is new, or known to be one only now. */
   add(crashId: string, sighting: Sighting): boolean {
@@ -87,9 +113,9 @@
     return Math.max(...[...this.crashes.values()].map(({ crashedAtMs }) => crashedAtMs));
   }
 
-  /** Whether each crash of this trait is also one of the other's. */
-  isWithin(other: TraitRecord): boolean {
-    return this.crashIds.every((crashId) => other.crashes.has(crashId));
+  /** Whether one of the crashes is of this id. */
+  has(crashId: string): boolean {
+    return this.crashes.has(crashId);
   }
 }
 
