Give back the claim of a trial that decided nothing, and excuse crashes that came in a wave

Cause: a trial without an outcome kept others from trying for 5 s, as a claim had no name by which it could be given back; and a trial on a target that ended among many others counted as one more crash, which put the next trial off by 8 or 32 s. Now a claim has an id and ends with the attempt; a crash beside those of three other targets within a second, without the trait, is excused, two of them at most in the life of a trait, and the trait is tried 2 s after the wave. Instances of an earlier build read the claims as before, and theirs are read.

--- a/packages/edge/src/RequestExecution.ts
+++ b/packages/edge/src/RequestExecution.ts
@@ -66,8 +66,8 @@
   /** Whether a target has begun to answer. */
   private hasBegun = false;
 
-  /** Whether the request is being tried though it is suspected. */
-  private holdsTrial = false;
+  /** Id of the claim under which the request is being tried though it is suspected. */
+  private trialClaim: string | undefined;
 
   /** The result of authorizing the request against the newest desired state, cached. */
   private lastAuthorization: Authorization | undefined;
@@ -119,9 +119,10 @@
       this.sends += 1;
       this.lastTargetId = view.entry.id;
       const outcome = await attempt.run();
+      if (outcome === AttemptOutcome.Broken) await this.reportCrash(view, sentAtMs);
+      this.endTrial();
       if (outcome === AttemptOutcome.Answered) return this.result(null, attempt.statusCode);
       if (outcome === AttemptOutcome.CallerDisconnected) return this.result(null, 0);
-      if (outcome === AttemptOutcome.Broken) await this.reportCrash(view, sentAtMs);
       const result = this.handleFailure(view, attempt, outcome);
       if (result !== undefined) return result;
     }
@@ -154,7 +155,7 @@
 
   private get judgement() {
     const { suspects } = this.deps;
-    return suspects.judge(this.holdsTrial ? [] : this.request.traits);
+    return suspects.judge(this.trialClaim === undefined ? this.request.traits : []);
   }
 
   /** Waits while another request with the same suspected traits is being tried. */
@@ -169,11 +170,17 @@
   private claimTrialIfDue(): boolean {
     const { verdict } = this.judgement;
     if (verdict !== SuspectVerdict.Trial) return verdict === SuspectVerdict.Clear;
-    this.holdsTrial = true;
-    this.deps.suspects.claimTrial(this.request.traits);
+    this.trialClaim = this.deps.suspects.claimTrial(this.request.traits);
     return true;
   }
 
+  /** Lets another request be tried, once an attempt of this one has ended. */
+  private endTrial(): void {
+    if (this.trialClaim === undefined) return;
+    this.deps.suspects.endTrial(this.request.traits, this.trialClaim);
+    this.trialClaim = undefined;
+  }
+
   private recordBegun(): void {
     if (this.hasBegun) return;
     this.hasBegun = true;
@@ -182,7 +189,6 @@
 
   /** Reports that the target that ran the request crashed or broke the connection, unless it had begun to answer. */
   private async reportCrash({ entry }: TargetView, sentAtMs: number): Promise<void> {
-    this.holdsTrial = false;
     if (this.hasBegun) return;
     const hasEnded = await this.deps.probe.hasEnded(entry.address);
     const crashId = `${entry.id}@${entry.bornMs}`;
--- a/packages/suspects/src/SuspectRegistry.ts
+++ b/packages/suspects/src/SuspectRegistry.ts
@@ -1,10 +1,14 @@
+import { randomBytes } from 'node:crypto';
 import { LRUCache } from 'lru-cache';
 import type { Clock } from '@wisteriapath/model';
 import type Acquittal from './Acquittal';
 import type CrashReport from './CrashReport';
+import CrashWaves from './CrashWaves';
+import type Sighting from './Sighting';
 import type SuspectUpdate from './SuspectUpdate';
 import SuspectVerdict from './SuspectVerdict';
 import TraitRecord from './TraitRecord';
+import successiveCrashes from './successiveCrashes';
 
 interface Parts {
   readonly clock: Clock;
@@ -40,8 +44,11 @@
 const FIRST_CRASHES = 2;
 const TRIAL_DELAY_FACTOR = 4;
 const MAX_TRIAL_DELAY_MS = 600_000;
+/** Time after a wave of crashes until a trait is tried whose own crash the wave explains. */
+const WAVE_PAUSE_MS = 2_000;
 /** Time in which a trial is decided: the target has begun to answer, or has crashed. */
 const TRIAL_MS = 5_000;
+const CLAIM_ID_BYTES = 6;
 /** Convicted traits that are repeated at once, so that a heartbeat with them fits into a packet. */
 const MAX_REPEATED_TRAITS = 3;
 /** Crashes of each that are repeated: as many as convict. */
@@ -59,6 +66,8 @@
 
   private readonly records: LRUCache<string, TraitRecord>;
 
+  private readonly waves = new CrashWaves();
+
   /** When a target last began to answer on a trait, on the monotonic clock. */
   private readonly answeredAtMs: LRUCache<string, number>;
 
@@ -88,13 +97,21 @@
     return held.some((trait) => this.isOnTrial(trait)) ? WAIT : TRIAL;
   }
 
-  /** Claims the trial of a request that was judged so, before it is sent. */
-  claimTrial(traits: readonly string[]): void {
+  /** Claims the trial of a request that was judged so, before it is sent; returns the id of the claim. */
+  claimTrial(traits: readonly string[]): string {
+    const claimId = randomBytes(CLAIM_ID_BYTES).toString('hex');
     const held = traits.filter((trait) => this.convicted.has(trait));
-    const trials = held.map((trait) => [trait, TRIAL_MS] as const);
-    this.applyTrials(trials);
-    this.parts.log.event('suspect_trial', { traits: held.join(',') });
-    this.announce({ trials });
+    this.parts.log.event('suspect_trial', { traits: held.join(','), claim: claimId });
+    this.shareTrials(held.map((trait) => [trait, TRIAL_MS, claimId]));
+    return claimId;
+  }
+
+  /** Gives back the claim of a trial that has ended, so that another request can be tried if it decided nothing. */
+  endTrial(traits: readonly string[], claimId: string): void {
+    const held = traits.filter((trait) => this.convicted.has(trait));
+    if (held.length === 0) return;
+    this.parts.log.event('suspect_trial_ended', { traits: held.join(','), claim: claimId });
+    this.shareTrials(held.map((trait) => [trait, 0, claimId]));
   }
 
   /** Records the crash of a target that had not begun to answer a request, or the break of its connection. */
@@ -168,40 +185,55 @@
   /** Returns the time until a request with these traits may be tried for one of them. */
   private trialDueInMs(trait: string, traits: readonly string[]): number {
     const record = this.convicted.get(trait)!;
-    if (this.isExplainedElsewhere(record, traits)) return 0;
-    const dueAtMs = record.lastCrashAtMs + SuspectRegistry.trialDelayMs(record);
-    return Math.max(0, dueAtMs - this.parts.clock.nowMs());
+    const excused = record.sightings.filter(([crashId]) => record.isExcusedFor(crashId));
+    const counted = record.sightings.filter(([crashId]) => !record.isExcusedFor(crashId));
+    const waveEndMs = Math.max(
+      -Infinity,
+      ...excused.map(([, { crashedAtMs }]) => crashedAtMs + WAVE_PAUSE_MS),
+    );
+    const dueAtMs = this.isExplainedElsewhere(counted, traits)
+      ? -Infinity
+      : SuspectRegistry.trialAtMs(counted.map(([, sighting]) => sighting));
+    return Math.max(0, Math.max(dueAtMs, waveEndMs) - this.parts.clock.nowMs());
   }
 
-  private static trialDelayMs({ successive }: TraitRecord): number {
-    const furtherCrashes = Math.max(0, successive.length - FIRST_CRASHES);
-    return Math.min(
+  /** Returns the time, on the monotonic clock, from which a trait with these crashes may be tried. */
+  private static trialAtMs(sightings: readonly Sighting[]): number {
+    const furtherCrashes = Math.max(0, successiveCrashes(sightings).length - FIRST_CRASHES);
+    const delayMs = Math.min(
       MAX_TRIAL_DELAY_MS,
       FIRST_TRIAL_DELAY_MS * TRIAL_DELAY_FACTOR ** furtherCrashes,
     );
+    return Math.max(...sightings.map(({ crashedAtMs }) => crashedAtMs)) + delayMs;
   }
 
-  /** Whether another convicted trait, which this request does not have, was there at all crashes of a trait. */
-  private isExplainedElsewhere(record: TraitRecord, traits: readonly string[]): boolean {
+  /** Whether another convicted trait, which a request with these traits does not have, was there at all the crashes. */
+  private isExplainedElsewhere(
+    crashes: readonly (readonly [crashId: string, sighting: Sighting])[],
+    traits: readonly string[],
+  ): boolean {
     return [...this.convicted].some(
-      ([other, otherRecord]) => !traits.includes(other) && record.isWithin(otherRecord),
+      ([other, record]) =>
+        !traits.includes(other) && crashes.every(([crashId]) => record.has(crashId)),
     );
   }
 
   private applyCrash(report: CrashReport, source: 'self' | 'peer'): void {
     const crashedAtMs = this.parts.clock.nowMs() - report.ageMs;
     const { crashId, hasEnded } = report;
+    this.waves.record(crashId, crashedAtMs);
     const sighting = { crashedAtMs, sentAtMs: crashedAtMs - report.sentBeforeMs, hasEnded };
-    const added = report.traits.filter((trait) => {
-      const record = this.recordOf(trait);
-      if (!record.add(crashId, sighting)) return false;
-      record.trialUntilMs = -Infinity;
-      return true;
-    });
-    if (added.length === 0) return;
-    const fields = { crash: crashId, ended: hasEnded, source, traits: added.length };
-    this.parts.log.event('crash_reported', fields);
+    const added = report.traits.filter((trait) => this.recordOf(trait).add(crashId, sighting));
+    if (added.length > 0) {
+      const fields = { crash: crashId, ended: hasEnded, source, traits: added.length };
+      this.parts.log.event('crash_reported', fields);
+    }
     added.forEach((trait) => this.review(trait, source));
+    this.convicted.forEach((record, trait) => {
+      // Marks it as used, so that the many traits of a wave do not displace it.
+      this.records.get(trait);
+      this.waves.excuse(record);
+    });
   }
 
   private applyAcquittal({ trait, crashIds }: Acquittal, source: 'self' | 'peer'): void {
@@ -211,13 +243,19 @@
     this.review(trait, source);
   }
 
+  /** Notes trials here, and tells the peers. */
+  private shareTrials(trials: SuspectUpdate['trials']): void {
+    this.applyTrials(trials);
+    this.announce({ trials });
+  }
+
   private applyTrials(trials: SuspectUpdate['trials']): void {
     const nowMs = this.parts.clock.nowMs();
-    trials.forEach(([trait, durationMs]) => {
+    // Instances of an earlier build send no ids of claims.
+    trials.forEach(([trait, durationMs, claimId = `unnamed-${nowMs}`]) => {
       const record = this.records.peek(trait);
-      if (record === undefined) return;
-      const untilMs = nowMs + Math.min(durationMs, TRIAL_MS);
-      record.trialUntilMs = Math.max(record.trialUntilMs, untilMs);
+      if (durationMs === 0) record?.endTrial(claimId);
+      else record?.claimTrial(claimId, nowMs + Math.min(durationMs, TRIAL_MS));
     });
   }
 
--- a/packages/suspects/src/SuspectUpdate.ts
+++ b/packages/suspects/src/SuspectUpdate.ts
@@ -5,8 +5,8 @@
 interface SuspectUpdate {
   readonly crashes: readonly CrashReport[];
   readonly acquittals: readonly Acquittal[];
-  /** Traits of which a request is being tried, with the time for which no other is. */
-  readonly trials: readonly (readonly [trait: string, durationMs: number])[];
+  /** Trials, each with the time for which no other request with the trait is tried; 0 says that it has ended. */
+  readonly trials: readonly (readonly [trait: string, durationMs: number, claimId?: string])[];
 }
 
 export default SuspectUpdate;
--- a/packages/suspects/src/TraitRecord.ts
+++ b/packages/suspects/src/TraitRecord.ts
@@ -1,18 +1,12 @@
-interface Sighting {
-  /** When the target crashed, on the monotonic clock. */
-  readonly crashedAtMs: number;
-  /** When the request was sent, on the monotonic clock. */
-  readonly sentAtMs: number;
-  /** Whether the target is known to have ended. */
-  readonly hasEnded: boolean;
-}
+import type Sighting from './Sighting';
+import successiveCrashes from './successiveCrashes';
 
 const MAX_CRASHES = 16;
 const MAX_ACQUITTED = 64;
+/** Crashes that are excused at most, in the life of a record: what crashes targets may do so in waves too. */
+const MAX_EXCUSED = 2;
 /** Trials that are kept, ended ones too; there is one at a time but for those that lost datagrams hide from each other. */
 const MAX_TRIALS = 16;
-/** Crashes in waves that do not count against a trait: a few, as what crashes targets may also do so during waves. */
-const MAX_EXCUSED_CRASHES = 2;
 const CRASH_WEIGHT = 3;
 const BROKEN_CONNECTION_WEIGHT = 2;
 
@@ -28,6 +22,9 @@
 
   private readonly acquitted = new Set<string>();
 
+  /** Crashes that came in a wave, and do not delay the next trial for long. */
+  private readonly excused = new Set<string>();
+
   /** Trials of requests with the trait: until when no other is tried, on the monotonic clock, by claim. */
   private readonly trials = new Map<string, number>();
 
@@ -48,9 +45,7 @@
   }
 
   private dropOldTrials(): void {
-    [...this.trials.keys()]
-      .slice(0, -MAX_TRIALS)
-      .forEach((claimId) => this.trials.delete(claimId));
+    [...this.trials.keys()].slice(0, -MAX_TRIALS).forEach((claimId) => this.trials.delete(claimId));
   }
 
   /** Adds a crash; returns whether it is new, or known to be one only now. */
@@ -74,6 +69,15 @@
       .forEach((crashId) => this.acquitted.delete(crashId));
   }
 
+  /** Notes that a crash came in a wave; the first few of each trait are excused. */
+  excuse(crashId: string): void {
+    if (this.excused.size < MAX_EXCUSED) this.excused.add(crashId);
+  }
+
+  isExcusedFor(crashId: string): boolean {
+    return this.excused.has(crashId);
+  }
+
   wasAcquittedOf(crashId: string): boolean {
     return this.acquitted.has(crashId);
   }
@@ -93,27 +97,13 @@
 
   /** What those crashes weigh that did not come at once. */
   get successiveWeight(): number {
-    return weightOf(this.successive);
-  }
-
-  /** Crashes of which each request was sent after the crash before: what ends many targets at once counts once. */
-  get successive(): readonly Sighting[] {
-    const inOrder = [...this.crashes.values()].sort(
-      (one, other) => one.crashedAtMs - other.crashedAtMs,
-    );
-    let lastMs = -Infinity;
-    return inOrder.filter(({ crashedAtMs, sentAtMs }) => {
-      if (sentAtMs < lastMs) return false;
-      lastMs = crashedAtMs;
-      return true;
-    });
+    return weightOf(successiveCrashes([...this.crashes.values()]));
   }
 
   get lastCrashAtMs(): number {
     return Math.max(...[...this.crashes.values()].map(({ crashedAtMs }) => crashedAtMs));
   }
 
-  /** Whether one of the crashes is of this id. */
   has(crashId: string): boolean {
     return this.crashes.has(crashId);
   }
