A stream that has begun goes on at another target though its parts are convicted meanwhile

Callers would see: a resumable stream that broke off after its first events ended there, where one of its parts had been convicted since. A target had begun to answer on these parts, so this request did not crash it; its traits are not judged again.

--- a/packages/edge/src/RequestExecution.ts
+++ b/packages/edge/src/RequestExecution.ts
@@ -153,9 +153,10 @@
     return verdict === SuspectVerdict.Refused ? suspectError(waitMs) : undefined;
   }
 
+  /** The judgement of the request's traits; none of them counts once a target has begun to answer, or in its own trial. */
   private get judgement() {
-    const { suspects } = this.deps;
-    return suspects.judge(this.trialClaim === undefined ? this.request.traits : []);
+    const isSettled = this.hasBegun || this.trialClaim !== undefined;
+    return this.deps.suspects.judge(isSettled ? [] : this.request.traits);
   }
 
   /** Waits while another request with the same suspected traits is being tried. */
