Keep convictions in the store, so that they outlast a stop of all instances

Cause: convictions lived in the instances only. Acquittals and convictions that expire remove the record. Ruled out: reading it only at the instances that give orders, since the others would learn it about as late as two new crashes would teach them.

--- a/packages/edge/src/Edge.ts
+++ b/packages/edge/src/Edge.ts
@@ -1,5 +1,5 @@
 import type { Clock } from '@wisteriapath/model';
-import { SuspectRegistry } from '@wisteriapath/suspects';
+import type { SuspectRegistry } from '@wisteriapath/suspects';
 import {
   DemandAggregator,
   type DemandReport,
@@ -15,6 +15,7 @@
 } from '@wisteriapath/fleet';
 import CallerListener from './CallerListener';
 import ColdTargetLimiter from './ColdTargetLimiter';
+import type ConvictionKeeper from './ConvictionKeeper';
 import DemandReporter from './DemandReporter';
 import type EdgeDependencies from './EdgeDependencies';
 import EdgeMetrics from './EdgeMetrics';
@@ -36,6 +37,7 @@
 import createPeerHandlers from './createPeerHandlers';
 import createPlacer from './createPlacer';
 import connectionShare from './connectionShare';
+import createSuspects from './createSuspects';
 import readsStoreForAll from './readsStoreForAll';
 import registerInstanceGauges from './registerInstanceGauges';
 import serveMetrics from './serveMetrics';
@@ -71,6 +73,8 @@
 
   private readonly suspects: SuspectRegistry;
 
+  private readonly convictions: ConvictionKeeper;
+
   private readonly limits: WorkspaceLimits;
 
   private readonly peers: Peers;
@@ -137,11 +141,13 @@
       log,
       announce: (targets) => this.peers.sendLeavingTargets(targets),
     });
-    this.suspects = new SuspectRegistry({
+    ({ suspects: this.suspects, keeper: this.convictions } = createSuspects({
       clock,
+      ports,
       log,
+      isWriter: () => this.lease.isCurrent,
       announce: (update) => this.peers.sendSuspects(update),
-    });
+    }));
     this.peers = this.createPeers();
     this.lease = new Lease(
       {
@@ -224,7 +230,7 @@
     void this.lease.run();
     void this.placer.run();
     this.demandReporter.start();
-    void this.learnMembers();
+    void this.learnStoredRecords();
     log.event('started', { callers: options.callersAddress, domain: options.member.failureDomain });
   }
 
@@ -255,11 +261,18 @@
     }
   }
 
-  private async learnMembers(): Promise<void> {
+  private async learnStoredRecords(): Promise<void> {
     const isOver = () => this.shutdown.hasBegun;
     const { memberStore } = this.ports;
     const { member } = this.options;
-    this.peers.addMembers(await announceAndListMembers(memberStore, this.clock, member, isOver));
+    const { members, convictions } = await announceAndListMembers(
+      memberStore,
+      this.clock,
+      member,
+      isOver,
+    );
+    this.peers.addMembers(members);
+    this.suspects.merge(this.convictions.toUpdate(convictions));
   }
 
   private openReadiness(): Promise<HttpListener> {
--- a/packages/fleet/src/MemberStore.ts
+++ b/packages/fleet/src/MemberStore.ts
@@ -1,11 +1,18 @@
+import type ConvictionRecord from './ConvictionRecord';
+import type FleetRecords from './FleetRecords';
 import type MemberRecord from './MemberRecord';
 
-/** A port to the store through which instances discover each other. Its calls never reject. */
+/**
+ * A port to the store through which instances discover each other, and in which they keep what must outlive all of
+ * them. Its calls never reject.
+ */
 interface MemberStore {
   /** Stores the record of this instance. Returns whether it was stored. */
   announce(member: MemberRecord): Promise<boolean>;
-  /** Lists all known instances; `undefined` if the store does not answer. */
-  list(): Promise<readonly MemberRecord[] | undefined>;
+  /** Stores a conviction, or removes it if it has no crashes. Returns whether that was done. */
+  saveConviction(conviction: ConvictionRecord): Promise<boolean>;
+  /** Lists all known instances and convictions; `undefined` if the store does not answer. */
+  list(): Promise<FleetRecords | undefined>;
 }
 
 export default MemberStore;
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -19,6 +19,8 @@
 export { default as Lease } from './Lease';
 export type { default as LeaseRecord } from './LeaseRecord';
 export type { default as LeaseStore } from './LeaseStore';
+export type { default as ConvictionRecord } from './ConvictionRecord';
+export type { default as FleetRecords } from './FleetRecords';
 export type { default as MemberRecord } from './MemberRecord';
 export type { default as MemberStore } from './MemberStore';
 export type { default as ModelSpec } from './ModelSpec';
--- a/packages/suspects/src/SuspectRegistry.ts
+++ b/packages/suspects/src/SuspectRegistry.ts
@@ -17,6 +17,11 @@
   };
   /** Sends an update to all peers. */
   readonly announce: (update: SuspectUpdate) => void;
+  /** Called with the newest crashes of a convicted trait when these change, and with none when it is acquitted. */
+  readonly onConvictionChanged: (
+    trait: string,
+    crashes: readonly Omit<CrashReport, 'traits'>[],
+  ) => void;
 }
 
 /** A crash that this instance has seen. */
@@ -155,7 +160,9 @@
   repeatConvictions(): SuspectUpdate | null {
     const nowMs = this.parts.clock.nowMs();
     this.convicted.forEach(({ lastCrashAtMs }, trait) => {
-      if (lastCrashAtMs < nowMs - RETENTION_MS) this.records.delete(trait);
+      if (lastCrashAtMs >= nowMs - RETENTION_MS) return;
+      this.records.delete(trait);
+      this.parts.onConvictionChanged(trait, []);
     });
     if (this.convicted.size === 0) return null;
     const first = Math.floor(Math.random() * this.convicted.size);
@@ -165,19 +172,24 @@
       MAX_REPEATED_TRAITS,
     );
     const crashes = repeated.flatMap(([trait, record]) =>
-      record.sightings
-        .slice(-MAX_REPEATED_CRASHES)
-        .map(([crashId, { crashedAtMs, sentAtMs, hasEnded }]) => ({
-          crashId,
-          hasEnded,
-          traits: [trait],
-          ageMs: Math.round(nowMs - crashedAtMs),
-          sentBeforeMs: Math.round(crashedAtMs - sentAtMs),
-        })),
+      this.newestCrashes(record).map((crash) => ({ ...crash, traits: [trait] })),
     );
     return { crashes, acquittals: [], trials: [] };
   }
 
+  /** Returns the newest crashes of a trait, as many as convict. */
+  private newestCrashes(record: TraitRecord): readonly Omit<CrashReport, 'traits'>[] {
+    const nowMs = this.parts.clock.nowMs();
+    return record.sightings
+      .slice(-MAX_REPEATED_CRASHES)
+      .map(([crashId, { crashedAtMs, sentAtMs, hasEnded }]) => ({
+        crashId,
+        hasEnded,
+        ageMs: Math.round(nowMs - crashedAtMs),
+        sentBeforeMs: Math.round(crashedAtMs - sentAtMs),
+      }));
+  }
+
   private isOnTrial(trait: string): boolean {
     return this.convicted.get(trait)!.trialUntilMs > this.parts.clock.nowMs();
   }
@@ -265,7 +277,11 @@
     const isConvicted = this.isSound(trait)
       ? record.successiveWeight >= SOUND_CONVICTION_WEIGHT
       : record.weight >= CONVICTION_WEIGHT;
-    if (isConvicted === this.convicted.has(trait)) return;
+    const wasConvicted = this.convicted.has(trait);
+    if (isConvicted || wasConvicted) {
+      this.parts.onConvictionChanged(trait, isConvicted ? this.newestCrashes(record) : []);
+    }
+    if (isConvicted === wasConvicted) return;
     if (isConvicted) this.convicted.set(trait, record);
     else this.convicted.delete(trait);
     const name = isConvicted ? 'suspect_convicted' : 'suspect_acquitted';
--- a/packages/suspects/test/support/registries.ts
+++ b/packages/suspects/test/support/registries.ts
@@ -17,7 +17,10 @@
 
 /** Creates an instance that has no peers. */
 const createSingle = (clock: Clock) =>
-  new SuspectRegistry({ clock, log: silentLog, announce: () => {} }, MAX_TRAITS);
+  new SuspectRegistry(
+    { clock, log: silentLog, announce: () => {}, onConvictionChanged: () => {} },
+    MAX_TRAITS,
+  );
 
 /** Creates instances whose updates wait until they are delivered. */
 const createFleet = (size: number) => {
@@ -30,6 +33,7 @@
         {
           clock,
           log: silentLog,
+          onConvictionChanged: () => {},
           announce: (update) => {
             const others = Array.from({ length: size }, (__, to) => to).filter((to) => to !== from);
             waiting.push(...others.map((to) => ({ to, update })));
