--- a/packages/edge/src/Edge.ts
+++ b/packages/edge/src/Edge.ts
@@ -21,7 +21,7 @@
 import EdgeMetrics from './EdgeMetrics';
 import type EdgeOptions from './EdgeOptions';
 import type EdgePorts from './EdgePorts';
-import HttpListener from './HttpListener';
+import type HttpListener from './HttpListener';
 import ModelRates from './ModelRates';
 import PeerCatchUp from './PeerCatchUp';
 import PoolRetryBudgets from './PoolRetryBudgets';
@@ -41,6 +41,7 @@
 import readsStoreForAll from './readsStoreForAll';
 import registerInstanceGauges from './registerInstanceGauges';
 import serveMetrics from './serveMetrics';
+import serveReadiness from './serveReadiness';
 import serveRecords from './serveRecords';
 
 const HEARTBEAT_INTERVAL_MS = 200;
@@ -211,7 +212,8 @@
   /** Starts to serve. The instance reports ready once the store has been read. */
   async start(): Promise<void> {
     const { options, log } = this;
-    this.listeners.push(await this.openReadiness());
+    const { readinessAddress } = options;
+    this.listeners.push(await serveReadiness(readinessAddress, log, () => this.isReady));
     this.follower = this.ports.followStore(this.storeView, () => this.isStoreReader);
     const { host } = options.member;
     this.listeners.push(await serveRecords(`${host}:${options.peerPort}`, this.storeView, log));
@@ -265,20 +267,9 @@
     const isOver = () => this.shutdown.hasBegun;
     const { memberStore } = this.ports;
     const { member } = this.options;
-    const { members, convictions } = await announceAndListMembers(
-      memberStore,
-      this.clock,
-      member,
-      isOver,
-    );
-    this.peers.addMembers(members);
-    this.suspects.merge(this.convictions.toUpdate(convictions));
-  }
-
-  private openReadiness(): Promise<HttpListener> {
-    return HttpListener.open(this.options.readinessAddress, {}, this.log, (_, response) => {
-      response.writeHead(this.isReady ? 200 : 503, { 'content-length': '0' }).end();
-    });
+    const stored = await announceAndListMembers(memberStore, this.clock, member, isOver);
+    this.peers.addMembers(stored.members);
+    this.suspects.merge(this.convictions.toUpdate(stored.convictions));
   }
 
   private get isReady(): boolean {
@@ -288,14 +279,10 @@
   /** Whether this instance reads the targets' entries from the store and relays them to the peers. */
   private get isStoreReader(): boolean {
     const { name } = this.options.member;
-    const { reachesStore } = this;
+    const reachesStore = this.follower?.isReachable ?? false;
     return readsStoreForAll({ name, reachesStore, isPlacer: this.lease.isCurrent }, this.peers);
   }
 
-  private get reachesStore(): boolean {
-    return this.follower?.isReachable ?? false;
-  }
-
   private dropRemovedTargets(): void {
     const views = this.table.allTargets();
     const ids = new Set(views.map(({ entry }) => entry.id));
@@ -344,7 +331,7 @@
       member: this.options.member,
       operatorOffset: this.storeView.end(StoreTopic.Operator) ?? 0,
       targetsOffset: this.storeView.end(StoreTopic.Targets) ?? 0,
-      reachesStore: this.reachesStore,
+      reachesStore: this.follower?.isReachable ?? false,
       leavingTargets: this.table.selfDeclaredLeaving,
       suspects: Math.random() < REPEATED_FRACTION ? this.suspects.repeatConvictions() : null,
       leaseOffset: this.lease.isCurrent ? this.lease.offset : -1,
