Place models by what a load is worth, and keep the loads from the weight store of all placers to one bound

Causes, from the logs: a load from the store stood back behind any model with a copy, whatever either was worth; of engines that cost the same each placer preferred its own, and all stepped in for a silent one at the same moment; each placer could always run one load, so five ran where three run at full speed. Ruled out: the rate of loads (21 a second allowed, under one used); missing demand at the placers (load_put_off names the models).

--- a/packages/edge/src/TargetFinder.ts
+++ b/packages/edge/src/TargetFinder.ts
@@ -40,10 +40,8 @@
             .some(({ entry }) => loads.isReachable(entry.id));
         if (isAbsent) {
           stopWaiting ??= waiting.add(
-            pool.name,
-            fields.model,
-            fields.adapter,
-            route.latencyTargetMs,
+            { pool: pool.name, model: fields.model, adapter: fields.adapter },
+            { latencyTargetMs: route.latencyTargetMs, deadlineAtMs: request.deadlineAtMs },
           );
         } else {
           stopWaiting?.();
--- a/packages/fleet/src/Demand.ts
+++ b/packages/fleet/src/Demand.ts
@@ -3,12 +3,14 @@
   readonly pool: string;
   readonly model: string;
   readonly adapter: string | null;
-  /** Number of waiting requests. */
+  /** Number of waiting requests, with those that were told lately to come back. */
   readonly waiting: number;
   /** Time that the oldest of them has waited. */
   readonly waitedMs: number;
   /** Latency target of the most urgent of them. */
   readonly latencyTargetMs: number;
+  /** Time until the last of them can no longer be served; instances of an earlier build do not say. */
+  readonly leftMs?: number;
 }
 
 export default Demand;
--- a/packages/fleet/src/DemandAggregator.ts
+++ b/packages/fleet/src/DemandAggregator.ts
@@ -17,24 +17,14 @@
 const RATES_MAX_AGE_MS = 3_000;
 /** Time for which totals over all instances are cached. */
 const TOTALS_CACHE_MS = 40;
-/** Shortest time that a load takes. */
-const MIN_LOAD_MS = 500;
-/** Weight of a request that misses its latency target, relative to one that can still meet it. */
-const LATE_REQUEST_WEIGHT = 0.2;
-/** Waiting time that adds as much to the gain of a load as one request that can meet its target. */
-const FULL_WEIGHT_WAIT_MS = 8_000;
-/** Period over which expected arrivals count towards the gain of a load. */
-const ARRIVAL_HORIZON_S = 1;
-
-/**
- * Estimates the gain of a load, in requests: those that wait, the arrivals expected soon, and a bonus for the
- * longest waiting time.
- */
-const loadGain = ({ waiting, latencyTargetMs, waitedMs }: Demand, ratePerS: number): number => {
-  const isInTime = latencyTargetMs - waitedMs > MIN_LOAD_MS;
-  const waitingGain = waiting * (isInTime ? 1 : LATE_REQUEST_WEIGHT);
-  return waitingGain + ratePerS * ARRIVAL_HORIZON_S + waitedMs / FULL_WEIGHT_WAIT_MS;
-};
+/** Time without demand after which a model counts as served. */
+const UNSERVED_TIMEOUT_MS = 6_000;
+
+/** Since when a model or adapter has been asked for without being loaded. */
+interface Unserved {
+  readonly sinceMs: number;
+  lastMs: number;
+}
 
 const addCount = (counts: Map<string, number>, key: string, count: number): void => {
   counts.set(key, (counts.get(key) ?? 0) + count);
@@ -48,6 +38,7 @@
         waiting: one.waiting + other.waiting,
         waitedMs: Math.max(one.waitedMs, other.waitedMs),
         latencyTargetMs: Math.min(one.latencyTargetMs, other.latencyTargetMs),
+        leftMs: Math.max(one.leftMs ?? Infinity, other.leftMs ?? Infinity),
       };
 
 /** Aggregates the demand reports of all instances for the placer. */
@@ -59,6 +50,8 @@
     { readonly value: Totals; readonly computedMs: number }
   >();
 
+  private readonly unserved = new Map<string, Unserved>();
+
   constructor(private readonly clock: Clock) {}
 
   /** Stores a report, in place of the previous one of the same instance. */
@@ -79,19 +72,34 @@
       });
     });
     const totals = this.totalsFor(pool);
-    const gains = [...merged].map(([asset, demand]) => {
-      const rate =
-        (demand.adapter === null ? totals.modelRates : totals.assetRates).get(asset) ?? 0;
-      return { demand, gain: loadGain(demand, rate) };
-    });
-    gains.sort((one, other) => other.gain - one.gain);
-    const waiting = gains.map(({ demand }) => demand);
+    const waiting = [...merged].map(([asset, demand]) => ({
+      ...demand,
+      waitedMs: Math.max(demand.waitedMs, this.unservedMs(pool, asset)),
+    }));
     const unreachable = new Set(
       this.recentReports(WAITING_MAX_AGE_MS).flatMap((report) => report.unreachable),
     );
     return { ...totals, waiting, waitingInstances, unreachable };
   }
 
+  /** Notes that a model or adapter is being loaded, so that it no longer counts as asked for in vain. */
+  recordLoad(pool: string, asset: string): void {
+    this.unserved.delete(`${pool}/${asset}`);
+  }
+
+  /** Returns the time for which a model or adapter has been asked for, also by requests that were told to come back. */
+  private unservedMs(pool: string, asset: string): number {
+    const nowMs = this.clock.nowMs();
+    this.unserved.forEach(({ lastMs }, key) => {
+      if (lastMs < nowMs - UNSERVED_TIMEOUT_MS) this.unserved.delete(key);
+    });
+    const key = `${pool}/${asset}`;
+    const known = this.unserved.get(key) ?? { sinceMs: nowMs, lastMs: nowMs };
+    known.lastMs = nowMs;
+    this.unserved.set(key, known);
+    return nowMs - known.sinceMs;
+  }
+
   /** Returns rates and running requests, cached because they change little between two planning passes. */
   private totalsFor(pool: string): Totals {
     const nowMs = this.clock.nowMs();
--- a/packages/fleet/src/EngineOrderExecutor.ts
+++ b/packages/fleet/src/EngineOrderExecutor.ts
@@ -71,7 +71,11 @@
   private updateCount = 0;
 
   /** Model that is being loaded, and when the load is expected to end. */
-  private loading: { readonly model: string; readonly untilMs: number } | null = null;
+  private loading: {
+    readonly model: string;
+    readonly untilMs: number;
+    readonly isFromStore: boolean;
+  } | null = null;
 
   private isSynced = false;
 
@@ -111,9 +115,9 @@
   }
 
   /** Announces to every instance that a model is being loaded, or that none is if `model` is `null`. */
-  announceLoading(model: string | null, forMs: number): void {
+  announceLoading(model: string | null, forMs: number, isFromStore: boolean): void {
     const untilMs = this.parts.clock.nowMs() + forMs;
-    this.loading = model === null ? null : { model, untilMs };
+    this.loading = model === null ? null : { model, untilMs, isFromStore };
     this.publishState();
   }
 
@@ -260,6 +264,7 @@
       bornMs: this.entry.bornMs,
       stamp: [this.parts.authority.fence, this.updateCount],
       loading: this.loading?.model ?? null,
+      isFromStore: this.loading?.isFromStore ?? false,
       busyForMs: Math.max(0, (this.loading?.untilMs ?? 0) - this.parts.clock.nowMs()),
       models: [...this.models].map(([model, adapters]) => [model, [...adapters]] as const),
     };
--- a/packages/fleet/src/EngineRegistry.ts
+++ b/packages/fleet/src/EngineRegistry.ts
@@ -118,7 +118,7 @@
     const busyUntilMs = clock.nowMs() + plan.expectedMs;
     if (adapter === null) {
       Object.assign(engine, { isBusy: true, loading: model, busyUntilMs });
-      engine.executor.announceLoading(model, plan.expectedMs);
+      engine.executor.announceLoading(model, plan.expectedMs, fromStore);
     } else engine.loadingAdapters.add(asset);
     try {
       const isDone = await executeOrders(engine.executor, plan);
@@ -129,7 +129,7 @@
       engine.loadingAdapters.delete(asset);
       if (adapter === null) {
         Object.assign(engine, { isBusy: false, loading: null });
-        engine.executor.announceLoading(null, 0);
+        engine.executor.announceLoading(null, 0, false);
       }
     }
     this.onEngineFree();
--- a/packages/fleet/src/PlacementUpdate.ts
+++ b/packages/fleet/src/PlacementUpdate.ts
@@ -8,6 +8,8 @@
   readonly stamp: readonly [number, number];
   /** Model that is being loaded. */
   readonly loading: string | null;
+  /** Whether its weights come from the weight store; instances of an earlier build do not say. */
+  readonly isFromStore?: boolean;
   /** Time until the change in progress is expected to end; 0 if there is none. */
   readonly busyForMs: number;
   /** Adapters by model. */
--- a/packages/fleet/src/Placer.ts
+++ b/packages/fleet/src/Placer.ts
@@ -1,60 +1,38 @@
-import { type Clock, rendezvousOrder } from '@wisteriapath/model';
-import type Authority from './Authority';
+import { rendezvousOrder } from '@wisteriapath/model';
 import assetId from './assetId';
 import DeferredLoadLog from './DeferredLoadLog';
-import type DemandAggregator from './DemandAggregator';
 import type DemandSnapshot from './DemandSnapshot';
-import type DesiredState from './DesiredState';
-import type EngineControl from './EngineControl';
 import EngineRegistry from './EngineRegistry';
 import type EngineSpec from './EngineSpec';
-import type EventLog from './EventLog';
-import type PlacementUpdate from './PlacementUpdate';
+import LeftLoads from './LeftLoads';
+import type PlacerOptions from './PlacerOptions';
+import type PlacerParts from './PlacerParts';
 import type PlannedLoad from './PlannedLoad';
 import StoreLoadLimiter from './StoreLoadLimiter';
-import type TargetTable from './TargetTable';
+import StoreLoadMonitor from './StoreLoadMonitor';
 import type TargetView from './TargetView';
-import canLoadFromStore from './canLoadFromStore';
-import hasCopy from './hasCopy';
-import hasCopySoon from './hasCopySoon';
+import type WaitingModel from './WaitingModel';
+import createModelContext from './createModelContext';
+import isWorthReplicating from './isWorthReplicating';
+import modelsWithoutCopy from './modelsWithoutCopy';
 import planAdapter from './planAdapter';
 import planModel from './planModel';
-
-interface Options {
-  /** Failure domain whose engines this placer controls. */
-  readonly failureDomain: string;
-  /** Number of concurrent loads that the weight store serves at full speed, over all placers. */
-  readonly maxConcurrentStoreLoads: number;
-  /** Window over which the rate of loads from the weight store is limited. */
-  readonly weightStoreWindowMs: number;
-}
-
-interface Parts {
-  readonly clock: Clock;
-  readonly authority: Authority;
-  readonly control: EngineControl;
-  readonly table: TargetTable;
-  readonly demand: DemandAggregator;
-  readonly log: EventLog;
-  readonly desired: () => DesiredState | undefined;
-  /** Failure domains with an active placer, this one included. */
-  readonly activeDomains: () => readonly string[];
-  /** Sends placement updates to one instance, or to all if none is given. */
-  readonly publish: (updates: readonly PlacementUpdate[], instance?: string) => void;
-}
+import rankWaitingModels from './rankWaitingModels';
 
 /** The input of one planning pass over one pool. */
 interface PlanningPass {
   readonly pool: string;
   readonly engine: EngineSpec;
   readonly demand: DemandSnapshot;
+  /** What the best load is worth that needs only a copy, one that is under way included. */
+  readonly bestCopyWorth: number;
+  /** Loads from the weight store that may still start, at engines of any placer. */
+  storeSlots: number;
+  /** Engines of other placers that are expected to be given a load that was found in this pass. */
+  readonly taken: Set<string>;
 }
 
-/** Waiting time of a request after which this placer loads a model that a better engine elsewhere has not loaded. */
-const OTHER_PLACER_WAIT_MS = 350;
-/** The same if this placer would have to load from the weight store. */
-const OTHER_PLACER_STORE_WAIT_MS = 2_000;
-/** The same for adapters. */
+/** Waiting time of a request after which this placer loads an adapter for which another one is responsible. */
 const OTHER_PLACER_ADAPTER_WAIT_MS = 120;
 /** Interval of planning passes without a trigger. */
 const TICK_INTERVAL_MS = 40;
@@ -71,19 +49,16 @@
 /** The same once there are requests: an engine cannot make any other change during a long load. */
 const BUSY_PREFETCH_SHARE = 0.13;
 
-/** Whether a further replica evicts only models with less than half its request rate. */
-const isWorthReplicating = (
-  plan: PlannedLoad,
-  rate: number,
-  rates: ReadonlyMap<string, number>,
-): boolean => plan.evictions.every(({ model }) => (rates.get(model) ?? 0) * 2 < rate);
-
 /** Decides which model or adapter is loaded on which engine while this instance holds the authority. */
 class Placer {
   private readonly engines: EngineRegistry;
 
   private readonly storeLimiter: StoreLoadLimiter;
 
+  private readonly storeLoads: StoreLoadMonitor;
+
+  private readonly leftLoads: LeftLoads;
+
   private readonly deferredLoadLog: DeferredLoadLog;
 
   private cachedContext:
@@ -97,17 +72,16 @@
   private lastPlannedMs = -Infinity;
 
   constructor(
-    private readonly options: Options,
-    private readonly parts: Parts,
+    private readonly options: PlacerOptions,
+    private readonly parts: PlacerParts,
   ) {
     this.storeLimiter = new StoreLoadLimiter(parts.clock, () => ({
       maxPerS: Math.max(0, ...this.pools.map(([, engine]) => engine.maxStoreLoadsPerS)),
       windowMs: options.weightStoreWindowMs,
-      maxActive: Math.max(
-        1,
-        Math.floor(options.maxConcurrentStoreLoads / parts.activeDomains().length),
-      ),
+      maxActive: options.maxConcurrentStoreLoads,
     }));
+    this.leftLoads = new LeftLoads({ ...parts, failureDomain: options.failureDomain });
+    this.storeLoads = new StoreLoadMonitor(parts, options.maxConcurrentStoreLoads);
     this.engines = new EngineRegistry(parts, this.storeLimiter, () => this.schedulePlanning());
     this.deferredLoadLog = new DeferredLoadLog(parts, {
       ownViews: (pool) => this.ownViews(pool),
@@ -161,16 +135,32 @@
   }
 
   private planPool(pool: string, engine: EngineSpec): void {
-    const demand = this.parts.demand.snapshot(pool);
-    const pass: PlanningPass = { pool, engine, demand };
+    const { table, demand: aggregator } = this.parts;
+    const demand = aggregator.snapshot(pool);
+    this.storeLoads.observe(
+      table.allTargets().filter(({ entry }) => entry.pool === pool),
+      engine.models,
+    );
+    const ranked = this.rankWaiting(pool, engine, demand);
+    const copyWorths = ranked.filter(({ isFromStore }) => !isFromStore).map(({ worth }) => worth);
+    const pass: PlanningPass = {
+      pool,
+      engine,
+      demand,
+      bestCopyWorth: Math.max(0, ...copyWorths),
+      storeSlots: this.storeLoads.freeSlots,
+      taken: new Set(),
+    };
+    this.leftLoads.retain(new Set(ranked.map(({ model }) => model)));
+    ranked.forEach((waiting) => {
+      if (this.isModelLoading(pool, waiting.model)) {
+        aggregator.recordLoad(pool, assetId(waiting.model, null));
+        this.leftLoads.clear(waiting.model);
+      } else if (!waiting.isHeld) this.loadWaitingModel(pass, waiting);
+    });
     demand.waiting.forEach(({ model, adapter, waitedMs }) => {
-      if (!engine.models.has(model)) return;
-      const holding = this.parts.table
-        .holding(pool, model, null)
-        .filter(({ entry }) => !demand.unreachable.has(entry.id));
-      if (holding.length === 0) {
-        this.loadWaitingModel(pass, model, waitedMs);
-      } else if (adapter !== null) {
+      const holding = this.reachableHolding(pass, model);
+      if (adapter !== null && holding.length > 0) {
         this.loadAdapter(pass, model, adapter, holding, waitedMs >= OTHER_PLACER_ADAPTER_WAIT_MS);
       }
       this.resendPlacement(pass, model, adapter);
@@ -179,6 +169,28 @@
     this.prefetch(pass);
   }
 
+  private rankWaiting(
+    pool: string,
+    engine: EngineSpec,
+    demand: DemandSnapshot,
+  ): readonly WaitingModel[] {
+    return rankWaitingModels(demand, {
+      nowMs: this.parts.clock.nowMs(),
+      views: this.parts.table.inService(pool),
+      models: engine.models,
+      isHeld: (model) => this.reachableHolding({ pool, demand }, model).length > 0,
+    });
+  }
+
+  private reachableHolding(
+    { pool, demand }: Pick<PlanningPass, 'pool' | 'demand'>,
+    model: string,
+  ): readonly TargetView[] {
+    return this.parts.table
+      .holding(pool, model, null)
+      .filter(({ entry }) => !demand.unreachable.has(entry.id));
+  }
+
   /** Resends placement to instances that wait for what is loaded already, in case a datagram was lost. */
   private resendPlacement(
     { pool, demand }: PlanningPass,
@@ -192,9 +204,14 @@
     instances.forEach((instance) => this.parts.publish(updates, instance));
   }
 
-  private loadWaitingModel(pass: PlanningPass, model: string, waitedMs: number): void {
-    if (this.isModelLoading(pass.pool, model)) return;
-    const context = this.contextFor(pass);
+  private loadWaitingModel(pass: PlanningPass, { model, waitedMs, worth }: WaitingModel): void {
+    const base = this.contextFor(pass);
+    // A load from the store goes ahead of short ones if it is worth more for the time that it takes.
+    const isStoreFree =
+      pass.storeSlots > 0 &&
+      this.storeLimiter.hasCapacity &&
+      (base.isStoreFree || worth >= pass.bestCopyWorth);
+    const context = { ...base, isStoreFree };
     const spec = pass.engine.models.get(model)!;
     const contextOfAll = {
       ...context,
@@ -202,17 +219,23 @@
     };
     const bestPlan = planModel(spec, contextOfAll, 'waiting');
     const isOwn = bestPlan !== undefined && this.filterOwn([bestPlan.view]).length > 0;
-    if (isOwn) {
-      this.execute(bestPlan);
+    const ownPlan = isOwn ? bestPlan : planModel(spec, context, 'waiting');
+    if (ownPlan !== undefined && (isOwn || this.leftLoads.isOwnTurn(ownPlan, bestPlan))) {
+      this.executeInPass(pass, ownPlan);
       return;
     }
-    // The placer of the better engine sees the same demand, so it gets some time to load the model first.
-    const ownPlan = planModel(spec, context, 'waiting');
-    const otherPlacerWaitMs = ownPlan?.fromStore
-      ? OTHER_PLACER_STORE_WAIT_MS
-      : OTHER_PLACER_WAIT_MS;
-    if (ownPlan !== undefined && waitedMs >= otherPlacerWaitMs) this.execute(ownPlan);
-    else this.deferredLoadLog.record({ pass, model, waitedMs, bestPlan, ownPlan, context });
+    if (bestPlan === undefined) this.leftLoads.clear(model);
+    this.deferredLoadLog.record({ pass, model, waitedMs, bestPlan, ownPlan, context });
+    if (bestPlan === undefined) return;
+    pass.taken.add(bestPlan.view.entry.id);
+    if (bestPlan.fromStore) Object.assign(pass, { storeSlots: pass.storeSlots - 1 });
+  }
+
+  private executeInPass(pass: PlanningPass, plan: PlannedLoad): void {
+    this.parts.demand.recordLoad(pass.pool, assetId(plan.model, null));
+    this.leftLoads.clear(plan.model);
+    if (plan.fromStore) Object.assign(pass, { storeSlots: pass.storeSlots - 1 });
+    this.execute(plan);
   }
 
   private isModelLoading(pool: string, model: string): boolean {
@@ -231,14 +254,14 @@
   }
 
   /** Returns the engines of other active placers that have announced no change in progress. */
-  private freeEnginesElsewhere({ pool, demand }: PlanningPass): readonly TargetView[] {
+  private freeEnginesElsewhere({ pool, demand, taken }: PlanningPass): readonly TargetView[] {
     const nowMs = this.parts.clock.nowMs();
     const active = new Set(this.parts.activeDomains());
     active.delete(this.options.failureDomain);
     return this.parts.table
       .inService(pool)
       .filter(({ entry }) => active.has(entry.failureDomain) && !demand.unreachable.has(entry.id))
-      .filter(({ busyUntilMs }) => busyUntilMs <= nowMs);
+      .filter(({ entry, busyUntilMs }) => busyUntilMs <= nowMs && !taken.has(entry.id));
   }
 
   /** Whether this placer is the one to make a decision that every placer in `domains` could make. */
@@ -309,17 +332,18 @@
     const busyCount = ownViews.filter((view) => this.engines.engineOf(view).isBusy).length;
     const share = demand.modelRates.size === 0 ? IDLE_PREFETCH_SHARE : BUSY_PREFETCH_SHARE;
     if (busyCount >= ownViews.length * share || !this.storeLimiter.hasCapacity) return;
-    const withCopy = new Set(
-      views.flatMap(({ entry, models }) => [...entry.inMemory, ...entry.onDisk, ...models.keys()]),
-    );
     const active = this.parts.activeDomains();
-    const missing = [...engine.models.values()].find(
-      ({ name }) =>
-        !withCopy.has(name) && this.isResponsible(name, active) && !this.isModelLoading(pool, name),
+    const requested = new Set(demand.waiting.map(({ model }) => model));
+    const missing = modelsWithoutCopy(engine, views).filter(
+      ({ name }) => !requested.has(name) && !this.isModelLoading(pool, name),
     );
-    if (missing === undefined) return;
-    const plan = planModel(missing, this.contextFor(pass), 'ahead');
-    if (plan !== undefined) this.execute(plan);
+    // Placers with the same knowledge share out the free slots alike.
+    const own = missing
+      .slice(0, pass.storeSlots)
+      .find(({ name }) => this.isResponsible(name, active));
+    if (own === undefined) return;
+    const plan = planModel(own, this.contextFor(pass), 'ahead');
+    if (plan !== undefined) this.executeInPass(pass, plan);
   }
 
   private execute(plan: PlannedLoad): void {
@@ -336,39 +360,12 @@
   }
 
   private modelContext({ pool, engine, demand }: PlanningPass) {
-    const { table, clock } = this.parts;
-    const nowMs = clock.nowMs();
-    const views = table.inService(pool).map((view) => this.withOwnState(view));
-    const own = this.filterOwn(views);
-    const free = own.filter((view) => {
-      const { isBusy, loadingAdapters, avoidUntilMs, executor } = this.engines.engineOf(view);
-      const isIdle = !isBusy && loadingAdapters.size === 0;
-      const isUsable = avoidUntilMs <= nowMs && !demand.unreachable.has(view.entry.id);
-      return isIdle && isUsable && executor.isStateKnown;
-    });
-    const snapshot = { nowMs, engineOf: (id: string) => this.engines.get(id) };
-    const engines = { all: views, own: own.length, free: free.length };
-    const replicaCounts = new Map<string, number>();
-    views.forEach(({ models }) =>
-      models.forEach((_, model) => replicaCounts.set(model, (replicaCounts.get(model) ?? 0) + 1)),
+    const views = this.parts.table.inService(pool).map((view) => this.withOwnState(view));
+    return createModelContext(
+      { views, own: this.filterOwn(views), engine, demand },
+      this.engines,
+      this.parts.clock.nowMs(),
     );
-    return {
-      engine,
-      free,
-      replicaCounts,
-      rates: demand.modelRates,
-      requested: new Set(demand.waiting.map(({ model }) => model)),
-      running: (id: string, model: string) => demand.running.get(id)?.get(model) ?? 0,
-      isStoreFree:
-        this.storeLimiter.hasCapacity && canLoadFromStore(engines, demand.waiting, snapshot),
-      hasCopyElsewhere: (id: string, model: string) =>
-        views.some(
-          ({ entry, models }) => entry.id !== id && (models.has(model) || hasCopy(entry, model)),
-        ),
-      hasCopySoon: (model: string) => hasCopySoon(views, engine.models.get(model), snapshot),
-      residentMs: (id: string, model: string) =>
-        nowMs - (this.engines.get(id)?.loadedMs.get(model) ?? -Infinity),
-    };
   }
 
   /** Returns the view with the models that this placer knows from its orders, if it controls the engine. */
--- a/packages/fleet/src/TargetTable.ts
+++ b/packages/fleet/src/TargetTable.ts
@@ -18,6 +18,8 @@
   models: ReadonlyMap<string, ReadonlySet<string>>;
   coldUntilMs: number;
   loading: string | null;
+  isLoadFromStore: boolean;
+  droppedAtMs: Map<string, number>;
   busyUntilMs: number;
   placementPrecedenceUntilMs: number;
   lastStamp: PlacementUpdate['stamp'];
@@ -87,6 +89,8 @@
       models: entry.models,
       coldUntilMs: this.clock.nowMs() + entry.coldLeftMs,
       loading: null,
+      isLoadFromStore: false,
+      droppedAtMs: new Map(),
       busyUntilMs: 0,
       placementPrecedenceUntilMs: 0,
       lastStamp: [0, 0],
@@ -116,6 +120,7 @@
     if (fence < knownFence || (fence === knownFence && number < knownNumber)) return;
     known.lastStamp = update.stamp;
     known.loading = update.loading;
+    known.isLoadFromStore = update.isFromStore ?? false;
     known.busyUntilMs = this.clock.nowMs() + update.busyForMs;
     known.placementPrecedenceUntilMs = this.clock.nowMs() + PLACEMENT_PRECEDENCE_MS;
     known.absentUntilMs.clear();
@@ -131,6 +136,10 @@
    */
   private setModels(row: Row, models: Row['models']): void {
     const isSame = hasSameModels(models, row.models);
+    const nowMs = this.clock.nowMs();
+    row.models.forEach((_, model) => {
+      if (!models.has(model)) row.droppedAtMs.set(model, nowMs);
+    });
     Object.assign(row, { models });
     if (!isSame) this.changes.notify();
   }
--- a/packages/fleet/src/TargetView.ts
+++ b/packages/fleet/src/TargetView.ts
@@ -11,6 +11,10 @@
   readonly pausedUntilMs: number;
   /** Model that is being loaded, as announced by the placer. */
   readonly loading: string | null;
+  /** Whether its weights come from the weight store. */
+  readonly isLoadFromStore: boolean;
+  /** Models that it held before, with when it last held each: copies of which its entry may not tell yet. */
+  readonly droppedAtMs: ReadonlyMap<string, number>;
   /** When the change announced by the placer is expected to end. */
   readonly busyUntilMs: number;
 }
--- /dev/null
+++ b/packages/fleet/src/WaitingModel.ts
@@ -0,0 +1,14 @@
+/** A model that requests wait for, also those for its adapters. */
+interface WaitingModel {
+  readonly model: string;
+  /** Time since it was first asked for in vain. */
+  readonly waitedMs: number;
+  /** What a load of it is worth, see `loadWorth`. */
+  readonly worth: number;
+  /** Whether no engine has a copy of it. */
+  readonly isFromStore: boolean;
+  /** Whether an engine holds it already; the instances that wait may not know yet. */
+  readonly isHeld: boolean;
+}
+
+export default WaitingModel;
--- a/packages/fleet/src/WaitingRequests.ts
+++ b/packages/fleet/src/WaitingRequests.ts
@@ -4,6 +4,8 @@
 interface WaitingRequest {
   readonly sinceMs: number;
   readonly latencyTargetMs: number;
+  /** When it can no longer be served. */
+  readonly deadlineAtMs: number;
 }
 
 /** The requests that wait for the same model or adapter. */
@@ -25,7 +27,10 @@
   ) {}
 
   /** Adds a waiting request, and returns the function to call when it no longer waits. */
-  add(pool: string, model: string, adapter: string | null, latencyTargetMs: number): () => void {
+  add(
+    { pool, model, adapter }: Pick<WaitingGroup, 'pool' | 'model' | 'adapter'>,
+    { latencyTargetMs, deadlineAtMs }: Pick<WaitingRequest, 'latencyTargetMs' | 'deadlineAtMs'>,
+  ): () => void {
     const key = JSON.stringify([pool, model, adapter]);
     const group = this.groups.get(key) ?? {
       pool,
@@ -34,7 +39,7 @@
       requests: new Set<WaitingRequest>(),
     };
     this.groups.set(key, group);
-    const request = { sinceMs: this.clock.nowMs(), latencyTargetMs };
+    const request = { sinceMs: this.clock.nowMs(), latencyTargetMs, deadlineAtMs };
     group.requests.add(request);
     this.onWaitStarted();
     return () => {
@@ -53,6 +58,9 @@
       waiting: requests.size,
       waitedMs: Math.round(nowMs - Math.min(...[...requests].map(({ sinceMs }) => sinceMs))),
       latencyTargetMs: Math.min(...[...requests].map((request) => request.latencyTargetMs)),
+      leftMs: Math.round(
+        Math.max(...[...requests].map(({ deadlineAtMs }) => deadlineAtMs)) - nowMs,
+      ),
     }));
   }
 }
--- a/packages/fleet/src/canLoadFromStore.ts
+++ b/packages/fleet/src/canLoadFromStore.ts
@@ -20,9 +20,9 @@
 const LONG_LOAD_MS = 1_000;
 
 /**
- * Returns whether one more engine may load from the weight store. While most own engines are busy and requests wait
- * for models with copies, only a small share of all engines may, because each could load several of those models in
- * the same time.
+ * Returns whether one more engine may load from the weight store without regard to what the load is worth. While most
+ * own engines are busy and requests wait for models with copies, only a small share of all engines may, because each
+ * could load several of those models in the same time.
  *
  * @example
  * canLoadFromStore({ all, own: 3, free: 1 }, demand.waiting, { nowMs, engineOf });
--- /dev/null
+++ b/packages/fleet/src/createModelContext.ts
@@ -0,0 +1,59 @@
+import type DemandSnapshot from './DemandSnapshot';
+import type EngineRegistry from './EngineRegistry';
+import type EngineSpec from './EngineSpec';
+import type TargetView from './TargetView';
+import canLoadFromStore from './canLoadFromStore';
+import hasCopy from './hasCopy';
+import hasCopySoon from './hasCopySoon';
+
+interface Input {
+  /** The engines that may be given new work, of all placers. */
+  readonly views: readonly TargetView[];
+  /** Those of them that this placer orders. */
+  readonly own: readonly TargetView[];
+  readonly engine: EngineSpec;
+  readonly demand: DemandSnapshot;
+}
+
+/**
+ * Creates the context in which loads of models are planned, from what a placer knows at one moment.
+ *
+ * @example
+ * const context = createModelContext({ views, own, engine, demand }, registry, clock.nowMs());
+ */
+const createModelContext = (
+  { views, own, engine, demand }: Input,
+  registry: EngineRegistry,
+  nowMs: number,
+) => {
+  const free = own.filter((view) => {
+    const { isBusy, loadingAdapters, avoidUntilMs, executor } = registry.engineOf(view);
+    const isIdle = !isBusy && loadingAdapters.size === 0;
+    const isUsable = avoidUntilMs <= nowMs && !demand.unreachable.has(view.entry.id);
+    return isIdle && isUsable && executor.isStateKnown;
+  });
+  const snapshot = { nowMs, engineOf: (id: string) => registry.get(id) };
+  const engines = { all: views, own: own.length, free: free.length };
+  const replicaCounts = new Map<string, number>();
+  views.forEach(({ models }) =>
+    models.forEach((_, model) => replicaCounts.set(model, (replicaCounts.get(model) ?? 0) + 1)),
+  );
+  return {
+    engine,
+    free,
+    replicaCounts,
+    rates: demand.modelRates,
+    requested: new Set(demand.waiting.map(({ model }) => model)),
+    running: (id: string, model: string) => demand.running.get(id)?.get(model) ?? 0,
+    isStoreFree: canLoadFromStore(engines, demand.waiting, snapshot),
+    hasCopyElsewhere: (id: string, model: string) =>
+      views.some(
+        ({ entry, models }) => entry.id !== id && (models.has(model) || hasCopy(entry, model)),
+      ),
+    hasCopySoon: (model: string) => hasCopySoon(views, engine.models.get(model), snapshot),
+    residentMs: (id: string, model: string) =>
+      nowMs - (registry.get(id)?.loadedMs.get(model) ?? -Infinity),
+  };
+};
+
+export default createModelContext;
--- a/packages/fleet/src/planModel.ts
+++ b/packages/fleet/src/planModel.ts
@@ -3,6 +3,7 @@
 import type ModelSpec from './ModelSpec';
 import type PlannedLoad from './PlannedLoad';
 import type TargetView from './TargetView';
+import chooseAlike from './chooseAlike';
 
 interface Context {
   readonly engine: EngineSpec;
@@ -35,6 +36,8 @@
 /** Cost of evicting one of several replicas, as a share of the cost of evicting the only one. */
 const SPARE_REPLICA_COST_SHARE = 0.15;
 const LOAD_OVERHEAD_MS = 10;
+/** Ratio of two costs that count as different. */
+const COST_STEP_FACTOR = 1.3;
 
 interface Candidate {
   readonly plan: PlannedLoad;
@@ -107,9 +110,13 @@
   return { plan, costMs: costMs + load.ms };
 };
 
+/** Orders candidates by their cost, in steps within which placers may differ in what they know of each other's engines. */
+const costStep = ({ costMs }: Candidate): number =>
+  Math.floor(Math.log(Math.max(1, costMs)) / Math.log(COST_STEP_FACTOR));
+
 /**
- * Plans where to load a model: on the engine with the lowest cost of the load and its evictions. Returns `undefined`
- * if no engine can take it.
+ * Plans where to load a model: on the engine with the lowest cost of the load and its evictions. Of engines that cost
+ * about the same, all placers choose the same one. Returns `undefined` if no engine can take it.
  *
  * @example
  * const plan = planModel(spec, context, 'waiting');
@@ -118,9 +125,11 @@
   const candidates = context.free
     .filter(({ models }) => !models.has(spec.name))
     .map((view) => candidateOn(view, spec, context, reason))
-    .filter((candidate) => candidate !== undefined)
-    .sort((one, other) => one.costMs - other.costMs);
-  return candidates[0]?.plan;
+    .filter((candidate) => candidate !== undefined);
+  const lowest = Math.min(...candidates.map(costStep));
+  const best = candidates.filter((candidate) => costStep(candidate) === lowest);
+  const plans = new Map(best.map(({ plan }) => [plan.view.entry.id, plan]));
+  return plans.get(chooseAlike(spec.name, [...plans.keys()]) ?? '');
 };
 
 export default planModel;
--- a/packages/fleet/test/placer.test.ts
+++ b/packages/fleet/test/placer.test.ts
@@ -128,6 +128,17 @@
     expect(new Set(loaded)).toEqual(new Set(['d', 'e', 'f']));
   });
 
+  test('loads what many callers ask for from the weight store before short loads for single requests', async () => {
+    const { engines, run, waitingFor } = start(2, 9_000, ['a', 'b', 'c', 'd']);
+    await run(1_500, { waiting: [waitingFor('e', 2_500)] });
+    const waiting = [waitingFor('d', 100), { ...waitingFor('f', 1_000), waiting: 10 }];
+    await run(3_000, { waiting, rates: [['guides', 'f', '', 4]] });
+    const loaded = [...engines.values()].flatMap(({ orders }) =>
+      orders.filter(({ kind }) => kind === OrderKind.Load).map(({ model }) => model),
+    );
+    expect(loaded).toContain('f');
+  });
+
   test('uses the models known from its own orders while entries lag behind', async () => {
     const { engines, table, run, waitingFor } = start(1);
     await run(2_000, { waiting: [waitingFor('d', 1_000)] });
--- a/packages/fleet/test/support/FakeEngine.ts
+++ b/packages/fleet/test/support/FakeEngine.ts
@@ -40,6 +40,12 @@
     this.recordReport();
   }
 
+  /** Whether it carries out a load now. */
+  get isLoading(): boolean {
+    this.finish();
+    return this.work?.order.kind === OrderKind.Load;
+  }
+
   order(_target: unknown, order: EngineOrder): Promise<OrderAnswer> {
     this.orders.push(order);
     if (this.loadDelayMs > 0 && order.kind === OrderKind.Load) {
