Refuse at once what cannot be loaded before the caller gives up, with the time of the load

Now a request whose model no engine can hold in the time that is left, by copies, loads under way and times of loads, is refused at once, with that time as Retry-After; it goes on counting as waiting for 6 s, so that the model is there when the caller comes back.

--- a/packages/edge/src/RequestExecution.ts
+++ b/packages/edge/src/RequestExecution.ts
@@ -299,8 +299,8 @@
   }
 
   private failUnserved(): RequestResult {
-    const pauseMs = this.finder.pauseMs(this.request.pool.name);
-    return this.fail('no target became available in time', pauseMs);
+    const retryAfterMs = this.finder.retryAfterMs(this.request);
+    return this.fail('no target became available in time', retryAfterMs);
   }
 
   private fail(message: string, retryAfterMs?: number): RequestResult {
--- a/packages/edge/src/TargetFinder.ts
+++ b/packages/edge/src/TargetFinder.ts
@@ -1,4 +1,4 @@
-import type { TargetView } from '@wisteriapath/fleet';
+import { type TargetView, timeUntilHeld } from '@wisteriapath/fleet';
 import type AdmittedRequest from './AdmittedRequest';
 import type ChosenTarget from './ChosenTarget';
 import type EdgeDependencies from './EdgeDependencies';
@@ -15,6 +15,9 @@
 /** Cost of a target in another failure domain, as a fraction of its slots. */
 const CROSS_DOMAIN_COST = 0.12;
 const POLL_INTERVAL_MS = 25;
+/** Time for which a request that was told to come back still counts as waiting for its model. */
+const RETURN_TIMEOUT_MS = 6_000;
+const RETURN_POLL_INTERVAL_MS = 200;
 
 /** Chooses targets for requests, and waits if none is available. */
 class TargetFinder {
@@ -22,7 +25,7 @@
 
   /** Returns the best target with a reservation on it; undefined if none became available in time. */
   async find(request: AdmittedRequest, search: Search): Promise<ChosenTarget | undefined> {
-    const { clock, table, waiting, loads, sendCutoffAtMs } = this.deps;
+    const { clock, table, waiting, sendCutoffAtMs } = this.deps;
     const { pool, route, fields } = request;
     // Registered once per wait, so that the placers learn how long the request has waited.
     let stopWaiting: (() => void) | undefined;
@@ -33,16 +36,17 @@
         if (chosen !== undefined) return chosen;
         const leftMs = Math.min(search.untilMs, sendCutoffAtMs()) - clock.nowMs();
         if (leftMs <= 0 || (this.pauseMs(pool.name) ?? 0) >= leftMs) return undefined;
-        const isAbsent =
-          pool.engine !== null &&
-          !table
-            .holding(pool.name, fields.model, fields.adapter)
-            .some(({ entry }) => loads.isReachable(entry.id));
+        const isAbsent = this.isModelAbsent(request);
         if (isAbsent) {
           stopWaiting ??= waiting.add(
             { pool: pool.name, model: fields.model, adapter: fields.adapter },
             { latencyTargetMs: route.latencyTargetMs, deadlineAtMs: request.deadlineAtMs },
           );
+          if (this.heldInMs(request) > leftMs) {
+            void this.awaitReturn(request, stopWaiting);
+            stopWaiting = undefined;
+            return undefined;
+          }
         } else {
           stopWaiting?.();
           stopWaiting = undefined;
@@ -57,6 +61,45 @@
     }
   }
 
+  /** Returns the time after which an unserved request is best sent again; undefined if nothing tells. */
+  retryAfterMs(request: AdmittedRequest): number | undefined {
+    const pauseMs = this.pauseMs(request.pool.name);
+    if (pauseMs !== undefined) return pauseMs;
+    const heldInMs = this.isModelAbsent(request) ? this.heldInMs(request) : 0;
+    return heldInMs > 0 ? heldInMs : undefined;
+  }
+
+  /** Whether no engine that can be reached holds what the request needs. */
+  private isModelAbsent({ pool, fields }: AdmittedRequest): boolean {
+    const { table, loads } = this.deps;
+    if (pool.engine === null) return false;
+    const holding = table.holding(pool.name, fields.model, fields.adapter);
+    return !holding.some(({ entry }) => loads.isReachable(entry.id));
+  }
+
+  /** Returns the shortest time until an engine can hold the model of a request; 0 if one may at any moment. */
+  private heldInMs({ pool, fields }: AdmittedRequest): number {
+    const { clock, table } = this.deps;
+    const spec = pool.engine?.models.get(fields.model);
+    const isModelHeld = table.holding(pool.name, fields.model, null).length > 0;
+    if (spec === undefined || isModelHeld) return 0;
+    return timeUntilHeld(table.inService(pool.name), spec, clock.nowMs());
+  }
+
+  /** Lets a request that was told to come back count as waiting, so that its model is loaded until then. */
+  private async awaitReturn(request: AdmittedRequest, stopWaiting: () => void): Promise<void> {
+    const { clock, sendCutoffAtMs } = this.deps;
+    const untilMs = Math.min(
+      clock.nowMs() + RETURN_TIMEOUT_MS,
+      request.deadlineAtMs,
+      sendCutoffAtMs(),
+    );
+    while (clock.nowMs() < untilMs && this.isModelAbsent(request)) {
+      await clock.sleep(RETURN_POLL_INTERVAL_MS);
+    }
+    stopWaiting();
+  }
+
   /** Returns the time after which a target of a pool takes requests again; undefined unless all of them are paused. */
   pauseMs(pool: string): number | undefined {
     const { clock, table } = this.deps;
--- a/packages/edge/test/targetFinder.test.ts
+++ b/packages/edge/test/targetFinder.test.ts
@@ -1,6 +1,11 @@
 /** How requests wait for targets, and how many connections those that are woken together open. */
 import VirtualClock from '@wisteriapath/virtual-clock';
-import { TargetTable, WaitingRequests } from '@wisteriapath/fleet';
+import {
+  type PlacementUpdate,
+  type RegisteredTarget,
+  TargetTable,
+  WaitingRequests,
+} from '@wisteriapath/fleet';
 import type AdmittedRequest from '../src/AdmittedRequest';
 import type EdgeDependencies from '../src/EdgeDependencies';
 import TargetFinder from '../src/TargetFinder';
@@ -21,7 +26,7 @@
     connectionLimit: () => 1,
   } as unknown as EdgeDependencies;
   const request = {
-    pool: { name: 'guides', engine: {}, maxConnections: 1, coldPerS: 0 },
+    pool: { name: 'guides', engine: { models: new Map() }, maxConnections: 1, coldPerS: 0 },
     route: { latencyTargetMs: 2_000 },
     fields: { model: 'm', adapter: null },
   } as unknown as AdmittedRequest;
@@ -48,7 +53,7 @@
     failureDomain: 'a',
   } as unknown as EdgeDependencies;
   const request = {
-    pool: { name: 'guides', engine: {}, maxConnections: 2, coldPerS: 0 },
+    pool: { name: 'guides', engine: { models: new Map() }, maxConnections: 2, coldPerS: 0 },
     route: { latencyTargetMs: 2_000 },
     fields: { model: 'm', adapter: null, attemptId: 'one' },
   } as unknown as AdmittedRequest;
@@ -64,3 +69,91 @@
   await clock.advance(WAIT_MS);
   expect((await found).filter((chosen) => chosen !== undefined).length).toBe(2);
 });
+
+describe('a request whose model no engine holds', () => {
+  const STORE_LOAD_MS = 6_000;
+  const PATIENCE_MS = 2_300;
+
+  const start = (entry: Partial<RegisteredTarget>, update?: PlacementUpdate) => {
+    const clock = new VirtualClock();
+    const table = new TargetTable(clock);
+    const waiting = new WaitingRequests(clock, () => {});
+    const target = { models: new Map([['other', new Set<string>()]]), ...entry };
+    table.applyEntry(targetEntry(target));
+    if (update !== undefined) table.applyPlacement(update);
+    const deps = {
+      clock,
+      table,
+      waiting,
+      sendCutoffAtMs: () => Infinity,
+      loads: new TargetLoads(clock),
+      coldTargetLimiter: { tryTake: () => true },
+      connectionLimit: (maxConnections: number) => maxConnections,
+      failureDomain: 'a',
+    } as unknown as EdgeDependencies;
+    const times = { storeLoadMs: STORE_LOAD_MS, diskLoadMs: 1_700, memoryLoadMs: 1_200 };
+    const models = new Map([['m', { name: 'm', sizeMb: 1, adapterSizeMb: 0, ...times }]]);
+    const request = {
+      pool: { name: 'guides', engine: { models }, maxConnections: 4, coldPerS: 0 },
+      route: { latencyTargetMs: 600 },
+      fields: { model: 'm', adapter: null, attemptId: 'one' },
+      deadlineAtMs: 15_000,
+    } as unknown as AdmittedRequest;
+    const finder = new TargetFinder(deps);
+    let outcome: string | undefined;
+    const search = { excluded: new Map(), untilMs: PATIENCE_MS, isOver: () => false };
+    const found = finder.find(request, search).then((chosen) => {
+      outcome = chosen === undefined ? 'unserved' : 'served';
+    });
+    return { clock, table, waiting, finder, request, found, outcome: () => outcome };
+  };
+
+  test('is refused at once with the time of the load, if that takes longer than the request can wait', async () => {
+    const { clock, finder, request, outcome } = start({});
+    await clock.advance(10);
+    expect(outcome()).toBe('unserved');
+    expect(finder.retryAfterMs(request)).toBe(STORE_LOAD_MS);
+  });
+
+  test('counts as waiting until the model is held, so that it is when the caller comes back', async () => {
+    const { clock, table, waiting } = start({});
+    await clock.advance(3_000);
+    expect(waiting.demands.map(({ model }) => model)).toEqual(['m']);
+    table.applyEntry(targetEntry({ entryNumber: 2 }));
+    await clock.advance(500);
+    expect(waiting.demands).toEqual([]);
+  });
+
+  test('no longer counts as waiting when the caller does not come back', async () => {
+    const { clock, waiting } = start({});
+    await clock.advance(7_000);
+    expect(waiting.demands).toEqual([]);
+  });
+
+  test.each([
+    ['in the memory of an engine', { inMemory: new Set(['m']) }],
+    ['on the disk of an engine', { onDisk: new Set(['m']) }],
+  ])('waits while there is a copy %s', async (_, entry) => {
+    const { clock, table, found, outcome } = start(entry);
+    await clock.advance(500);
+    expect(outcome()).toBeUndefined();
+    table.applyEntry(targetEntry({ entryNumber: 2 }));
+    await clock.advance(100);
+    await found;
+    expect(outcome()).toBe('served');
+  });
+
+  test.each([
+    [2_000, undefined],
+    [3_000, 'unserved'],
+  ])(
+    'while it is loaded for %d ms more, waits only if that is in time',
+    async (busyForMs, outcome) => {
+      const update = { target: 'target-0', bornMs: 1, stamp: [1, 1] as const, models: [] };
+      const loading = { ...update, loading: 'm', isFromStore: true, busyForMs };
+      const started = start({}, loading);
+      await started.clock.advance(1_000);
+      expect(started.outcome()).toBe(outcome);
+    },
+  );
+});
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -52,3 +52,4 @@
 export { default as WaitingRequests } from './WaitingRequests';
 export type { default as WallClock } from './WallClock';
 export type { default as WorkspaceSpec } from './WorkspaceSpec';
+export { default as timeUntilHeld } from './timeUntilHeld';
