--- a/packages/model/src/rendezvousOrder.ts
+++ b/packages/model/src/rendezvousOrder.ts
@@ -1,7 +1,19 @@
 import { createHash } from 'node:crypto';
 
-const hashWeight = (key: string, node: string): bigint =>
-  createHash('sha1').update(`${key}\u0000${node}`).digest().readBigUInt64BE();
+const MAX_CACHED_WEIGHTS = 8_192;
+
+/** Weights that were asked for lately; the same few keys and nodes are ordered many times a second. */
+const cachedWeights = new Map<string, bigint>();
+
+const hashWeight = (key: string, node: string): bigint => {
+  const text = `${key}\u0000${node}`;
+  const known = cachedWeights.get(text);
+  if (known !== undefined) return known;
+  if (cachedWeights.size >= MAX_CACHED_WEIGHTS) cachedWeights.clear();
+  const weight = createHash('sha1').update(text).digest().readBigUInt64BE();
+  cachedWeights.set(text, weight);
+  return weight;
+};
 
 /**
  * Orders nodes for a key by rendezvous hashing (highest random weight first). Removing a node
