The time for which a model was asked for in vain counts for models only, not for their adapters

Found in reading, after: it also counted for adapters, and made each placer load an adapter at once that is asked for again within 6 s, not only the one that is responsible.

--- a/packages/fleet/src/DemandAggregator.ts
+++ b/packages/fleet/src/DemandAggregator.ts
@@ -20,7 +20,7 @@
 /** Time without demand after which a model counts as served. */
 const UNSERVED_TIMEOUT_MS = 6_000;
 
-/** Since when a model or adapter has been asked for without being loaded. */
+/** Since when a model has been asked for without being loaded. */
 interface Unserved {
   readonly sinceMs: number;
   lastMs: number;
@@ -72,28 +72,28 @@
       });
     });
     const totals = this.totalsFor(pool);
-    const waiting = [...merged].map(([asset, demand]) => ({
-      ...demand,
-      waitedMs: Math.max(demand.waitedMs, this.unservedMs(pool, asset)),
-    }));
+    const waiting = [...merged.values()];
     const unreachable = new Set(
       this.recentReports(WAITING_MAX_AGE_MS).flatMap((report) => report.unreachable),
     );
     return { ...totals, waiting, waitingInstances, unreachable };
   }
 
-  /** Notes that a model or adapter is being loaded, so that it no longer counts as asked for in vain. */
-  recordLoad(pool: string, asset: string): void {
-    this.unserved.delete(`${pool}/${asset}`);
+  /** Notes that a model is being loaded, so that it no longer counts as asked for in vain. */
+  recordLoad(pool: string, model: string): void {
+    this.unserved.delete(`${pool}/${model}`);
   }
 
-  /** Returns the time for which a model or adapter has been asked for, also by requests that were told to come back. */
-  private unservedMs(pool: string, asset: string): number {
+  /**
+   * Notes that a model which no engine holds is asked for, and returns for how long it has been, also by requests that
+   * were told to come back.
+   */
+  recordUnserved(pool: string, model: string): number {
     const nowMs = this.clock.nowMs();
     this.unserved.forEach(({ lastMs }, key) => {
       if (lastMs < nowMs - UNSERVED_TIMEOUT_MS) this.unserved.delete(key);
     });
-    const key = `${pool}/${asset}`;
+    const key = `${pool}/${model}`;
     const known = this.unserved.get(key) ?? { sinceMs: nowMs, lastMs: nowMs };
     known.lastMs = nowMs;
     this.unserved.set(key, known);
--- a/packages/fleet/src/DemandSnapshot.ts
+++ b/packages/fleet/src/DemandSnapshot.ts
@@ -2,7 +2,7 @@
 
 /** The demand of all instances for one pool at one moment. Rates are in requests per second. */
 interface DemandSnapshot {
-  /** Models and adapters that requests wait for; the waiting time is since they were first asked for in vain. */
+  /** Models and adapters that requests wait for. */
   readonly waiting: readonly Demand[];
   /** Rate by model, including requests for its adapters. */
   readonly modelRates: ReadonlyMap<string, number>;
--- a/packages/fleet/src/Placer.ts
+++ b/packages/fleet/src/Placer.ts
@@ -154,7 +154,7 @@
     this.leftLoads.retain(new Set(ranked.map(({ model }) => model)));
     ranked.forEach((waiting) => {
       if (this.isModelLoading(pool, waiting.model)) {
-        aggregator.recordLoad(pool, assetId(waiting.model, null));
+        aggregator.recordLoad(pool, waiting.model);
         this.leftLoads.clear(waiting.model);
       } else if (!waiting.isHeld) this.loadWaitingModel(pass, waiting);
     });
@@ -178,6 +178,7 @@
       nowMs: this.parts.clock.nowMs(),
       views: this.parts.table.inService(pool),
       models: engine.models,
+      unservedMs: (model) => this.parts.demand.recordUnserved(pool, model),
       isHeld: (model) => this.reachableHolding({ pool, demand }, model).length > 0,
     });
   }
@@ -232,7 +233,7 @@
   }
 
   private executeInPass(pass: PlanningPass, plan: PlannedLoad): void {
-    this.parts.demand.recordLoad(pass.pool, assetId(plan.model, null));
+    this.parts.demand.recordLoad(pass.pool, plan.model);
     this.leftLoads.clear(plan.model);
     if (plan.fromStore) Object.assign(pass, { storeSlots: pass.storeSlots - 1 });
     this.execute(plan);
--- a/packages/fleet/src/rankWaitingModels.ts
+++ b/packages/fleet/src/rankWaitingModels.ts
@@ -12,6 +12,8 @@
   /** The engines that may be given new work. */
   readonly views: readonly TargetView[];
   readonly models: ReadonlyMap<string, ModelSpec>;
+  /** Returns for how long a model that no engine holds has been asked for. */
+  readonly unservedMs: (model: string) => number;
   /** Whether an engine holds a model. */
   readonly isHeld: (model: string) => boolean;
 }
@@ -30,11 +32,11 @@
  * alike.
  *
  * @example
- * rankWaitingModels(demand, { nowMs, views, models: engine.models, isHeld });
+ * rankWaitingModels(demand, { nowMs, views, models: engine.models, unservedMs, isHeld });
  */
 const rankWaitingModels = (
   { waiting, modelRates }: DemandSnapshot,
-  { nowMs, views, models, isHeld }: Context,
+  { nowMs, views, models, unservedMs, isHeld: isHeldByAny }: Context,
 ): readonly WaitingModel[] => {
   const byModel = new Map<string, Demand[]>();
   waiting.forEach((demand) => {
@@ -42,12 +44,13 @@
     byModel.set(demand.model, [...(byModel.get(demand.model) ?? []), demand]);
   });
   const ranked = [...byModel].map(([model, demands]) => {
+    const isHeld = isHeldByAny(model);
     const merged = mergeByModel(demands);
+    const waitedMs = Math.max(merged.waitedMs, isHeld ? 0 : unservedMs(model));
     const load = shortestLoad(views, models.get(model)!, nowMs);
     const ratePerS = modelRates.get(model) ?? 0;
-    const worth = loadWorth({ ...merged, ratePerS, loadMs: load.ms });
-    const { waitedMs } = merged;
-    return { model, waitedMs, worth, isFromStore: load.isFromStore, isHeld: isHeld(model) };
+    const worth = loadWorth({ ...merged, waitedMs, ratePerS, loadMs: load.ms });
+    return { model, waitedMs, worth, isFromStore: load.isFromStore, isHeld };
   });
   return ranked.sort((one, other) => other.worth - one.worth || (one.model < other.model ? -1 : 1));
 };
