One load from the weight store at a time for each failure domain, and urgency by the oldest request

So several long loads at once in a failure domain of two or three engines are what cost; the old share of each placer is back, beside the bound over all. Urgency is that of the oldest waiting request, as before, not of the time for which the model was asked for, whose bonus is bounded.

--- a/packages/fleet/src/Placer.ts
+++ b/packages/fleet/src/Placer.ts
@@ -78,7 +78,11 @@
     this.storeLimiter = new StoreLoadLimiter(parts.clock, () => ({
       maxPerS: Math.max(0, ...this.pools.map(([, engine]) => engine.maxStoreLoadsPerS)),
       windowMs: options.weightStoreWindowMs,
-      maxActive: options.maxConcurrentStoreLoads,
+      // A failure domain has few engines, and a long load keeps its engine from all others.
+      maxActive: Math.max(
+        1,
+        Math.floor(options.maxConcurrentStoreLoads / parts.activeDomains().length),
+      ),
     }));
     this.leftLoads = new LeftLoads({ ...parts, failureDomain: options.failureDomain });
     this.storeLoads = new StoreLoadMonitor(parts, options.maxConcurrentStoreLoads);
--- a/packages/fleet/src/WaitingModel.ts
+++ b/packages/fleet/src/WaitingModel.ts
@@ -1,7 +1,7 @@
 /** A model that requests wait for, also those for its adapters. */
 interface WaitingModel {
   readonly model: string;
-  /** Time since it was first asked for in vain. */
+  /** Time that the oldest of the requests has waited. */
   readonly waitedMs: number;
   /** What a load of it is worth, see `loadWorth`. */
   readonly worth: number;
--- a/packages/fleet/src/loadWorth.ts
+++ b/packages/fleet/src/loadWorth.ts
@@ -1,7 +1,10 @@
 /** A model or adapter that requests wait for, and what a load of it takes. */
 interface Candidate {
   readonly waiting: number;
+  /** Time that the oldest of them has waited. */
   readonly waitedMs: number;
+  /** Time since the model was first asked for in vain. */
+  readonly unservedMs: number;
   readonly latencyTargetMs: number;
   /** Time until the last of the waiting requests can no longer be served. */
   readonly leftMs?: number;
@@ -13,10 +16,10 @@
 
 /** Weight of a request that misses its latency target, relative to one that can still meet it. */
 const LATE_REQUEST_WEIGHT = 0.2;
-/** Waiting time that adds as much to the worth of a load as one request that can meet its target. */
+/** Time asked for in vain that adds as much to the worth of a load as one request that can meet its target; more adds nothing. */
 const FULL_WEIGHT_WAIT_MS = 8_000;
 /** Time for which a loaded model serves arrivals before others displace it. */
-const USE_S = 5;
+const USE_S = 2;
 /** Time that the eviction before a load takes. */
 const EVICTION_MS = 150;
 
@@ -26,11 +29,12 @@
  * compete for the engines with long ones for many.
  *
  * @example
- * loadWorth({ waiting: 1, waitedMs: 0, latencyTargetMs: 600, ratePerS: 4, loadMs: 6_000 });
+ * loadWorth({ waiting: 1, waitedMs: 0, unservedMs: 0, latencyTargetMs: 600, ratePerS: 4, loadMs: 6_000 });
  */
 const loadWorth = ({
   waiting,
   waitedMs,
+  unservedMs,
   latencyTargetMs,
   leftMs = Infinity,
   ratePerS,
@@ -38,7 +42,8 @@
 }: Candidate): number => {
   const isInTime = latencyTargetMs - waitedMs > loadMs;
   const servable = leftMs > loadMs ? waiting * (isInTime ? 1 : LATE_REQUEST_WEIGHT) : 0;
-  const served = servable + ratePerS * USE_S + waitedMs / FULL_WEIGHT_WAIT_MS;
+  const patience = Math.min(1, Math.max(waitedMs, unservedMs) / FULL_WEIGHT_WAIT_MS);
+  const served = servable + ratePerS * USE_S + patience;
   return (served * 1_000) / (loadMs + EVICTION_MS);
 };
 
--- a/packages/fleet/src/rankWaitingModels.ts
+++ b/packages/fleet/src/rankWaitingModels.ts
@@ -46,10 +46,11 @@
   const ranked = [...byModel].map(([model, demands]) => {
     const isHeld = isHeldByAny(model);
     const merged = mergeByModel(demands);
-    const waitedMs = Math.max(merged.waitedMs, isHeld ? 0 : unservedMs(model));
+    const inVainMs = isHeld ? 0 : unservedMs(model);
     const load = shortestLoad(views, models.get(model)!, nowMs);
     const ratePerS = modelRates.get(model) ?? 0;
-    const worth = loadWorth({ ...merged, waitedMs, ratePerS, loadMs: load.ms });
+    const worth = loadWorth({ ...merged, unservedMs: inVainMs, ratePerS, loadMs: load.ms });
+    const { waitedMs } = merged;
     return { model, waitedMs, worth, isFromStore: load.isFromStore, isHeld };
   });
   return ranked.sort((one, other) => other.worth - one.worth || (one.model < other.model ? -1 : 1));
