--- a/packages/fleet/src/Placer.ts
+++ b/packages/fleet/src/Placer.ts
@@ -18,6 +18,7 @@
 import planAdapter from './planAdapter';
 import planModel from './planModel';
 import rankWaitingModels from './rankWaitingModels';
+import storeLoadShare from './storeLoadShare';
 
 /** The input of one planning pass over one pool. */
 interface PlanningPass {
@@ -78,11 +79,7 @@
     this.storeLimiter = new StoreLoadLimiter(parts.clock, () => ({
       maxPerS: Math.max(0, ...this.pools.map(([, engine]) => engine.maxStoreLoadsPerS)),
       windowMs: options.weightStoreWindowMs,
-      // A failure domain has few engines, and a long load keeps its engine from all others.
-      maxActive: Math.max(
-        1,
-        Math.floor(options.maxConcurrentStoreLoads / parts.activeDomains().length),
-      ),
+      maxActive: storeLoadShare(options.maxConcurrentStoreLoads, parts.activeDomains().length),
     }));
     this.leftLoads = new LeftLoads({ ...parts, failureDomain: options.failureDomain });
     this.storeLoads = new StoreLoadMonitor(parts, options.maxConcurrentStoreLoads);
