--- a/packages/fleet/src/Placer.ts
+++ b/packages/fleet/src/Placer.ts
@@ -116,7 +116,6 @@
   schedulePlanning(): void {
     if (this.isPlanningScheduled || !this.parts.authority.isHeld()) return;
     this.isPlanningScheduled = true;
-    const sinceMs = this.parts.clock.nowMs() - this.lastPlannedMs;
     setTimeout(
       () => {
         this.isPlanningScheduled = false;
@@ -124,7 +123,7 @@
         if (!this.parts.authority.isHeld()) return;
         this.pools.forEach(([pool, engine]) => this.planPool(pool, engine));
       },
-      Math.max(0, MIN_PLANNING_INTERVAL_MS - sinceMs),
+      Math.max(0, this.lastPlannedMs + MIN_PLANNING_INTERVAL_MS - this.parts.clock.nowMs()),
     );
   }
 
