Count the loads from the weight store of all pools together

Found in the last read: each pool's planning took the loads of the other pools for ended, so with two pools of engines the bound over all placers would not have held. Now all are observed once a planning pass. Test: storeLoadMonitor (loads of several pools).

--- a/packages/fleet/src/Placer.ts
+++ b/packages/fleet/src/Placer.ts
@@ -121,7 +121,11 @@
         this.isPlanningScheduled = false;
         this.lastPlannedMs = this.parts.clock.nowMs();
         if (!this.parts.authority.isHeld()) return;
-        this.pools.forEach(([pool, engine]) => this.planPool(pool, engine));
+        const engines = new Map(this.pools);
+        this.storeLoads.observe(this.parts.table.allTargets(), (pool, model) =>
+          engines.get(pool)?.models.get(model),
+        );
+        engines.forEach((engine, pool) => this.planPool(pool, engine));
       },
       Math.max(0, this.lastPlannedMs + MIN_PLANNING_INTERVAL_MS - this.parts.clock.nowMs()),
     );
@@ -135,12 +139,8 @@
   }
 
   private planPool(pool: string, engine: EngineSpec): void {
-    const { table, demand: aggregator } = this.parts;
+    const { demand: aggregator } = this.parts;
     const demand = aggregator.snapshot(pool);
-    this.storeLoads.observe(
-      table.allTargets().filter(({ entry }) => entry.pool === pool),
-      engine.models,
-    );
     const ranked = this.rankWaiting(pool, engine, demand);
     const copyWorths = ranked.filter(({ isFromStore }) => !isFromStore).map(({ worth }) => worth);
     const pass: PlanningPass = {
@@ -205,6 +205,7 @@
     instances.forEach((instance) => this.parts.publish(updates, instance));
   }
 
+  /** Loads a model, or leaves it to the placer of a better engine, or puts it off. */
   private loadWaitingModel(pass: PlanningPass, { model, waitedMs, worth }: WaitingModel): void {
     const base = this.contextFor(pass);
     // A load from the store goes ahead of short ones if it is worth more for the time that it takes.
--- a/packages/fleet/src/StoreLoadMonitor.ts
+++ b/packages/fleet/src/StoreLoadMonitor.ts
@@ -25,9 +25,9 @@
 /** Slow loads in a row from which the limit is learned: a single one may have been ordered late. */
 const MIN_SLOW_LOADS = 2;
 const MAX_SLOW_LOADS = 5;
-/** Loads at full speed in a row, at the limit, after which it is raised by one, ... */
+/** Loads at full speed in a row, at the limit, after which it is raised by one. */
 const FAST_LOADS_TO_RAISE = 6;
-/** ... but not within this time of the last slow one. */
+/** Time after a slow load in which the limit is not raised. */
 const RAISE_PAUSE_MS = 120_000;
 
 const upperMedian = (values: readonly number[]): number =>
@@ -62,13 +62,16 @@
     return Math.max(0, this.limit - this.loads.size);
   }
 
-  /** Takes note of what the engines of a pool are loading. */
-  observe(views: readonly TargetView[], models: ReadonlyMap<string, ModelSpec>): void {
+  /** Takes note of what the engines of all pools are loading. */
+  observe(
+    views: readonly TargetView[],
+    specOf: (pool: string, model: string) => ModelSpec | undefined,
+  ): void {
     const nowMs = this.parts.clock.nowMs();
     const viewById = new Map(views.map((view) => [view.entry.id, view]));
     this.loads.forEach((load, id) => this.endIfOver(load, id, viewById.get(id)));
     views.forEach(({ entry, loading, isLoadFromStore }) => {
-      const spec = loading === null ? undefined : models.get(loading);
+      const spec = loading === null ? undefined : specOf(entry.pool, loading);
       if (spec === undefined || !isLoadFromStore || this.loads.has(entry.id)) return;
       this.loads.set(entry.id, {
         model: spec.name,
