Tell how the connection of a response ended by that connection alone, and never pause one that is to be closed

Callers saw: with a response that has neither a length nor chunks, or that closes its connection, and a caller who takes no data for a moment, nothing more until the deadline: the HTTP client fails an assertion in the listener of the socket's end, and never ends the exchange. And a whole response counted as broken off if another connection was reset in the same turn. Cause: undici's parser must not be paused when a connection that is to be closed ends; and one flag for all connections, held until the next microtask, told a reset from a close. Now each client knows its own connection (packages/response-ends): a response without framing has ended in order only if its own connection was closed by the target. Responses whose connection is to be closed are not paused. Such an end has a name of its own, ExchangeEnd.Closed.

--- a/packages/edge/src/ExchangeEnd.ts
+++ b/packages/edge/src/ExchangeEnd.ts
@@ -1,7 +1,9 @@
 /** How an exchange with a target ended. */
 enum ExchangeEnd {
-  /** The complete response arrived. */
+  /** The complete response arrived, as its length or its last chunk says. */
   Complete = 'complete',
+  /** The target closed the connection in order, and nothing else tells the end of the response. */
+  Closed = 'closed',
   /** No byte of the request can have been sent. */
   NotSent = 'not_sent',
   /** No byte of the request was sent, since it must not be sent any more. */
--- a/packages/edge/src/TargetAttempt.ts
+++ b/packages/edge/src/TargetAttempt.ts
@@ -276,7 +276,7 @@
     if (this.mode === ResponseMode.NotExecuted) return AttemptOutcome.NotExecuted;
     if (caller.disconnectSignal.aborted) return AttemptOutcome.CallerDisconnected;
     if (end === ExchangeEnd.Withheld) return AttemptOutcome.Withheld;
-    if (end === ExchangeEnd.Complete) return this.completeResponse();
+    if (end === ExchangeEnd.Complete || end === ExchangeEnd.Closed) return this.completeResponse();
     framer?.reset();
     if (this.deps.stopSignal.aborted) return AttemptOutcome.Stopped;
     if (this.hasStalled) return AttemptOutcome.Stalled;
--- a/packages/edge/src/TargetConnections.ts
+++ b/packages/edge/src/TargetConnections.ts
@@ -1,5 +1,12 @@
-import { buildConnector, Client, type Dispatcher, Pool } from 'undici';
+import { type Client, type Dispatcher, Pool } from 'undici';
 import { isUnsent } from '@wisteriapath/model';
+import {
+  ConnectionUse,
+  framingOf,
+  ResponseFraming,
+  TrackedClient,
+  type TrackedDispatchOptions,
+} from '@wisteriapath/response-ends';
 import ExchangeEnd from './ExchangeEnd';
 import type HeaderRecord from './HeaderRecord';
 
@@ -21,7 +28,10 @@
 interface ResponseHandler {
   /** Returns false if the response must not be accepted, as it belongs to another request or is not valid. */
   onHeaders(status: number, headers: HeaderRecord): boolean;
-  /** Returns false if no further data can be taken until `resume` is called. */
+  /**
+   * Returns false if no further data should come until `resume` is called. More may come where the target closes the connection
+   * after the response.
+   */
   onData(chunk: Buffer): boolean;
 }
 
@@ -44,27 +54,28 @@
 /** Time by which a connection is closed earlier than the target would close it. */
 const IDLE_MARGIN_MS = 300;
 
+const CLIENT_OPTIONS = {
+  connectTimeoutMs: CONNECT_TIMEOUT_MS,
+  keepAliveTimeout: DEFAULT_IDLE_TIMEOUT_MS,
+  keepAliveMaxTimeout: MAX_IDLE_TIMEOUT_MS,
+  keepAliveTimeoutThreshold: IDLE_MARGIN_MS,
+  headersTimeout: 0,
+  bodyTimeout: 0,
+} satisfies Client.Options & { connectTimeoutMs: number };
+
 const originOf = (address: string): string => `http://${address}`;
 
+const createClient = (origin: string | URL): TrackedClient =>
+  new TrackedClient(origin, CLIENT_OPTIONS);
+
+/** Whether the target closes the connection after this response. */
+const closesConnection = (framing: ResponseFraming, { connection }: HeaderRecord): boolean =>
+  framing === ResponseFraming.Close || /\bclose\b/i.test(String(connection ?? ''));
+
 /** The pools of connections to targets; a connection carries one exchange at a time. */
 class TargetConnections {
   private readonly pools = new Map<string, Pool>();
 
-  /** True while the reset of a connection is being handled. */
-  private isResetting = false;
-
-  private readonly connector = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
-
-  private readonly clientOptions: Client.Options = {
-    pipelining: 1,
-    connect: (options, done) => this.connect(options, done),
-    keepAliveTimeout: DEFAULT_IDLE_TIMEOUT_MS,
-    keepAliveMaxTimeout: MAX_IDLE_TIMEOUT_MS,
-    keepAliveTimeoutThreshold: IDLE_MARGIN_MS,
-    headersTimeout: 0,
-    bodyTimeout: 0,
-  };
-
   /** Sends a request and passes the response to a handler. */
   send(request: TargetRequest, handler: ResponseHandler): Exchange {
     let controller: Dispatcher.DispatchController | undefined;
@@ -73,6 +84,9 @@
     let isSent = false;
     let isWithheld = false;
     let interim = 0;
+    let framing = ResponseFraming.None;
+    let mayPause = true;
+    const connectionUse = new ConnectionUse();
     let settle: (end: ExchangeEnd) => void = () => {};
     const ended = new Promise<ExchangeEnd>((resolve) => {
       settle = resolve;
@@ -106,20 +120,27 @@
           if (interim > MAX_INTERIM) controller?.abort(new Error('too many interim responses'));
           return;
         }
+        framing = framingOf(request.method, status, headers);
+        // The HTTP client fails, and never ends the exchange, if a connection that is to be closed ends during a pause.
+        mayPause = !closesConnection(framing, headers);
         if (handler.onHeaders(status, headers)) return;
         isRejected = true;
         controller?.abort(new Error('response rejected by its handler'));
       },
       onResponseData: (started, chunk) => {
-        if (!handler.onData(chunk)) started.pause();
+        if (!handler.onData(chunk) && mayPause) started.pause();
+      },
+      onResponseEnd: () => {
+        if (framing !== ResponseFraming.Close) settle(ExchangeEnd.Complete);
+        // The HTTP client reports such a response as complete even if its connection was reset.
+        else settle(connectionUse.hasEndedInOrder ? ExchangeEnd.Closed : ExchangeEnd.Broken);
       },
-      // The HTTP client reports a response without length as complete even if its connection was reset.
-      onResponseEnd: () => settle(this.isResetting ? ExchangeEnd.Broken : ExchangeEnd.Complete),
       onResponseError: (_, error) => settle(failure(error)),
     };
     try {
       const { method, path, headers, body } = request;
-      const options: Dispatcher.DispatchOptions = {
+      const options: TrackedDispatchOptions = {
+        connectionUse,
         method,
         path,
         headers,
@@ -127,10 +148,10 @@
       };
       // Throws if the address is not valid.
       const dispatcher = request.needsNewConnection
-        ? this.createClient(request.address)
+        ? createClient(originOf(request.address))
         : this.poolOf(request.address);
       dispatcher.dispatch(options, dispatch);
-      if (dispatcher instanceof Client) void dispatcher.close();
+      if (dispatcher instanceof TrackedClient) void dispatcher.close();
     } catch (error) {
       settle(failure(error as NodeJS.ErrnoException));
     }
@@ -158,37 +179,11 @@
     await Promise.all([...this.pools.values()].map((pool) => pool.destroy()));
   }
 
-  /** Opens a connection and registers error handlers that run before those of the HTTP client. */
-  private connect(options: buildConnector.Options, done: buildConnector.Callback): void {
-    this.connector(options, (...result: Parameters<buildConnector.Callback>) => {
-      const [, socket] = result;
-      socket?.on('error', () => this.markResetting());
-      // A reset that arrives together with data is reported as an ordinary end, but the socket has no peer address.
-      socket?.on('end', () => {
-        if (socket.remoteAddress === undefined) this.markResetting();
-      });
-      done(...result);
-    });
-  }
-
-  /** Makes a response that the HTTP client completes in the same turn count as broken. */
-  private markResetting(): void {
-    this.isResetting = true;
-    queueMicrotask(() => {
-      this.isResetting = false;
-    });
-  }
-
-  /** Creates a client for a single exchange. */
-  private createClient(address: string): Client {
-    return new Client(originOf(address), this.clientOptions);
-  }
-
   private poolOf(address: string): Pool {
     const known = this.pools.get(address);
     if (known !== undefined) return known;
     // Without a limit, so that no request waits for a connection: whoever sends keeps to the limit.
-    const pool = new Pool(originOf(address), { ...this.clientOptions, connections: null });
+    const pool = new Pool(originOf(address), { connections: null, factory: createClient });
     this.pools.set(address, pool);
     return pool;
   }
--- /dev/null
+++ b/packages/response-ends/src/ConnectionEnd.ts
@@ -0,0 +1,41 @@
+import type { Socket } from 'node:net';
+import { buildConnector } from 'undici';
+
+/** Opens the connections of one client, one after the other, and tells how the newest one ended. */
+class ConnectionEnd {
+  private isInOrder = false;
+
+  private readonly connector: buildConnector.connector;
+
+  constructor(connectTimeoutMs: number) {
+    this.connector = buildConnector({ timeout: connectTimeoutMs });
+  }
+
+  /** Whether the server has closed the connection in order; false while it is open, and after a reset. */
+  get isOrderly(): boolean {
+    return this.isInOrder;
+  }
+
+  /** Opens a connection, with listeners that run before those of the HTTP client. */
+  readonly connect: buildConnector.connector = (options, done) => {
+    this.connector(options, (...result: Parameters<buildConnector.Callback>) => {
+      const [, socket] = result;
+      // Undefined, not null as its type says, if the connection failed.
+      if (socket) this.watch(socket);
+      done(...result);
+    });
+  };
+
+  private watch(socket: Socket): void {
+    this.isInOrder = false;
+    socket.on('end', () => {
+      // A reset that arrives together with data is reported as an ordinary end, but the socket has no peer address.
+      this.isInOrder = socket.remoteAddress !== undefined;
+    });
+    socket.on('error', () => {
+      this.isInOrder = false;
+    });
+  }
+}
+
+export default ConnectionEnd;
--- /dev/null
+++ b/packages/response-ends/src/TrackedClient.ts
@@ -0,0 +1,35 @@
+import { Client, type Dispatcher } from 'undici';
+import ConnectionEnd from './ConnectionEnd';
+import type TrackedDispatchOptions from './TrackedDispatchOptions';
+
+interface Options extends Omit<Client.Options, 'connect' | 'pipelining'> {
+  readonly connectTimeoutMs: number;
+}
+
+/**
+ * An HTTP client with one connection and one exchange at a time, which tells how its connection ended.
+ *
+ * @example
+ * new Pool(origin, { factory: (url) => new TrackedClient(url, { connectTimeoutMs: 500 }) });
+ */
+class TrackedClient extends Client {
+  private readonly connectionEnd: ConnectionEnd;
+
+  constructor(origin: string | URL, { connectTimeoutMs, ...options }: Options) {
+    const connectionEnd = new ConnectionEnd(connectTimeoutMs);
+    super(origin, { ...options, pipelining: 1, connect: connectionEnd.connect });
+    this.connectionEnd = connectionEnd;
+  }
+
+  /** Whether the server has closed the newest connection in order. */
+  get hasEndedInOrder(): boolean {
+    return this.connectionEnd.isOrderly;
+  }
+
+  override dispatch(options: TrackedDispatchOptions, handler: Dispatcher.DispatchHandler): boolean {
+    options.connectionUse?.assign(this);
+    return super.dispatch(options, handler);
+  }
+}
+
+export default TrackedClient;
--- /dev/null
+++ b/packages/response-ends/src/framingOf.ts
@@ -0,0 +1,29 @@
+import ResponseFraming from './ResponseFraming';
+
+interface Headers {
+  readonly 'content-length'?: string | readonly string[];
+  readonly 'transfer-encoding'?: string | readonly string[];
+}
+
+const NO_CONTENT = 204;
+const NOT_MODIFIED = 304;
+const ENDS_CHUNKED = /\bchunked\s*$/i;
+
+/**
+ * Returns what bounds the body of a response (RFC 9112, section 6.3).
+ *
+ * @example
+ * framingOf('GET', 200, { 'content-length': '12' }); // ResponseFraming.Length
+ */
+const framingOf = (method: string, status: number, headers: Headers): ResponseFraming => {
+  if (method === 'HEAD' || status === NO_CONTENT || status === NOT_MODIFIED) {
+    return ResponseFraming.None;
+  }
+  const encoding = headers['transfer-encoding'];
+  if (encoding !== undefined) {
+    return ENDS_CHUNKED.test(String(encoding)) ? ResponseFraming.Chunks : ResponseFraming.Close;
+  }
+  return headers['content-length'] === undefined ? ResponseFraming.Close : ResponseFraming.Length;
+};
+
+export default framingOf;
--- /dev/null
+++ b/packages/response-ends/src/index.ts
@@ -0,0 +1,5 @@
+export { default as ConnectionUse } from './ConnectionUse';
+export { default as ResponseFraming } from './ResponseFraming';
+export { default as TrackedClient } from './TrackedClient';
+export type { default as TrackedDispatchOptions } from './TrackedDispatchOptions';
+export { default as framingOf } from './framingOf';
--- a/tools/bundle.mjs
+++ b/tools/bundle.mjs
@@ -14,6 +14,7 @@
   logLevel: 'warning',
   alias: {
     '@wisteriapath/model': './packages/model/src/index.ts',
+    '@wisteriapath/response-ends': './packages/response-ends/src/index.ts',
     '@wisteriapath/suspects': './packages/suspects/src/index.ts',
     '@wisteriapath/fleet': './packages/fleet/src/index.ts',
     '@wisteriapath/edge': './packages/edge/src/index.ts',
