Show a caller no end of an answer that its target has not shown

Cause: a target may answer with neither a length nor chunks; then only the end of the connection ends the answer, and a target that breaks it off between two events shows the same. This instance turned that weak end into a strong one that the target never made. The same on routes that are no streams (a length was computed here), and for a stream that began in chunks and went on at a target that only closed its connection; there, events of earlier targets also hid that the last one had sent none. Now what bounds the answer is passed on as it came: neither length nor chunks, and the connection is closed after it; where it breaks off, it is reset. A stream that began in chunks and goes on with such an end is broken off (and goes on at another target where the route allows it).

--- a/packages/edge/src/CallerExchange.ts
+++ b/packages/edge/src/CallerExchange.ts
@@ -1,6 +1,8 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { errorResponses, type ServeError } from '@wisteriapath/model';
+import { ResponseFraming } from '@wisteriapath/response-ends';
 import type Dialect from './Dialect';
+import breakOff from './breakOff';
 import mediaTypeOf from './mediaTypeOf';
 
 /** One caller's request together with its response, which is started once and ended once. */
@@ -9,6 +11,8 @@
 
   private mediaType = '';
 
+  private framing = ResponseFraming.None;
+
   constructor(
     readonly request: IncomingMessage,
     private readonly response: ServerResponse,
@@ -36,9 +40,26 @@
     return this.mediaType;
   }
 
-  /** Sends status and headers. */
-  start(status: number, headers: Readonly<Record<string, string | string[]>>): void {
-    if (this.shouldCloseConnection()) this.response.shouldKeepAlive = false;
+  /** What bounds the response as it was started: what the caller takes for its end. */
+  get startedFraming(): ResponseFraming {
+    return this.framing;
+  }
+
+  /** Bytes that the caller has not taken yet. */
+  get unsentBytes(): number {
+    return this.response.writableLength;
+  }
+
+  /** Sends status and headers; the framing must agree with the headers. */
+  start(
+    status: number,
+    headers: Readonly<Record<string, string | string[]>>,
+    framing: ResponseFraming,
+  ): void {
+    this.framing = framing;
+    const endsConnection = framing === ResponseFraming.Close;
+    if (endsConnection) this.response.removeHeader('transfer-encoding');
+    if (endsConnection || this.shouldCloseConnection()) this.response.shouldKeepAlive = false;
     this.mediaType = mediaTypeOf(headers['content-type']);
     this.response.writeHead(status, headers);
   }
@@ -56,9 +77,9 @@
     this.response.end(bytes);
   }
 
-  /** Destroys the connection, so that an unfinished response does not look complete. */
+  /** Breaks the response off, so that it does not look complete. */
   abort(): void {
-    this.response.destroy();
+    breakOff(this.response);
   }
 
   /** Responds with an error of this system; if the response has started, aborts it. */
@@ -75,12 +96,13 @@
       waitMs === null ? {} : { 'retry-after': (waitMs / 1_000).toFixed(2) };
     // On a kept-alive connection, the unread rest of the body would be parsed as the next request.
     if (!this.request.complete) this.response.shouldKeepAlive = false;
-    this.start(status, {
+    const headers = {
       ...this.dialect.errorHeaders(attemptId),
       'content-type': 'application/json',
       'content-length': String(body.length),
       ...retry,
-    });
+    };
+    this.start(status, headers, ResponseFraming.Length);
     this.end(body);
   }
 }
--- a/packages/edge/src/CallerListener.ts
+++ b/packages/edge/src/CallerListener.ts
@@ -1,6 +1,8 @@
+import type { ServerResponse } from 'node:http';
 import type { CallerLimits } from '@wisteriapath/fleet';
 import type EdgeDependencies from './EdgeDependencies';
 import HttpListener from './HttpListener';
+import breakOff from './breakOff';
 import callerServerOptions from './callerServerOptions';
 import handleRequest from './handleRequest';
 
@@ -9,7 +11,7 @@
 
 /** The listener for callers, which also counts the requests in progress. */
 class CallerListener {
-  private requestCount = 0;
+  private readonly active = new Set<ServerResponse>();
 
   private listener: HttpListener | undefined;
 
@@ -19,7 +21,7 @@
 
   /** Number of requests in progress. */
   get activeRequests(): number {
-    return this.requestCount;
+    return this.active.size;
   }
 
   /** Listens at `host:port`. */
@@ -31,13 +33,13 @@
       callerServerOptions,
       log,
       (request, response) => {
-        this.requestCount += 1;
+        this.active.add(response);
         response.on('close', () => {
-          this.requestCount -= 1;
+          this.active.delete(response);
         });
         handleRequest(deps, request, response).catch((error: Error) => {
           log.event('request_crashed', { error: error.stack ?? error.message });
-          response.destroy();
+          breakOff(response);
         });
       },
     );
@@ -46,6 +48,11 @@
     return listener;
   }
 
+  /** Breaks off the responses that their callers have not taken by the end of a stop. */
+  breakOffActive(): void {
+    this.active.forEach(breakOff);
+  }
+
   /** Applies the limits of a desired state, now or once the listener is open. */
   setLimits(limits: CallerLimits): void {
     this.limits = limits;
--- a/packages/edge/src/EventFramer.ts
+++ b/packages/edge/src/EventFramer.ts
@@ -30,9 +30,9 @@
     return this.pending.length > 0;
   }
 
-  /** Whether an event has arrived completely, from this target or an earlier one. */
+  /** Whether an event has arrived completely since the last reset, that is from the newest target. */
   get hasEvent(): boolean {
-    return this.lastEventId !== null || this.boundaries.hasEvent;
+    return this.boundaries.hasEvent;
   }
 
   /** Drops the partial event, before the stream is resumed at another target. */
--- a/packages/edge/src/TargetAttempt.ts
+++ b/packages/edge/src/TargetAttempt.ts
@@ -1,4 +1,5 @@
 import { RouteSemantics } from '@wisteriapath/fleet';
+import { framingOf, ResponseFraming } from '@wisteriapath/response-ends';
 import type AdmittedRequest from './AdmittedRequest';
 import AttemptOutcome from './AttemptOutcome';
 import type CallerExchange from './CallerExchange';
@@ -17,6 +18,7 @@
 interface KeptResponse {
   readonly status: number;
   readonly headers: Record<string, string | string[]>;
+  readonly framing: ResponseFraming;
   readonly body: Buffer;
 }
 
@@ -45,6 +47,8 @@
 /** Time to wait for the end of a refusal before its connection is closed. */
 const REFUSAL_BODY_TIMEOUT_MS = 150;
 const STALL_CHECK_INTERVAL_MS = 250;
+/** Bytes that may wait for a caller who reads slowly, where the target cannot be made to wait. */
+const MAX_UNSENT_BYTES = 8 * 1_024 * 1_024;
 /** Pause in a resumable stream after which the attempt is aborted. */
 const STREAM_STALL_TIMEOUT_MS = 1_200;
 /** Time to wait for the first event of a resumable stream, beyond its latency target. */
@@ -213,7 +217,7 @@
       this.mode = ResponseMode.Invalid;
     } else if (isSuccess && request.route.semantics === RouteSemantics.Stream) {
       this.mode = ResponseMode.Streamed;
-      if (!caller.hasStarted) caller.start(status, this.responseHeaders());
+      if (!caller.hasStarted) caller.start(status, this.responseHeaders(), this.streamFraming);
     } else this.mode = ResponseMode.Buffered;
     return this.mode !== ResponseMode.Invalid;
   }
@@ -240,6 +244,18 @@
     return headers;
   }
 
+  /** What bounds the response of the target. */
+  private get framing(): ResponseFraming {
+    const { method = 'GET' } = this.context.caller.request;
+    return framingOf(method, this.status, this.headers);
+  }
+
+  /** What bounds a stream as it is passed on: its length is not, and no end is shown that the target may not show. */
+  private get streamFraming(): ResponseFraming {
+    const { framing } = this;
+    return framing === ResponseFraming.Length ? ResponseFraming.Chunks : framing;
+  }
+
   private handleData(chunk: Buffer, resume: () => void): boolean {
     this.lastByteAtMs = this.deps.clock.nowMs();
     const { caller, framer } = this.context;
@@ -254,7 +270,20 @@
     const bytes = framer === null ? this.passOn(chunk) : framer.push(chunk);
     const { hasEvent } = framer ?? this.boundaries;
     if (hasEvent) this.context.onBegun();
-    return caller.write(bytes, resume);
+    const mayContinue = caller.write(bytes, resume);
+    if (caller.unsentBytes > MAX_UNSENT_BYTES) this.abortUnread();
+    return mayContinue;
+  }
+
+  /** Breaks off the response to a caller who reads too slowly. */
+  private abortUnread(): void {
+    const { request, caller } = this.context;
+    const { unsentBytes } = caller;
+    this.deps.log.event('caller_too_slow', {
+      request: request.fields.attemptId,
+      unsent_bytes: unsentBytes,
+    });
+    caller.abort();
   }
 
   private passOn(chunk: Buffer): Buffer {
@@ -276,7 +305,9 @@
     if (this.mode === ResponseMode.NotExecuted) return AttemptOutcome.NotExecuted;
     if (caller.disconnectSignal.aborted) return AttemptOutcome.CallerDisconnected;
     if (end === ExchangeEnd.Withheld) return AttemptOutcome.Withheld;
-    if (end === ExchangeEnd.Complete || end === ExchangeEnd.Closed) return this.completeResponse();
+    if (end === ExchangeEnd.Complete || end === ExchangeEnd.Closed) {
+      return this.completeResponse(end);
+    }
     framer?.reset();
     if (this.deps.stopSignal.aborted) return AttemptOutcome.Stopped;
     if (this.hasStalled) return AttemptOutcome.Stalled;
@@ -284,10 +315,10 @@
     return end === ExchangeEnd.NotSent ? AttemptOutcome.NotSent : AttemptOutcome.Broken;
   }
 
-  private completeResponse(): AttemptOutcome {
+  private completeResponse(end: ExchangeEnd): AttemptOutcome {
     const { caller, framer, keepsFailure } = this.context;
     if (this.mode === ResponseMode.Streamed) {
-      if (this.isStreamBrokenOff) {
+      if (this.isStreamBrokenOff(end)) {
         framer?.reset();
         return AttemptOutcome.Broken;
       }
@@ -295,13 +326,7 @@
       return AttemptOutcome.Answered;
     }
     if (this.mode !== ResponseMode.Buffered) return AttemptOutcome.Broken;
-    const body = Buffer.concat(this.chunks);
-    const headers: Record<string, string | string[]> = {
-      ...this.deps.dialect.callerHeaders(this.headers),
-    };
-    const isHead = caller.request.method === 'HEAD';
-    if (!isHead) headers['content-length'] = String(body.length);
-    this.keptResponse = { status: this.status, headers, body };
+    this.keptResponse = this.bufferedResponse();
     this.context.onBegun();
     if (caller.hasStarted) return AttemptOutcome.Failed;
     if (this.status >= SERVER_ERROR && keepsFailure) return AttemptOutcome.Failed;
@@ -309,25 +334,39 @@
     return AttemptOutcome.Answered;
   }
 
-  /** Whether a stream ended inside an event, or with its connection before any event. */
-  private get isStreamBrokenOff(): boolean {
-    const { framer } = this.context;
-    if (framer !== null) return framer.hasPartialEvent || (this.isUnframed && !framer.hasEvent);
-    const { isInsideEvent, hasEvent } = this.boundaries;
-    const mediaType = mediaTypeOf(this.headers['content-type']);
-    const isEventStream = mediaType === '' || mediaType === EVENT_STREAM;
-    return isEventStream && (isInsideEvent || (this.isUnframed && !hasEvent));
+  private bufferedResponse(): KeptResponse {
+    const { framing, status } = this;
+    const body = Buffer.concat(this.chunks);
+    const headers = { ...this.deps.dialect.callerHeaders(this.headers) };
+    const isFramed = framing === ResponseFraming.Length || framing === ResponseFraming.Chunks;
+    if (!isFramed) return { status, headers, framing, body };
+    headers['content-length'] = String(body.length);
+    return { status, headers, framing: ResponseFraming.Length, body };
   }
 
-  /** Whether the response has neither a length nor chunks, so that only the end of its connection ends it. */
-  private get isUnframed(): boolean {
-    const { 'content-length': length, 'transfer-encoding': encoding } = this.headers;
-    return length === undefined && encoding === undefined;
+  /**
+   * Whether a stream ended inside an event, or only its connection ended it and it had no event, or the caller would take the
+   * end for one that the target did not show.
+   */
+  private isStreamBrokenOff(end: ExchangeEnd): boolean {
+    const { framer, caller } = this.context;
+    if (end === ExchangeEnd.Closed && caller.startedFraming !== ResponseFraming.Close) return true;
+    const isInsideEvent = framer?.hasPartialEvent ?? this.boundaries.isInsideEvent;
+    const { hasEvent } = framer ?? this.boundaries;
+    return this.isEventStream && (isInsideEvent || (end === ExchangeEnd.Closed && !hasEvent));
+  }
+
+  private get isEventStream(): boolean {
+    const mediaType = mediaTypeOf(this.headers['content-type']);
+    return mediaType === '' || mediaType === EVENT_STREAM || this.context.framer !== null;
   }
 
   /** Passes a complete response on to the caller. */
-  static sendResponse(caller: CallerExchange, { status, headers, body }: KeptResponse): void {
-    caller.start(status, headers);
+  static sendResponse(
+    caller: CallerExchange,
+    { status, headers, framing, body }: KeptResponse,
+  ): void {
+    caller.start(status, headers, framing);
     caller.end(body);
   }
 }
