--- a/packages/edge/src/RequestExecution.ts
+++ b/packages/edge/src/RequestExecution.ts
@@ -1,5 +1,6 @@
 import { ErrorKind, ServeError } from '@wisteriapath/model';
 import { type DesiredState, RouteSemantics, type TargetView } from '@wisteriapath/fleet';
+import { ResponseFraming } from '@wisteriapath/response-ends';
 import { SuspectVerdict } from '@wisteriapath/suspects';
 import type AdmittedRequest from './AdmittedRequest';
 import AttemptOutcome from './AttemptOutcome';
@@ -121,7 +122,7 @@
       const outcome = await attempt.run();
       if (outcome === AttemptOutcome.Broken) await this.reportCrash(view, sentAtMs);
       this.endTrial();
-      if (outcome === AttemptOutcome.Answered) return this.result(null, attempt.statusCode);
+      if (outcome === AttemptOutcome.Answered) return this.finishAnswered(attempt);
       if (outcome === AttemptOutcome.CallerDisconnected) return this.result(null, 0);
       const result = this.handleFailure(view, attempt, outcome);
       if (result !== undefined) return result;
@@ -236,6 +237,22 @@
     return chosen;
   }
 
+  /** Ends an answered request; logs an answer of which only its connection showed the end. */
+  private finishAnswered(attempt: TargetAttempt): RequestResult {
+    const { framing, end } = attempt.endFields;
+    if (framing === ResponseFraming.Close) {
+      const { fields, route } = this.request;
+      this.deps.log.event('answer_unframed', {
+        request: fields.attemptId,
+        route: route.name,
+        target: this.lastTargetId,
+        status: attempt.statusCode,
+        end,
+      });
+    }
+    return this.result(null, attempt.statusCode);
+  }
+
   /** Handles a failed attempt; returns the result of the request if no further attempt is allowed. */
   private handleFailure(
     view: TargetView,
@@ -251,6 +268,7 @@
       target: id,
       outcome,
       status: attempt.statusCode,
+      ...attempt.endFields,
       began: this.hasBegun,
       shared_parts: fields.sharedParts.slice(0, MAX_LOGGED_PARTS).join(','),
       sends: this.sends,
--- a/packages/edge/src/TargetAttempt.ts
+++ b/packages/edge/src/TargetAttempt.ts
@@ -81,6 +81,8 @@
 
   private hasStalled = false;
 
+  private exchangeEnd: ExchangeEnd | null = null;
+
   /** The complete response of the target, if it was buffered. */
   keptResponse: KeptResponse | null = null;
 
@@ -131,6 +133,7 @@
     caller.disconnectSignal.addEventListener('abort', abortOnDisconnect);
     deps.stopSignal.addEventListener('abort', abortOnStop);
     const end = await exchange.ended;
+    this.exchangeEnd = end;
     clearTimeout(deadlineTimer);
     clearInterval(stallTimer);
     clearTimeout(this.refusalTimer);
@@ -151,6 +154,12 @@
     return this.status;
   }
 
+  /** What bounded the response, and how the exchange ended, for the log. */
+  get endFields(): { readonly framing: ResponseFraming; readonly end: string } {
+    const framing = this.mode === ResponseMode.None ? ResponseFraming.None : this.framing;
+    return { framing, end: this.exchangeEnd ?? '' };
+  }
+
   get isMisdirected(): boolean {
     return this.fields?.isMisdirected ?? false;
   }
