Own protocol: a service's response whose connection was reset is no answer

Callers saw: a booking's response with neither a length nor chunks, cut by a reset, as a whole answer; for a call that may run once it was also recorded as the outcome, so that every repeat of its key got the cut answer. Now TargetClient knows each response's connection (packages/response-ends); a call whose connection did not close in order is broken. ModelCall asks for its last event, reports and log pages are JSON: a cut there was always seen.

--- a/packages/response-ends/src/ConnectionEnd.ts
+++ b/packages/response-ends/src/ConnectionEnd.ts
@@ -16,7 +16,7 @@
     return this.isInOrder;
   }
 
-  /** Opens a connection, with listeners that run before those of the HTTP client. */
+  /** Opens a connection, with a listener that runs before those of the HTTP client. */
   readonly connect: buildConnector.connector = (options, done) => {
     this.connector(options, (...result: Parameters<buildConnector.Callback>) => {
       const [, socket] = result;
@@ -32,9 +32,6 @@
       // A reset that arrives together with data is reported as an ordinary end, but the socket has no peer address.
       this.isInOrder = socket.remoteAddress !== undefined;
     });
-    socket.on('error', () => {
-      this.isInOrder = false;
-    });
   }
 }
 
--- a/packages/response-ends/src/ConnectionUse.ts
+++ b/packages/response-ends/src/ConnectionUse.ts
@@ -9,7 +9,7 @@
     this.client = client;
   }
 
-  /** Whether the server has closed the connection in order. */
+  /** Whether the server has closed the connection in order. Valid until the client opens its next connection. */
   get hasEndedInOrder(): boolean {
     return this.client?.hasEndedInOrder ?? false;
   }
--- a/packages/routing/src/GuardedTargetClient.ts
+++ b/packages/routing/src/GuardedTargetClient.ts
@@ -1,15 +1,15 @@
-import type { Dispatcher } from 'undici';
 import { type Either, Left, Right } from 'purify-ts';
 import { ErrorKind, ServeError } from '@wisteriapath/model';
 import ExchangeFailure from './ExchangeFailure';
 import type PoisonRegistry from './PoisonRegistry';
 import PoisonVerdict from './PoisonVerdict';
 import TargetClient from './TargetClient';
+import type TargetResponse from './TargetResponse';
 import UnreadableResponse from './UnreadableResponse';
 
 /** An exchange with a target whose response has begun. */
 interface Exchange {
-  readonly response: Dispatcher.ResponseData;
+  readonly response: TargetResponse;
   /** Records that the target has begun to answer. */
   markBegun(): void;
   /** Records that the response was complete. */
--- a/packages/routing/src/ModelCall.ts
+++ b/packages/routing/src/ModelCall.ts
@@ -130,15 +130,16 @@
       return sent.extract();
     }
     const exchange = sent.unsafeCoerce();
-    if (exchange.response.statusCode !== OK) {
-      await exchange.response.body.dump();
+    const { statusCode, body } = exchange.response.data;
+    if (statusCode !== OK) {
+      await body.dump();
       exchange.markRefused();
       slot.release(TargetOutcome.Failed);
       return ExchangeFailure.Refused;
     }
     const isSlow = this.parts.clock.nowMs() - startedMs > SLOW_FIRST_BYTE_MS;
     try {
-      await this.relay(exchange.response.body, () => exchange.markBegun());
+      await this.relay(body, () => exchange.markBegun());
       exchange.markFinished();
       slot.release(isSlow ? TargetOutcome.Slow : TargetOutcome.Succeeded);
       return undefined;
--- a/packages/routing/src/ServiceCall.ts
+++ b/packages/routing/src/ServiceCall.ts
@@ -203,13 +203,14 @@
     if (sent.isLeft()) return failed(sent.extract());
     const exchange = sent.unsafeCoerce();
     try {
-      const body = Buffer.from(await exchange.response.body.arrayBuffer());
+      const { response } = exchange;
+      const { statusCode: status, headers: received } = response.data;
+      const body = Buffer.from(await response.data.body.arrayBuffer());
+      if (response.wasBrokenOff()) throw new Error('the connection that ends the body was reset');
       exchange.markFinished();
       slot.release(TargetOutcome.Succeeded);
-      const contentType = String(
-        exchange.response.headers['content-type'] ?? 'application/octet-stream',
-      );
-      return Right({ status: exchange.response.statusCode, contentType, body });
+      const contentType = String(received['content-type'] ?? 'application/octet-stream');
+      return Right({ status, contentType, body });
     } catch (error) {
       return failed(exchange.markBroken(error));
     }
--- a/packages/routing/src/TargetClient.ts
+++ b/packages/routing/src/TargetClient.ts
@@ -1,7 +1,14 @@
-import { Agent, type Dispatcher, request } from 'undici';
+import { Agent, Pool, request } from 'undici';
 import { type Either, Left, Right } from 'purify-ts';
 import { isUnsent } from '@wisteriapath/model';
+import {
+  ConnectionUse,
+  framingOf,
+  ResponseFraming,
+  TrackedClient,
+} from '@wisteriapath/response-ends';
 import ExchangeFailure from './ExchangeFailure';
+import type TargetResponse from './TargetResponse';
 
 interface Options {
   /** Time without a byte after which a connection is closed as silent. */
@@ -41,12 +48,15 @@
   private readonly agent: Agent;
 
   constructor(options: Options) {
+    const createClient = (origin: URL) =>
+      new TrackedClient(origin, {
+        connectTimeoutMs: CONNECT_TIMEOUT_MS,
+        headersTimeout: options.silenceLimitMs,
+        bodyTimeout: options.silenceLimitMs,
+      });
     this.agent = new Agent({
-      connect: { timeout: CONNECT_TIMEOUT_MS },
-      connections: MAX_CONNECTIONS_PER_TARGET,
-      pipelining: 1,
-      headersTimeout: options.silenceLimitMs,
-      bodyTimeout: options.silenceLimitMs,
+      factory: (origin) =>
+        new Pool(origin, { connections: MAX_CONNECTIONS_PER_TARGET, factory: createClient }),
     });
   }
 
@@ -54,19 +64,27 @@
    * Sends a request. Resolves when the response headers have arrived; the body is unread. Never
    * rejects.
    */
-  async send(url: string, call: Call): Promise<Either<ExchangeFailure, Dispatcher.ResponseData>> {
+  async send(url: string, call: Call): Promise<Either<ExchangeFailure, TargetResponse>> {
+    const connectionUse = new ConnectionUse();
     try {
-      const response = await request(`${url}${call.path}`, {
+      const options = {
+        connectionUse,
         dispatcher: this.agent,
         method: call.method,
         headers: { ...call.headers, [ATTEMPT_ID_HEADER]: call.attemptId },
         body: call.body.length === 0 ? null : call.body,
         signal: call.signal,
-      });
-      const echoed = response.headers[ATTEMPT_ID_HEADER];
-      if (echoed === undefined || echoed === call.attemptId) return Right(response);
+      };
+      const data = await request(`${url}${call.path}`, options);
+      const echoed = data.headers[ATTEMPT_ID_HEADER];
+      if (echoed === undefined || echoed === call.attemptId) {
+        const framing = framingOf(call.method, data.statusCode, data.headers);
+        const wasBrokenOff = () =>
+          framing === ResponseFraming.Close && !connectionUse.hasEndedInOrder;
+        return Right({ data, framing, wasBrokenOff });
+      }
       // Destroying the body emits an error, which has no other listener and would be thrown.
-      response.body.on('error', () => {}).destroy();
+      data.body.on('error', () => {}).destroy();
       return Left(ExchangeFailure.AttemptMismatch);
     } catch (error) {
       return Left(failureOf(error));
--- a/packages/routing/test/guardedTargetClient.test.ts
+++ b/packages/routing/test/guardedTargetClient.test.ts
@@ -35,7 +35,7 @@
     const guarded = new GuardedTargetClient(client, registry);
     const sent = await guarded.send(TARGET, url, 'cause', call);
     const exchange = sent.unsafeCoerce();
-    await exchange.response.body.dump();
+    await exchange.response.data.body.dump();
     exchange.markBroken(error);
     return registry.verdict('neighbour');
   };
--- a/packages/routing/test/targetClient.test.ts
+++ b/packages/routing/test/targetClient.test.ts
@@ -62,7 +62,7 @@
     const texts = await Promise.all(
       ['a', 'b', 'c'].map(async (id) => {
         const result = await client.send(target.url, call(id));
-        return result.unsafeCoerce().body.text();
+        return result.unsafeCoerce().data.body.text();
       }),
     );
     expect(texts).toEqual(['answer to a', 'answer to b', 'answer to c']);
