Own protocol: a response that ends with its connection arrives whole though it is read late

Callers saw: nothing until the time limit, if a response without framing of more than 64 kB ended while it waited to be read. Cause: the HTTP client fails an assertion if such a connection ends during a pause, as in the edge. The body now holds up to 8 MB unread before it pauses. Evidence: targetClient.test.ts, failed before with a body timeout and an uncaught assertion.

--- a/packages/routing/src/TargetClient.ts
+++ b/packages/routing/src/TargetClient.ts
@@ -28,6 +28,8 @@
 const CONNECT_TIMEOUT_MS = 1_000;
 const MAX_CONNECTIONS_PER_TARGET = 64;
 const ATTEMPT_ID_HEADER = 'x-request-id';
+/** Bytes of a response that may wait to be read. The HTTP client must not pause a response that ends with its connection. */
+const MAX_UNREAD_BYTES = 8 * 1_024 * 1_024;
 
 /** Names of the errors raised when the caller disconnects or the deadline passes. */
 const ABORT_ERROR_NAMES = new Set(['AbortError', 'TimeoutError']);
@@ -69,6 +71,7 @@
     try {
       const options = {
         connectionUse,
+        highWaterMark: MAX_UNREAD_BYTES,
         dispatcher: this.agent,
         method: call.method,
         headers: { ...call.headers, [ATTEMPT_ID_HEADER]: call.attemptId },
--- a/packages/routing/test/targetClient.test.ts
+++ b/packages/routing/test/targetClient.test.ts
@@ -48,6 +48,20 @@
     expect(result.extract()).toBe(ExchangeFailure.AttemptMismatch);
   });
 
+  test('a response that ends with its connection before it is read arrives whole', async () => {
+    const text = 'a'.repeat(70_000);
+    target = await startTarget((_request, response) => {
+      response.removeHeader('transfer-encoding');
+      response.writeHead(200, { connection: 'close' }).end(text);
+    });
+    const { data, wasBrokenOff } = (await client.send(target.url, call('own'))).unsafeCoerce();
+    await new Promise((resolve) => {
+      setTimeout(resolve, RESPONSE_DELAY_MS);
+    });
+    expect(await data.body.text()).toBe(text);
+    expect(wasBrokenOff()).toBe(false);
+  });
+
   test('a response that arrives after its attempt was aborted reaches no other request', async () => {
     target = await startTarget((request, response) => {
       const id = String(request.headers['x-request-id']);
