Own protocol: a service's answer that only its connection ended is shown to the caller so

Now the framing goes with the response to the sink; an answer replayed for a repeated key has a length, as it is stored here.

--- a/packages/daemon/src/KoaResponseSink.ts
+++ b/packages/daemon/src/KoaResponseSink.ts
@@ -1,5 +1,6 @@
 import { once } from 'node:events';
 import type { Context } from 'koa';
+import { ResponseFraming } from '@wisteriapath/response-ends';
 import type { ResponseSink } from '@wisteriapath/routing';
 
 /**
@@ -24,9 +25,18 @@
     return this.disconnection.signal;
   }
 
-  begin(status: number, headers: Readonly<Record<string, string>>): void {
+  begin(
+    status: number,
+    headers: Readonly<Record<string, string>>,
+    framing = ResponseFraming.Chunks,
+  ): void {
+    const { res } = this.context;
     this.context.respond = false;
-    this.context.res.writeHead(status, headers);
+    if (framing === ResponseFraming.Close) {
+      res.removeHeader('transfer-encoding');
+      res.shouldKeepAlive = false;
+    }
+    res.writeHead(status, headers);
   }
 
   async write(chunk: string | Buffer): Promise<void> {
--- a/packages/routing/src/ServiceCall.ts
+++ b/packages/routing/src/ServiceCall.ts
@@ -7,6 +7,7 @@
   ServeError,
   sha256Hex,
 } from '@wisteriapath/model';
+import { ResponseFraming } from '@wisteriapath/response-ends';
 import { type Slot, TargetOutcome } from '@wisteriapath/placement';
 import type ResponseSink from './ResponseSink';
 import Attempt from './Attempt';
@@ -33,6 +34,7 @@
 interface FullResponse {
   readonly status: number;
   readonly contentType: string;
+  readonly framing: ResponseFraming;
   readonly body: Buffer;
 }
 
@@ -46,7 +48,8 @@
     return Left(new ServeError(ErrorKind.OutcomeUnknown, message, ExecutionStatus.Executed));
   }
   const body = Buffer.from(outcome.bodyBase64, 'base64');
-  return Right({ status: outcome.status, contentType: outcome.contentType, body });
+  const { status, contentType } = outcome;
+  return Right({ status, contentType, framing: ResponseFraming.Length, body });
 };
 
 /** Forwards calls to plain HTTP services. */
@@ -63,7 +66,7 @@
       ? await this.runIdempotent(context, http, sink)
       : await this.runAtMostOnce(context, http, sink);
     answered.ifRight((response) => {
-      sink.begin(response.status, { 'content-type': response.contentType });
+      sink.begin(response.status, { 'content-type': response.contentType }, response.framing);
       void sink.write(response.body);
       sink.end();
     });
@@ -210,7 +213,7 @@
       exchange.markFinished();
       slot.release(TargetOutcome.Succeeded);
       const contentType = String(received['content-type'] ?? 'application/octet-stream');
-      return Right({ status, contentType, body });
+      return Right({ status, contentType, framing: response.framing, body });
     } catch (error) {
       return failed(exchange.markBroken(error));
     }
--- a/packages/routing/test/serviceCall.test.ts
+++ b/packages/routing/test/serviceCall.test.ts
@@ -1,6 +1,7 @@
 /** What a caller of the own protocol gets of a service's response that broke off. */
 import { createServer, type AddressInfo, type Server, type Socket } from 'node:net';
 import { ErrorKind, systemClock } from '@wisteriapath/model';
+import { ResponseFraming } from '@wisteriapath/response-ends';
 import { Right } from 'purify-ts';
 import GuardedTargetClient from '../src/GuardedTargetClient';
 import PoisonRegistry from '../src/PoisonRegistry';
@@ -36,6 +37,7 @@
     const url = `http://127.0.0.1:${(server.address() as AddressInfo).port}`;
     const completed: unknown[] = [];
     const written: string[] = [];
+    const framings: (ResponseFraming | undefined)[] = [];
     const parts = {
       clock: systemClock,
       slotAcquirer: {
@@ -69,7 +71,9 @@
     const sink = {
       headersSent: false,
       disconnectSignal: new AbortController().signal,
-      begin: () => {},
+      begin: (...[, , framing]: [number, object, ResponseFraming?]) => {
+        framings.push(framing);
+      },
       write: (chunk: string | Buffer) => {
         written.push(chunk.toString());
         return Promise.resolve();
@@ -82,17 +86,22 @@
       Left: (error): ErrorKind | null => error.kind,
       Right: () => null,
     });
-    return { kind, written, recorded: completed.length };
+    return { kind, written, framings, recorded: completed.length };
   };
 
   test.each([true, false])(
-    'that closes in order is answered, idempotent: %s',
+    'that closes in order is answered, and only its connection shows its end, idempotent: %s',
     async (idempotent) => {
       end = (socket) => {
         socket.end();
       };
       const recorded = idempotent ? 0 : 1;
-      expect(await run(idempotent)).toEqual({ kind: null, written: ['booked'], recorded });
+      expect(await run(idempotent)).toEqual({
+        kind: null,
+        written: ['booked'],
+        framings: [ResponseFraming.Close],
+        recorded,
+      });
     },
   );
 
@@ -103,6 +112,6 @@
     end = (socket) => {
       socket.resetAndDestroy();
     };
-    expect(await run(idempotent)).toEqual({ kind, written: [], recorded: 0 });
+    expect(await run(idempotent)).toEqual({ kind, written: [], framings: [], recorded: 0 });
   });
 });
