Placer: work out what may be evicted once a pass, and rank only models that no engine holds

Cause: since models are placed by worth, each pass ranks every model that is asked for, also those that engines hold and of which only an adapter is missing, and plans each absent one on all engines, working out anew for each what may be evicted there. The worth of held models also counted as that of the best short load, so that it could put a load from the weight store off for nothing. Now evictions are worked out once for each engine and pass (EvictionOptions, cut out of planModel), only absent models are ranked, and the targets in service are found once for each change of the table.

--- a/packages/fleet/src/Placer.ts
+++ b/packages/fleet/src/Placer.ts
@@ -156,7 +156,7 @@
       if (this.isModelLoading(pool, waiting.model)) {
         aggregator.recordLoad(pool, waiting.model);
         this.leftLoads.clear(waiting.model);
-      } else if (!waiting.isHeld) this.loadWaitingModel(pass, waiting);
+      } else this.loadWaitingModel(pass, waiting);
     });
     demand.waiting.forEach(({ model, adapter, waitedMs }) => {
       const holding = this.reachableHolding(pass, model);
--- a/packages/fleet/src/TargetTable.ts
+++ b/packages/fleet/src/TargetTable.ts
@@ -47,6 +47,9 @@
 
   private drained: ReadonlySet<string> = new Set();
 
+  /** What `inService` returned since the last change that it depends on, by pool: it is asked for with each look at the targets. */
+  private readonly inServiceByPool = new Map<string, readonly Row[]>();
+
   /** Notifies waiting requests whenever a target may have become usable. */
   readonly changes = new Notifier();
 
@@ -84,6 +87,7 @@
   private addRow(entry: RegisteredTarget): void {
     const known = this.rows.get(entry.id);
     const isSameStart = known?.entry.bornMs === entry.bornMs;
+    this.inServiceByPool.clear();
     this.rows.set(entry.id, {
       entry,
       models: entry.models,
@@ -106,6 +110,7 @@
     const isSame = isSameEntry(entry, row.entry);
     const coldUntilMs = this.clock.nowMs() + entry.coldLeftMs;
     Object.assign(row, { entry, coldUntilMs, olderEntries: [] });
+    if (!isSame) this.inServiceByPool.clear();
     if (this.clock.nowMs() >= row.placementPrecedenceUntilMs) this.setModels(row, entry.models);
     // A change other than of its models can also make the engine usable again.
     if (!isSame) this.changes.notify();
@@ -160,6 +165,7 @@
       return false;
     }
     row.leavingSource = source;
+    this.inServiceByPool.clear();
     return true;
   }
 
@@ -189,11 +195,13 @@
 
   remove(id: string): void {
     this.rows.delete(id);
+    this.inServiceByPool.clear();
   }
 
   /** Replaces the set of failure domains whose targets get no new work. */
   setDrainedDomains(domains: ReadonlySet<string>): void {
     this.drained = domains;
+    this.inServiceByPool.clear();
     this.changes.notify();
   }
 
@@ -215,6 +223,14 @@
    * peers alone say that they leave: a word that was forged or misread elsewhere must not empty a pool.
    */
   inService(pool: string): readonly TargetView[] {
+    const known = this.inServiceByPool.get(pool);
+    if (known !== undefined) return known;
+    const rows = this.findInService(pool);
+    this.inServiceByPool.set(pool, rows);
+    return rows;
+  }
+
+  private findInService(pool: string): readonly Row[] {
     const open = this.rowsInPool(pool).filter(
       ({ entry }) => !entry.isLeaving && !this.drained.has(entry.failureDomain),
     );
@@ -236,10 +252,11 @@
   holds({ entry, models }: TargetView, model: string, adapter: string | null): boolean {
     const adapters = models.get(model);
     if (adapters === undefined || (adapter !== null && !adapters.has(adapter))) return false;
-    const nowMs = this.clock.nowMs();
     const absent = this.rows.get(entry.id)?.absentUntilMs;
+    if (absent === undefined || absent.size === 0) return true;
+    const nowMs = this.clock.nowMs();
     return [assetId(model, null), assetId(model, adapter)].every(
-      (asset) => (absent?.get(asset) ?? 0) <= nowMs,
+      (asset) => (absent.get(asset) ?? 0) <= nowMs,
     );
   }
 
--- a/packages/fleet/src/WaitingModel.ts
+++ b/packages/fleet/src/WaitingModel.ts
@@ -1,4 +1,4 @@
-/** A model that requests wait for, also those for its adapters. */
+/** A model that requests wait for, also those for its adapters, and that no engine holds. */
 interface WaitingModel {
   readonly model: string;
   /** Time that the oldest of the requests has waited. */
@@ -7,8 +7,6 @@
   readonly worth: number;
   /** Whether no engine has a copy of it. */
   readonly isFromStore: boolean;
-  /** Whether an engine holds it already; the instances that wait may not know yet. */
-  readonly isHeld: boolean;
 }
 
 export default WaitingModel;
--- a/packages/fleet/src/createModelContext.ts
+++ b/packages/fleet/src/createModelContext.ts
@@ -1,6 +1,7 @@
 import type DemandSnapshot from './DemandSnapshot';
 import type EngineRegistry from './EngineRegistry';
 import type EngineSpec from './EngineSpec';
+import EvictionOptions from './EvictionOptions';
 import type TargetView from './TargetView';
 import canLoadFromStore from './canLoadFromStore';
 import hasCopy from './hasCopy';
@@ -38,21 +39,24 @@
   views.forEach(({ models }) =>
     models.forEach((_, model) => replicaCounts.set(model, (replicaCounts.get(model) ?? 0) + 1)),
   );
-  return {
+  const evictions = new EvictionOptions({
     engine,
-    free,
     replicaCounts,
     rates: demand.modelRates,
     requested: new Set(demand.waiting.map(({ model }) => model)),
     running: (id: string, model: string) => demand.running.get(id)?.get(model) ?? 0,
-    isStoreFree: canLoadFromStore(engines, demand.waiting, snapshot),
     hasCopyElsewhere: (id: string, model: string) =>
       views.some(
         ({ entry, models }) => entry.id !== id && (models.has(model) || hasCopy(entry, model)),
       ),
-    hasCopySoon: (model: string) => hasCopySoon(views, engine.models.get(model), snapshot),
     residentMs: (id: string, model: string) =>
       nowMs - (registry.get(id)?.loadedMs.get(model) ?? -Infinity),
+  });
+  return {
+    free,
+    evictions,
+    isStoreFree: canLoadFromStore(engines, demand.waiting, snapshot),
+    hasCopySoon: (model: string) => hasCopySoon(views, engine.models.get(model), snapshot),
   };
 };
 
--- a/packages/fleet/src/rankWaitingModels.ts
+++ b/packages/fleet/src/rankWaitingModels.ts
@@ -28,7 +28,7 @@
 });
 
 /**
- * Returns the models that requests wait for, that whose load is worth most first. Placers with the same knowledge rank
+ * Returns the models that requests wait for and no engine holds, that whose load is worth most first. Placers with the same knowledge rank
  * alike.
  *
  * @example
@@ -36,22 +36,26 @@
  */
 const rankWaitingModels = (
   { waiting, modelRates }: DemandSnapshot,
-  { nowMs, views, models, unservedMs, isHeld: isHeldByAny }: Context,
+  { nowMs, views, models, unservedMs, isHeld }: Context,
 ): readonly WaitingModel[] => {
   const byModel = new Map<string, Demand[]>();
   waiting.forEach((demand) => {
     if (!models.has(demand.model)) return;
     byModel.set(demand.model, [...(byModel.get(demand.model) ?? []), demand]);
   });
-  const ranked = [...byModel].map(([model, demands]) => {
-    const isHeld = isHeldByAny(model);
+  const absent = [...byModel].filter(([model]) => !isHeld(model));
+  const ranked = absent.map(([model, demands]) => {
     const merged = mergeByModel(demands);
-    const inVainMs = isHeld ? 0 : unservedMs(model);
     const load = shortestLoad(views, models.get(model)!, nowMs);
     const ratePerS = modelRates.get(model) ?? 0;
-    const worth = loadWorth({ ...merged, unservedMs: inVainMs, ratePerS, loadMs: load.ms });
+    const worth = loadWorth({
+      ...merged,
+      unservedMs: unservedMs(model),
+      ratePerS,
+      loadMs: load.ms,
+    });
     const { waitedMs } = merged;
-    return { model, waitedMs, worth, isFromStore: load.isFromStore, isHeld };
+    return { model, waitedMs, worth, isFromStore: load.isFromStore };
   });
   return ranked.sort((one, other) => other.worth - one.worth || (one.model < other.model ? -1 : 1));
 };
