Listener of callers: keep the exchanges under way, so that each is broken off as its framing needs

A response with a length that its caller still reads at the end of a stop is closed as before; only one that its connection alone would end is reset. Replaces a guess from the state of the response (breakOff).

--- a/packages/edge/src/CallerExchange.ts
+++ b/packages/edge/src/CallerExchange.ts
@@ -2,7 +2,6 @@
 import { errorResponses, type ServeError } from '@wisteriapath/model';
 import { ResponseFraming } from '@wisteriapath/response-ends';
 import type Dialect from './Dialect';
-import breakOff from './breakOff';
 import mediaTypeOf from './mediaTypeOf';
 
 /** One caller's request together with its response, which is started once and ended once. */
@@ -77,9 +76,11 @@
     this.response.end(bytes);
   }
 
-  /** Breaks the response off, so that it does not look complete. */
+  /** Breaks the response off, so that it does not look complete: with a reset if only its connection would end it. */
   abort(): void {
-    breakOff(this.response);
+    const { socket } = this.response;
+    if (this.framing === ResponseFraming.Close && socket !== null) socket.resetAndDestroy();
+    else this.response.destroy();
   }
 
   /** Responds with an error of this system; if the response has started, aborts it. */
--- a/packages/edge/src/CallerListener.ts
+++ b/packages/edge/src/CallerListener.ts
@@ -1,8 +1,7 @@
-import type { ServerResponse } from 'node:http';
 import type { CallerLimits } from '@wisteriapath/fleet';
+import CallerExchange from './CallerExchange';
 import type EdgeDependencies from './EdgeDependencies';
 import HttpListener from './HttpListener';
-import breakOff from './breakOff';
 import callerServerOptions from './callerServerOptions';
 import handleRequest from './handleRequest';
 
@@ -11,7 +10,7 @@
 
 /** The listener for callers, which also counts the requests in progress. */
 class CallerListener {
-  private readonly active = new Set<ServerResponse>();
+  private readonly active = new Set<CallerExchange>();
 
   private listener: HttpListener | undefined;
 
@@ -33,13 +32,14 @@
       callerServerOptions,
       log,
       (request, response) => {
-        this.active.add(response);
+        const caller = new CallerExchange(request, response, deps.dialect, deps.isStopping);
+        this.active.add(caller);
         response.on('close', () => {
-          this.active.delete(response);
+          this.active.delete(caller);
         });
-        handleRequest(deps, request, response).catch((error: Error) => {
+        handleRequest(deps, caller).catch((error: Error) => {
           log.event('request_crashed', { error: error.stack ?? error.message });
-          breakOff(response);
+          caller.abort();
         });
       },
     );
@@ -49,8 +49,8 @@
   }
 
   /** Breaks off the responses that their callers have not taken by the end of a stop. */
-  breakOffActive(): void {
-    this.active.forEach(breakOff);
+  abortActive(): void {
+    this.active.forEach((caller) => caller.abort());
   }
 
   /** Applies the limits of a desired state, now or once the listener is open. */
--- a/packages/edge/src/Edge.ts
+++ b/packages/edge/src/Edge.ts
@@ -248,7 +248,7 @@
     this.demandReporter.stop();
     this.follower?.stop();
     this.peers.stop();
-    this.callers.breakOffActive();
+    this.callers.abortActive();
     this.listeners.forEach((listener) => listener.destroy());
     await this.catchUp.close();
     await this.deps.connections.close();
--- a/packages/edge/src/handleRequest.ts
+++ b/packages/edge/src/handleRequest.ts
@@ -1,6 +1,5 @@
-import type { IncomingMessage, ServerResponse } from 'node:http';
 import type AdmittedRequest from './AdmittedRequest';
-import CallerExchange from './CallerExchange';
+import type CallerExchange from './CallerExchange';
 import type EdgeDependencies from './EdgeDependencies';
 import RequestExecution from './RequestExecution';
 import type RequestResult from './RequestResult';
@@ -42,17 +41,12 @@
  * Serves one request of a caller, and writes one log line about its result.
  *
  * @example
- * createServer((request, response) => void handleRequest(deps, request, response));
+ * void handleRequest(deps, new CallerExchange(request, response, deps.dialect, deps.isStopping));
  */
-const handleRequest = async (
-  deps: EdgeDependencies,
-  request: IncomingMessage,
-  response: ServerResponse,
-): Promise<void> => {
+const handleRequest = async (deps: EdgeDependencies, caller: CallerExchange): Promise<void> => {
   const { clock, log, metrics, dialect } = deps;
   const arrivedMs = clock.nowMs();
-  const caller = new CallerExchange(request, response, dialect, deps.isStopping);
-  const fields = dialect.parseRequest(request.headers);
+  const fields = dialect.parseRequest(caller.request.headers);
   const admitted = await admit(deps, caller, fields, arrivedMs);
   await admitted.caseOf({
     Left: async (error) => {
