The only instance of a failure domain keeps its lease while the store refuses it and its peers are heard

Cause: without the store a holder keeps its authority by acknowledgements of the other instances of its failure domain. From 15 to 20 s 20 to 34 requests a second were answered and up to 166 found no target; from 21 s, with the store, 90 and more were answered. Now such an instance counts on contact with half of its peers, within the same 0.7 s, on both clocks, and 20 s after the last renewal at most. Only instances of its failure domain may take over: one that is known must acknowledge as before, one that starts waits 3 s and is heard, or hears the holder, meanwhile. Left: one that starts while it cannot reach the holder, the holder not the store, and both half of the others.

--- a/packages/edge/src/Edge.ts
+++ b/packages/edge/src/Edge.ts
@@ -161,7 +161,7 @@
         wallClock: ports.wallClock,
         store: ports.leaseStore,
         log,
-        acknowledgedHeartbeat: () => this.peers.acknowledgedHeartbeat,
+        lastContact: () => this.peers.lastContact,
         rank: () => this.leaseRank(),
       },
     );
--- a/packages/fleet/src/Lease.ts
+++ b/packages/fleet/src/Lease.ts
@@ -2,6 +2,7 @@
 import type Authority from './Authority';
 import type EventLog from './EventLog';
 import type LeaseStore from './LeaseStore';
+import type Moment from './Moment';
 import type WallClock from './WallClock';
 
 interface Options {
@@ -18,9 +19,8 @@
   readonly wallClock: WallClock;
   readonly store: LeaseStore;
   readonly log: EventLog;
-  /** Send time, on both clocks, of the newest heartbeat that every peer has acknowledged. */
-  readonly acknowledgedHeartbeat: () =>
-    { readonly sentMs: number; readonly sentWallMs: number } | undefined;
+  /** The newest moment, on both clocks, at which no other machine can have begun to take over; see `HolderContact`. */
+  readonly lastContact: () => { readonly sentMs: number; readonly sentWallMs: number } | undefined;
   /** Rank of this machine among the candidates: 0 is first, negative if it is no candidate. */
   readonly rank: () => number;
 }
@@ -43,9 +43,9 @@
 const RENEWAL_INTERVAL_MS = 600;
 /** Time without a heartbeat of the holder after which the first candidate reads the store. */
 const HOLDER_TIMEOUT_MS = 900;
-/** Time for which an acknowledged heartbeat gives authority while the store does not answer. */
-const ACK_VALIDITY_MS = 700;
-/** Longest time without a renewal for which acknowledged heartbeats alone give authority. */
+/** Time for which contact with the peers gives authority while the store does not answer. */
+const CONTACT_VALIDITY_MS = 700;
+/** Longest time without a renewal for which contact alone gives authority. */
 const MAX_TIME_WITHOUT_RENEWAL_MS = 20_000;
 /** Uptime of a process before which it takes no unreleased lease from another machine. */
 const MIN_TAKEOVER_UPTIME_MS = 3_000;
@@ -66,7 +66,8 @@
  * Authority ends `LEASE_DURATION_MS` after the renewal in force was sent. The time is taken from
  * the monotonic clock and checked against the time of day, because the monotonic clock does not
  * advance during a suspension. While the store does not answer, authority lasts as long as every
- * peer acknowledges the holder's heartbeats, because a peer that receives them does not take over.
+ * candidate acknowledges the holder's heartbeats, because one that receives them does not take over; a holder without
+ * other candidates needs contact with half of its peers.
  * A successor waits until the authority of its predecessor has ended, and another `handoverDelayMs`
  * before its first order.
  */
@@ -124,17 +125,16 @@
     const { tenure } = this;
     if (tenure === undefined || this.stopped) return false;
     if (this.isWithin(tenure, LEASE_DURATION_MS)) return true;
-    const acked = this.parts.acknowledgedHeartbeat();
+    const contact = this.parts.lastContact();
     const isRecentlyRenewed =
       this.parts.clock.nowMs() - tenure.sentMs < MAX_TIME_WITHOUT_RENEWAL_MS;
-    return isRecentlyRenewed && acked !== undefined && this.isWithin(acked, ACK_VALIDITY_MS);
+    return (
+      isRecentlyRenewed && contact !== undefined && this.isWithin(contact, CONTACT_VALIDITY_MS)
+    );
   }
 
   /** Whether less than `limitMs` has passed and both clocks agree on it. */
-  private isWithin(
-    { sentMs, sentWallMs }: { readonly sentMs: number; readonly sentWallMs: number },
-    limitMs: number,
-  ): boolean {
+  private isWithin({ sentMs, sentWallMs }: Moment, limitMs: number): boolean {
     const monotonicMs = this.parts.clock.nowMs() - sentMs;
     const wallMs = this.parts.wallClock() - sentWallMs;
     return monotonicMs < limitMs && Math.abs(wallMs - monotonicMs) < MAX_CLOCK_SKEW_MS;
@@ -250,7 +250,7 @@
     if (nowMs - this.startedMs < MIN_TAKEOVER_UPTIME_MS) return;
     const endMs = Math.max(
       this.observed.atMs + LEASE_DURATION_MS,
-      this.lastHolderHeartbeatMs + ACK_VALIDITY_MS,
+      this.lastHolderHeartbeatMs + CONTACT_VALIDITY_MS,
     );
     if (nowMs < endMs) {
       await clock.sleep(endMs - nowMs);
--- a/packages/fleet/src/Peers.ts
+++ b/packages/fleet/src/Peers.ts
@@ -6,7 +6,9 @@
 import type HeartbeatContent from './HeartbeatContent';
 import HeartbeatKind from './HeartbeatKind';
 import type EventLog from './EventLog';
+import HolderContact from './HolderContact';
 import type MemberRecord from './MemberRecord';
+import type Moment from './Moment';
 import type PeerHandlers from './PeerHandlers';
 import PeerMessageKind from './PeerMessageKind';
 import type DemandReport from './DemandReport';
@@ -41,6 +43,8 @@
   readonly member: MemberRecord;
   /** When its last heartbeat arrived, on the monotonic clock; -Infinity if none has. */
   lastHeartbeatMs: number;
+  /** The same as time of day. */
+  lastHeartbeatWallMs: number;
   /** Number of its newest heartbeat. */
   newestNumber: number;
   isStopping: boolean;
@@ -56,13 +60,6 @@
   ackedNumber: number;
 }
 
-/** The time at which a heartbeat was sent, on the monotonic clock and as time of day. */
-interface SentHeartbeat {
-  readonly number: number;
-  readonly sentMs: number;
-  readonly sentWallMs: number;
-}
-
 const PROTOCOL_VERSION = 1;
 /** Size up to which a datagram fits into one packet. */
 const MAX_DATAGRAM_BYTES = 1_200;
@@ -99,7 +96,9 @@
   private timer: NodeJS.Timeout | undefined;
 
   /** The newest sent heartbeats, oldest first. */
-  private readonly sentHeartbeats: SentHeartbeat[] = [];
+  private readonly sentHeartbeats: (Moment & { readonly number: number })[] = [];
+
+  private readonly contact: HolderContact;
 
   private heartbeatNumber = 0;
 
@@ -109,7 +108,9 @@
   constructor(
     private readonly options: Options,
     private readonly parts: Parts,
-  ) {}
+  ) {
+    this.contact = new HolderContact(parts.clock, options.failureDomain);
+  }
 
   /** Opens the socket and starts to send heartbeats. */
   async start(): Promise<void> {
@@ -159,21 +160,9 @@
     return new Map(claims.map(({ member }) => [member.failureDomain, member]));
   }
 
-  /**
-   * The newest heartbeat that all peers of this failure domain have acknowledged while this
-   * instance was the lease holder; undefined if some peer has acknowledged none lately. Only these
-   * peers may take over the lease, and none does while it receives heartbeats of the holder.
-   */
-  get acknowledgedHeartbeat(): SentHeartbeat | undefined {
-    const peers = [...this.peers.values()].filter(
-      ({ member, lastHeartbeatMs, isStopping }) =>
-        member.failureDomain === this.options.failureDomain &&
-        lastHeartbeatMs !== -Infinity &&
-        !isStopping,
-    );
-    if (peers.length === 0) return undefined;
-    const oldest = Math.min(...peers.map(({ ackedNumber }) => ackedNumber));
-    return this.sentHeartbeats.find(({ number }) => number === oldest);
+  /** The newest moment at which no other instance can have begun to take over the lease of this one. */
+  get lastContact(): Moment | undefined {
+    return this.contact.newest([...this.peers.values()], this.sentHeartbeats);
   }
 
   /** Sends one heartbeat to the peers whose turn it is. */
@@ -379,6 +368,8 @@
     if (heartbeat.number < peer.newestNumber) return;
     peer.newestNumber = heartbeat.number;
     peer.lastHeartbeatMs = this.parts.clock.nowMs();
+    peer.lastHeartbeatWallMs = this.parts.wallClock();
+    this.contact.notePeer(member);
     peer.isStopping = heartbeat.isStopping;
     // Instances of an earlier build do not say.
     peer.reachesStore = heartbeat.reachesStore ?? true;
@@ -408,6 +399,7 @@
     const peer = {
       member,
       lastHeartbeatMs,
+      lastHeartbeatWallMs: this.parts.wallClock(),
       newestNumber: 0,
       isStopping: false,
       reachesStore: false,
@@ -416,6 +408,7 @@
       ackedNumber: 0,
     };
     this.peers.set(member.name, peer);
+    this.contact.notePeer(member);
     const { name, host, incarnation } = member;
     this.parts.log.event('peer_learned', { peer: name, host, incarnation });
     return peer;
--- a/packages/fleet/test/lease.test.ts
+++ b/packages/fleet/test/lease.test.ts
@@ -55,7 +55,7 @@
         wallClock: () => 1_000_000 + clock.nowMs() + machine.skewMs,
         store: store.port(() => machine.isStoreUnreachable),
         log: { event: () => {} },
-        acknowledgedHeartbeat: () => machine.acknowledged,
+        lastContact: () => machine.acknowledged,
         rank: () => rank,
       },
     );
