--- a/review/5/run.mjs
+++ b/review/5/run.mjs
@@ -1,12 +1,12 @@
 /** An engine that fails some bookings after it has run them: its 503 says nothing of not having run. */
 import { setTimeout } from 'node:timers';
 import { fileURLToPath, URL } from 'node:url';
-import { attemptId, call, isReady } from '../lib/client.mjs';
-import desiredState from '../lib/desired.mjs';
-import { freeNetwork, Machines, sleep } from '../lib/machines.mjs';
-import runScript from '../lib/record.mjs';
-import Store from '../lib/store.mjs';
-import Target from '../lib/target.mjs';
+import { attemptId, call, isReady } from '../client.mjs';
+import desiredState from '../desired.mjs';
+import { freeNetwork, Machines, sleep } from '../machines.mjs';
+import runScript from '../record.mjs';
+import Store from '../store.mjs';
+import Target from '../target.mjs';
 
 const ZONE = 'khomas-a';
 const WORK_MS = 60;
