--- a/review/5/run.mjs
+++ b/review/5/run.mjs
@@ -1,106 +1,102 @@
-/** Planned stop of a machine while a caller on a slow link still receives a long answer that the engine has finished. */
+/** The process is killed in the middle of streams that end with their connection: what their callers see looks whole. */
 import { Buffer } from 'node:buffer';
 import { connect } from 'node:net';
-import { setTimeout } from 'node:timers';
 import { fileURLToPath, URL } from 'node:url';
-import { attemptId, isReady, parseAnswer } from '../client.mjs';
+import { attemptId, isReady } from '../client.mjs';
 import desiredState from '../desired.mjs';
+import Engine from '../engine.mjs';
 import { freeNetwork, Machines, sleep } from '../machines.mjs';
 import runScript from '../record.mjs';
 import Store from '../store.mjs';
-import Target from '../target.mjs';
 
 const ZONE = 'khomas-a';
-const CALLERS = 3;
-const ANSWER_BYTES = 7_900_000;
-/** What the link of each caller carries: 9 Mbit/s, as small machines of our deployments have. */
-const BYTES_PER_S = 1_100_000;
-const TICK_MS = 20;
+const CALLERS = 8;
+const EVENTS = 40;
+const GAP_MS = 50;
+const KILLED_AFTER_MS = 1_000;
 
-/** Sends a request and takes the answer at the speed of a slow link. */
-const callSlowly = ({ host, port }, path, id) =>
+/** Takes a stream until its connection ends; tells how it ended and which events it brought. */
+const takeStream = ({ host, port }, path, id) =>
   new Promise((resolve) => {
-    const socket = connect({ host, port, highWaterMark: 16_384 });
+    const socket = connect({ host, port });
     const chunks = [];
-    let size = 0;
+    let hasEnded = false;
     let error = '';
-    let credit = 0;
-    const startedMs = Date.now();
-    const finish = () => {
-      socket.destroy();
-      resolve({ id, size, error, endedMs: Date.now(), ...parseAnswer(Buffer.concat(chunks)) });
-    };
     socket.on('connect', () => {
       socket.write(
-        `POST ${path} HTTP/1.1\r\nHost: cups.example\r\nAttempt-Id: ${id}\r\nDeadline-Ms: 10000\r\n` +
-          'X-Api-Key: key-1\r\nContent-Length: 7\r\n\r\none cup',
+        `POST ${path} HTTP/1.1\r\nHost: cups.example\r\nAttempt-Id: ${id}\r\nModel: cup\r\n` +
+          'Token-Usage: 700,280\r\nPrompt-Prefix: 5c1e07a2:172,91bd3f06:543\r\nDeadline-Ms: 10000\r\n' +
+          'X-Api-Key: key-1\r\nContent-Length: 6\r\n\r\na dent',
       );
     });
-    socket.on('data', (chunk) => {
-      chunks.push(chunk);
-      size += chunk.length;
-      credit = size - ((Date.now() - startedMs) / 1_000) * BYTES_PER_S;
-      if (size >= ANSWER_BYTES && parseAnswer(Buffer.concat(chunks)).isComplete) finish();
-      else if (credit > 0) {
-        socket.pause();
-        setTimeout(() => socket.resume(), Math.max(TICK_MS, (credit / BYTES_PER_S) * 1_000));
-      }
+    socket.on('data', (chunk) => chunks.push(chunk));
+    socket.on('end', () => {
+      hasEnded = true;
     });
     socket.on('error', ({ code }) => {
       error = code;
     });
-    socket.on('close', finish);
+    socket.on('close', () => {
+      const text = Buffer.concat(chunks).toString();
+      const [head, ...rest] = text.split('\r\n\r\n');
+      const body = rest.join('\r\n\r\n');
+      const isFramed = /^(content-length|transfer-encoding):/im.test(head);
+      const events = [...body.matchAll(/^id: (\d+)$/gm)].map(([, number]) => Number(number));
+      // Without a length and chunks, a connection that ends in order between two events ends the stream.
+      const looksWhole = hasEnded && error === '' && !isFramed && body.endsWith('\n\n');
+      resolve({
+        id,
+        status: Number(head.split(' ')[1]),
+        last: events.at(-1) ?? 0,
+        looksWhole,
+        error,
+      });
+    });
   });
 
 await runScript(fileURLToPath(new URL('record.txt', import.meta.url)), async (run) => {
   const { say, hasTrouble, onEnd } = run;
   const store = new Store();
   onEnd(() => store.close());
-  store.write('keyed.op', 'config', JSON.stringify(desiredState()));
-  const answeredMs = new Map();
-  const body = Buffer.alloc(ANSWER_BYTES, 'booked ');
-  const desk = new Target({
+  const models = [{ name: 'cup', weights_mb: 72_700, load_s: 6, adapters: 0, adapter_mb: 66 }];
+  store.write('keyed.op', 'config', JSON.stringify(desiredState({ models })));
+  const engine = new Engine({
     store,
-    id: 'i-desk-1',
-    service: 'desk',
+    id: 'i-cup-1',
+    service: 'guides',
     zone: ZONE,
-    run: ({ headers, response }) => {
-      response.writeHead(200, { 'content-length': String(body.length) });
-      response.end(body, () => {
-        answeredMs.set(headers['attempt-id'], Date.now());
-        say(`engine has answered ${headers['attempt-id']}`);
-      });
-    },
+    slots: 64,
+    model: 'cup',
+    events: EVENTS,
+    pauseMs: () => GAP_MS,
+    isFramed: false,
   });
-  await desk.start();
-  onEnd(() => desk.stop());
+  await engine.start();
+  onEnd(() => engine.stop());
   const network = await freeNetwork();
   const machines = new Machines({ store, network, zones: [ZONE], seeds: [`${network}.11`] });
   onEnd(() => machines.stop());
   const machine = await machines.start('edge-a-1', { zone: ZONE, octet: 11 });
   await machines.awaitReady(isReady);
   say('ready');
-  await sleep(4_000);
-  const startedMs = Date.now();
-  const answers = Array.from({ length: CALLERS }, () =>
-    callSlowly(machine.frontend, '/book/1', attemptId()),
+  await sleep(5_000);
+  const streams = Array.from({ length: CALLERS }, () =>
+    takeStream(machine.frontend, '/guide/1', attemptId()),
   );
-  await sleep(200);
+  await sleep(KILLED_AFTER_MS);
   if (hasTrouble) {
-    say('SIGTERM');
-    machine.child.kill('SIGTERM');
+    say('SIGKILL');
+    machine.child.kill('SIGKILL');
   }
-  const stoppedMs = Date.now();
-  let lost = 0;
-  for (const answer of await Promise.all(answers)) {
-    const { id, status, isComplete, error, endedMs, size } = answer;
-    say(
-      `caller of ${id}: status ${status}, complete ${isComplete}, ${size} bytes ${error}, ` +
-        `${endedMs - startedMs} ms after the request, ${endedMs - stoppedMs} ms after SIGTERM`,
-    );
-    if (answeredMs.has(id) && !isComplete) lost += 1;
+  let broken = 0;
+  let begun = 0;
+  for (const { id, status, last, looksWhole, error } of await Promise.all(streams)) {
+    const seen = looksWhole ? 'ends as if whole' : 'shows that it was broken off';
+    say(`caller of ${id}: status ${status}, events 1 to ${last} of ${EVENTS}, ${seen} ${error}`);
+    if (last > 0) begun += 1;
+    if (looksWhole && last < EVENTS) broken += 1;
   }
-  say(`${answeredMs.size} bookings answered by the engine, ${lost} answers cut off`);
-  if (answeredMs.size < CALLERS) throw new Error('not all bookings were answered');
-  return lost > 0;
+  say(`${broken} of ${CALLERS} streams ended as complete before their last piece`);
+  if (begun < CALLERS) throw new Error('not all streams began');
+  return broken > 0;
 });
--- a/review/engine.mjs
+++ b/review/engine.mjs
@@ -15,6 +15,7 @@
     events = 3,
     pauseMs = () => 10,
     dropsClosed = true,
+    isFramed = true,
     ...options
   }) {
     super({
@@ -22,7 +23,7 @@
       run: (exchange) => this.stream(exchange),
       entry: () => ({ stage: 'both', models: this.models }),
     });
-    Object.assign(this, { model, onOrder, onEvent, events, pauseMs, dropsClosed });
+    Object.assign(this, { model, onOrder, onEvent, events, pauseMs, dropsClosed, isFramed });
   }
 
   get models() {
@@ -66,6 +67,8 @@
       response.writeHead(421, { 'Not-Executed': '1' }).end();
       return;
     }
+    // Without chunks and a length, the end of the connection is the end of the stream.
+    if (!this.isFramed) response.useChunkedEncodingByDefault = false;
     response.writeHead(200, { 'content-type': 'text/event-stream' });
     let number = Number(headers['last-event-id'] ?? 0);
     const next = () => {
