--- a/review/5/run.mjs
+++ b/review/5/run.mjs
@@ -70,6 +70,7 @@
     events: EVENTS,
     pauseMs: () => GAP_MS,
     isFramed: false,
+    onEvent: (id, event) => say(`engine sends event ${event} of ${id}`),
   });
   await engine.start();
   onEnd(() => engine.stop());
