A stream whose process is killed no longer looks whole: chunks for streams, a length for other answers

The kernel closes the sockets of a killed process in order.

Why this works: chunks without the last one, and less than the length, show a break whoever ends the process.

Ruled out: SO_LINGER (Node.js has no such option of a socket); asking the target, or another one (docs/decisions/answer-ends.md).

--- a/packages/edge/src/TargetAttempt.ts
+++ b/packages/edge/src/TargetAttempt.ts
@@ -1,5 +1,5 @@
 import { RouteSemantics } from '@wisteriapath/fleet';
-import { framingOf, ResponseFraming } from '@wisteriapath/response-ends';
+import { framingOf, hasBody, ResponseFraming } from '@wisteriapath/response-ends';
 import type AdmittedRequest from './AdmittedRequest';
 import AttemptOutcome from './AttemptOutcome';
 import type CallerExchange from './CallerExchange';
@@ -18,7 +18,6 @@
 interface KeptResponse {
   readonly status: number;
   readonly headers: Record<string, string | string[]>;
-  readonly framing: ResponseFraming;
   readonly body: Buffer;
 }
 
@@ -171,7 +170,7 @@
     const remainingMs = Math.max(1, Math.floor(deadlineAtMs - this.deps.clock.nowMs()));
     return {
       address,
-      method: caller.request.method ?? 'GET',
+      method: this.method,
       path: caller.request.url ?? '/',
       headers: this.deps.dialect.targetHeaders(caller.request.rawHeaders, {
         targetId: id,
@@ -226,7 +225,7 @@
       this.mode = ResponseMode.Invalid;
     } else if (isSuccess && request.route.semantics === RouteSemantics.Stream) {
       this.mode = ResponseMode.Streamed;
-      if (!caller.hasStarted) caller.start(status, this.responseHeaders(), this.streamFraming);
+      if (!caller.hasStarted) caller.start(status, this.responseHeaders());
     } else this.mode = ResponseMode.Buffered;
     return this.mode !== ResponseMode.Invalid;
   }
@@ -255,14 +254,11 @@
 
   /** What bounds the response of the target. */
   private get framing(): ResponseFraming {
-    const { method = 'GET' } = this.context.caller.request;
-    return framingOf(method, this.status, this.headers);
+    return framingOf(this.method, this.status, this.headers);
   }
 
-  /** What bounds a stream as it is passed on: its length is not, and no end is shown that the target may not show. */
-  private get streamFraming(): ResponseFraming {
-    const { framing } = this;
-    return framing === ResponseFraming.Length ? ResponseFraming.Chunks : framing;
+  private get method(): string {
+    return this.context.caller.request.method ?? 'GET';
   }
 
   private handleData(chunk: Buffer, resume: () => void): boolean {
@@ -344,22 +340,16 @@
   }
 
   private bufferedResponse(): KeptResponse {
-    const { framing, status } = this;
+    const { status } = this;
     const body = Buffer.concat(this.chunks);
     const headers = { ...this.deps.dialect.callerHeaders(this.headers) };
-    const isFramed = framing === ResponseFraming.Length || framing === ResponseFraming.Chunks;
-    if (!isFramed) return { status, headers, framing, body };
-    headers['content-length'] = String(body.length);
-    return { status, headers, framing: ResponseFraming.Length, body };
+    if (hasBody(this.method, status)) headers['content-length'] = String(body.length);
+    return { status, headers, body };
   }
 
-  /**
-   * Whether a stream ended inside an event, or only its connection ended it and it had no event, or the caller would take the
-   * end for one that the target did not show.
-   */
+  /** Whether a stream ended inside an event, or only its connection ended it and it had no event. */
   private isStreamBrokenOff(end: ExchangeEnd): boolean {
-    const { framer, caller } = this.context;
-    if (end === ExchangeEnd.Closed && caller.startedFraming !== ResponseFraming.Close) return true;
+    const { framer } = this.context;
     const isInsideEvent = framer?.hasPartialEvent ?? this.boundaries.isInsideEvent;
     const { hasEvent } = framer ?? this.boundaries;
     return this.isEventStream && (isInsideEvent || (end === ExchangeEnd.Closed && !hasEvent));
@@ -371,11 +361,8 @@
   }
 
   /** Passes a complete response on to the caller. */
-  static sendResponse(
-    caller: CallerExchange,
-    { status, headers, framing, body }: KeptResponse,
-  ): void {
-    caller.start(status, headers, framing);
+  static sendResponse(caller: CallerExchange, { status, headers, body }: KeptResponse): void {
+    caller.start(status, headers);
     caller.end(body);
   }
 }
--- a/packages/response-ends/src/framingOf.ts
+++ b/packages/response-ends/src/framingOf.ts
@@ -1,12 +1,11 @@
 import ResponseFraming from './ResponseFraming';
+import hasBody from './hasBody';
 
 interface Headers {
   readonly 'content-length'?: string | readonly string[];
   readonly 'transfer-encoding'?: string | readonly string[];
 }
 
-const NO_CONTENT = 204;
-const NOT_MODIFIED = 304;
 const ENDS_CHUNKED = /\bchunked\s*$/i;
 
 /**
@@ -16,9 +15,7 @@
  * framingOf('GET', 200, { 'content-length': '12' }); // ResponseFraming.Length
  */
 const framingOf = (method: string, status: number, headers: Headers): ResponseFraming => {
-  if (method === 'HEAD' || status === NO_CONTENT || status === NOT_MODIFIED) {
-    return ResponseFraming.None;
-  }
+  if (!hasBody(method, status)) return ResponseFraming.None;
   const encoding = headers['transfer-encoding'];
   if (encoding !== undefined) {
     return ENDS_CHUNKED.test(String(encoding)) ? ResponseFraming.Chunks : ResponseFraming.Close;
--- a/packages/response-ends/src/index.ts
+++ b/packages/response-ends/src/index.ts
@@ -3,3 +3,4 @@
 export { default as TrackedClient } from './TrackedClient';
 export type { default as TrackedDispatchOptions } from './TrackedDispatchOptions';
 export { default as framingOf } from './framingOf';
+export { default as hasBody } from './hasBody';
--- a/packages/routing/src/ResponseSink.ts
+++ b/packages/routing/src/ResponseSink.ts
@@ -1,13 +1,11 @@
-import type { ResponseFraming } from '@wisteriapath/response-ends';
-
 /** The destination of the response to a caller. */
 interface ResponseSink {
   /** True once a part of the response has been sent. */
   readonly headersSent: boolean;
   /** Aborts when the caller disconnects. */
   readonly disconnectSignal: AbortSignal;
-  /** Sends the status and the headers. The caller is shown chunks, or only the end of the connection if that is the framing. */
-  begin(status: number, headers: Readonly<Record<string, string>>, framing?: ResponseFraming): void;
+  /** Sends the status and the headers. Without a length among them, the body is sent in chunks. */
+  begin(status: number, headers: Readonly<Record<string, string>>): void;
   /** Writes a part of the body. Resolves when the caller can accept more. */
   write(chunk: string | Buffer): Promise<void>;
   /** Completes the response. */
--- a/packages/routing/src/ServiceCall.ts
+++ b/packages/routing/src/ServiceCall.ts
@@ -7,7 +7,7 @@
   ServeError,
   sha256Hex,
 } from '@wisteriapath/model';
-import { ResponseFraming } from '@wisteriapath/response-ends';
+import { hasBody } from '@wisteriapath/response-ends';
 import { type Slot, TargetOutcome } from '@wisteriapath/placement';
 import type ResponseSink from './ResponseSink';
 import Attempt from './Attempt';
@@ -34,7 +34,6 @@
 interface FullResponse {
   readonly status: number;
   readonly contentType: string;
-  readonly framing: ResponseFraming;
   readonly body: Buffer;
 }
 
@@ -49,7 +48,7 @@
   }
   const body = Buffer.from(outcome.bodyBase64, 'base64');
   const { status, contentType } = outcome;
-  return Right({ status, contentType, framing: ResponseFraming.Length, body });
+  return Right({ status, contentType, body });
 };
 
 /** Forwards calls to plain HTTP services. */
@@ -65,9 +64,11 @@
     const answered = context.call.route.idempotent
       ? await this.runIdempotent(context, http, sink)
       : await this.runAtMostOnce(context, http, sink);
-    answered.ifRight((response) => {
-      sink.begin(response.status, { 'content-type': response.contentType }, response.framing);
-      void sink.write(response.body);
+    answered.ifRight(({ status, contentType, body }) => {
+      const headers: Record<string, string> = { 'content-type': contentType };
+      if (hasBody(http.method, status)) headers['content-length'] = String(body.length);
+      sink.begin(status, headers);
+      void sink.write(body);
       sink.end();
     });
     return answered.map(() => undefined);
@@ -213,7 +214,7 @@
       exchange.markFinished();
       slot.release(TargetOutcome.Succeeded);
       const contentType = String(received['content-type'] ?? 'application/octet-stream');
-      return Right({ status, contentType, framing: response.framing, body });
+      return Right({ status, contentType, body });
     } catch (error) {
       return failed(exchange.markBroken(error));
     }
--- a/packages/routing/src/TargetClient.ts
+++ b/packages/routing/src/TargetClient.ts
@@ -84,7 +84,7 @@
         const framing = framingOf(call.method, data.statusCode, data.headers);
         const wasBrokenOff = () =>
           framing === ResponseFraming.Close && !connectionUse.hasEndedInOrder;
-        return Right({ data, framing, wasBrokenOff });
+        return Right({ data, wasBrokenOff });
       }
       // Destroying the body emits an error, which has no other listener and would be thrown.
       data.body.on('error', () => {}).destroy();
--- a/packages/routing/src/TargetResponse.ts
+++ b/packages/routing/src/TargetResponse.ts
@@ -1,10 +1,8 @@
 import type { Dispatcher } from 'undici';
-import type { ResponseFraming } from '@wisteriapath/response-ends';
 
 /** A response of a target whose headers have arrived. */
 interface TargetResponse {
   readonly data: Dispatcher.ResponseData;
-  readonly framing: ResponseFraming;
   /** Once the body has been read: whether only its connection ended it, and that was not closed in order. */
   wasBrokenOff(): boolean;
 }
