--- a/packages/edge/src/Edge.ts
+++ b/packages/edge/src/Edge.ts
@@ -18,10 +18,10 @@
 import type ConvictionKeeper from './ConvictionKeeper';
 import DemandReporter from './DemandReporter';
 import type EdgeDependencies from './EdgeDependencies';
+import EdgeListeners from './EdgeListeners';
 import EdgeMetrics from './EdgeMetrics';
 import type EdgeOptions from './EdgeOptions';
 import type EdgePorts from './EdgePorts';
-import type HttpListener from './HttpListener';
 import ModelRates from './ModelRates';
 import PeerCatchUp from './PeerCatchUp';
 import PoolRetryBudgets from './PoolRetryBudgets';
@@ -40,9 +40,6 @@
 import createSuspects from './createSuspects';
 import readsStoreForAll from './readsStoreForAll';
 import registerInstanceGauges from './registerInstanceGauges';
-import serveMetrics from './serveMetrics';
-import serveReadiness from './serveReadiness';
-import serveRecords from './serveRecords';
 
 const HEARTBEAT_INTERVAL_MS = 200;
 /** Fraction of the heartbeats that repeat convictions. */
@@ -56,7 +53,7 @@
 
   private readonly shutdown: Shutdown;
 
-  private listeners: HttpListener[] = [];
+  private readonly listeners: EdgeListeners;
 
   private follower: StoreFollower | undefined;
 
@@ -207,18 +204,30 @@
       connectionLimit: (maxConnections) => this.connectionLimit(maxConnections),
     };
     this.callers = new CallerListener(this.deps);
+    this.listeners = new EdgeListeners(options, {
+      deps: this.deps,
+      view: this.storeView,
+      callers: this.callers,
+      peers: this.peers,
+      isReady: () => this.isReady,
+    });
   }
 
-  /** Starts to serve. The instance reports ready once the store has been read. */
+  /** Starts to serve. The instance reports ready once its ports are open and the store has been read. */
   async start(): Promise<void> {
-    const { options, log } = this;
-    const { readinessAddress } = options;
-    this.listeners.push(await serveReadiness(readinessAddress, log, () => this.isReady));
+    const { callersAddress, member } = this.options;
+    this.registerGauges();
     this.follower = this.ports.followStore(this.storeView, () => this.isStoreReader);
-    const { host } = options.member;
-    this.listeners.push(await serveRecords(`${host}:${options.peerPort}`, this.storeView, log));
-    await this.peers.start();
-    this.listeners.unshift(await this.callers.open(options.callersAddress));
+    await this.listeners.open();
+    if (this.shutdown.hasBegun) return;
+    void this.lease.run();
+    void this.placer.run();
+    this.demandReporter.start();
+    void this.learnStoredRecords();
+    this.log.event('started', { callers: callersAddress, domain: member.failureDomain });
+  }
+
+  private registerGauges(): void {
     registerInstanceGauges(this.metrics, {
       version: () => this.storeView.desired?.version ?? 0,
       targets: () => this.table.size,
@@ -227,20 +236,13 @@
       instances: () => this.peers.instanceCount(PEER_SPENDING_TIMEOUT_MS),
       convictedTraits: () => this.suspects.convictedCount,
     });
-    const metricsAddress = `${host}:${options.metricsPort}`;
-    this.listeners.push(await serveMetrics(metricsAddress, this.metrics.registry, log));
-    void this.lease.run();
-    void this.placer.run();
-    this.demandReporter.start();
-    void this.learnStoredRecords();
-    log.event('started', { callers: options.callersAddress, domain: options.member.failureDomain });
   }
 
   /** Finishes the requests in progress and stops within the grace period. */
   async stop(): Promise<void> {
     if (this.shutdown.hasBegun) return;
     this.log.event('stopping', { under_way: this.callers.activeRequests });
-    const finished = this.shutdown.run(this.listeners);
+    const finished = this.shutdown.run(this.listeners.all);
     this.peers.sendHeartbeat();
     void this.releaseLease();
     await finished;
@@ -249,7 +251,7 @@
     this.follower?.stop();
     this.peers.stop();
     this.callers.abortActive();
-    this.listeners.forEach((listener) => listener.destroy());
+    this.listeners.destroy();
     await this.catchUp.close();
     await this.deps.connections.close();
     this.log.event('stopped', { under_way: this.callers.activeRequests });
@@ -274,7 +276,7 @@
   }
 
   private get isReady(): boolean {
-    return !this.shutdown.hasBegun && this.storeView.isLoaded;
+    return !this.shutdown.hasBegun && this.listeners.areOpen && this.storeView.isLoaded;
   }
 
   /** Whether this instance reads the targets' entries from the store and relays them to the peers. */
--- a/packages/edge/src/HttpListener.ts
+++ b/packages/edge/src/HttpListener.ts
@@ -8,7 +8,7 @@
 class HttpListener {
   private constructor(readonly server: Server) {}
 
-  /** Opens a listener; `address` is `host:port`. */
+  /** Opens a listener; `address` is `host:port`. Rejects if the port cannot be bound. */
   static async open(
     address: string,
     options: ServerOptions,
@@ -25,6 +25,9 @@
       server.once('error', reject);
       server.listen({ host, port: Number(port), backlog: BACKLOG }, resolve);
     });
+    server.removeAllListeners('error').on('error', (error: NodeJS.ErrnoException) => {
+      log.event('listener_error', { address, code: error.code ?? error.message });
+    });
     return new HttpListener(server);
   }
 
--- a/packages/fleet/src/Lease.ts
+++ b/packages/fleet/src/Lease.ts
@@ -4,6 +4,7 @@
 import type LeaseStore from './LeaseStore';
 import type Moment from './Moment';
 import type WallClock from './WallClock';
+import runLoop from './runLoop';
 
 interface Options {
   /** Name of the machine. Stays the same when its process restarts. */
@@ -155,16 +156,19 @@
 
   /** Renews the lease, or takes it over from an unresponsive holder, until stopped. */
   async run(): Promise<void> {
-    const { clock } = this.parts;
-    while (!this.stopped) {
-      if (this.tenure !== undefined) {
-        await this.renew(this.tenure);
-        await this.sleepUntilRenewal();
-      } else {
-        await this.tryTakeover();
-        await clock.sleep(POLL_INTERVAL_MS);
-      }
+    const { clock, log } = this.parts;
+    const isOver = () => this.stopped;
+    await runLoop({ name: 'lease', clock, log, isOver, step: () => this.renewOrTakeOver() });
+  }
+
+  private async renewOrTakeOver(): Promise<void> {
+    if (this.tenure !== undefined) {
+      await this.renew(this.tenure);
+      await this.sleepUntilRenewal();
+      return;
     }
+    await this.tryTakeover();
+    await this.parts.clock.sleep(POLL_INTERVAL_MS);
   }
 
   /** Releases the lease, so that a successor need not wait until it expires. */
--- a/packages/fleet/src/Peers.ts
+++ b/packages/fleet/src/Peers.ts
@@ -112,17 +112,21 @@
     this.contact = new HolderContact(parts.clock, options.failureDomain);
   }
 
-  /** Opens the socket and starts to send heartbeats. */
+  /** Opens the socket and starts to send heartbeats; rejects, and may be called again, if the port cannot be bound. */
   async start(): Promise<void> {
     const socket = createSocket('udp4');
-    this.socket = socket;
     socket.on('message', (bytes) => this.receive(bytes));
-    socket.on('error', (error) => {
-      this.parts.log.event('peer_socket_error', { error: error.message });
-    });
-    await new Promise<void>((resolve) => {
+    await new Promise<void>((resolve, reject) => {
+      socket.once('error', (error) => {
+        socket.close();
+        reject(error);
+      });
       socket.bind(this.options.port, this.options.host, resolve);
     });
+    socket.removeAllListeners('error').on('error', (error) => {
+      this.parts.log.event('peer_socket_error', { error: error.message });
+    });
+    this.socket = socket;
     this.timer = setInterval(() => this.sendHeartbeat(), this.options.heartbeatIntervalMs);
     this.sendHeartbeat();
   }
--- a/packages/fleet/src/Placer.ts
+++ b/packages/fleet/src/Placer.ts
@@ -8,6 +8,7 @@
 import type PlacerOptions from './PlacerOptions';
 import type PlacerParts from './PlacerParts';
 import type PlannedLoad from './PlannedLoad';
+import type PlanningPass from './PlanningPass';
 import StoreLoadLimiter from './StoreLoadLimiter';
 import StoreLoadMonitor from './StoreLoadMonitor';
 import type TargetView from './TargetView';
@@ -18,21 +19,9 @@
 import planAdapter from './planAdapter';
 import planModel from './planModel';
 import rankWaitingModels from './rankWaitingModels';
+import runLoop from './runLoop';
 import storeLoadShare from './storeLoadShare';
 
-/** The input of one planning pass over one pool. */
-interface PlanningPass {
-  readonly pool: string;
-  readonly engine: EngineSpec;
-  readonly demand: DemandSnapshot;
-  /** What the best load is worth that needs only a copy, one that is under way included. */
-  readonly bestCopyWorth: number;
-  /** Loads from the weight store that may still start, at engines of any placer. */
-  storeSlots: number;
-  /** Engines of other placers that are expected to be given a load that was found in this pass. */
-  readonly taken: Set<string>;
-}
-
 /** Waiting time of a request after which this placer loads an adapter for which another one is responsible. */
 const OTHER_PLACER_ADAPTER_WAIT_MS = 120;
 /** Interval of planning passes without a trigger. */
@@ -92,13 +81,17 @@
 
   /** Runs until `stop`: plans while the authority is held, and reads engine reports shortly before. */
   async run(): Promise<void> {
-    while (!this.isStopped) {
-      const { authority } = this.parts;
-      if (authority.isHeld()) this.schedulePlanning();
-      else if (authority.isHeldWithin(SYNC_LEAD_MS)) this.syncEngines();
-      else this.engines.clear();
-      await this.parts.clock.sleep(TICK_INTERVAL_MS);
-    }
+    const { clock, log } = this.parts;
+    const isOver = () => this.isStopped;
+    await runLoop({ name: 'placer', clock, log, isOver, step: () => this.tick() });
+  }
+
+  private async tick(): Promise<void> {
+    const { authority, clock } = this.parts;
+    if (authority.isHeld()) this.schedulePlanning();
+    else if (authority.isHeldWithin(SYNC_LEAD_MS)) this.syncEngines();
+    else this.engines.clear();
+    await clock.sleep(TICK_INTERVAL_MS);
   }
 
   /** Reads what the engines hold before orders may be given. */
--- /dev/null
+++ b/packages/fleet/src/PlanningPass.ts
@@ -0,0 +1,17 @@
+import type DemandSnapshot from './DemandSnapshot';
+import type EngineSpec from './EngineSpec';
+
+/** The input of one planning pass over one pool. */
+interface PlanningPass {
+  readonly pool: string;
+  readonly engine: EngineSpec;
+  readonly demand: DemandSnapshot;
+  /** What the best load is worth that needs only a copy, one that is under way included. */
+  readonly bestCopyWorth: number;
+  /** Loads from the weight store that may still start, at engines of any placer. */
+  storeSlots: number;
+  /** Engines of other placers that are expected to be given a load that was found in this pass. */
+  readonly taken: Set<string>;
+}
+
+export default PlanningPass;
