One budget for the bytes of all bodies that a process holds

Cause: each answer had a bound of 8 MB, the sum of all had none; neither had the bodies of callers and what slow callers do not read. Joining the chunks of an answer doubled it. Own protocol: a service's body had no bound at all.

Why this works: all of them hold bytes of one budget, a fifth of memory_mb; where it is spent the largest that may be ended gives way, so that sound small ones pass. A request that has been read is never ended, as it may have been sent; one that is being read is refused as not run.

Not tried: many reports of engines or pages of the store at once.

--- a/packages/edge/src/CallerExchange.ts
+++ b/packages/edge/src/CallerExchange.ts
@@ -1,6 +1,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { errorResponses, type ServeError } from '@wisteriapath/model';
 import type Dialect from './Dialect';
+import type MemoryReservation from './MemoryReservation';
 import mediaTypeOf from './mediaTypeOf';
 
 /** One caller's request together with its response, which is started once and ended once. */
@@ -18,8 +19,11 @@
     private readonly dialect: Dialect,
     /** Whether the connection is closed after this response. */
     private readonly shouldCloseConnection: () => boolean,
+    /** What the body of the request holds, until the exchange has ended. */
+    readonly bodyMemory: MemoryReservation,
   ) {
     response.on('close', () => {
+      this.bodyMemory.release();
       if (!response.writableFinished) this.disconnected.abort();
     });
   }
@@ -62,9 +66,17 @@
     return false;
   }
 
-  /** Completes the response. */
-  end(bytes?: Buffer): void {
-    this.response.end(bytes);
+  /** Completes the response with the rest of its body. */
+  end(chunks: readonly Buffer[] = []): void {
+    this.response.cork();
+    chunks.forEach((chunk) => this.response.write(chunk));
+    this.response.end();
+  }
+
+  /** Calls back once the caller has taken the whole response, or its connection has ended. */
+  onClosed(callback: () => void): void {
+    if (this.response.closed) callback();
+    else this.response.once('close', callback);
   }
 
   /** Breaks the response off, so that it does not look complete: with a reset if only its connection would end it. */
@@ -87,7 +99,8 @@
     const retry: Record<string, string> =
       waitMs === null ? {} : { 'retry-after': (waitMs / 1_000).toFixed(2) };
     // On a kept-alive connection, the unread rest of the body would be parsed as the next request.
-    if (!this.request.complete) this.response.shouldKeepAlive = false;
+    const isReadOn = this.request.complete || this.request.readableFlowing === true;
+    if (!isReadOn) this.response.shouldKeepAlive = false;
     const headers = {
       ...this.dialect.errorHeaders(attemptId),
       'content-type': 'application/json',
@@ -95,7 +108,7 @@
       ...retry,
     };
     this.start(status, headers);
-    this.end(body);
+    this.end([body]);
   }
 }
 
--- a/packages/edge/src/CallerListener.ts
+++ b/packages/edge/src/CallerListener.ts
@@ -32,7 +32,13 @@
       callerServerOptions,
       log,
       (request, response) => {
-        const caller = new CallerExchange(request, response, deps.dialect, deps.isStopping);
+        const caller = new CallerExchange(
+          request,
+          response,
+          deps.dialect,
+          deps.isStopping,
+          deps.memory.reserve(),
+        );
         this.active.add(caller);
         response.on('close', () => {
           this.active.delete(caller);
--- a/packages/edge/src/Edge.ts
+++ b/packages/edge/src/Edge.ts
@@ -22,6 +22,7 @@
 import EdgeMetrics from './EdgeMetrics';
 import type EdgeOptions from './EdgeOptions';
 import type EdgePorts from './EdgePorts';
+import MemoryBudget from './MemoryBudget';
 import ModelRates from './ModelRates';
 import PeerCatchUp from './PeerCatchUp';
 import PoolRetryBudgets from './PoolRetryBudgets';
@@ -44,6 +45,8 @@
 const HEARTBEAT_INTERVAL_MS = 200;
 /** Fraction of the heartbeats that repeat convictions. */
 const REPEATED_FRACTION = 0.2;
+/** Fraction of the process's memory for the bodies that it holds. */
+const BODY_MEMORY_FRACTION = 0.2;
 /** Silence after which a peer is assumed to spend nothing more of the shared limits. */
 const PEER_SPENDING_TIMEOUT_MS = 12_000;
 
@@ -197,11 +200,12 @@
       }),
       limits: this.limits,
       retryBudgets: new PoolRetryBudgets(options.sharedLimits, instances),
+      memory: new MemoryBudget(options.memoryLimitBytes * BODY_MEMORY_FRACTION, log),
       suspects: this.suspects,
       probe: new TargetProbe(),
       connections,
       signals: this.signals,
-      connectionLimit: (maxConnections) => this.connectionLimit(maxConnections),
+      connectionLimit: (maxConnections) => connectionShare(maxConnections, instances()),
     };
     this.callers = new CallerListener(this.deps);
     this.listeners = new EdgeListeners(options, {
@@ -356,10 +360,6 @@
     }
     this.peers.placers.forEach(({ host }) => this.peers.sendDemand(host, report));
   }
-
-  private connectionLimit(maxConnections: number): number {
-    return connectionShare(maxConnections, this.peers.instanceCount(PEER_SPENDING_TIMEOUT_MS));
-  }
 }
 
 export default Edge;
--- a/packages/edge/src/EdgeDependencies.ts
+++ b/packages/edge/src/EdgeDependencies.ts
@@ -4,6 +4,7 @@
 import type ColdTargetLimiter from './ColdTargetLimiter';
 import type Dialect from './Dialect';
 import type EdgeMetrics from './EdgeMetrics';
+import type MemoryBudget from './MemoryBudget';
 import type ModelRates from './ModelRates';
 import type PoolRetryBudgets from './PoolRetryBudgets';
 import type TargetConnections from './TargetConnections';
@@ -32,6 +33,8 @@
   readonly coldTargetLimiter: ColdTargetLimiter;
   readonly limits: WorkspaceLimits;
   readonly retryBudgets: PoolRetryBudgets;
+  /** The memory for the bodies of all exchanges. */
+  readonly memory: MemoryBudget;
   readonly suspects: SuspectRegistry;
   readonly probe: TargetProbe;
   readonly connections: TargetConnections;
--- a/packages/edge/src/EdgeOptions.ts
+++ b/packages/edge/src/EdgeOptions.ts
@@ -19,6 +19,8 @@
   /** Window in which loads from the weight store are counted. */
   readonly weightStoreWindowMs: number;
   readonly sharedLimits: SharedLimits;
+  /** Memory of the process, beyond which it is killed. */
+  readonly memoryLimitBytes: number;
 }
 
 export default EdgeOptions;
--- a/packages/edge/src/TargetAttempt.ts
+++ b/packages/edge/src/TargetAttempt.ts
@@ -9,6 +9,7 @@
 import type EventFramer from './EventFramer';
 import ExchangeEnd from './ExchangeEnd';
 import type HeaderRecord from './HeaderRecord';
+import type MemoryReservation from './MemoryReservation';
 import type ResponseFields from './ResponseFields';
 import ResponseMode from './ResponseMode';
 import ResponseSizeLimit from './ResponseSizeLimit';
@@ -18,7 +19,7 @@
 interface KeptResponse {
   readonly status: number;
   readonly headers: Record<string, string | string[]>;
-  readonly body: Buffer;
+  readonly body: readonly Buffer[];
 }
 
 interface Context {
@@ -65,8 +66,13 @@
 
   private chunks: Buffer[] = [];
 
+  private receivedBytes = 0;
+
   private readonly size = new ResponseSizeLimit();
 
+  /** What the response holds here, until the caller has taken it. */
+  private readonly memory: MemoryReservation;
+
   /** Where the events of a stream end that is passed on as it arrives. */
   private readonly boundaries = new EventBoundaries();
 
@@ -90,6 +96,8 @@
     private readonly context: Context,
   ) {
     this.lastByteAtMs = deps.clock.nowMs();
+    this.memory = deps.memory.reserve();
+    this.memory.onGiveWay = () => this.giveWay();
   }
 
   /** Runs the attempt and ends its reservation. */
@@ -139,6 +147,9 @@
     caller.disconnectSignal.removeEventListener('abort', abortOnDisconnect);
     deps.stopSignal.removeEventListener('abort', abortOnStop);
     const outcome = this.outcomeOf(end);
+    if (outcome === AttemptOutcome.Answered || this.keptResponse !== null) {
+      caller.onClosed(() => this.memory.release());
+    } else this.memory.release();
     if (outcome === AttemptOutcome.NotSent) reservation.recordConnectFailure();
     const failureOutcomes = [AttemptOutcome.Broken, AttemptOutcome.NotSent, AttemptOutcome.Stalled];
     const isFailure = failureOutcomes.includes(outcome) || this.status >= SERVER_ERROR;
@@ -269,14 +280,17 @@
       return true;
     }
     if (this.mode !== ResponseMode.Streamed) {
-      this.chunks.push(chunk);
+      this.receivedBytes += chunk.length;
+      if (this.memory.hold(this.receivedBytes)) this.chunks.push(chunk);
       return true;
     }
     const bytes = framer === null ? this.passOn(chunk) : framer.push(chunk);
     const { hasEvent } = framer ?? this.boundaries;
     if (hasEvent) this.context.onBegun();
     const mayContinue = caller.write(bytes, resume);
-    if (caller.unsentBytes > MAX_UNSENT_BYTES) this.abortUnread();
+    const { unsentBytes } = caller;
+    if (unsentBytes > MAX_UNSENT_BYTES) this.abortUnread();
+    this.memory.hold(unsentBytes);
     return mayContinue;
   }
 
@@ -291,6 +305,14 @@
     caller.abort();
   }
 
+  /** Ends the exchange whose response holds more than any other body, once there is no memory left for all of them. */
+  private giveWay(): void {
+    const { caller } = this.context;
+    this.chunks = [];
+    if (caller.hasStarted) this.abortUnread();
+    else this.abortOversized();
+  }
+
   private passOn(chunk: Buffer): Buffer {
     this.boundaries.push(chunk);
     return chunk;
@@ -341,9 +363,9 @@
 
   private bufferedResponse(): KeptResponse {
     const { status } = this;
-    const body = Buffer.concat(this.chunks);
+    const body = this.chunks;
     const headers = { ...this.deps.dialect.callerHeaders(this.headers) };
-    if (hasBody(this.method, status)) headers['content-length'] = String(body.length);
+    if (hasBody(this.method, status)) headers['content-length'] = String(this.receivedBytes);
     return { status, headers, body };
   }
 
--- a/packages/edge/src/admit.ts
+++ b/packages/edge/src/admit.ts
@@ -49,7 +49,11 @@
   const allowed = authorize(state, fields, path);
   if (allowed.isLeft()) return Left(allowed.extract());
   const { route, workspace } = allowed.unsafeCoerce();
-  const read = await readBody(request, state.limits.maxBodyBytes, deps.stopSignal);
+  const read = await readBody(request, {
+    limitBytes: state.limits.maxBodyBytes,
+    memory: exchange.bodyMemory,
+    stopSignal: deps.stopSignal,
+  });
   if (read.isLeft()) return Left(read.extract());
   const body = read.unsafeCoerce();
   const traits = traitsOf(workspace?.name ?? '', path, body, fields.sharedParts);
--- a/packages/edge/src/readBody.ts
+++ b/packages/edge/src/readBody.ts
@@ -1,18 +1,25 @@
 import type { IncomingMessage } from 'node:http';
 import { type Either, Left, Right } from 'purify-ts';
 import { ErrorKind, ServeError } from '@wisteriapath/model';
+import type MemoryReservation from './MemoryReservation';
+
+interface Options {
+  readonly limitBytes: number;
+  /** Holds the bytes of the body, which may have to give way until all of them have arrived. */
+  readonly memory: MemoryReservation;
+  readonly stopSignal: AbortSignal;
+}
 
 /**
- * Reads the complete body of a request; fails if it exceeds `limitBytes`, the caller disconnects, or this instance stops
- * before its end.
+ * Reads the complete body of a request; fails if it exceeds `limitBytes`, has to give way to other bodies, the caller
+ * disconnects, or this instance stops before its end.
  *
  * @example
- * const body = await readBody(request, 4_194_304, stopSignal);
+ * const body = await readBody(request, { limitBytes: 4_194_304, memory: budget.reserve(), stopSignal });
  */
 const readBody = (
   request: IncomingMessage,
-  limitBytes: number,
-  stopSignal: AbortSignal,
+  { limitBytes, memory, stopSignal }: Options,
 ): Promise<Either<ServeError, Buffer>> =>
   new Promise((settle) => {
     const chunks: Buffer[] = [];
@@ -22,19 +29,33 @@
       settle(Left(ServeError.notExecuted(ErrorKind.Stopping, message)));
     };
     stopSignal.addEventListener('abort', onStop);
+    const reservation = memory;
     const resolve = (result: Either<ServeError, Buffer>) => {
       stopSignal.removeEventListener('abort', onStop);
+      reservation.onGiveWay = null;
       settle(result);
     };
+    const refuse = (kind: ErrorKind, message: string) => {
+      chunks.length = 0;
+      resolve(Left(ServeError.notExecuted(kind, message)));
+    };
+    const refuseTooLarge = () => {
+      // Its rest, which has no bound, is not read.
+      if (memory.hasGivenWay) request.destroy();
+      else request.pause();
+      refuse(ErrorKind.BodyTooLarge, `the body is longer than ${limitBytes} bytes`);
+    };
+    reservation.onGiveWay = () => {
+      refuse(
+        ErrorKind.MemoryExhausted,
+        'this instance holds too many bytes of requests and answers',
+      );
+    };
     request.on('data', (chunk: Buffer) => {
       size += chunk.length;
-      if (size <= limitBytes) {
-        chunks.push(chunk);
-        return;
-      }
-      request.pause();
-      const message = `the body is longer than ${limitBytes} bytes`;
-      resolve(Left(ServeError.notExecuted(ErrorKind.BodyTooLarge, message)));
+      if (size > limitBytes) refuseTooLarge();
+      // A body that has given way is read on, so that its caller can take the answer.
+      else if (memory.hold(size)) chunks.push(chunk);
     });
     request.on('end', () => resolve(Right(Buffer.concat(chunks))));
     const onDisconnect = () => {
--- a/packages/model/src/ErrorKind.ts
+++ b/packages/model/src/ErrorKind.ts
@@ -7,6 +7,7 @@
   UnknownRoute = 'unknown_route',
   RouteIncomplete = 'route_incomplete',
   BodyTooLarge = 'body_too_large',
+  MemoryExhausted = 'memory_exhausted',
   DeadlineExpired = 'deadline_expired',
   CannotFit = 'cannot_fit',
   OverRate = 'over_rate',
--- a/packages/model/src/errorResponses.ts
+++ b/packages/model/src/errorResponses.ts
@@ -15,6 +15,7 @@
   [ErrorKind.UnknownRoute]: { status: HttpStatus.NotFound, retryAfterMs: NO_RETRY },
   [ErrorKind.RouteIncomplete]: { status: HttpStatus.Unavailable, retryAfterMs: LONG_RETRY_MS },
   [ErrorKind.BodyTooLarge]: { status: HttpStatus.TooLarge, retryAfterMs: NO_RETRY },
+  [ErrorKind.MemoryExhausted]: { status: HttpStatus.Unavailable, retryAfterMs: LONG_RETRY_MS },
   [ErrorKind.DeadlineExpired]: { status: HttpStatus.GatewayTimeout, retryAfterMs: SHORT_RETRY_MS },
   [ErrorKind.CannotFit]: { status: HttpStatus.Unavailable, retryAfterMs: LONG_RETRY_MS },
   [ErrorKind.OverRate]: { status: HttpStatus.TooManyRequests, retryAfterMs: LONG_RETRY_MS },
--- a/packages/routing/src/ServiceCall.ts
+++ b/packages/routing/src/ServiceCall.ts
@@ -19,6 +19,7 @@
 import type GuardedTargetClient from './GuardedTargetClient';
 import type HttpCall from './HttpCall';
 import type SlotAcquirer from './SlotAcquirer';
+import readBounded from './readBounded';
 import requestFingerprint from './requestFingerprint';
 
 interface Parts {
@@ -39,6 +40,7 @@
 
 const MAX_ATTEMPTS = 3;
 const MAX_RECORDED_BODY_BYTES = 32_768;
+const MAX_BODY_BYTES = 8 * 1_024 * 1_024;
 const KEY_HEADER = 'idempotency-key';
 
 const replay = (outcome: ClaimOutcome): Either<ServeError, FullResponse> => {
@@ -209,7 +211,7 @@
     try {
       const { response } = exchange;
       const { statusCode: status, headers: received } = response.data;
-      const body = Buffer.from(await response.data.body.arrayBuffer());
+      const body = await readBounded(response.data.body, MAX_BODY_BYTES);
       if (response.wasBrokenOff()) throw new Error('the connection that ends the body was reset');
       exchange.markFinished();
       slot.release(TargetOutcome.Succeeded);
--- a/packages/routing/test/serviceCall.test.ts
+++ b/packages/routing/test/serviceCall.test.ts
@@ -8,10 +8,14 @@
 import TargetClient from '../src/TargetClient';
 
 const END_DELAY_MS = 20;
+const ENDLESS_BLOCK = 'x'.repeat(65_536);
+/** Bytes that one response without end may make an instance read. */
+const MAX_ENDLESS_BYTES = 32 * 1_048_576;
 
 describe('a response with neither a length nor chunks', () => {
   const client = new TargetClient({ silenceLimitMs: 5_000 });
   let server: Server;
+  let body = 'booked';
   let end = (socket: Socket): void => {
     socket.end();
   };
@@ -19,7 +23,7 @@
     server = createServer((socket) => {
       socket.on('error', () => {});
       socket.once('data', () => {
-        socket.write('HTTP/1.1 200 OK\r\n\r\nbooked');
+        socket.write(`HTTP/1.1 200 OK\r\n\r\n${body}`);
         setTimeout(() => end(socket), END_DELAY_MS);
       });
     });
@@ -104,6 +108,28 @@
     },
   );
 
+  test.each([
+    { idempotent: true, kind: ErrorKind.TargetFailed },
+    { idempotent: false, kind: ErrorKind.OutcomeUnknown },
+  ])('that does not end is no answer, idempotent: $idempotent', async ({ idempotent, kind }) => {
+    const sent = { bytes: 0 };
+    body = '';
+    end = (socket) => {
+      const write = () => {
+        sent.bytes += ENDLESS_BLOCK.length;
+        if (socket.write(ENDLESS_BLOCK)) setImmediate(write);
+        else socket.once('drain', write);
+      };
+      write();
+    };
+    try {
+      expect(await run(idempotent)).toEqual({ kind, written: [], lengths: [], recorded: 0 });
+      expect(sent.bytes).toBeLessThan(MAX_ENDLESS_BYTES);
+    } finally {
+      body = 'booked';
+    }
+  });
+
   test.each([
     { idempotent: true, kind: ErrorKind.TargetFailed },
     { idempotent: false, kind: ErrorKind.OutcomeUnknown },
