A second signal waits for the planned stop that is under way

Cause: Edge.stop returned at once if a stop had begun, and the program took that for its end and exited.

Why this works: there is one stop, and whoever asks again waits for it.

--- a/packages/edge/src/Edge.ts
+++ b/packages/edge/src/Edge.ts
@@ -58,6 +58,8 @@
 
   private readonly listeners: EdgeListeners;
 
+  private stopped: Promise<void> | undefined;
+
   private follower: StoreFollower | undefined;
 
   private readonly metrics = new EdgeMetrics();
@@ -220,7 +222,14 @@
   /** Starts to serve. The instance reports ready once its ports are open and the store has been read. */
   async start(): Promise<void> {
     const { callersAddress, member } = this.options;
-    this.registerGauges();
+    registerInstanceGauges(this.metrics, {
+      version: () => this.storeView.desired?.version ?? 0,
+      targets: () => this.table.size,
+      targetsAgeMs: () => this.clock.nowMs() - this.storeView.confirmedAtMs(StoreTopic.Targets),
+      isLeaseHeld: () => this.lease.isHeld(),
+      instances: () => this.peers.instanceCount(PEER_SPENDING_TIMEOUT_MS),
+      convictedTraits: () => this.suspects.convictedCount,
+    });
     this.follower = this.ports.followStore(this.storeView, () => this.isStoreReader);
     await this.listeners.open();
     if (this.shutdown.hasBegun) return;
@@ -231,20 +240,13 @@
     this.log.event('started', { callers: callersAddress, domain: member.failureDomain });
   }
 
-  private registerGauges(): void {
-    registerInstanceGauges(this.metrics, {
-      version: () => this.storeView.desired?.version ?? 0,
-      targets: () => this.table.size,
-      targetsAgeMs: () => this.clock.nowMs() - this.storeView.confirmedAtMs(StoreTopic.Targets),
-      isLeaseHeld: () => this.lease.isHeld(),
-      instances: () => this.peers.instanceCount(PEER_SPENDING_TIMEOUT_MS),
-      convictedTraits: () => this.suspects.convictedCount,
-    });
+  /** Finishes the requests in progress and stops within the grace period. Called again, it waits for the same stop. */
+  stop(): Promise<void> {
+    this.stopped ??= this.stopOnce();
+    return this.stopped;
   }
 
-  /** Finishes the requests in progress and stops within the grace period. */
-  async stop(): Promise<void> {
-    if (this.shutdown.hasBegun) return;
+  private async stopOnce(): Promise<void> {
     this.log.event('stopping', { under_way: this.callers.activeRequests });
     const finished = this.shutdown.run(this.listeners.all);
     this.peers.sendHeartbeat();
@@ -272,9 +274,8 @@
 
   private async learnStoredRecords(): Promise<void> {
     const isOver = () => this.shutdown.hasBegun;
-    const { memberStore } = this.ports;
     const { member } = this.options;
-    const stored = await announceAndListMembers(memberStore, this.clock, member, isOver);
+    const stored = await announceAndListMembers(this.ports.memberStore, this.clock, member, isOver);
     this.peers.addMembers(stored.members);
     this.suspects.merge(this.convictions.toUpdate(stored.convictions));
   }
