Budget of bytes: partial events of streams count, kept failures end no response under way, a running sum

Seen in reading the diff, not in a run: up to 1 MB of an event that is not complete was not counted for each stream; a failure that is kept for the case that further attempts fail too could have broken off the response of such an attempt; each chunk added up all holders. The properties of memoryBudget hold; endlessMemory and the suites of the edge pass.

--- a/packages/edge/src/EventFramer.ts
+++ b/packages/edge/src/EventFramer.ts
@@ -9,6 +9,8 @@
   /** The chunks of the event that is not complete yet. */
   private pending: Buffer[] = [];
 
+  private pendingBytes = 0;
+
   /** Id of the last complete event that had one. */
   lastEventId: string | null = null;
 
@@ -17,14 +19,21 @@
     const end = this.boundaries.push(chunk);
     if (end === 0) {
       if (chunk.length > 0) this.pending.push(chunk);
+      this.pendingBytes += chunk.length;
       return Buffer.alloc(0);
     }
     const complete = Buffer.concat([...this.pending, chunk.subarray(0, end)]);
     this.pending = end < chunk.length ? [chunk.subarray(end)] : [];
+    this.pendingBytes = chunk.length - end;
     this.recordIds(complete);
     return complete;
   }
 
+  /** Bytes that are kept of an event that is not complete yet. */
+  get partialBytes(): number {
+    return this.pendingBytes;
+  }
+
   /** Whether part of an event has arrived and the rest is missing. */
   get hasPartialEvent(): boolean {
     return this.pending.length > 0;
@@ -38,6 +47,7 @@
   /** Drops the partial event, before the stream is resumed at another target. */
   reset(): void {
     this.pending = [];
+    this.pendingBytes = 0;
     this.boundaries = new EventBoundaries();
   }
 
--- a/packages/edge/src/MemoryBudget.ts
+++ b/packages/edge/src/MemoryBudget.ts
@@ -13,6 +13,8 @@
 class MemoryBudget {
   private readonly holders = new Set<MemoryReservation>();
 
+  private sumBytes = 0;
+
   constructor(
     private readonly limitBytes: number,
     private readonly log: EventLog,
@@ -20,11 +22,7 @@
 
   /** Bytes that all reservations hold. */
   get heldBytes(): number {
-    let sum = 0;
-    this.holders.forEach(({ bytes }) => {
-      sum += bytes;
-    });
-    return sum;
+    return this.sumBytes;
   }
 
   /** Returns a reservation that holds nothing yet. */
@@ -33,21 +31,25 @@
   }
 
   /** Takes note of a reservation that has changed, and makes the largest give way while too much is held. */
-  balance(changed: MemoryReservation): void {
-    if (changed.bytes === 0) {
-      this.holders.delete(changed);
-      return;
-    }
-    this.holders.add(changed);
-    for (let held = this.heldBytes; held > this.limitBytes; held = this.heldBytes) {
+  balance(changed: MemoryReservation, addedBytes: number): void {
+    this.sumBytes += addedBytes;
+    if (changed.bytes === 0) this.holders.delete(changed);
+    else this.holders.add(changed);
+    while (this.sumBytes > this.limitBytes) {
       const largest = this.largestThatMayGiveWay();
       if (largest === undefined) return;
-      this.log.event('memory_given_up', { bytes: largest.bytes, held, limit: this.limitBytes });
-      this.holders.delete(largest);
-      largest.giveWay();
+      this.end(largest);
     }
   }
 
+  private end(holder: MemoryReservation): void {
+    const { bytes } = holder;
+    this.log.event('memory_given_up', { bytes, held: this.sumBytes, limit: this.limitBytes });
+    this.holders.delete(holder);
+    this.sumBytes -= bytes;
+    holder.giveWay();
+  }
+
   private largestThatMayGiveWay(): MemoryReservation | undefined {
     let largest: MemoryReservation | undefined;
     this.holders.forEach((holder) => {
--- a/packages/edge/src/MemoryReservation.ts
+++ b/packages/edge/src/MemoryReservation.ts
@@ -1,6 +1,6 @@
 interface Budget {
-  /** Called after a reservation has changed; makes others, or it, give way. */
-  balance(reservation: MemoryReservation): void;
+  /** Called after a reservation has changed by a number of bytes; makes others, or it, give way. */
+  balance(reservation: MemoryReservation, addedBytes: number): void;
 }
 
 /** The bytes that one body holds of the memory for all of them. */
@@ -26,8 +26,9 @@
   /** Holds this number of bytes from now on; returns false if it had to give way. */
   hold(bytes: number): boolean {
     if (this.isGivenUp) return false;
+    const addedBytes = bytes - this.heldBytes;
     this.heldBytes = bytes;
-    this.budget.balance(this);
+    this.budget.balance(this, addedBytes);
     return !this.isGivenUp;
   }
 
--- a/packages/edge/src/TargetAttempt.ts
+++ b/packages/edge/src/TargetAttempt.ts
@@ -9,19 +9,13 @@
 import type EventFramer from './EventFramer';
 import ExchangeEnd from './ExchangeEnd';
 import type HeaderRecord from './HeaderRecord';
+import type KeptResponse from './KeptResponse';
 import type MemoryReservation from './MemoryReservation';
 import type ResponseFields from './ResponseFields';
 import ResponseMode from './ResponseMode';
 import ResponseSizeLimit from './ResponseSizeLimit';
 import mediaTypeOf from './mediaTypeOf';
 
-/** A complete response, with the headers for the caller. */
-interface KeptResponse {
-  readonly status: number;
-  readonly headers: Record<string, string | string[]>;
-  readonly body: readonly Buffer[];
-}
-
 interface Context {
   readonly chosen: ChosenTarget;
   readonly request: AdmittedRequest;
@@ -147,9 +141,7 @@
     caller.disconnectSignal.removeEventListener('abort', abortOnDisconnect);
     deps.stopSignal.removeEventListener('abort', abortOnStop);
     const outcome = this.outcomeOf(end);
-    if (outcome === AttemptOutcome.Answered || this.keptResponse !== null) {
-      caller.onClosed(() => this.memory.release());
-    } else this.memory.release();
+    this.releaseMemory(outcome);
     if (outcome === AttemptOutcome.NotSent) reservation.recordConnectFailure();
     const failureOutcomes = [AttemptOutcome.Broken, AttemptOutcome.NotSent, AttemptOutcome.Stalled];
     const isFailure = failureOutcomes.includes(outcome) || this.status >= SERVER_ERROR;
@@ -290,7 +282,7 @@
     const mayContinue = caller.write(bytes, resume);
     const { unsentBytes } = caller;
     if (unsentBytes > MAX_UNSENT_BYTES) this.abortUnread();
-    this.memory.hold(unsentBytes);
+    this.memory.hold(unsentBytes + (framer?.partialBytes ?? 0));
     return mayContinue;
   }
 
@@ -307,12 +299,20 @@
 
   /** Ends the exchange whose response holds more than any other body, once there is no memory left for all of them. */
   private giveWay(): void {
-    const { caller } = this.context;
-    this.chunks = [];
-    if (caller.hasStarted) this.abortUnread();
+    if (this.context.caller.unsentBytes > 0) this.abortUnread();
     else this.abortOversized();
   }
 
+  /** Releases what the response holds: once the caller has taken it, or at once if it is not passed on. */
+  private releaseMemory(outcome: AttemptOutcome): void {
+    const isAnswer = outcome === AttemptOutcome.Answered;
+    // A kept failure may still be passed on after further attempts, whose response must not be ended for it.
+    if (!isAnswer) this.memory.onGiveWay = null;
+    if (isAnswer || this.keptResponse !== null) {
+      this.context.caller.onClosed(() => this.memory.release());
+    } else this.memory.release();
+  }
+
   private passOn(chunk: Buffer): Buffer {
     this.boundaries.push(chunk);
     return chunk;
@@ -352,7 +352,9 @@
       caller.end();
       return AttemptOutcome.Answered;
     }
-    if (this.mode !== ResponseMode.Buffered) return AttemptOutcome.Broken;
+    if (this.mode !== ResponseMode.Buffered || this.memory.hasGivenWay) {
+      return AttemptOutcome.Broken;
+    }
     this.keptResponse = this.bufferedResponse();
     this.context.onBegun();
     if (caller.hasStarted) return AttemptOutcome.Failed;
