A caller whose body is refused in the middle gets the refusal, though it closes its connection

Cause: on a connection that is to be closed, Node.js closes it as the response ends; bytes of the body that were still coming reset it, and the refusal was lost. The response is now ended once the body has been read.

--- a/packages/daemon/test/koaResponseSink.test.ts
+++ b/packages/daemon/test/koaResponseSink.test.ts
@@ -9,16 +9,18 @@
   const socket = connect(port, '127.0.0.1');
   socket.write(`GET / HTTP/${version}\r\nHost: a\r\nConnection: keep-alive\r\n\r\n`);
   let text = '';
+  let isComplete = false;
   socket.on('error', () => {
     text += '(reset)';
   });
   // A reset that arrives together with data is reported as an ordinary end, but the socket has no peer address.
   socket.on('end', () => {
-    if (socket.remoteAddress === undefined) text += '(reset)';
+    if (!isComplete && socket.remoteAddress === undefined) text += '(reset)';
   });
   socket.on('data', (bytes: Buffer) => {
     text += bytes.toString();
-    if (text.endsWith('0\r\n\r\n') || text.endsWith('booked')) socket.end();
+    isComplete = text.endsWith('0\r\n\r\n') || text.endsWith('booked');
+    if (isComplete) socket.end();
   });
   await new Promise<void>((resolve) => {
     socket.on('close', () => resolve());
--- a/packages/edge/src/CallerExchange.ts
+++ b/packages/edge/src/CallerExchange.ts
@@ -108,7 +108,14 @@
       ...retry,
     };
     this.start(status, headers);
-    this.end([body]);
+    if (isReadOn && !this.request.complete) this.endOnceRead(body);
+    else this.end([body]);
+  }
+
+  /** Sends the whole body, and ends the exchange once the request has been read: a close before would reset the connection. */
+  private endOnceRead(body: Buffer): void {
+    this.response.write(body);
+    this.request.once('end', () => this.response.end());
   }
 }
 
