QUOTA: a peer that falls silent is presumed to go on spending its share

Cause: the shared tokens refill at the full rate on both sides, and each side works out its share from the last reports of the other, which no longer rise, while its own demand does. Silence is taken for rest.

Evidence: cutLimits, without the fix 4 of 5 failed (623,200, 641,600, 636,000 and 660,000 units in a window, bound 542,000); with it 5 passed.

Why it works: both sides agreed last on the same reports, so their parts add up to the rate, and what the other side is presumed to spend is taken from the shared tokens until its next report says what it did.

Ruled out: smaller shares for all in any silence (a killed instance is silent too; a workspace at 60% of its rate is refused less than 1% of its requests in the test). Not played: sites that aggregate reports.

--- a/packages/edge/src/WorkspaceLimits.ts
+++ b/packages/edge/src/WorkspaceLimits.ts
@@ -13,6 +13,10 @@
   /** Units a second requested at this instance, decaying from `demandAtMs`. */
   demand: number;
   demandAtMs: number;
+  /** Fraction of the rate that each peer could spend when all of them were last heard, by source. */
+  agreedShares: ReadonlyMap<string, number>;
+  /** The sources that have reported since then. */
+  readonly reported: Set<string>;
 }
 
 /** The usage that one source, a peer or the aggregate of a failure domain, reported last for a workspace. */
@@ -25,6 +29,18 @@
   /** Units a second. */
   rate: number;
   reportedAtMs: number;
+  /** Units that the source may have spent since its last report, once it is silent; already taken from the shared tokens. */
+  presumed: number;
+  /** Until when they have been taken, on the monotonic clock. */
+  presumedToMs: number;
+}
+
+/** What is known of the peers that spend from the same limit. */
+interface PeerShares {
+  /** Sources whose reports are current. */
+  readonly heard: readonly PeerUsage[];
+  /** Sources that have fallen silent and may go on spending, each with its fraction of the rate. */
+  readonly silent: readonly (readonly [usage: PeerUsage, share: number])[];
 }
 
 /** Fraction of the burst below which an instance may only spend from its own share. */
@@ -51,6 +67,8 @@
 const PEER_SPENDING_TIMEOUT_MS = 12_000;
 /** Maximum age of a report whose rate counts as the current rate of the peer. */
 const REPORT_MAX_AGE_MS = 2_000;
+/** Time without a report, on top of the delay of reports, after which a peer may be cut off from this instance. */
+const SILENCE_MARGIN_MS = 400;
 
 const MS_PER_S = 1_000;
 const MIN_WAIT_MS = 50;
@@ -63,7 +81,8 @@
  *
  * While at least half of a burst is left, every instance may spend from it, and reports its spending to the
  * others with the next heartbeat. Below that, each instance spends only its own share of the rate, which
- * follows demand.
+ * follows demand. A peer that falls silent may be on the other side of a cut and go on spending: it is presumed to spend
+ * the share that it had when all were last heard, until it reports what it did spend.
  */
 class WorkspaceLimits {
   private readonly buckets = new Map<string, Bucket>();
@@ -73,7 +92,7 @@
   /** Units that peers reported as their own spending since the start, by workspace. */
   private readonly reports = new Map<string, number>();
 
-  /** Usage that this instance last reported to the peer that aggregates it, by workspace. */
+  /** Usage that this instance last reported to its peers, or to the one that aggregates it, by workspace. */
   private readonly lastReport = new Map<string, readonly [spent: number, rate: number]>();
 
   /** Whether peers aggregate the usage that others report. */
@@ -128,7 +147,7 @@
     );
   }
 
-  /** Records the usage reported to the aggregating peer, so that it is not counted again as usage of others. */
+  /** Records the usage that was reported: it is not counted again as usage of others, and is what they know. */
   recordReport(usage: Heartbeat['usage']): void {
     usage.forEach(([name, spent, rate]) => this.lastReport.set(name, [spent, rate]));
   }
@@ -153,10 +172,19 @@
       const baseline = known === undefined || isPooled ? spent : 0;
       const delta = Math.max(0, spent - (isSameSeries ? known.spent : baseline));
       const bucket = this.buckets.get(name);
-      if (bucket !== undefined) bucket.shared -= delta;
+      if (bucket !== undefined) bucket.shared -= delta - (known?.presumed ?? 0);
       if (kind === HeartbeatKind.Own) this.reports.set(name, (this.reports.get(name) ?? 0) + delta);
       const maxSpent = isSameSeries ? Math.max(known.spent, spent) : spent;
-      usages.set(source, { series, kind, spent: maxSpent, rate, reportedAtMs: nowMs });
+      usages.set(source, {
+        series,
+        kind,
+        spent: maxSpent,
+        rate,
+        reportedAtMs: nowMs,
+        presumed: 0,
+        presumedToMs: nowMs,
+      });
+      if (bucket !== undefined) this.agreeShares(name, source, bucket);
     });
   }
 
@@ -186,20 +214,64 @@
 
   /** Returns the fraction of the rate that this instance may spend on its own. */
   private share(name: string, bucket: Bucket): number {
-    const sinceMs = this.clock.nowMs() - PEER_SPENDING_TIMEOUT_MS;
-    const peers = [...(this.peerUsages.get(name)?.values() ?? [])].filter(
-      ({ reportedAtMs }) => reportedAtMs >= sinceMs,
-    );
+    const { heard, silent } = this.peerShares(name, bucket);
+    const silentShare = silent.reduce((sum, [, share]) => sum + share, 0);
     const own = this.demandOf(bucket);
-    const total = peers.reduce((sum, { rate }) => sum + rate, own);
-    const instances = Math.max(1, this.instances());
+    const total = heard.reduce((sum, { rate }) => sum + rate, own);
+    const instances = Math.max(1, this.instances() - silent.length);
+    return Math.max(0, 1 - silentShare) * this.shareOf(own, total, instances);
+  }
+
+  /** Returns the fraction of the rate for a part of the demand: a part of it is even, the rest follows demand. */
+  private shareOf(demand: number, total: number, instances: number): number {
     const even = 1 / instances;
     const evenFraction =
-      EVEN_FRACTION * Math.min(1, MAX_INSTANCES_AT_FULL_EVEN_FRACTION / instances);
-    const byDemand = total > 0 ? own / total : even;
+      EVEN_FRACTION * Math.min(1, MAX_INSTANCES_AT_FULL_EVEN_FRACTION / this.instances());
+    const byDemand = total > 0 ? demand / total : even;
     return evenFraction * even + (1 - evenFraction) * byDemand;
   }
 
+  /** Tells the peers that are heard from those that have fallen silent. */
+  private peerShares(name: string, { agreedShares }: Bucket): PeerShares {
+    const nowMs = this.clock.nowMs();
+    const reportDelayS = this.isPooled ? POOLED_REPORT_DELAY_S : REPORT_DELAY_S;
+    const heardSinceMs = nowMs - reportDelayS * MS_PER_S - SILENCE_MARGIN_MS;
+    const spending = this.spendingPeers(name);
+    const isHeard = ({ reportedAtMs }: PeerUsage) => reportedAtMs >= heardSinceMs;
+    const even = 1 / Math.max(1, this.instances());
+    return {
+      heard: spending.map(([, usage]) => usage).filter(isHeard),
+      silent: spending
+        .filter(([, usage]) => !isHeard(usage))
+        .map(([source, usage]) => [usage, agreedShares.get(source) ?? even] as const),
+    };
+  }
+
+  /** Works out the shares anew once every source has reported, so that both sides of a cut last did it on the same reports. */
+  private agreeShares(name: string, source: string, bucket: Bucket): void {
+    bucket.reported.add(source);
+    const spending = this.spendingPeers(name);
+    if (!spending.every(([other]) => bucket.reported.has(other))) return;
+    bucket.reported.clear();
+    // What the peers know of this instance, so that all of them agree.
+    const own = this.lastReport.get(name)?.[1] ?? this.demandOf(bucket);
+    const total = spending.reduce((sum, [, { rate }]) => sum + rate, own);
+    const instances = Math.max(1, this.instances());
+    Object.assign(bucket, {
+      agreedShares: new Map(
+        spending.map(([other, { rate }]) => [other, this.shareOf(rate, total, instances)]),
+      ),
+    });
+  }
+
+  /** The sources that may be spending. */
+  private spendingPeers(name: string): readonly (readonly [source: string, usage: PeerUsage])[] {
+    const sinceMs = this.clock.nowMs() - PEER_SPENDING_TIMEOUT_MS;
+    return [...(this.peerUsages.get(name) ?? [])].filter(
+      ([, { reportedAtMs }]) => reportedAtMs >= sinceMs,
+    );
+  }
+
   private demandOf(bucket: Bucket): number {
     return decay(bucket.demand, this.clock.nowMs() - bucket.demandAtMs);
   }
@@ -224,14 +296,23 @@
         spent: 0,
         demand: 0,
         demandAtMs: nowMs,
+        agreedShares: new Map(),
+        reported: new Set<string>(),
       };
       this.buckets.set(spec.name, bucket);
       return bucket;
     }
     const elapsedS = (nowMs - known.refilledAtMs) / MS_PER_S;
+    const { silent } = this.peerShares(spec.name, known);
     const share = this.share(spec.name, known);
     known.refilledAtMs = nowMs;
     known.shared = Math.min(spec.burst, known.shared + spec.ratePerS * elapsedS);
+    silent.forEach(([peer, peerShare]) => {
+      const silentS = (nowMs - peer.presumedToMs) / MS_PER_S;
+      const presumed = spec.ratePerS * peerShare * silentS;
+      Object.assign(peer, { presumed: peer.presumed + presumed, presumedToMs: nowMs });
+      known.shared -= presumed;
+    });
     const maxOwnTokens = spec.burst * OWN_BURST_FRACTION * share;
     known.own = Math.min(maxOwnTokens, known.own + spec.ratePerS * share * elapsedS);
     return known;
