REFUSED: the listener writes its own status only where no request of the connection is under way

What callers saw: a booking that ran was answered 408 or 400 by this instance, if half the head of a next request, or bytes that are no request, came behind it on its connection. 408 promises that nothing ran, so callers book again.

Cause: `HttpListener.rejectMalformed` wrote to the socket below the responses; `bytesWritten` only tells whether an earlier answer went out, not whether a request is under way.

Ruled out: that the running request was answered a second time: the status was the only answer.

Why it works: `CallerServer` (packages/response-ends) counts the requests of each connection that are under way. If there are any, their answers are sent and the connection is then closed without a status; the last one says `Connection: close` if its head has not been sent. A request whose body breaks off gets the status through its own response, so in order. A caller that ends its side inside a request has left, as after one.

The line caller_unreadable now says how many requests were under way and which status was sent.

--- a/packages/edge/src/HttpListener.ts
+++ b/packages/edge/src/HttpListener.ts
@@ -1,6 +1,6 @@
-import { createServer, type RequestListener, type Server, type ServerOptions } from 'node:http';
-import type { Socket } from 'node:net';
+import type { RequestListener, Server, ServerOptions } from 'node:http';
 import type { EventLog } from '@wisteriapath/fleet';
+import { CallerServer } from '@wisteriapath/response-ends';
 
 const BACKLOG = 1_024;
 
@@ -15,10 +15,8 @@
     log: EventLog,
     handle: RequestListener,
   ): Promise<HttpListener> {
-    const server = createServer(options, handle);
-    server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
-      log.event('caller_unreadable', { address, code: error.code ?? error.message });
-      HttpListener.rejectMalformed(error, socket as Socket);
+    const server = new CallerServer(options, handle, ({ code, underWay, status }) => {
+      log.event('caller_unreadable', { address, code, under_way: underWay, status });
     });
     const [host = '', port = '0'] = address.split(':');
     await new Promise<void>((resolve, reject) => {
@@ -31,20 +29,6 @@
     return new HttpListener(server);
   }
 
-  /** Responds to bytes that are not a valid request, unless a response was already sent on the connection. */
-  private static rejectMalformed(error: NodeJS.ErrnoException, socket: Socket): void {
-    if (!socket.writable || socket.bytesWritten > 0 || error.code === 'ECONNRESET') {
-      socket.destroy();
-      return;
-    }
-    const statuses: Record<string, string> = {
-      HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
-      ERR_HTTP_REQUEST_TIMEOUT: '408 Request Timeout',
-    };
-    const status = statuses[error.code ?? ''] ?? '400 Bad Request';
-    socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
-  }
-
   /** Stops accepting connections; open connections stay. */
   stopAccepting(): void {
     this.server.close();
--- /dev/null
+++ b/packages/response-ends/src/CallerConnection.ts
@@ -0,0 +1,81 @@
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
+
+interface Exchange {
+  readonly request: IncomingMessage;
+  readonly response: ServerResponse;
+}
+
+/**
+ * One connection of a caller: which of its requests are under way, and how it is ended once its bytes cannot be read as
+ * requests.
+ *
+ * @example
+ * const connection = new CallerConnection(socket);
+ * server.on('request', (request, response) => connection.track(request, response));
+ */
+class CallerConnection {
+  private readonly exchanges = new Set<Exchange>();
+
+  private isEnding = false;
+
+  constructor(private readonly socket: Socket) {}
+
+  /** Number of requests whose responses the caller has not been sent in full. */
+  get underWay(): number {
+    return this.exchanges.size;
+  }
+
+  /** Whether nothing more is read from this connection. */
+  get hasRefused(): boolean {
+    return this.isEnding;
+  }
+
+  /** Counts a request as under way until its response has been sent, or its connection has closed. */
+  track(request: IncomingMessage, response: ServerResponse): void {
+    const exchange = { request, response };
+    this.exchanges.add(exchange);
+    response.once('close', () => {
+      this.exchanges.delete(exchange);
+      if (this.isEnding && this.underWay === 0) this.socket.end();
+    });
+  }
+
+  /**
+   * Ends the connection, whose next bytes are no request. Responses that are under way are sent first. Returns whether the
+   * caller is sent this status: only if no request of the connection is under way, and none has been answered on it.
+   */
+  refuse(status: number, reason: string): boolean {
+    this.isEnding = true;
+    const unread = [...this.exchanges].find(({ request }) => !request.complete);
+    if (unread !== undefined) return this.refuseUnread(unread, status);
+    if (this.underWay > 0) {
+      this.closeAfterLastResponse();
+      return false;
+    }
+    const isFirst = this.socket.bytesWritten === 0;
+    const head = `HTTP/1.1 ${status} ${reason}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`;
+    this.socket.end(isFirst ? head : '');
+    return isFirst;
+  }
+
+  /** Refuses the request that is under way, but whose body cannot be read to its end. */
+  private refuseUnread(exchange: Exchange, status: number): boolean {
+    const { response } = exchange;
+    if (!response.headersSent) {
+      response.writeHead(status, { connection: 'close', 'content-length': '0' }).end();
+      return true;
+    }
+    // It was answered early, and its end will not come.
+    this.exchanges.delete(exchange);
+    if (this.underWay === 0) this.socket.end();
+    return false;
+  }
+
+  private closeAfterLastResponse(): void {
+    const last = [...this.exchanges].at(-1);
+    if (last !== undefined && !last.response.headersSent) last.response.shouldKeepAlive = false;
+  }
+}
+
+export default CallerConnection;
