REFUSED: nothing that comes on a connection after its refusal is handled

What callers saw: a booking whose head took longer than header_timeout_ms was answered 408, and ran all the same once the rest of its head had come.

Cause: `socket.end` closes one half of a connection. Node goes on parsing what arrives, and serves it.

Ruled out: destroying the socket at once: unread bytes turn the close into a reset, and the caller loses the status.

Why it works: a refused connection is taken from the parser: its listener for data is replaced by one that counts and discards. The caller has 2 s and 1 MiB to take the status and stop, then the connection is destroyed. While earlier requests are under way, it stays until they are answered, or the caller ends its side.

--- a/packages/response-ends/src/CallerConnection.ts
+++ b/packages/response-ends/src/CallerConnection.ts
@@ -1,6 +1,11 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 
+/** Time for which a caller may take what it is sent last, and go on sending, before its connection is destroyed. */
+const LINGER_MS = 2_000;
+/** Bytes that are read and discarded meanwhile. */
+const LINGER_BYTES = 1_048_576;
+
 interface Exchange {
   readonly request: IncomingMessage;
   readonly response: ServerResponse;
@@ -37,7 +42,7 @@
     this.exchanges.add(exchange);
     response.once('close', () => {
       this.exchanges.delete(exchange);
-      if (this.isEnding && this.underWay === 0) this.socket.end();
+      if (this.isEnding && this.underWay === 0) this.end();
     });
   }
 
@@ -47,6 +52,7 @@
    */
   refuse(status: number, reason: string): boolean {
     this.isEnding = true;
+    this.discardInput();
     const unread = [...this.exchanges].find(({ request }) => !request.complete);
     if (unread !== undefined) return this.refuseUnread(unread, status);
     if (this.underWay > 0) {
@@ -55,10 +61,34 @@
     }
     const isFirst = this.socket.bytesWritten === 0;
     const head = `HTTP/1.1 ${status} ${reason}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`;
-    this.socket.end(isFirst ? head : '');
+    this.end(isFirst ? head : '');
     return isFirst;
   }
 
+  /** Takes the connection from the parser, which would serve what still arrives. That is read, as a close beside unread bytes is a reset. */
+  private discardInput(): void {
+    const { socket } = this;
+    let leftBytes = LINGER_BYTES;
+    socket.removeAllListeners('data');
+    socket.on('data', (bytes: Buffer) => {
+      leftBytes -= bytes.length;
+      if (leftBytes < 0 && this.underWay === 0) socket.destroy();
+    });
+    // A caller that ends its side has left.
+    socket.once('end', () => {
+      if (this.underWay > 0) socket.destroy();
+    });
+    socket.resume();
+  }
+
+  /** Sends the last bytes, and destroys the connection if the caller does not close it in time. */
+  private end(lastBytes = ''): void {
+    const { socket } = this;
+    socket.end(lastBytes);
+    const timer = setTimeout(() => socket.destroy(), LINGER_MS).unref();
+    socket.once('close', () => clearTimeout(timer));
+  }
+
   /** Refuses the request that is under way, but whose body cannot be read to its end. */
   private refuseUnread(exchange: Exchange, status: number): boolean {
     const { response } = exchange;
@@ -68,7 +98,7 @@
     }
     // It was answered early, and its end will not come.
     this.exchanges.delete(exchange);
-    if (this.underWay === 0) this.socket.end();
+    if (this.underWay === 0) this.end();
     return false;
   }
 
