An error code is no proof that no byte was sent: the exchange itself knows

In the own protocol the claim of such a call was released, so that the next call with its key ran it again, and an append to the log was reported as not written.

Cause: isUnsent (model) took four error codes for the proof that no byte had been sent, and TargetConnections, TargetClient and HttpLog asked it also after the request had been handed to its connection; TargetClient even for errors of a body, after an answer had begun. A connection that carries a request can end with the same codes: a soft error becomes the socket's when retransmission gives up.

Ruled out: that the code alone could be read more narrowly; the same code comes before and after the first byte. That undici calls onConnect without writing: it writes right after it, unless the handler aborts in it (client-h1.js).

Fix: ConnectionUse.mayHaveSent (response-ends) is set by the HTTP client's own callback just before it writes to an established connection (watchHandover); all three ask that, and isUnsent is gone. Errors before that moment, whatever their code, count as not sent; after it none does. attempt_failed has `error` and `handed_over`.

That the users' network ended connections so is suspected, not shown.

--- a/packages/edge/src/TargetAttempt.ts
+++ b/packages/edge/src/TargetAttempt.ts
@@ -80,6 +80,8 @@
 
   private hasStalled = false;
 
+  private exchange: ReturnType<EdgeDependencies['connections']['send']> | undefined;
+
   private exchangeEnd: ExchangeEnd | null = null;
 
   /** The complete response of the target, if it was buffered. */
@@ -114,6 +116,7 @@
         return this.handleData(chunk, () => exchange.resume());
       },
     });
+    this.exchange = exchange;
     this.abort = () => exchange.abort();
     const abortOnDisconnect = () => {
       if (request.route.semantics !== RouteSemantics.AtMostOnce) exchange.abort();
@@ -157,9 +160,10 @@
   }
 
   /** What bounded the response, and how the exchange ended, for the log. */
-  get endFields(): { readonly framing: ResponseFraming; readonly end: string } {
+  get endFields() {
     const framing = this.mode === ResponseMode.None ? ResponseFraming.None : this.framing;
-    return { framing, end: this.exchangeEnd ?? '' };
+    const { errorCode = '', mayHaveSent = false } = this.exchange ?? {};
+    return { framing, end: this.exchangeEnd ?? '', error: errorCode, handed_over: mayHaveSent };
   }
 
   get isMisdirected(): boolean {
--- a/packages/edge/src/TargetConnections.ts
+++ b/packages/edge/src/TargetConnections.ts
@@ -1,5 +1,4 @@
 import { type Client, type Dispatcher, Pool } from 'undici';
-import { isUnsent } from '@wisteriapath/model';
 import {
   ConnectionUse,
   framingOf,
@@ -39,6 +38,10 @@
 interface Exchange {
   /** Resolves when the exchange has ended; never rejects. */
   readonly ended: Promise<ExchangeEnd>;
+  /** Code of the error with which the exchange ended; empty if there was none. */
+  readonly errorCode: string;
+  /** Whether the request was handed to an established connection, so that bytes of it may have been sent. */
+  readonly mayHaveSent: boolean;
   abort(): void;
   /** Continues the flow of data after `onData` returned false. */
   resume(): void;
@@ -81,7 +84,6 @@
     let controller: Dispatcher.DispatchController | undefined;
     let isAborted = false;
     let isRejected = false;
-    let isSent = false;
     let isWithheld = false;
     let interim = 0;
     let framing = ResponseFraming.None;
@@ -96,20 +98,19 @@
       isAborted = true;
       controller?.abort(new Error('exchange aborted by this instance'));
     };
+    let errorCode = '';
     const failure = (error: NodeJS.ErrnoException): ExchangeEnd => {
+      errorCode = error.code ?? error.name;
       if (isRejected) return ExchangeEnd.Rejected;
       if (isWithheld) return ExchangeEnd.Withheld;
-      if (!isSent || isUnsent(error.code)) {
-        return isAborted ? ExchangeEnd.Aborted : ExchangeEnd.NotSent;
-      }
-      return isAborted ? ExchangeEnd.Aborted : ExchangeEnd.Broken;
+      if (isAborted) return ExchangeEnd.Aborted;
+      return connectionUse.mayHaveSent ? ExchangeEnd.Broken : ExchangeEnd.NotSent;
     };
     const dispatch: Dispatcher.DispatchHandler = {
       onRequestStart: (started) => {
         controller = started;
         if (isAborted) started.abort(new Error('exchange aborted by this instance'));
-        else if (request.maySend()) isSent = true;
-        else {
+        else if (!request.maySend()) {
           isWithheld = true;
           started.abort(new Error('the request must not be sent any more'));
         }
@@ -155,7 +156,17 @@
     } catch (error) {
       settle(failure(error as NodeJS.ErrnoException));
     }
-    return { ended, abort, resume: () => controller?.resume() };
+    return {
+      ended,
+      get errorCode() {
+        return errorCode;
+      },
+      get mayHaveSent() {
+        return connectionUse.mayHaveSent && !isWithheld;
+      },
+      abort,
+      resume: () => controller?.resume(),
+    };
   }
 
   /** Closes the connections to all addresses except the given ones. */
--- a/packages/log-client/src/HttpLog.ts
+++ b/packages/log-client/src/HttpLog.ts
@@ -1,6 +1,6 @@
 import { Just, type Maybe, Nothing } from 'purify-ts';
-import { Agent, request } from 'undici';
-import { isUnsent } from '@wisteriapath/model';
+import { request } from 'undici';
+import { ConnectionUse, createTrackedAgent } from '@wisteriapath/response-ends';
 import AppendResult from './AppendResult';
 import type LogBatch from './LogBatch';
 import type LogPort from './LogPort';
@@ -16,28 +16,33 @@
 
 /** A log client that uses the HTTP protocol of docs/platform.md. */
 class HttpLog implements LogPort {
-  private readonly agent = new Agent({ connect: { timeout: CONNECT_TIMEOUT_MS }, pipelining: 1 });
+  private readonly agent = createTrackedAgent({
+    connections: null,
+    connectTimeoutMs: CONNECT_TIMEOUT_MS,
+  });
 
   constructor(private readonly baseUrl: string) {}
 
   async append(stream: string, payloads: readonly string[]): Promise<AppendResult> {
+    const connectionUse = new ConnectionUse();
+    const options = {
+      connectionUse,
+      dispatcher: this.agent,
+      method: 'POST',
+      body: JSON.stringify({ payloads }),
+      headers: { 'content-type': 'application/json' },
+      headersTimeout: APPEND_TIMEOUT_MS,
+      bodyTimeout: APPEND_TIMEOUT_MS,
+    };
     try {
-      const response = await request(`${this.baseUrl}/streams/${stream}/records`, {
-        dispatcher: this.agent,
-        method: 'POST',
-        body: JSON.stringify({ payloads }),
-        headers: { 'content-type': 'application/json' },
-        headersTimeout: APPEND_TIMEOUT_MS,
-        bodyTimeout: APPEND_TIMEOUT_MS,
-      });
+      const response = await request(`${this.baseUrl}/streams/${stream}/records`, options);
       await response.body.dump();
       if (response.statusCode === OK) return AppendResult.Appended;
       return REFUSAL_STATUSES.has(response.statusCode)
         ? AppendResult.NotAppended
         : AppendResult.Unknown;
-    } catch (error) {
-      const { code } = error as NodeJS.ErrnoException;
-      return isUnsent(code) ? AppendResult.NotAppended : AppendResult.Unknown;
+    } catch {
+      return connectionUse.mayHaveSent ? AppendResult.Unknown : AppendResult.NotAppended;
     }
   }
 
--- a/packages/model/src/index.ts
+++ b/packages/model/src/index.ts
@@ -6,7 +6,6 @@
 export { default as ErrorKind } from './ErrorKind';
 export { default as errorResponses } from './errorResponses';
 export type { default as InstanceAddress } from './InstanceAddress';
-export { default as isUnsent } from './isUnsent';
 export type { default as Pool } from './Pool';
 export { default as ExecutionStatus } from './ExecutionStatus';
 export { default as rendezvousOrder } from './rendezvousOrder';
--- a/packages/response-ends/src/ConnectionUse.ts
+++ b/packages/response-ends/src/ConnectionUse.ts
@@ -1,12 +1,27 @@
+import type { Dispatcher } from 'undici';
 import type TrackedClient from './TrackedClient';
+import watchHandover from './watchHandover';
 
-/** The client, and so the connection, that one request was dispatched to. Passed among the options of the dispatch. */
+/** What one request has used: a client, and so its connection. Passed among the options of the dispatch. */
 class ConnectionUse {
   private client: TrackedClient | undefined;
 
-  /** Called by the client that the request is dispatched to. */
-  assign(client: TrackedClient): void {
+  private wasHandedOver = false;
+
+  /** Called by the client that the request is dispatched to. Returns the handler to go on with. */
+  assign(client: TrackedClient, handler: Dispatcher.DispatchHandler): Dispatcher.DispatchHandler {
     this.client = client;
+    return watchHandover(handler, () => {
+      this.wasHandedOver = true;
+    });
+  }
+
+  /**
+   * Whether the request was handed to an established connection, so that bytes of it may have been sent. An error code does not
+   * tell this: a connection that carries a request can end with the codes of one that was never opened.
+   */
+  get mayHaveSent(): boolean {
+    return this.wasHandedOver;
   }
 
   /** Whether the server has closed the connection in order. Valid until the client opens its next connection. */
--- a/packages/response-ends/src/TrackedClient.ts
+++ b/packages/response-ends/src/TrackedClient.ts
@@ -27,8 +27,7 @@
   }
 
   override dispatch(options: TrackedDispatchOptions, handler: Dispatcher.DispatchHandler): boolean {
-    options.connectionUse?.assign(this);
-    return super.dispatch(options, handler);
+    return super.dispatch(options, options.connectionUse?.assign(this, handler) ?? handler);
   }
 }
 
--- a/packages/routing/src/TargetClient.ts
+++ b/packages/routing/src/TargetClient.ts
@@ -1,11 +1,10 @@
-import { Agent, Pool, request } from 'undici';
+import { type Agent, request } from 'undici';
 import { type Either, Left, Right } from 'purify-ts';
-import { isUnsent } from '@wisteriapath/model';
 import {
   ConnectionUse,
+  createTrackedAgent,
   framingOf,
   ResponseFraming,
-  TrackedClient,
 } from '@wisteriapath/response-ends';
 import ExchangeFailure from './ExchangeFailure';
 import type TargetResponse from './TargetResponse';
@@ -35,10 +34,10 @@
 const ABORT_ERROR_NAMES = new Set(['AbortError', 'TimeoutError']);
 const SILENCE_ERROR_CODES = new Set(['UND_ERR_HEADERS_TIMEOUT', 'UND_ERR_BODY_TIMEOUT']);
 
+/** Classifies an error of an exchange whose request may have been sent. */
 const failureOf = (error: unknown): ExchangeFailure => {
   const { code = '', name } = error as NodeJS.ErrnoException;
   if (ABORT_ERROR_NAMES.has(name)) return ExchangeFailure.Aborted;
-  if (isUnsent(code)) return ExchangeFailure.NotSent;
   return SILENCE_ERROR_CODES.has(code) ? ExchangeFailure.Silent : ExchangeFailure.Broken;
 };
 
@@ -50,15 +49,11 @@
   private readonly agent: Agent;
 
   constructor(options: Options) {
-    const createClient = (origin: URL) =>
-      new TrackedClient(origin, {
-        connectTimeoutMs: CONNECT_TIMEOUT_MS,
-        headersTimeout: options.silenceLimitMs,
-        bodyTimeout: options.silenceLimitMs,
-      });
-    this.agent = new Agent({
-      factory: (origin) =>
-        new Pool(origin, { connections: MAX_CONNECTIONS_PER_TARGET, factory: createClient }),
+    this.agent = createTrackedAgent({
+      connections: MAX_CONNECTIONS_PER_TARGET,
+      connectTimeoutMs: CONNECT_TIMEOUT_MS,
+      headersTimeout: options.silenceLimitMs,
+      bodyTimeout: options.silenceLimitMs,
     });
   }
 
@@ -90,7 +85,9 @@
       data.body.on('error', () => {}).destroy();
       return Left(ExchangeFailure.AttemptMismatch);
     } catch (error) {
-      return Left(failureOf(error));
+      const failure = failureOf(error);
+      const isUnsent = !connectionUse.mayHaveSent && failure !== ExchangeFailure.Aborted;
+      return Left(isUnsent ? ExchangeFailure.NotSent : failure);
     }
   }
 
--- /dev/null
+++ b/packages/routing/test/claimAfterSend.test.ts
@@ -0,0 +1,84 @@
+/** A call that its target may have run keeps its claim, so that a repeat of its key does not run it again. */
+import { ErrorKind, systemClock } from '@wisteriapath/model';
+import { Right } from 'purify-ts';
+import connectCodes from '@wisteriapath/response-ends/test/support/connectCodes';
+import startLostServer from '@wisteriapath/response-ends/test/support/startLostServer';
+import GuardedTargetClient from '../src/GuardedTargetClient';
+import PoisonRegistry from '../src/PoisonRegistry';
+import ServiceCall from '../src/ServiceCall';
+import TargetClient from '../src/TargetClient';
+
+/** Calls a service at most once; tells the kind of its error and how often the claim was released. */
+const callOnce = async (client: TargetClient, port: number) => {
+  let releases = 0;
+  const parts = {
+    clock: systemClock,
+    slotAcquirer: {
+      acquire: () =>
+        Promise.resolve(
+          Right({ target: 'desk', url: `http://127.0.0.1:${port}`, release: () => {} }),
+        ),
+    },
+    targets: new GuardedTargetClient(client, new PoisonRegistry(() => Promise.resolve())),
+    claims: {
+      claim: () => Promise.resolve({ kind: 'won', claimId: 'claim-1' }),
+      complete: () => {},
+      release: () => {
+        releases += 1;
+        return Promise.resolve();
+      },
+    },
+    retries: { recordRequest: () => {}, take: () => false },
+    answerMarginMs: 10,
+  } as unknown as ConstructorParameters<typeof ServiceCall>[0];
+  const deadline = {
+    remainingMs: () => 2_000,
+    isExpired: () => false,
+    earlierBy: () => deadline,
+  };
+  const context = {
+    requestId: 'r1',
+    deadline,
+    call: { caller: { workspace: 'club' }, routeName: 'desk', route: { idempotent: false } },
+  } as unknown as Parameters<ServiceCall['run']>[0];
+  const http = {
+    method: 'POST',
+    path: '/book',
+    headers: { 'idempotency-key': 'k1' },
+    body: Buffer.from('{}'),
+  };
+  const sink = {
+    headersSent: false,
+    disconnectSignal: new AbortController().signal,
+    begin: () => {},
+    write: () => Promise.resolve(),
+    end: () => {},
+    abort: () => {},
+  };
+  const result = await new ServiceCall(parts).run(context, http, sink);
+  const kind = result.caseOf({ Left: (error): ErrorKind | null => error.kind, Right: () => null });
+  return { kind, releases };
+};
+
+describe('a call that may run at most once', () => {
+  const client = new TargetClient({ silenceLimitMs: 5_000 });
+  afterAll(() => client.close());
+
+  test.each(connectCodes)('keeps its claim once it was sent: %s', async (code) => {
+    const target = await startLostServer(code);
+    try {
+      const result = await callOnce(client, target.port);
+      expect(result).toEqual({ kind: ErrorKind.OutcomeUnknown, releases: 0 });
+      expect(target.received).toEqual(['/book']);
+    } finally {
+      target.close();
+    }
+  });
+
+  test('loses its claim if no connection could be opened', async () => {
+    const target = await startLostServer('');
+    target.close();
+    const result = await callOnce(client, target.port);
+    expect(result).toEqual({ kind: ErrorKind.TargetFailed, releases: 1 });
+  });
+});
