A target's refusal that it does not confirm is no longer passed on as a promise

What callers saw: a target runs a booking and answers 503, 429 or 408 without Not-Executed. The status and the target's stamp were passed on. The same on streams that cannot be resumed.

Cause: TargetAttempt knew answers with Not-Executed, and all others, which are passed on. That a status is a promise to callers was known nowhere.

Fix: the dialect says which statuses callers take for a promise. An attempt that ends with one of them, from a target that does not state that it has not run the request, ends as unconfirmed_refusal: the request may have run, nothing of the answer is kept, and the caller gets a 502 of ours without the stamp. Requests that may be repeated go to another target first, within attempts and budget. A 500 or 504 that was kept before still goes out.

Logs: attempt_failed tells unconfirmed_refusal from not_run; request_ended has ran and refusals (targets that said that they have not run it).

--- a/packages/edge/src/AttemptOutcome.ts
+++ b/packages/edge/src/AttemptOutcome.ts
@@ -4,6 +4,8 @@
   Answered = 'answered',
   /** The target did not run the request. */
   NotExecuted = 'not_run',
+  /** The target refused the request, and did not state that it has not run it. Its response is not passed on. */
+  UnconfirmedRefusal = 'unconfirmed_refusal',
   /** No byte of the request was sent. */
   NotSent = 'not_sent',
   /** No byte of the request was sent, since the target became unusable or the request ended meanwhile. */
--- a/packages/edge/src/RequestExecution.ts
+++ b/packages/edge/src/RequestExecution.ts
@@ -30,6 +30,7 @@
   AttemptOutcome.Broken,
   AttemptOutcome.Failed,
   AttemptOutcome.Stalled,
+  AttemptOutcome.UnconfirmedRefusal,
 ]);
 /** Outcomes after which no target got the request, so that another attempt is no repeat. */
 const UNSENT = new Set([AttemptOutcome.NotSent, AttemptOutcome.Withheld]);
@@ -336,7 +337,8 @@
 
   private result(error: ServeError | null, status: number): RequestResult {
     const { sends, waitedMs, lastTargetId } = this;
-    return { error, status, sends, waitedMs: Math.round(waitedMs), lastTargetId };
+    const refusals = this.refusedBy.size;
+    return { error, status, sends, refusals, waitedMs: Math.round(waitedMs), lastTargetId };
   }
 }
 
--- a/packages/edge/src/RequestResult.ts
+++ b/packages/edge/src/RequestResult.ts
@@ -8,6 +8,8 @@
   readonly status: number;
   /** Number of attempts. */
   readonly sends: number;
+  /** Number of targets that stated that they have not run the request. */
+  readonly refusals: number;
   /** Time for which the request waited for targets. */
   readonly waitedMs: number;
   /** Id of the target of the last attempt; empty if there was none. */
--- a/packages/edge/src/ResponseFields.ts
+++ b/packages/edge/src/ResponseFields.ts
@@ -6,6 +6,8 @@
   readonly hasReceipt: boolean;
   /** Whether the target states that it has not run the request. */
   readonly isNotExecuted: boolean;
+  /** Whether a caller takes the status for a promise that its request has not run and never will. */
+  readonly isPromiseToCallers: boolean;
   /** Whether the address belongs to another target now, or the target does not hold the model. */
   readonly isMisdirected: boolean;
   /** Whether the target says that it is leaving. */
--- a/packages/edge/src/TargetAttempt.ts
+++ b/packages/edge/src/TargetAttempt.ts
@@ -14,6 +14,7 @@
 import type ResponseFields from './ResponseFields';
 import ResponseMode from './ResponseMode';
 import ResponseSizeLimit from './ResponseSizeLimit';
+import isTargetFailure from './isTargetFailure';
 import mediaTypeOf from './mediaTypeOf';
 
 interface Context {
@@ -143,11 +144,7 @@
     const outcome = this.outcomeOf(end);
     this.releaseMemory(outcome);
     if (outcome === AttemptOutcome.NotSent) reservation.recordConnectFailure();
-    const failureOutcomes = [AttemptOutcome.Broken, AttemptOutcome.NotSent, AttemptOutcome.Stalled];
-    const isFailure = failureOutcomes.includes(outcome) || this.status >= SERVER_ERROR;
-    reservation.complete(
-      isFailure || (outcome === AttemptOutcome.DeadlineExceeded && this.mode === ResponseMode.None),
-    );
+    reservation.complete(isTargetFailure(outcome, this.status));
     deps.metrics.exchanges.inc({ pool: pool.name, end });
     return outcome;
   }
@@ -355,6 +352,7 @@
     if (this.mode !== ResponseMode.Buffered || this.memory.hasGivenWay) {
       return AttemptOutcome.Broken;
     }
+    if (this.fields?.isPromiseToCallers) return AttemptOutcome.UnconfirmedRefusal;
     this.keptResponse = this.bufferedResponse();
     this.context.onBegun();
     if (caller.hasStarted) return AttemptOutcome.Failed;
--- a/packages/edge/src/handleRequest.ts
+++ b/packages/edge/src/handleRequest.ts
@@ -26,6 +26,9 @@
     outcome,
     status: end.status,
     target: end.lastTargetId,
+    // Empty where the caller got the response of a target.
+    ran: end.error?.ran ?? '',
+    refusals: end.refusals,
     sends: end.sends,
     waited_ms: end.waitedMs,
     took_ms: Math.round(tookMs),
