Own protocol: only 409 of an engine says that a completion has not run

What was seen: ModelCall took every status but 200 for a refusal without a run.

Cause: the word "refused" was taken from the status. The protocol names one such status: 409, not loaded (docs/platform.md).

Fix: 409 stays a refusal; every other status is ExchangeFailure.Failed, counts as an attempt and draws on the retry budget. markRefused of GuardedTargetClient is markUnserved, as both use it; neither clears a suspect, as before.

Looked at and left: AttemptLog says "ran: no" only if every failure was NotSent; ServiceCall passes a service's status on and records it as the outcome of the claim, so a repeat runs nothing; an error of ours is "no" only where nothing was sent. In this protocol ran is the promise, not the status.

--- a/packages/routing/src/ExchangeFailure.ts
+++ b/packages/routing/src/ExchangeFailure.ts
@@ -8,6 +8,8 @@
   Silent = 'silent',
   /** The response named another attempt. */
   AttemptMismatch = 'crossed',
+  /** The target answered with a failure; it may have run the request. */
+  Failed = 'failed',
   /** The target refused the request without running it. */
   Refused = 'refused',
   /** This instance aborted the exchange: the caller disconnected or the deadline passed. */
--- a/packages/routing/src/GuardedTargetClient.ts
+++ b/packages/routing/src/GuardedTargetClient.ts
@@ -14,8 +14,8 @@
   markBegun(): void;
   /** Records that the response was complete. */
   markFinished(): void;
-  /** Records that the target refused the request without running it, which clears no suspect. */
-  markRefused(): void;
+  /** Records that the target answered with a refusal or a failure, which clears no suspect. */
+  markUnserved(): void;
   /** Records that the response broke off or cannot be read, and returns the failure. */
   markBroken(error: unknown): ExchangeFailure;
 }
@@ -76,7 +76,7 @@
         end();
         this.poison.noteFinished(fingerprint);
       },
-      markRefused: end,
+      markUnserved: end,
       markBroken: (error) => {
         if (!(error instanceof UnreadableResponse)) return fail(TargetClient.failureOf(error));
         end();
--- a/packages/routing/src/ModelCall.ts
+++ b/packages/routing/src/ModelCall.ts
@@ -28,6 +28,8 @@
 
 const MAX_ATTEMPTS = 4;
 const OK = 200;
+/** The only status by which an engine says that it has not run a request: the model is not loaded. */
+const NOT_LOADED = 409;
 const DONE_EVENT_DATA = '[DONE]';
 /** Time to the first byte above which the target counts as slow. */
 const SLOW_FIRST_BYTE_MS = 1_900;
@@ -133,9 +135,9 @@
     const { statusCode, body } = exchange.response.data;
     if (statusCode !== OK) {
       await body.dump();
-      exchange.markRefused();
+      exchange.markUnserved();
       slot.release(TargetOutcome.Failed);
-      return ExchangeFailure.Refused;
+      return statusCode === NOT_LOADED ? ExchangeFailure.Refused : ExchangeFailure.Failed;
     }
     const isSlow = this.parts.clock.nowMs() - startedMs > SLOW_FIRST_BYTE_MS;
     try {
