An answer that names no request is handed to no caller

The next caller on the connection got somebody else's booking as a success.

Cause: isOwnResponse took an answer without an id for the answer to whoever waits.

Fix: an answer must name the request it belongs to, as "Engines echo Attempt-Id in their responses ... The ID identifies it" (PROTOCOL.md). One without an id answers only a request without one ("400 without an id"). Otherwise the exchange ends as crossed: 502, or another target where the request may be repeated.

Weighed: to believe it on the first exchange of a connection, where no earlier answer can come late.

--- a/packages/edge/src/TargetAttempt.ts
+++ b/packages/edge/src/TargetAttempt.ts
@@ -230,11 +230,9 @@
     return this.mode !== ResponseMode.Invalid;
   }
 
-  /** Whether a response is to this request. One that says that the request was not executed must name it. */
-  private isOwnResponse({ attemptId, isNotExecuted }: ResponseFields): boolean {
-    return (
-      (attemptId === '' && !isNotExecuted) || attemptId === this.context.request.fields.attemptId
-    );
+  /** Whether a response names this request. One that names none may be a late copy of an earlier response. */
+  private isOwnResponse({ attemptId }: ResponseFields): boolean {
+    return attemptId === this.context.request.fields.attemptId;
   }
 
   /** Whether a response can go on with what the caller has received so far: a stream of the same kind. */
