A sound stream is no longer cut after 1 MB when its line ends have chunks of their own

With CR as line end it was cut however it was split.

Cause: ResponseSizeLimit looked for the end of an event itself, within one chunk, and did not know CR. EventBoundaries and EventFramer already know it.

Fix: they say how many bytes of an unfinished event have come (partialBytes), and that is bounded. ResponseSizeLimit is gone; maxResponseBytes is its table.

--- a/packages/edge/src/EventBoundaries.ts
+++ b/packages/edge/src/EventBoundaries.ts
@@ -32,6 +32,11 @@
     return this.bytesInEvent > 0;
   }
 
+  /** Bytes that have arrived of an event whose end has not. */
+  get partialBytes(): number {
+    return this.bytesInEvent;
+  }
+
   /** Whether an event has arrived completely; comments do not count. */
   get hasEvent(): boolean {
     return this.count > 0;
--- a/packages/edge/src/TargetAttempt.ts
+++ b/packages/edge/src/TargetAttempt.ts
@@ -13,8 +13,8 @@
 import type MemoryReservation from './MemoryReservation';
 import type ResponseFields from './ResponseFields';
 import ResponseMode from './ResponseMode';
-import ResponseSizeLimit from './ResponseSizeLimit';
 import isTargetFailure from './isTargetFailure';
+import maxResponseBytes from './maxResponseBytes';
 import mediaTypeOf from './mediaTypeOf';
 
 interface Context {
@@ -63,8 +63,6 @@
 
   private receivedBytes = 0;
 
-  private readonly size = new ResponseSizeLimit();
-
   /** What the response holds here, until the caller has taken it. */
   private readonly memory: MemoryReservation;
 
@@ -261,19 +259,24 @@
 
   private handleData(chunk: Buffer, resume: () => void): boolean {
     this.lastByteAtMs = this.deps.clock.nowMs();
-    const { caller, framer } = this.context;
-    if (!this.size.accept(this.mode, chunk)) {
+    if (this.mode === ResponseMode.Streamed) return this.passOn(chunk, resume);
+    this.receivedBytes += chunk.length;
+    if (this.isOversized(this.receivedBytes)) this.abortOversized();
+    else if (this.memory.hold(this.receivedBytes)) this.chunks.push(chunk);
+    return true;
+  }
+
+  /** Passes on a chunk of a stream: at once, or up to the end of its last event if the stream can be resumed. */
+  private passOn(chunk: Buffer, resume: () => void): boolean {
+    const { caller, framer, onBegun } = this.context;
+    const bytes = framer?.push(chunk) ?? chunk;
+    if (framer === null) this.boundaries.push(chunk);
+    const { hasEvent, partialBytes } = framer ?? this.boundaries;
+    if (this.isOversized(partialBytes)) {
       this.abortOversized();
       return true;
     }
-    if (this.mode !== ResponseMode.Streamed) {
-      this.receivedBytes += chunk.length;
-      if (this.memory.hold(this.receivedBytes)) this.chunks.push(chunk);
-      return true;
-    }
-    const bytes = framer === null ? this.passOn(chunk) : framer.push(chunk);
-    const { hasEvent } = framer ?? this.boundaries;
-    if (hasEvent) this.context.onBegun();
+    if (hasEvent) onBegun();
     const mayContinue = caller.write(bytes, resume);
     const { unsentBytes } = caller;
     if (unsentBytes > MAX_UNSENT_BYTES) this.abortUnread();
@@ -281,6 +284,11 @@
     return mayContinue;
   }
 
+  /** Whether a response body, or one event of a stream, is larger than any that is sound. */
+  private isOversized(bytes: number): boolean {
+    return bytes > maxResponseBytes[this.mode];
+  }
+
   /** Breaks off the response to a caller who reads too slowly. */
   private abortUnread(): void {
     const { request, caller } = this.context;
@@ -308,11 +316,6 @@
     } else this.memory.release();
   }
 
-  private passOn(chunk: Buffer): Buffer {
-    this.boundaries.push(chunk);
-    return chunk;
-  }
-
   /** Aborts an exchange whose response exceeds its size limit. */
   private abortOversized(): void {
     const { chosen, request } = this.context;
