Ports: that of metrics is never one that serving needs

Cause: metrics and the peers' records were opened at the same port of one address, and metrics came first. Ruled out: another process on the port; trying again cannot help, as the holder is the process itself.

Where a port that serving needs is that of metrics all the same (an only port, callers, readiness), metrics gives way with one line `metrics_not_served`. Nothing then depends on which is opened first, and metrics can still be asked while an instance waits for another port.

--- a/packages/edge/src/EdgeListeners.ts
+++ b/packages/edge/src/EdgeListeners.ts
@@ -17,6 +17,8 @@
   readonly isReady: () => boolean;
 }
 
+const portOf = (address: string): number => Number(address.split(':').at(-1));
+
 /** The listeners of an instance. Each is opened once its port is free, which another process may still hold. */
 class EdgeListeners {
   /** The HTTP listeners that are open. */
@@ -38,11 +40,9 @@
   async open(): Promise<void> {
     const { options, parts } = this;
     const { deps, view, callers, peers, isReady } = parts;
-    const { log, metrics, isStopping } = deps;
-    const { host } = options.member;
-    const peerAddress = `${host}:${options.peerPort}`;
-    const metricsAddress = `${host}:${options.metricsPort}`;
-    void this.listen(metricsAddress, (at) => serveMetrics(at, metrics.registry, log));
+    const { log, isStopping } = deps;
+    const peerAddress = `${options.member.host}:${options.peerPort}`;
+    void this.openMetrics();
     await Promise.all([
       this.listen(options.readinessAddress, (at) => serveReadiness(at, log, isReady)),
       this.listen(peerAddress, (at) => serveRecords(at, view, log)),
@@ -57,6 +57,20 @@
     this.all.forEach((listener) => listener.destroy());
   }
 
+  /** Opens the port of the metrics, unless serving needs it. */
+  private async openMetrics(): Promise<void> {
+    const { host } = this.options.member;
+    const { callersAddress, readinessAddress, peerPort, metricsPort } = this.options;
+    const { log, metrics } = this.parts.deps;
+    const portsOfServing = [callersAddress, readinessAddress, `${host}:${peerPort}`].map(portOf);
+    if (portsOfServing.includes(metricsPort)) {
+      log.event('metrics_not_served', { port: metricsPort });
+      return;
+    }
+    const address = `${host}:${metricsPort}`;
+    await this.listen(address, (at) => serveMetrics(at, metrics.registry, log));
+  }
+
   private async listen(
     address: string,
     open: (address: string) => Promise<HttpListener>,
