Records for peers: a request target that is no URL is answered, not thrown on

What was seen: a request line with the target `//`, `//:` or `http://[` got no answer on the port for peers, and its connection stayed open; the error was an uncaught one.

Cause: `new URL(request.url, base)` throws for targets that a request line may have.

Evidence: packages/edge/test/serveRecords.test.ts on the old code: 3 of 8 failed (Invalid URL, no answer); now 8 of 8 pass.

Why it works: path and query are split at the question mark, and `URLSearchParams` takes any text.

--- a/packages/edge/src/serveRecords.ts
+++ b/packages/edge/src/serveRecords.ts
@@ -16,10 +16,12 @@
  */
 const serveRecords = (address: string, view: StoreView, log: EventLog): Promise<HttpListener> =>
   HttpListener.open(address, {}, log, (request, response) => {
-    const { pathname, searchParams } = new URL(request.url ?? '/', `http://${address}`);
+    // Not `URL`, which rejects some targets that a request line may have, such as `//`.
+    const [path, query = ''] = (request.url ?? '').split('?');
+    const searchParams = new URLSearchParams(query);
     const topic = searchParams.get('topic') ?? '';
     const from = searchParams.get('from');
-    if (pathname !== '/records' || !TOPICS.has(topic) || !/^\d*$/.test(from ?? '')) {
+    if (path !== '/records' || !TOPICS.has(topic) || !/^\d*$/.test(from ?? '')) {
       response.writeHead(NOT_FOUND).end();
       return;
     }
