The own protocol: no status of the listener's own while a request of the connection is under way

What callers saw: a request that ran was answered 400 or 431, and its connection was cut, if bytes that are no request or an oversized head came behind it. By the same code 408 after 60 s, for half a head (read, not run).

Cause: Node's default handling of unreadable bytes writes a status whenever the head of the answer under way has not been sent, and destroys the connection.

Why it works: the listener uses `CallerServer`, as that of the platform does, and logs caller_unreadable.

--- a/packages/daemon/src/HttpListener.ts
+++ b/packages/daemon/src/HttpListener.ts
@@ -1,5 +1,6 @@
-import { createServer, type RequestListener, type Server } from 'node:http';
+import type { RequestListener, Server } from 'node:http';
 import type { AddressInfo } from 'node:net';
+import { CallerServer, type UnreadableBytes } from '@wisteriapath/response-ends';
 
 const IDLE_SWEEP_INTERVAL_MS = 50;
 
@@ -10,14 +11,19 @@
   private constructor(
     handler: RequestListener,
     private readonly host: string,
+    onUnreadable: (bytes: UnreadableBytes) => void,
   ) {
-    this.server = createServer(handler);
+    this.server = new CallerServer({}, handler, onUnreadable);
   }
 
   /** Starts to listen on `host:port`; rejects if the address cannot be bound. */
-  static async open(address: string, handler: RequestListener): Promise<HttpListener> {
+  static async open(
+    address: string,
+    handler: RequestListener,
+    onUnreadable: (bytes: UnreadableBytes) => void,
+  ): Promise<HttpListener> {
     const [host, port] = address.split(':');
-    const listener = new HttpListener(handler, host);
+    const listener = new HttpListener(handler, host, onUnreadable);
     await new Promise<void>((resolve, reject) => {
       listener.server.once('error', reject);
       listener.server.listen(Number(port), host, resolve);
--- a/packages/daemon/src/startInstance.ts
+++ b/packages/daemon/src/startInstance.ts
@@ -1,3 +1,4 @@
+import type { RequestListener } from 'node:http';
 import { asValue, type AwilixContainer, createContainer, InjectionMode } from 'awilix';
 import type { Logger } from 'pino';
 import type { Settings } from '@wisteriapath/config';
@@ -192,9 +193,13 @@
   const checkpointTask = new AbortController();
   void writeCheckpoints(components, checkpointTask.signal);
   const callerApi = createCallerApi(components, isReady, () => isStopping);
-  const callers = await HttpListener.open(settings.listen.callers, callerApi.app.callback());
+  const listen = (address: string, handler: RequestListener) =>
+    HttpListener.open(address, handler, (bytes) =>
+      logger.info({ address, ...bytes }, 'caller_unreadable'),
+    );
+  const callers = await listen(settings.listen.callers, callerApi.app.callback());
   const operatorApi = createOperatorApi(components, isReady);
-  const operators = await HttpListener.open(settings.listen.operators, operatorApi.app.callback());
+  const operators = await listen(settings.listen.operators, operatorApi.app.callback());
   logger.info({ callers: callers.url, operators: operators.url, peers: peerAddress }, 'started');
 
   const stop = async (): Promise<void> => {
--- /dev/null
+++ b/packages/daemon/test/httpListener.test.ts
@@ -0,0 +1,59 @@
+/** The listener of the own protocol writes no status of its own while a request of the connection is under way. */
+import { connect } from 'node:net';
+import HttpListener from '../src/HttpListener';
+
+const RUN_MS = 300;
+const REQUEST = 'GET /run HTTP/1.1\r\nHost: a\r\n\r\n';
+
+const sleep = (durationMs: number) =>
+  new Promise((resolve) => {
+    setTimeout(resolve, durationMs);
+  });
+
+/** Returns the statuses that a caller gets within a time, and how many requests ran. */
+const exchange = async (text: string, durationMs: number) => {
+  let runs = 0;
+  const listener = await HttpListener.open(
+    '127.0.0.1:0',
+    (_, response) => {
+      runs += 1;
+      setTimeout(() => response.end('done'), RUN_MS);
+    },
+    () => {},
+  );
+  const { port } = new URL(listener.url);
+  const socket = connect({ port: Number(port), host: '127.0.0.1', allowHalfOpen: true });
+  let received = '';
+  socket.on('data', (bytes: Buffer) => {
+    received += bytes.toString();
+  });
+  try {
+    socket.write(text);
+    await sleep(durationMs);
+    const statuses = [...received.matchAll(/HTTP\/1\.1 (\d{3})/g)].map(([, status]) => status);
+    return { statuses, runs, isComplete: received.endsWith('done') };
+  } finally {
+    socket.destroy();
+    listener.destroy();
+  }
+};
+
+test.each([
+  { what: 'alone', text: REQUEST },
+  { what: 'with bytes behind it that are no request', text: `${REQUEST}no request\r\n\r\n` },
+  { what: 'with an oversized head behind it', text: `${REQUEST}GET /${'x'.repeat(20_000)}` },
+])('a request that runs is answered $what', async ({ text }) => {
+  expect(await exchange(text, RUN_MS + 300)).toEqual({
+    statuses: ['200'],
+    runs: 1,
+    isComplete: true,
+  });
+});
+
+test('nothing runs behind bytes that are no request', async () => {
+  expect(await exchange(`no request\r\n\r\n${REQUEST}`, RUN_MS)).toEqual({
+    statuses: ['400'],
+    runs: 0,
+    isComplete: false,
+  });
+});
