A stalled stream goes on elsewhere only if its engine has no such run

A resumable stream that was preempted at its engine for longer than 1.2 s was closed and resumed at another engine, while some engines go on with a request whose connection has closed.

Cause: TargetAttempt took a pause for the end of a run and asked nobody.

Ruled out: waiting as long as the caller does (streams of engines that cannot be reached would never be resumed); stopping the run by a move (priced, needs another engine with room): docs/decisions/stalled-streams.md.

Fix: StallWatch asks the engine for its report before the stream counts as stalled. No connection or no answer within 0.5 s: left, about as soon as before. Its list leaves nothing out and lacks the run: left at once. Else: kept up to the caller's own limits. At most one question in 0.6 s for a stream, and one at a time for an engine. Plain services have no report and are treated as before. New log line stream_stalled.

--- /dev/null
+++ b/packages/edge/src/StallWatch.ts
@@ -0,0 +1,119 @@
+import type { RegisteredTarget } from '@wisteriapath/fleet';
+import type AdmittedRequest from './AdmittedRequest';
+import type EdgeDependencies from './EdgeDependencies';
+import mayStillRun from './mayStillRun';
+
+type Dependencies = Pick<EdgeDependencies, 'clock' | 'log' | 'table' | 'loads' | 'probe'>;
+
+interface Attempt {
+  readonly request: AdmittedRequest;
+  readonly target: RegisteredTarget;
+  /** Returns the time since the last byte of the stream, or since it was sent. */
+  readonly silentMs: () => number;
+  /** Returns whether the stream has begun. */
+  readonly hasBegun: () => boolean;
+  /** Ends the attempt, so that the stream is resumed at another target. */
+  readonly giveUp: () => void;
+}
+
+const CHECK_INTERVAL_MS = 250;
+/** Pause in a stream after which it has stalled. */
+const STALL_TIMEOUT_MS = 1_200;
+/** Time to wait for the first event, beyond the latency target. */
+const FIRST_EVENT_MARGIN_MS = 1_500;
+/** How long before a stream has stalled its engine is asked, so that one that does not answer is left in time. */
+const ASK_LEAD_MS = 450;
+/** Time between two questions to the engine of one stalled stream. */
+const ASK_INTERVAL_MS = 600;
+
+/**
+ * Watches a resumable stream for a pause that is too long. An engine that can be reached is asked whether it still works on the
+ * request, and is left only if it does not: otherwise the request would run at two engines.
+ */
+class StallWatch {
+  private timer: NodeJS.Timeout | undefined;
+
+  private isAsking = false;
+
+  private nextQuestionAtMs = -Infinity;
+
+  constructor(
+    private readonly deps: Dependencies,
+    private readonly attempt: Attempt,
+  ) {}
+
+  /** Starts to watch, until `stop` is called. */
+  start(): void {
+    this.timer = setInterval(() => {
+      void this.check();
+    }, CHECK_INTERVAL_MS);
+  }
+
+  /** Stops to watch. The answer to a question that is under way changes nothing any more. */
+  stop(): void {
+    clearInterval(this.timer);
+    this.timer = undefined;
+  }
+
+  private async check(): Promise<void> {
+    const { attempt } = this;
+    if (attempt.request.pool.engine === null) {
+      if (attempt.silentMs() >= this.limitMs && this.hasAlternative()) attempt.giveUp();
+      return;
+    }
+    if (this.isAsking || !this.isQuestionDue) return;
+    this.isAsking = true;
+    const isOver = await this.askWhetherOver();
+    this.isAsking = false;
+    if (isOver && this.timer !== undefined) attempt.giveUp();
+  }
+
+  /** Asks the engine; resolves to whether the attempt is to be given up. */
+  private async askWhetherOver(): Promise<boolean> {
+    const { attempt, deps } = this;
+    const { attemptId } = attempt.request.fields;
+    const askedAtSilentMs = attempt.silentMs();
+    const hasBegun = attempt.hasBegun();
+    const runs = await deps.probe.runs(attempt.target);
+    this.nextQuestionAtMs = deps.clock.nowMs() + ASK_INTERVAL_MS;
+    const silentMs = attempt.silentMs();
+    const goesOn = silentMs < askedAtSilentMs;
+    const isOver = !goesOn && !mayStillRun({ attemptId, hasBegun }, runs) && this.hasAlternative();
+    deps.log.event('stream_stalled', {
+      request: attemptId,
+      target: attempt.target.id,
+      silent_ms: Math.round(silentMs),
+      began: hasBegun,
+      engine: runs.contact,
+      listed: runs.ids?.has(attemptId) ?? 'unknown',
+      unlisted: runs.unlisted,
+      outcome: isOver ? 'left' : 'kept',
+    });
+    return isOver;
+  }
+
+  private get isQuestionDue(): boolean {
+    return (
+      this.attempt.silentMs() >= this.limitMs - ASK_LEAD_MS &&
+      this.deps.clock.nowMs() >= this.nextQuestionAtMs &&
+      this.hasAlternative()
+    );
+  }
+
+  /** The silence after which the stream has stalled. */
+  private get limitMs(): number {
+    const { hasBegun, request } = this.attempt;
+    return hasBegun() ? STALL_TIMEOUT_MS : request.route.latencyTargetMs + FIRST_EVENT_MARGIN_MS;
+  }
+
+  /** Whether another reachable target could resume the stream now. */
+  private hasAlternative(): boolean {
+    const { request, target } = this.attempt;
+    const { model, adapter } = request.fields;
+    return this.deps.table
+      .holding(request.pool.name, model, adapter)
+      .some(({ entry }) => entry.id !== target.id && this.deps.loads.isReachable(entry.id));
+  }
+}
+
+export default StallWatch;
--- a/packages/edge/src/TargetAttempt.ts
+++ b/packages/edge/src/TargetAttempt.ts
@@ -14,6 +14,7 @@
 import type ResponseFields from './ResponseFields';
 import ResponseMode from './ResponseMode';
 import ResponseSizeLimit from './ResponseSizeLimit';
+import StallWatch from './StallWatch';
 import mediaTypeOf from './mediaTypeOf';
 
 interface Context {
@@ -40,13 +41,8 @@
 const EVENT_STREAM = 'text/event-stream';
 /** Time to wait for the end of a refusal before its connection is closed. */
 const REFUSAL_BODY_TIMEOUT_MS = 150;
-const STALL_CHECK_INTERVAL_MS = 250;
 /** Bytes that may wait for a caller who reads slowly, where the target cannot be made to wait. */
 const MAX_UNSENT_BYTES = 8 * 1_024 * 1_024;
-/** Pause in a resumable stream after which the attempt is aborted. */
-const STREAM_STALL_TIMEOUT_MS = 1_200;
-/** Time to wait for the first event of a resumable stream, beyond its latency target. */
-const FIRST_EVENT_STALL_MARGIN_MS = 1_500;
 
 /** One attempt to run a request at a target. */
 class TargetAttempt {
@@ -129,17 +125,15 @@
       },
       Math.max(0, leftMs),
     );
-    const stallTimer =
-      context.framer === null
-        ? undefined
-        : setInterval(() => this.abortIfStalled(), STALL_CHECK_INTERVAL_MS);
+    const stallWatch = context.framer === null ? null : this.createStallWatch();
+    stallWatch?.start();
     const abortOnStop = () => exchange.abort();
     caller.disconnectSignal.addEventListener('abort', abortOnDisconnect);
     deps.stopSignal.addEventListener('abort', abortOnStop);
     const end = await exchange.ended;
     this.exchangeEnd = end;
     clearTimeout(deadlineTimer);
-    clearInterval(stallTimer);
+    stallWatch?.stop();
     clearTimeout(this.refusalTimer);
     caller.disconnectSignal.removeEventListener('abort', abortOnDisconnect);
     deps.stopSignal.removeEventListener('abort', abortOnStop);
@@ -193,28 +187,18 @@
     };
   }
 
-  /** Aborts the attempt if its stream has stalled and another target can resume it. */
-  private abortIfStalled(): void {
-    const silentMs = this.deps.clock.nowMs() - this.lastByteAtMs;
-    const { latencyTargetMs } = this.context.request.route;
-    const limitMs =
-      this.mode === ResponseMode.Streamed
-        ? STREAM_STALL_TIMEOUT_MS
-        : latencyTargetMs + FIRST_EVENT_STALL_MARGIN_MS;
-    if (silentMs < limitMs || !this.hasAlternative()) return;
-    this.hasStalled = true;
-    this.abort?.();
-  }
-
-  /** Whether another reachable target could resume the stream now. */
-  private hasAlternative(): boolean {
-    const { chosen, request } = this.context;
-    const { model, adapter } = request.fields;
-    return this.deps.table
-      .holding(request.pool.name, model, adapter)
-      .some(
-        ({ entry }) => entry.id !== chosen.view.entry.id && this.deps.loads.isReachable(entry.id),
-      );
+  private createStallWatch(): StallWatch {
+    const { deps, context } = this;
+    return new StallWatch(deps, {
+      request: context.request,
+      target: context.chosen.view.entry,
+      silentMs: () => deps.clock.nowMs() - this.lastByteAtMs,
+      hasBegun: () => this.mode === ResponseMode.Streamed,
+      giveUp: () => {
+        this.hasStalled = true;
+        this.abort?.();
+      },
+    });
   }
 
   private handleHeaders(status: number, headers: HeaderRecord): boolean {
--- a/packages/edge/src/TargetProbe.ts
+++ b/packages/edge/src/TargetProbe.ts
@@ -1,12 +1,28 @@
 import { connect } from 'node:net';
+import type { EngineControl, EngineRuns, RegisteredTarget } from '@wisteriapath/fleet';
 
 const PROBE_TIMEOUT_MS = 300;
 const REFUSED = 'ECONNREFUSED';
 
-/** Finds out whether a target has ended, after a connection to it broke. */
+/** Finds out whether a target has ended, after a connection to it broke, and on which requests an engine works. */
 class TargetProbe {
   private readonly probes = new Map<string, Promise<boolean>>();
 
+  private readonly questions = new Map<string, Promise<EngineRuns>>();
+
+  constructor(private readonly engineControl: EngineControl) {}
+
+  /** Asks an engine which requests it works on; those who ask at the same time share one question. Never rejects. */
+  runs(engine: RegisteredTarget): Promise<EngineRuns> {
+    const running = this.questions.get(engine.id);
+    if (running !== undefined) return running;
+    const question = this.engineControl
+      .runs(engine)
+      .finally(() => this.questions.delete(engine.id));
+    this.questions.set(engine.id, question);
+    return question;
+  }
+
   /**
    * Resolves to whether the target at an address refuses connections. A target that does not respond in time may be cut off,
    * and does not count as ended. Never rejects.
--- a/packages/fleet/src/EngineControl.ts
+++ b/packages/fleet/src/EngineControl.ts
@@ -1,5 +1,6 @@
 import type EngineOrder from './EngineOrder';
 import type EngineReport from './EngineReport';
+import type EngineRuns from './EngineRuns';
 import type OrderAnswer from './OrderAnswer';
 import type RegisteredTarget from './RegisteredTarget';
 
@@ -9,6 +10,8 @@
   order(target: RegisteredTarget, order: EngineOrder): Promise<OrderAnswer>;
   /** Reads the report of an engine; resolves with `undefined` if the engine did not answer. */
   report(target: RegisteredTarget): Promise<EngineReport | undefined>;
+  /** Asks an engine which requests it works on. */
+  runs(target: RegisteredTarget): Promise<EngineRuns>;
 }
 
 export default EngineControl;
--- a/packages/fleet/test/placer.test.ts
+++ b/packages/fleet/test/placer.test.ts
@@ -3,6 +3,7 @@
 import {
   type DesiredState,
   DemandAggregator,
+  EngineContact,
   type EngineControl,
   OrderKind,
   Placer,
@@ -30,6 +31,7 @@
   const control: EngineControl = {
     order: (target, order) => engines.get(target.id)!.order(target, order),
     report: (target) => engines.get(target.id)!.report(),
+    runs: () => Promise.resolve({ contact: EngineContact.Answered, unlisted: 0 }),
   };
   const demand = new DemandAggregator(clock);
   const engine = builders.engineSpec(...MODELS);
--- a/packages/fleet/test/support/FakeEngine.ts
+++ b/packages/fleet/test/support/FakeEngine.ts
@@ -15,7 +15,7 @@
 const REPORT_LAG_MS = 200;
 
 /** A fake engine that counts orders, carries out one at a time and reports with a lag. */
-class FakeEngine implements EngineControl {
+class FakeEngine implements Pick<EngineControl, 'order' | 'report'> {
   readonly orders: EngineOrder[] = [];
 
   private count = 0;
--- a/packages/fleet/test/support/startPlacers.ts
+++ b/packages/fleet/test/support/startPlacers.ts
@@ -3,6 +3,7 @@
   DemandAggregator,
   type DemandReport,
   type DesiredState,
+  EngineContact,
   type EngineControl,
   type PlacementUpdate,
   Placer,
@@ -70,6 +71,7 @@
       return answer;
     },
     report: (target) => engines.get(target.id)!.report(),
+    runs: () => Promise.resolve({ contact: EngineContact.Answered, unlisted: 0 }),
   };
   const specs = models.map((name) => ({ ...builders.model(name), diskLoadMs: DISK_LOAD_MS }));
   const engine = {
