Streams that stall are not judged by a report from before their pause

Now a stream shares only questions that were put after it asked (RunQuestions), and the failure of an open one. With the sharing of before, put back as a mutation, the first case of runQuestions fails; with the fix both pass, and stalledStreams 7 of 7.

--- a/packages/edge/src/StallWatch.ts
+++ b/packages/edge/src/StallWatch.ts
@@ -21,7 +21,10 @@
 const STALL_TIMEOUT_MS = 1_200;
 /** Time to wait for the first event, beyond the latency target. */
 const FIRST_EVENT_MARGIN_MS = 1_500;
-/** How long before a stream has stalled its engine is asked, so that one that does not answer is left in time. */
+/**
+ * How long before a stream has stalled its engine is asked, so that one that does not answer is left in time. What it answers is
+ * up to 0.6 s old, and so from after the last byte.
+ */
 const ASK_LEAD_MS = 450;
 /** Time between two questions to the engine of one stalled stream. */
 const ASK_INTERVAL_MS = 600;
--- a/packages/edge/src/TargetProbe.ts
+++ b/packages/edge/src/TargetProbe.ts
@@ -1,5 +1,6 @@
 import { connect } from 'node:net';
 import type { EngineControl, EngineRuns, RegisteredTarget } from '@wisteriapath/fleet';
+import RunQuestions from './RunQuestions';
 
 const PROBE_TIMEOUT_MS = 300;
 const REFUSED = 'ECONNREFUSED';
@@ -8,19 +9,15 @@
 class TargetProbe {
   private readonly probes = new Map<string, Promise<boolean>>();
 
-  private readonly questions = new Map<string, Promise<EngineRuns>>();
+  private readonly runQuestions: RunQuestions;
 
-  constructor(private readonly engineControl: EngineControl) {}
+  constructor(engineControl: EngineControl) {
+    this.runQuestions = new RunQuestions(engineControl);
+  }
 
-  /** Asks an engine which requests it works on; those who ask at the same time share one question. Never rejects. */
+  /** Asks an engine which requests it works on. Never rejects. */
   runs(engine: RegisteredTarget): Promise<EngineRuns> {
-    const running = this.questions.get(engine.id);
-    if (running !== undefined) return running;
-    const question = this.engineControl
-      .runs(engine)
-      .finally(() => this.questions.delete(engine.id));
-    this.questions.set(engine.id, question);
-    return question;
+    return this.runQuestions.ask(engine);
   }
 
   /**
