--- a/packages/edge/src/TargetProbe.ts
+++ b/packages/edge/src/TargetProbe.ts
@@ -1,12 +1,25 @@
 import { connect } from 'node:net';
+import type { EngineControl, EngineRuns, RegisteredTarget } from '@wisteriapath/fleet';
+import RunQuestions from './RunQuestions';
 
 const PROBE_TIMEOUT_MS = 300;
 const REFUSED = 'ECONNREFUSED';
 
-/** Finds out whether a target has ended, after a connection to it broke. */
+/** Finds out whether a target has ended, after a connection to it broke, and on which requests an engine works. */
 class TargetProbe {
   private readonly probes = new Map<string, Promise<boolean>>();
 
+  private readonly runQuestions: RunQuestions;
+
+  constructor(engineControl: EngineControl) {
+    this.runQuestions = new RunQuestions(engineControl);
+  }
+
+  /** Asks an engine which requests it works on. Never rejects. */
+  runs(engine: RegisteredTarget): Promise<EngineRuns> {
+    return this.runQuestions.ask(engine);
+  }
+
   /**
    * Resolves to whether the target at an address refuses connections. A target that does not respond in time may be cut off,
    * and does not count as ended. Never rejects.
