--- a/packages/daemon/test/koaResponseSink.test.ts
+++ b/packages/daemon/test/koaResponseSink.test.ts
@@ -5,7 +5,11 @@
 import KoaResponseSink from '../src/KoaResponseSink';
 
 /** Sends one request and returns all bytes that come until the connection ends, without the date. */
-const receive = async (port: number, version = '1.1'): Promise<string> => {
+const receive = async (
+  port: number,
+  version = '1.1',
+  onData: (text: string) => void = () => {},
+): Promise<string> => {
   const socket = connect(port, '127.0.0.1');
   socket.write(`GET / HTTP/${version}\r\nHost: a\r\nConnection: keep-alive\r\n\r\n`);
   let text = '';
@@ -19,6 +23,7 @@
   });
   socket.on('data', (bytes: Buffer) => {
     text += bytes.toString();
+    onData(text);
     isComplete = text.endsWith('0\r\n\r\n') || text.endsWith('booked');
     if (isComplete) socket.end();
   });
@@ -53,13 +58,17 @@
 });
 
 test('a caller of HTTP/1.0 sees by a reset that a response was broken off', async () => {
+  let abort = () => {};
   const server = await start((sink) => {
+    abort = () => sink.abort();
     sink.begin(200, { 'content-type': 'text/plain' });
     void sink.write('boo');
-    setTimeout(() => sink.abort(), 30);
   });
+  const abortOnceReceived = (text: string) => {
+    if (text.endsWith('boo')) abort();
+  };
   try {
-    expect(await receive(server.port, '1.0')).toContain('(reset)');
+    expect(await receive(server.port, '1.0', abortOnceReceived)).toContain('(reset)');
   } finally {
     server.close();
   }
