LOST: a connection whose last answer is still being sent is not idle

Cause: Node's `closeIdleConnections`, which `server.close()` calls too, takes a connection for idle once the answer has been ended here, though its bytes have not gone out.

--- a/packages/response-ends/src/CallerConnection.ts
+++ b/packages/response-ends/src/CallerConnection.ts
@@ -24,6 +24,9 @@
 
   private isEnding = false;
 
+  /** Bytes that had been read when the last whole request had arrived; undefined if none has. */
+  private requestBytes: number | undefined;
+
   constructor(private readonly socket: Socket) {}
 
   /** Number of requests whose responses the caller has not been sent in full. */
@@ -31,6 +34,11 @@
     return this.exchanges.size;
   }
 
+  /** Whether all requests have been answered, the caller has been sent the answers in full, and no further request has begun. */
+  get isIdle(): boolean {
+    return this.underWay === 0 && this.socket.bytesRead === this.requestBytes;
+  }
+
   /** Whether nothing more is read from this connection. */
   get hasRefused(): boolean {
     return this.isEnding;
@@ -40,6 +48,9 @@
   track(request: IncomingMessage, response: ServerResponse): void {
     const exchange = { request, response };
     this.exchanges.add(exchange);
+    request.once('end', () => {
+      this.requestBytes = this.socket.bytesRead;
+    });
     response.once('close', () => {
       this.exchanges.delete(exchange);
       if (this.isEnding && this.underWay === 0) this.end();
--- /dev/null
+++ b/packages/response-ends/test/callerServer.test.ts
@@ -0,0 +1,82 @@
+/** A server that is being closed sends slow callers the rest of answers that have been ended. */
+import { once } from 'node:events';
+import { connect, type AddressInfo, type Socket } from 'node:net';
+import CallerServer from '../src/CallerServer';
+
+const ANSWER_BYTES = 8_388_608;
+const REQUEST = 'GET / HTTP/1.1\r\nHost: a\r\n\r\n';
+const POLL_INTERVAL_MS = 50;
+const PAUSE_MS = 300;
+
+const sleep = (durationMs: number) =>
+  new Promise((resolve) => {
+    setTimeout(resolve, durationMs);
+  });
+
+/** Reads to the end of the connection, or until it has been silent for a second; returns the number of bytes. */
+const countBytes = async (socket: Socket): Promise<number> => {
+  let size = 0;
+  socket.on('data', (bytes: Buffer) => {
+    size += bytes.length;
+  });
+  socket.resume();
+  for (let seen = -1; seen !== size && !socket.destroyed; await sleep(1_000)) seen = size;
+  return size;
+};
+
+const start = async () => {
+  const server = new CallerServer(
+    {},
+    (request, response) => {
+      response.end(Buffer.alloc(request.url === '/short' ? 6 : ANSWER_BYTES));
+    },
+    () => {},
+  );
+  server.listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  const { port } = server.address() as AddressInfo;
+  return { server, open: () => connect(port, '127.0.0.1').on('error', () => {}) };
+};
+
+test('a closing server does not cut off an answer that its caller has not taken yet', async () => {
+  const { server, open } = await start();
+  const socket = open();
+  try {
+    socket.pause();
+    socket.write(REQUEST);
+    await sleep(PAUSE_MS);
+    server.close();
+    const sweep = setInterval(() => server.closeIdleConnections(), POLL_INTERVAL_MS);
+    await sleep(PAUSE_MS);
+    const size = await countBytes(socket);
+    clearInterval(sweep);
+    expect(size).toBeGreaterThanOrEqual(ANSWER_BYTES);
+  } finally {
+    socket.destroy();
+    server.closeAllConnections();
+  }
+});
+
+test.each([
+  { what: 'has taken its answer', text: REQUEST.replace('/', '/short') },
+  {
+    what: 'was refused for its expectation',
+    text: REQUEST.replace('\r\n', '\r\nExpect: 200-ok\r\n'),
+  },
+])('a closing server closes a connection whose caller $what', async ({ text }) => {
+  const { server, open } = await start();
+  const socket = open();
+  try {
+    socket.write(text);
+    await once(socket, 'data');
+    const closed = once(server, 'close');
+    await sleep(POLL_INTERVAL_MS);
+    server.close();
+    const sweep = setInterval(() => server.closeIdleConnections(), POLL_INTERVAL_MS);
+    await closed;
+    clearInterval(sweep);
+  } finally {
+    socket.destroy();
+    server.closeAllConnections();
+  }
+});
