Log: a pipe that nobody reads no longer keeps a process from ending

Operators would see a process that has stopped (its last line waits in a buffer) and never ends, until it is killed at the end of its grace.

Cause: a write to a full pipe blocks a thread of libuv's pool, and process.exit waits for that thread. LineLog.close gave up after 0.5 s, to no effect.

Fix: if standard output is a pipe, it is opened once more without blocking; a full pipe is then an EAGAIN, after which the same bytes are tried again, within the bounded buffer. close gives up after 0.2 s, by the steady clock (a step of the time of day could prolong it before). Where the pipe cannot be opened again, the inherited descriptor is written to as before: a socket that nobody reads can still block the end (open).

Evidence: programOutput, the built program with a full pipe: before, not ended 3 s after SIGTERM; now code 0 within its grace of 3 s. That lines come once the pipe is read again held before too.

--- a/packages/edge/src/LineLog.ts
+++ b/packages/edge/src/LineLog.ts
@@ -2,19 +2,23 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { stringify } from 'logfmt';
 import type { EventLog } from '@wisteriapath/fleet';
+import openLogOutput from './openLogOutput';
 
-const STDOUT = 1;
 const FLUSH_INTERVAL_MS = 100;
 /** Size of the buffer beyond which lines are dropped and counted. */
 const MAX_BUFFERED_BYTES = 262_144;
-/** Time for which `close` waits for a write in progress. */
-const CLOSE_TIMEOUT_MS = 500;
+/** Time for which `close` tries to write what is buffered. */
+const CLOSE_TIMEOUT_MS = 200;
 const CLOSE_POLL_INTERVAL_MS = 5;
+const NO_BYTES = Buffer.alloc(0);
 
 /** An event log that writes one logfmt line for each event to standard output, outside of request handling. */
 class LineLog implements EventLog {
   private lines: string[] = [];
 
+  /** Bytes of lines whose write is in progress, or is to be tried again. */
+  private unwritten: Buffer = NO_BYTES;
+
   private bufferedBytes = 0;
 
   private droppedLines = 0;
@@ -23,6 +27,8 @@
 
   private timer: NodeJS.Timeout | undefined;
 
+  private readonly output = openLogOutput();
+
   constructor(private readonly instance: string) {}
 
   /** Adds a line to the buffer; drops it if the buffer is full. */
@@ -35,52 +41,71 @@
     const line = `${stringify({ time, instance: this.instance, event: name, ...fields })}\n`;
     this.lines.push(line);
     this.bufferedBytes += line.length;
-    this.timer ??= setTimeout(() => this.flush(), FLUSH_INTERVAL_MS);
+    this.schedule();
   }
 
-  /** Writes the buffered lines, before the process exits. */
+  /** Writes the buffered lines, before the process exits. Gives up if nobody reads them. */
   async close(): Promise<void> {
+    const deadlineMs = performance.now() + CLOSE_TIMEOUT_MS;
+    this.flush();
+    while (this.hasBuffered && performance.now() < deadlineMs) {
+      await sleep(CLOSE_POLL_INTERVAL_MS);
+      this.flush();
+    }
     clearTimeout(this.timer);
-    const deadlineMs = Date.now() + CLOSE_TIMEOUT_MS;
-    while (this.isWriting && Date.now() < deadlineMs) await sleep(CLOSE_POLL_INTERVAL_MS);
-    await new Promise<void>((resolve) => {
-      this.flush(resolve);
-    });
   }
 
-  private flush(done: () => void = () => {}): void {
+  private get hasBuffered(): boolean {
+    return this.lines.length > 0 || this.unwritten.length > 0;
+  }
+
+  private schedule(): void {
+    this.timer ??= setTimeout(() => this.flush(), FLUSH_INTERVAL_MS);
+  }
+
+  private flush(): void {
+    clearTimeout(this.timer);
     this.timer = undefined;
-    if (this.isWriting || this.lines.length === 0) {
-      done();
-      return;
-    }
+    if (this.isWriting || !this.hasBuffered) return;
+    if (this.unwritten.length === 0) this.unwritten = this.takeLines();
+    this.isWriting = true;
+    this.writeUnwritten();
+  }
+
+  private takeLines(): Buffer {
     if (this.droppedLines > 0) {
       const count = this.droppedLines;
       this.droppedLines = 0;
-      this.lines.push(
-        `${stringify({ instance: this.instance, event: 'lines_left_out', count })}\n`,
-      );
+      const fields = { instance: this.instance, event: 'lines_left_out', count };
+      this.lines.push(`${stringify(fields)}\n`);
     }
     const bytes = Buffer.from(this.lines.join(''));
     this.lines = [];
-    this.isWriting = true;
-    this.writeAll(bytes, 0, done);
+    return bytes;
   }
 
-  private writeAll(bytes: Buffer, from: number, done: () => void): void {
-    write(STDOUT, bytes, from, bytes.length - from, null, (error, written) => {
-      const isPartial = error === null && from + written < bytes.length;
-      if (isPartial) {
-        this.writeAll(bytes, from + written, done);
+  private writeUnwritten(): void {
+    write(this.output, this.unwritten, (error, written) => {
+      this.unwritten = this.rest(error, written);
+      if (error === null && this.unwritten.length > 0) {
+        this.writeUnwritten();
         return;
       }
-      // A failed write is not retried, and there is no other place to report it.
       this.isWriting = false;
-      this.bufferedBytes = this.lines.reduce((sum, line) => sum + line.length, 0);
-      if (this.lines.length > 0) this.timer ??= setTimeout(() => this.flush(), FLUSH_INTERVAL_MS);
-      done();
+      this.bufferedBytes = this.lines.reduce(
+        (sum, line) => sum + line.length,
+        this.unwritten.length,
+      );
+      if (this.hasBuffered) this.schedule();
     });
   }
+
+  /** Returns the bytes that are still to be written after a write. */
+  private rest(error: NodeJS.ErrnoException | null, written: number): Buffer {
+    if (error === null) return this.unwritten.subarray(written);
+    // Only a full pipe is tried again; there is no other place to report the error.
+    return error.code === 'EAGAIN' ? this.unwritten : NO_BYTES;
+  }
 }
 
 export default LineLog;
