GONE: a pipelined request is given up with its connection

What was seen: of two pipelined requests under way, only the first was given up when the caller's connection closed. The second ran on to its timeout, its body kept its memory, and a planned stop waited for it to the end of its grace.

Cause: Node emits `close` only at the response that has the socket, not at those that wait behind it.

Why it works: `CallerServer` knows the responses of a connection, and tells those that are left when it has closed.

--- a/packages/edge/src/CallerExchange.ts
+++ b/packages/edge/src/CallerExchange.ts
@@ -75,7 +75,7 @@
 
   /** Calls back once the caller has taken the whole response, or its connection has ended. */
   onClosed(callback: () => void): void {
-    if (this.response.closed) callback();
+    if (this.response.closed || this.disconnectSignal.aborted) callback();
     else this.response.once('close', callback);
   }
 
--- a/packages/response-ends/src/CallerConnection.ts
+++ b/packages/response-ends/src/CallerConnection.ts
@@ -76,6 +76,11 @@
     return isFirst;
   }
 
+  /** Tells responses that their connection has closed. Node.js tells only the first one, not those that wait behind it. */
+  closeResponses(): void {
+    this.exchanges.forEach(({ response }) => response.emit('close'));
+  }
+
   /** Takes the connection from the parser, which would serve what still arrives. That is read, as a close beside unread bytes is a reset. */
   private discardInput(): void {
     const { socket } = this;
--- a/packages/response-ends/src/CallerServer.ts
+++ b/packages/response-ends/src/CallerServer.ts
@@ -49,8 +49,13 @@
   }
 
   private trackConnection(socket: Socket): void {
-    this.callerConnections.set(socket, new CallerConnection(socket));
-    socket.once('close', () => this.callerConnections.delete(socket));
+    const connection = new CallerConnection(socket);
+    this.callerConnections.set(socket, connection);
+    socket.once('close', () => {
+      this.callerConnections.delete(socket);
+      // After the listeners of Node.js for the same event.
+      process.nextTick(() => connection.closeResponses());
+    });
   }
 
   private trackRequest(request: IncomingMessage, response: ServerResponse): void {
