Entries that another writer put into the store move no target

The placers of two zones gave orders to one engine with the same fencing token; with another service, its requests ran there.

Cause: decodeTarget took missing or mistyped fields for values of its own, and TargetTable believed whatever an entry said of a life that was known.

An entry that names another service or zone within one life (same born) is ignored, as an older one is; the third in a row is believed, which finds a target whose first entry was of another writer (target_entry_ignored). An ignored entry no longer puts off a removal. After an ignored record the target's next entry is relayed though it says nothing new, else peers would keep the odd one as the newest of its key.

What remains: an entry with all fields in order and a later born cannot be told from a restart; three entries of the target bring it back.

--- a/packages/edge/src/StoreView.ts
+++ b/packages/edge/src/StoreView.ts
@@ -1,3 +1,4 @@
+import { type Either, Left } from 'purify-ts';
 import type { Clock } from '@wisteriapath/model';
 import {
   type DesiredState,
@@ -34,6 +35,8 @@
   readonly atMs: number | undefined;
 }
 
+/** The value of a record is empty: it deletes its key. */
+const DELETED = Left('the record is a deletion');
 /** Name of the store as the source of records, in log lines. */
 const STORE = 'store';
 
@@ -51,6 +54,9 @@
   /** Deletions of known targets that are not final yet, by id. */
   private readonly pendingRemovals = new Map<string, PendingRemoval>();
 
+  /** Targets whose newest record was ignored, as it is not readable or does not fit what is known. */
+  private readonly ignoredKeys = new Set<string>();
+
   constructor(private readonly deps: Dependencies) {
     const createReplica = () => new TopicReplica(deps.clock);
     this.replicas = {
@@ -173,43 +179,68 @@
 
   private mergeTargets(replica: TopicReplica, span: RecordSpan, source: string): void {
     const { table } = this.deps;
-    const entries = new Map<KeyedRecord, RegisteredTarget | undefined>();
-    const entryOf = (record: KeyedRecord): RegisteredTarget | undefined => {
-      if (!entries.has(record)) entries.set(record, this.decodeTarget(record));
-      return entries.get(record);
-    };
-    const isRepeat = (record: KeyedRecord): boolean => {
-      const entry = entryOf(record);
-      return entry !== undefined && !table.hasNewContent(entry);
+    const entries = new Map<KeyedRecord, Either<string, RegisteredTarget>>();
+    const entryOf = (record: KeyedRecord): Either<string, RegisteredTarget> => {
+      const entry = entries.get(record) ?? this.decodeTarget(record);
+      entries.set(record, entry);
+      return entry;
     };
+    // After a record that was ignored, peers need the next one, though it says nothing new.
+    const isRepeat = (record: KeyedRecord): boolean =>
+      !this.ignoredKeys.has(record.key) &&
+      entryOf(record)
+        .map((entry) => !table.hasNewContent(entry))
+        .orDefault(false);
     replica.merge(span, isRepeat).forEach((record) => {
       if (record.value.length === 0) this.scheduleRemoval(record, source);
       else this.applyTarget(record, entryOf(record), source);
     });
   }
 
-  private decodeTarget({ key, value, ageMs }: KeyedRecord): RegisteredTarget | undefined {
-    if (value.length === 0) return undefined;
-    const entry = this.deps.decoder.target(key, value);
-    if (entry === undefined) return undefined;
-    return { ...entry, coldLeftMs: Math.max(0, entry.coldLeftMs - ageMs) };
+  private decodeTarget({ key, value, ageMs }: KeyedRecord): Either<string, RegisteredTarget> {
+    if (value.length === 0) return DELETED;
+    return this.deps.decoder
+      .target(key, value)
+      .map((entry) => ({ ...entry, coldLeftMs: Math.max(0, entry.coldLeftMs - ageMs) }));
   }
 
   private applyTarget(
     record: KeyedRecord,
-    entry: RegisteredTarget | undefined,
+    decoded: Either<string, RegisteredTarget>,
     source: string,
   ): void {
-    const { table, log } = this.deps;
     const { key, offset } = record;
-    if (entry === undefined) {
-      log.event('target_entry_unreadable', { target: key, offset, source });
+    decoded.caseOf({
+      Left: (reason) => {
+        this.ignoredKeys.add(key);
+        this.deps.log.event('target_entry_unreadable', { target: key, reason, offset, source });
+      },
+      Right: (entry) => this.applyEntry(entry, record, source),
+    });
+  }
+
+  private applyEntry(entry: RegisteredTarget, record: KeyedRecord, source: string): void {
+    const { table } = this.deps;
+    const known = table.get(entry.id)?.entry;
+    const isColder = table.hasLongerColdTime(entry);
+    if (!table.applyEntry(entry)) {
+      this.ignoredKeys.add(entry.id);
+      this.logIgnored(entry, record, source);
       return;
     }
-    this.pendingRemovals.delete(key);
-    this.logTarget(entry, record, source);
-    if (table.hasLongerColdTime(entry)) this.logCold(entry);
-    table.applyEntry(entry);
+    this.ignoredKeys.delete(entry.id);
+    this.pendingRemovals.delete(entry.id);
+    if (known?.isLeaving !== entry.isLeaving) this.logTarget(entry, record, source);
+    if (isColder) this.logCold(entry);
+  }
+
+  private logIgnored(
+    { id, pool, failureDomain, entryNumber, bornMs }: RegisteredTarget,
+    { offset }: KeyedRecord,
+    source: string,
+  ): void {
+    const said = { pool, zone: failureDomain, entry: entryNumber, born_ms: bornMs };
+    this.deps.log.event('target_entry_ignored', { target: id, ...said, offset, source });
   }
 
   private logTarget(
@@ -217,8 +248,6 @@
     { offset, ageMs }: KeyedRecord,
     source: string,
   ): void {
-    const known = this.deps.table.get(id);
-    if (known !== undefined && known.entry.isLeaving === isLeaving) return;
     this.deps.log.event('target_seen', {
       target: id,
       pool,
@@ -240,6 +269,7 @@
   /** Removes a target as soon as the deletion of its entry is final. */
   private scheduleRemoval({ key, offset, settlesInMs }: KeyedRecord, source: string): void {
     const { clock, table, log } = this.deps;
+    this.ignoredKeys.delete(key);
     if (table.get(key) === undefined) return;
     const atMs = source === STORE ? undefined : clock.nowMs() + settlesInMs;
     this.pendingRemovals.set(key, { offset, atMs });
--- a/packages/edge/test/storeView.test.ts
+++ b/packages/edge/test/storeView.test.ts
@@ -1,4 +1,5 @@
 /** The instance that reads the store relays every change that the others need. */
+import { Left, Right } from 'purify-ts';
 import VirtualClock from '@wisteriapath/virtual-clock';
 import {
   type RecordDecoder,
@@ -9,40 +10,79 @@
 import StoreView from '../src/StoreView';
 import targetEntry from './support/targetEntry';
 
-test('an engine that turns cold again before it was warm is relayed as cold', async () => {
+/** Value of a record that holds no entry. */
+const UNREADABLE = 255;
+
+const start = () => {
   const clock = new VirtualClock();
+  const table = new TargetTable(clock);
   const entries: RegisteredTarget[] = [];
-  const relayed: number[] = [];
+  const relayed: RegisteredTarget[] = [];
+  const lines: string[] = [];
   const view = new StoreView({
     clock,
-    table: new TargetTable(clock),
+    table,
     // A record holds the number of its entry.
     decoder: {
-      target: (_: string, value: Uint8Array) => entries[value[0]],
+      target: (_: string, value: Uint8Array) =>
+        value[0] < entries.length ? Right(entries[value[0]]) : Left('odd'),
     } as unknown as RecordDecoder,
-    log: { event: () => {} },
+    log: { event: (name) => lines.push(name) },
     settlingMs: () => 0,
     onDesiredState: () => {},
     onTargetsRemoved: () => {},
     relayTargets: ({ records }) =>
-      relayed.push(...records.map(({ value }) => entries[value[0]].coldLeftMs)),
+      relayed.push(...records.map(({ value }) => entries[value[0]]).filter(Boolean)),
   });
-  const read = (from: number | null, target: RegisteredTarget) => {
-    const offset = from ?? 0;
-    const value = new Uint8Array([entries.push(target) - 1]);
+  let end = 0;
+  const readValue = (key: string, value: Uint8Array) => {
+    const from = end === 0 ? null : end;
+    end += 1;
     view.mergeFromStore(StoreTopic.Targets, {
       from,
-      to: offset + 1,
-      records: [{ key: target.id, offset, value, ageMs: 0, settlesInMs: 0 }],
+      to: end,
+      records: [{ key, offset: end - 1, value, ageMs: 0, settlesInMs: 0 }],
       hasEveryRecord: true,
       settlesInMs: 0,
     });
   };
-  read(null, targetEntry({ id: 'other' }));
-  read(1, targetEntry({ coldLeftMs: 500 }));
+  return {
+    clock,
+    table,
+    relayed,
+    lines,
+    readUnreadable: (id: string) => readValue(id, new Uint8Array([UNREADABLE])),
+    read: (target: RegisteredTarget) =>
+      readValue(target.id, new Uint8Array([entries.push(target) - 1])),
+  };
+};
+
+test('an engine that turns cold again before it was warm is relayed as cold', async () => {
+  const { clock, relayed, read } = start();
+  read(targetEntry({ id: 'other' }));
+  read(targetEntry({ coldLeftMs: 500 }));
   await clock.advance(400);
-  read(2, targetEntry({ entryNumber: 2, coldLeftMs: 3_000 }));
+  read(targetEntry({ entryNumber: 2, coldLeftMs: 3_000 }));
   await clock.advance(1_000);
-  read(3, targetEntry({ entryNumber: 3, coldLeftMs: 1_990 }));
-  expect(relayed).toEqual([500, 3_000]);
+  read(targetEntry({ entryNumber: 3, coldLeftMs: 1_990 }));
+  expect(relayed.map(({ coldLeftMs }) => coldLeftMs)).toEqual([500, 3_000]);
+});
+
+test('the entry of a target after one of another writer is relayed, though it says nothing new', () => {
+  const { table, relayed, lines, read, readUnreadable } = start();
+  read(targetEntry({ id: 'other' }));
+  read(targetEntry());
+  readUnreadable('target-0');
+  read(targetEntry({ entryNumber: 2 }));
+  read(targetEntry({ entryNumber: 3, failureDomain: 'b' }));
+  read(targetEntry({ entryNumber: 3 }));
+  read(targetEntry({ entryNumber: 4 }));
+  expect(relayed.map(({ entryNumber, failureDomain }) => [entryNumber, failureDomain])).toEqual([
+    [1, 'a'],
+    [2, 'a'],
+    [3, 'b'],
+    [3, 'a'],
+  ]);
+  expect(table.get('target-0')?.entry.failureDomain).toBe('a');
+  expect(lines.slice(-2)).toEqual(['target_entry_unreadable', 'target_entry_ignored']);
 });
--- a/packages/fleet/src/RecordDecoder.ts
+++ b/packages/fleet/src/RecordDecoder.ts
@@ -1,3 +1,4 @@
+import type { Either } from 'purify-ts';
 import type DesiredState from './DesiredState';
 import type RegisteredTarget from './RegisteredTarget';
 
@@ -9,8 +10,8 @@
   isDesiredState(key: string): boolean;
   /** Decodes a desired state; undefined if it is not valid. */
   desiredState(value: Uint8Array): DesiredState | undefined;
-  /** Decodes a target's entry; undefined if it is not valid. */
-  target(id: string, value: Uint8Array): RegisteredTarget | undefined;
+  /** Decodes a target's entry; returns the reason if it is not valid. */
+  target(id: string, value: Uint8Array): Either<string, RegisteredTarget>;
 }
 
 export default RecordDecoder;
--- a/packages/fleet/src/TargetTable.ts
+++ b/packages/fleet/src/TargetTable.ts
@@ -27,20 +27,28 @@
   absentUntilMs: Map<string, number>;
   leavingSource: LeavingSource;
   pausedUntilMs: number;
-  /** Entries that were ignored as older, in a row and each newer than the one before it. */
-  olderEntries: RegisteredTarget[];
+  /** Entries that were ignored, in a row and each newer than the one before it. */
+  ignoredEntries: RegisteredTarget[];
 }
 
 /**
- * Older entries in a row after which they are believed. One or two may be writes that were carried out late; more are
- * from a target whose entry another writer had overwritten.
+ * Ignored entries in a row after which they are believed. One or two may be writes that were carried out late, or of
+ * another writer; more are from a target whose entry another writer had overwritten.
  */
-const OLDER_ENTRIES_TO_BELIEVE = 3;
+const IGNORED_ENTRIES_TO_BELIEVE = 3;
 
 const isOlder = (entry: RegisteredTarget, known: RegisteredTarget): boolean =>
   entry.bornMs < known.bornMs ||
   (entry.bornMs === known.bornMs && entry.entryNumber < known.entryNumber);
 
+/** Whether an entry says what cannot become true of a target within one life: another pool or failure domain. */
+const contradicts = (entry: RegisteredTarget, known: RegisteredTarget): boolean =>
+  entry.bornMs === known.bornMs &&
+  (entry.pool !== known.pool || entry.failureDomain !== known.failureDomain);
+
+const isDoubtful = (entry: RegisteredTarget, known: RegisteredTarget): boolean =>
+  isOlder(entry, known) || contradicts(entry, known);
+
 /** The targets of all pools, as known to this instance. */
 class TargetTable {
   private readonly rows = new Map<string, Row>();
@@ -63,25 +71,31 @@
   /** Whether a known target stays cold for longer by this entry than known so far. */
   hasLongerColdTime(entry: RegisteredTarget): boolean {
     const known = this.rows.get(entry.id);
-    if (known === undefined || entry.coldLeftMs <= 0 || isOlder(entry, known.entry)) return false;
+    if (known === undefined || entry.coldLeftMs <= 0) return false;
+    if (isDoubtful(entry, known.entry)) return false;
     return this.clock.nowMs() + entry.coldLeftMs > known.coldUntilMs;
   }
 
-  /** Applies an entry; ignores one that is older than the known entry, but for the third in a row. */
-  applyEntry(entry: RegisteredTarget): void {
+  /**
+   * Applies an entry; returns false if it was ignored. That is one that is older than the known entry, or contradicts it,
+   * but for the third in a row.
+   */
+  applyEntry(entry: RegisteredTarget): boolean {
     const known = this.rows.get(entry.id);
     if (known === undefined || entry.bornMs > known.entry.bornMs) {
       this.addRow(entry);
-      return;
+      return true;
     }
-    if (!isOlder(entry, known.entry)) {
+    if (!isDoubtful(entry, known.entry)) {
       this.updateRow(known, entry);
-      return;
+      return true;
     }
-    const last = known.olderEntries.at(-1);
+    const last = known.ignoredEntries.at(-1);
     const continues = last !== undefined && isOlder(last, entry);
-    known.olderEntries = continues ? [...known.olderEntries, entry] : [entry];
-    if (known.olderEntries.length >= OLDER_ENTRIES_TO_BELIEVE) this.addRow(entry);
+    known.ignoredEntries = continues ? [...known.ignoredEntries, entry] : [entry];
+    if (known.ignoredEntries.length < IGNORED_ENTRIES_TO_BELIEVE) return false;
+    this.addRow(entry);
+    return true;
   }
 
   private addRow(entry: RegisteredTarget): void {
@@ -101,7 +115,7 @@
       absentUntilMs: new Map(),
       leavingSource: isSameStart ? known.leavingSource : LeavingSource.None,
       pausedUntilMs: isSameStart ? known.pausedUntilMs : 0,
-      olderEntries: [],
+      ignoredEntries: [],
     });
     this.changes.notify();
   }
@@ -109,7 +123,7 @@
   private updateRow(row: Row, entry: RegisteredTarget): void {
     const isSame = isSameEntry(entry, row.entry);
     const coldUntilMs = this.clock.nowMs() + entry.coldLeftMs;
-    Object.assign(row, { entry, coldUntilMs, olderEntries: [] });
+    Object.assign(row, { entry, coldUntilMs, ignoredEntries: [] });
     if (!isSame) this.inServiceByPool.clear();
     if (this.clock.nowMs() >= row.placementPrecedenceUntilMs) this.setModels(row, entry.models);
     // A change other than of its models can also make the engine usable again.
--- a/packages/fleet/test/targetTable.test.ts
+++ b/packages/fleet/test/targetTable.test.ts
@@ -49,6 +49,37 @@
     expect(ids('a')).toEqual(['one']);
   });
 
+  test.each([{ pool: 'desk' }, { failureDomain: 'b' }])(
+    'an entry of another writer does not move a target within its life: %j',
+    (more) => {
+      const { table, ids } = start();
+      table.applyEntry(builders.target('one', ['a'], { entryNumber: 5 }));
+      const forged = builders.target('one', ['a'], { ...more, entryNumber: 6, coldLeftMs: 9 });
+      expect(table.hasLongerColdTime(forged)).toBe(false);
+      expect([1, 2, 3, 4].map(() => table.applyEntry(forged))).toEqual(Array(4).fill(false));
+      expect(ids('a')).toEqual(['one']);
+      expect(table.get('one')?.entry.failureDomain).toBe('a');
+      expect(table.applyEntry(builders.target('one', ['a'], { entryNumber: 6 }))).toBe(true);
+    },
+  );
+
+  test('a target whose first entry was of another writer is found after three entries in a row', () => {
+    const { table } = start();
+    table.applyEntry(builders.target('one', [], { failureDomain: 'b', entryNumber: 4 }));
+    const applied = [5, 6, 7].map((entryNumber) =>
+      table.applyEntry(builders.target('one', [], { entryNumber })),
+    );
+    expect(applied).toEqual([false, false, true]);
+    expect(table.get('one')?.entry.failureDomain).toBe('a');
+  });
+
+  test('a target may start anew in another failure domain', () => {
+    const { table } = start();
+    table.applyEntry(builders.target('one', []));
+    table.applyEntry(builders.target('one', [], { bornMs: 2, failureDomain: 'b' }));
+    expect(table.get('one')?.entry.failureDomain).toBe('b');
+  });
+
   test('a target that restarted under the same id holds what its new entry says', () => {
     const { table, ids } = start();
     table.applyEntry(builders.target('one', ['a'], { entryNumber: 50 }));
