Peers hear of a target that registers anew before its removal is final

The reader kept the target; its peers were not told and would have removed it until something else in its entry changed.

Cause: a record that says nothing new against the table is not relayed, and the table still has the target while its removal is pending.

Fix: a record after a deletion that is not final is no repeat.

Evidence: storeView.test.ts on the code before: the relay had the first entry alone. Not shown in a run of several instances.

--- a/packages/edge/src/StoreView.ts
+++ b/packages/edge/src/StoreView.ts
@@ -185,9 +185,10 @@
       entries.set(record, entry);
       return entry;
     };
-    // After a record that was ignored, peers need the next one, though it says nothing new.
+    // After a deletion or a record that was ignored, peers need the next one, though it says nothing new.
     const isRepeat = (record: KeyedRecord): boolean =>
       !this.ignoredKeys.has(record.key) &&
+      !this.pendingRemovals.has(record.key) &&
       entryOf(record)
         .map((entry) => !table.hasNewContent(entry))
         .orDefault(false);
--- a/packages/edge/test/storeView.test.ts
+++ b/packages/edge/test/storeView.test.ts
@@ -10,10 +10,11 @@
 import StoreView from '../src/StoreView';
 import targetEntry from './support/targetEntry';
 
+const SETTLING_MS = 2_000;
 /** Value of a record that holds no entry. */
 const UNREADABLE = 255;
 
-const start = () => {
+const start = (settlingMs = 0) => {
   const clock = new VirtualClock();
   const table = new TargetTable(clock);
   const entries: RegisteredTarget[] = [];
@@ -28,7 +29,7 @@
         value[0] < entries.length ? Right(entries[value[0]]) : Left('odd'),
     } as unknown as RecordDecoder,
     log: { event: (name) => lines.push(name) },
-    settlingMs: () => 0,
+    settlingMs: () => settlingMs,
     onDesiredState: () => {},
     onTargetsRemoved: () => {},
     relayTargets: ({ records }) =>
@@ -52,6 +53,7 @@
     relayed,
     lines,
     readUnreadable: (id: string) => readValue(id, new Uint8Array([UNREADABLE])),
+    readDeletion: (id: string) => readValue(id, new Uint8Array()),
     read: (target: RegisteredTarget) =>
       readValue(target.id, new Uint8Array([entries.push(target) - 1])),
   };
@@ -86,3 +88,13 @@
   expect(table.get('target-0')?.entry.failureDomain).toBe('a');
   expect(lines.slice(-2)).toEqual(['target_entry_unreadable', 'target_entry_ignored']);
 });
+
+test('a target that registers anew before its removal is final is relayed, so that peers do not remove it', () => {
+  const { table, relayed, read, readDeletion } = start(SETTLING_MS);
+  read(targetEntry({ id: 'other' }));
+  read(targetEntry());
+  readDeletion('target-0');
+  read(targetEntry({ entryNumber: 2 }));
+  expect(relayed.map(({ entryNumber }) => entryNumber)).toEqual([1, 2]);
+  expect(table.get('target-0')).toBeDefined();
+});
