QUOTA: what a silent peer is presumed to spend is taken from the refill, not from the burst

Cause: the refill was cut off at the burst before the presumption was taken, and a peer that had said that it stops was presumed to go on.

Why it works: refill and presumption are one sum, which is then bounded by the burst; isStopping ends a peer's share.

--- a/packages/edge/src/WorkspaceLimits.ts
+++ b/packages/edge/src/WorkspaceLimits.ts
@@ -33,6 +33,8 @@
   presumed: number;
   /** Until when they have been taken, on the monotonic clock. */
   presumedToMs: number;
+  /** Whether the source said that it stops, so that its silence is its end. */
+  readonly isStopping: boolean;
 }
 
 /** What is known of the peers that spend from the same limit. */
@@ -153,7 +155,7 @@
   }
 
   /** Applies the usage in the heartbeat of a peer; `isOwnIncluded` if it contains what this instance reported. */
-  applyHeartbeat({ member, kind, usage }: Heartbeat, isOwnIncluded = false): void {
+  applyHeartbeat({ member, kind, usage, isStopping }: Heartbeat, isOwnIncluded = false): void {
     const nowMs = this.clock.nowMs();
     const isPooled = kind === HeartbeatKind.Pooled;
     if (isPooled) this.isPooled = true;
@@ -183,6 +185,7 @@
         reportedAtMs: nowMs,
         presumed: 0,
         presumedToMs: nowMs,
+        isStopping: isStopping && !isPooled,
       });
       if (bucket !== undefined) this.agreeShares(name, source, bucket);
     });
@@ -242,7 +245,7 @@
     return {
       heard: spending.map(([, usage]) => usage).filter(isHeard),
       silent: spending
-        .filter(([, usage]) => !isHeard(usage))
+        .filter(([, usage]) => !isHeard(usage) && !usage.isStopping)
         .map(([source, usage]) => [usage, agreedShares.get(source) ?? even] as const),
     };
   }
@@ -282,6 +285,22 @@
     Object.assign(bucket, { demand, demandAtMs: this.clock.nowMs() });
   }
 
+  /** What peers spent before the bucket was created is not in it. */
+  private presumeFromNowOn(name: string): void {
+    const presumedToMs = this.clock.nowMs();
+    this.peerUsages.get(name)?.forEach((usage) => Object.assign(usage, { presumedToMs }));
+  }
+
+  /** Returns what silent peers are presumed to have spent since this was last asked. */
+  private presumeSpending({ ratePerS }: WorkspaceSpec, silent: PeerShares['silent']): number {
+    const nowMs = this.clock.nowMs();
+    return silent.reduce((sum, [peer, share]) => {
+      const presumed = (ratePerS * share * (nowMs - peer.presumedToMs)) / MS_PER_S;
+      Object.assign(peer, { presumed: peer.presumed + presumed, presumedToMs: nowMs });
+      return sum + presumed;
+    }, 0);
+  }
+
   /** Returns the bucket of a workspace, refilled up to now. */
   private refilled(spec: WorkspaceSpec): Bucket {
     const nowMs = this.clock.nowMs();
@@ -300,19 +319,15 @@
         reported: new Set<string>(),
       };
       this.buckets.set(spec.name, bucket);
+      this.presumeFromNowOn(spec.name);
       return bucket;
     }
     const elapsedS = (nowMs - known.refilledAtMs) / MS_PER_S;
     const { silent } = this.peerShares(spec.name, known);
     const share = this.share(spec.name, known);
     known.refilledAtMs = nowMs;
-    known.shared = Math.min(spec.burst, known.shared + spec.ratePerS * elapsedS);
-    silent.forEach(([peer, peerShare]) => {
-      const silentS = (nowMs - peer.presumedToMs) / MS_PER_S;
-      const presumed = spec.ratePerS * peerShare * silentS;
-      Object.assign(peer, { presumed: peer.presumed + presumed, presumedToMs: nowMs });
-      known.shared -= presumed;
-    });
+    const presumed = this.presumeSpending(spec, silent);
+    known.shared = Math.min(spec.burst, known.shared + spec.ratePerS * elapsedS - presumed);
     const maxOwnTokens = spec.burst * OWN_BURST_FRACTION * share;
     known.own = Math.min(maxOwnTokens, known.own + spec.ratePerS * share * elapsedS);
     return known;
--- a/packages/edge/test/cutLimits.test.ts
+++ b/packages/edge/test/cutLimits.test.ts
@@ -89,4 +89,26 @@
     const { total, askedUnits } = simulate(load);
     expect(total / askedUnits).toBeGreaterThan(0.99);
   });
+
+  test.each([
+    { what: 'silent and back', isStopping: false, returns: true },
+    { what: 'silent for long', isStopping: false, returns: false },
+    { what: 'gone after a planned stop', isStopping: true, returns: false },
+  ])('leave a workspace that was idle its burst once its peers are $what', (given) => {
+    const time = { nowMs: START_MS };
+    const clock = { nowMs: () => time.nowMs, sleep: () => Promise.resolve() };
+    const [own, ...peers] = Array.from({ length: 3 }, () => new WorkspaceLimits(clock, () => 3));
+    const report = () =>
+      peers.forEach((peer, index) => {
+        const heartbeat = { ...heartbeatOf(index, peer), isStopping: given.isStopping };
+        own.applyHeartbeat(heartbeat);
+      });
+    [own, ...peers].forEach((limits) => limits.admit(SPEC, UNITS));
+    report();
+    time.nowMs += 11_000;
+    if (given.returns) report();
+    let admitted = 0;
+    while (admitted < SPEC.burst * 0.4 && own.admit(SPEC, UNITS) === 0) admitted += UNITS;
+    expect(admitted).toBeGreaterThanOrEqual(SPEC.burst * 0.4);
+  });
 });
