--- a/packages/edge/src/WorkspaceLimits.ts
+++ b/packages/edge/src/WorkspaceLimits.ts
@@ -1,41 +1,8 @@
 import type { Clock } from '@wisteriapath/model';
 import { type Heartbeat, HeartbeatKind, type WorkspaceSpec } from '@wisteriapath/fleet';
-
-/** The token buckets of one workspace: the shared one as this instance sees it, and this instance's own share. */
-interface Bucket {
-  /** Tokens left over all instances, as far as this one knows. */
-  shared: number;
-  /** Tokens that this instance may spend from its own share when few shared tokens are left. */
-  own: number;
-  refilledAtMs: number;
-  /** Units admitted by this instance since its start. */
-  spent: number;
-  /** Units a second requested at this instance, decaying from `demandAtMs`. */
-  demand: number;
-  demandAtMs: number;
-  /** Fraction of the rate that each peer could spend when all of them were last heard, by source. */
-  agreedShares: ReadonlyMap<string, number>;
-  /** The sources that have reported since then. */
-  readonly reported: Set<string>;
-}
-
-/** The usage that one source, a peer or the aggregate of a failure domain, reported last for a workspace. */
-interface PeerUsage {
-  /** Identifies a counter; differs once the count starts again from a new base. */
-  readonly series: string;
-  readonly kind: HeartbeatKind;
-  /** Units admitted, as counted by the series. */
-  spent: number;
-  /** Units a second. */
-  rate: number;
-  reportedAtMs: number;
-  /** Units that the source may have spent since its last report, once it is silent; already taken from the shared tokens. */
-  presumed: number;
-  /** Until when they have been taken, on the monotonic clock. */
-  presumedToMs: number;
-  /** Whether the source said that it stops, so that its silence is its end. */
-  readonly isStopping: boolean;
-}
+import type PeerUsage from './PeerUsage';
+import type RateBucket from './RateBucket';
+import shareOfRate from './shareOfRate';
 
 /** What is known of the peers that spend from the same limit. */
 interface PeerShares {
@@ -57,13 +24,6 @@
 const MAX_DEBT_REQUESTS = 3;
 /** Assumed demand at each other instance until its report arrives, as a fraction of the demand at this one. */
 const OTHERS_DEMAND_FRACTION = 0.5;
-/** Fraction of the rate that is divided evenly among the instances; the rest follows demand. */
-const EVEN_FRACTION = 0.2;
-/**
- * Number of instances up to which the full even fraction applies. With more instances it shrinks, because the
- * shares of instances without callers would add up.
- */
-const MAX_INSTANCES_AT_FULL_EVEN_FRACTION = 7;
 const DEMAND_HALF_LIFE_MS = 1_500;
 /** Silence after which a peer is assumed to spend nothing more of its share. */
 const PEER_SPENDING_TIMEOUT_MS = 12_000;
@@ -87,7 +47,7 @@
  * the share that it had when all were last heard, until it reports what it did spend.
  */
 class WorkspaceLimits {
-  private readonly buckets = new Map<string, Bucket>();
+  private readonly buckets = new Map<string, RateBucket>();
 
   private readonly peerUsages = new Map<string, Map<string, PeerUsage>>();
 
@@ -207,7 +167,7 @@
   }
 
   /** Returns the units that the other instances may have spent and not reported yet. */
-  private unreportedSpending(bucket: Bucket, demandBefore: number): number {
+  private unreportedSpending(bucket: RateBucket, demandBefore: number): number {
     // Among many instances a single request says nothing about the demand at the others.
     const [demand, reportDelayS] = this.isPooled
       ? [demandBefore, POOLED_REPORT_DELAY_S]
@@ -216,26 +176,20 @@
   }
 
   /** Returns the fraction of the rate that this instance may spend on its own. */
-  private share(name: string, bucket: Bucket): number {
+  private share(name: string, bucket: RateBucket): number {
     const { heard, silent } = this.peerShares(name, bucket);
     const silentShare = silent.reduce((sum, [, share]) => sum + share, 0);
     const own = this.demandOf(bucket);
     const total = heard.reduce((sum, { rate }) => sum + rate, own);
-    const instances = Math.max(1, this.instances() - silent.length);
-    return Math.max(0, 1 - silentShare) * this.shareOf(own, total, instances);
-  }
-
-  /** Returns the fraction of the rate for a part of the demand: a part of it is even, the rest follows demand. */
-  private shareOf(demand: number, total: number, instances: number): number {
-    const even = 1 / instances;
-    const evenFraction =
-      EVEN_FRACTION * Math.min(1, MAX_INSTANCES_AT_FULL_EVEN_FRACTION / this.instances());
-    const byDemand = total > 0 ? demand / total : even;
-    return evenFraction * even + (1 - evenFraction) * byDemand;
+    const sharers = Math.max(1, this.instances() - silent.length);
+    return (
+      Math.max(0, 1 - silentShare) *
+      shareOfRate({ demand: own, total, sharers, instances: this.instances() })
+    );
   }
 
   /** Tells the peers that are heard from those that have fallen silent. */
-  private peerShares(name: string, { agreedShares }: Bucket): PeerShares {
+  private peerShares(name: string, { agreedShares }: RateBucket): PeerShares {
     const nowMs = this.clock.nowMs();
     const reportDelayS = this.isPooled ? POOLED_REPORT_DELAY_S : REPORT_DELAY_S;
     const heardSinceMs = nowMs - reportDelayS * MS_PER_S - SILENCE_MARGIN_MS;
@@ -251,7 +205,7 @@
   }
 
   /** Works out the shares anew once every source has reported, so that both sides of a cut last did it on the same reports. */
-  private agreeShares(name: string, source: string, bucket: Bucket): void {
+  private agreeShares(name: string, source: string, bucket: RateBucket): void {
     bucket.reported.add(source);
     const spending = this.spendingPeers(name);
     if (!spending.every(([other]) => bucket.reported.has(other))) return;
@@ -262,7 +216,10 @@
     const instances = Math.max(1, this.instances());
     Object.assign(bucket, {
       agreedShares: new Map(
-        spending.map(([other, { rate }]) => [other, this.shareOf(rate, total, instances)]),
+        spending.map(([other, { rate: demand }]) => [
+          other,
+          shareOfRate({ demand, total, sharers: instances, instances }),
+        ]),
       ),
     });
   }
@@ -275,11 +232,11 @@
     );
   }
 
-  private demandOf(bucket: Bucket): number {
+  private demandOf(bucket: RateBucket): number {
     return decay(bucket.demand, this.clock.nowMs() - bucket.demandAtMs);
   }
 
-  private recordDemand(bucket: Bucket, units: number): void {
+  private recordDemand(bucket: RateBucket, units: number): void {
     const perUnit = (Math.LN2 * MS_PER_S) / DEMAND_HALF_LIFE_MS;
     const demand = this.demandOf(bucket) + units * perUnit;
     Object.assign(bucket, { demand, demandAtMs: this.clock.nowMs() });
@@ -302,7 +259,7 @@
   }
 
   /** Returns the bucket of a workspace, refilled up to now. */
-  private refilled(spec: WorkspaceSpec): Bucket {
+  private refilled(spec: WorkspaceSpec): RateBucket {
     const nowMs = this.clock.nowMs();
     const known = this.buckets.get(spec.name);
     if (known === undefined) {
