REFUSED: a caller that goes on sending behind a broken chunk has time to take its status

Cause: after a response that is its connection's last, Node.js calls `destroySoon`, which destroys the connection as soon as the response has been written. A close beside unread bytes is a reset.

Fix: from the refusal on `destroySoon` of the connection ends it as `end()` does: half closed, what comes is discarded, destroyed after 2 s or 1 MiB. A second call is none.

Evidence: `ownStatuses.test.ts`, three cases of a caller that sends 512 KB and goes on for 1 s.

--- a/packages/response-ends/src/CallerConnection.ts
+++ b/packages/response-ends/src/CallerConnection.ts
@@ -63,6 +63,8 @@
    */
   refuse(status: number, reason: string): boolean {
     this.isEnding = true;
+    // Node.js calls this after a response that is its connection's last, and would destroy the connection beside unread bytes.
+    this.socket.destroySoon = () => this.end();
     this.discardInput();
     const unread = [...this.exchanges].find(({ request }) => !request.complete);
     if (unread !== undefined) return this.refuseUnread(unread, status);
@@ -100,6 +102,7 @@
   /** Sends the last bytes, and destroys the connection if the caller does not close it in time. */
   private end(lastBytes = ''): void {
     const { socket } = this;
+    if (socket.writableEnded) return;
     socket.end(lastBytes);
     const timer = setTimeout(() => socket.destroy(), LINGER_MS).unref();
     socket.once('close', () => clearTimeout(timer));
