Own statuses: say what the idle connections of a planned stop leave out

What callers saw: half a head that was read together with a whole request is closed without a status in a planned stop; a connection with an empty line behind its request is never closed as idle. The comment on `isIdle` said that no further request had begun, which it cannot know.

Cause: Node.js tells the bytes that were read, not how far the parser has come in them.

No change of behaviour.

--- a/packages/response-ends/src/CallerConnection.ts
+++ b/packages/response-ends/src/CallerConnection.ts
@@ -34,7 +34,10 @@
     return this.exchanges.size;
   }
 
-  /** Whether all requests have been answered, the caller has been sent the answers in full, and no further request has begun. */
+  /**
+   * Whether all requests have been answered, the caller has been sent the answers in full, and nothing has been read since the
+   * last request. What was read together with it is not seen.
+   */
   get isIdle(): boolean {
     return this.underWay === 0 && this.socket.bytesRead === this.requestBytes;
   }
