--- a/packages/response-ends/src/CallerConnection.ts
+++ b/packages/response-ends/src/CallerConnection.ts
@@ -34,7 +34,10 @@
     return this.exchanges.size;
   }
 
-  /** Whether all requests have been answered, the caller has been sent the answers in full, and no further request has begun. */
+  /**
+   * Whether all requests have been answered, the caller has been sent the answers in full, and nothing has been read since the
+   * last request. What was read together with it is not seen.
+   */
   get isIdle(): boolean {
     return this.underWay === 0 && this.socket.bytesRead === this.requestBytes;
   }
@@ -63,6 +66,8 @@
    */
   refuse(status: number, reason: string): boolean {
     this.isEnding = true;
+    // Node.js calls this after a response that is its connection's last, and would destroy the connection beside unread bytes.
+    this.socket.destroySoon = () => this.end();
     this.discardInput();
     const unread = [...this.exchanges].find(({ request }) => !request.complete);
     if (unread !== undefined) return this.refuseUnread(unread, status);
@@ -100,6 +105,7 @@
   /** Sends the last bytes, and destroys the connection if the caller does not close it in time. */
   private end(lastBytes = ''): void {
     const { socket } = this;
+    if (socket.writableEnded) return;
     socket.end(lastBytes);
     const timer = setTimeout(() => socket.destroy(), LINGER_MS).unref();
     socket.once('close', () => clearTimeout(timer));
