--- a/packages/fleet/src/EngineContact.ts
+++ b/packages/fleet/src/EngineContact.ts
@@ -2,9 +2,12 @@
 enum EngineContact {
   /** The engine answered, be it with a refusal. */
   Answered = 'answered',
-  /** The connection was opened and ended without an answer, as at an engine that takes no more connections. */
+  /**
+   * Neither of the others, and so it may have been reached: the connection was reset, bytes came that are no whole answer, or the
+   * question failed for a reason of this process.
+   */
   Dropped = 'dropped',
-  /** No connection could be opened, or no answer came in time. */
+  /** The network refused to open a connection or did not open it in time, or the question was sent and no byte came in time. */
   Unreachable = 'unreachable',
 }
 
--- a/packages/response-ends/src/ConnectionEnd.ts
+++ b/packages/response-ends/src/ConnectionEnd.ts
@@ -5,6 +5,8 @@
 class ConnectionEnd {
   private isInOrder = false;
 
+  private newest: Socket | undefined;
+
   private readonly connector: buildConnector.connector;
 
   constructor(connectTimeoutMs: number) {
@@ -16,6 +18,11 @@
     return this.isInOrder;
   }
 
+  /** The newest connection that was established. */
+  get socket(): Socket | undefined {
+    return this.newest;
+  }
+
   /** Opens a connection, with a listener that runs before those of the HTTP client. */
   readonly connect: buildConnector.connector = (options, done) => {
     this.connector(options, (...result: Parameters<buildConnector.Callback>) => {
@@ -28,6 +35,7 @@
 
   private watch(socket: Socket): void {
     this.isInOrder = false;
+    this.newest = socket;
     socket.on('end', () => {
       // A reset that arrives together with data is reported as an ordinary end, but the socket has no peer address.
       this.isInOrder = socket.remoteAddress !== undefined;
--- a/packages/response-ends/src/TrackedClient.ts
+++ b/packages/response-ends/src/TrackedClient.ts
@@ -1,3 +1,4 @@
+import type { Socket } from 'node:net';
 import { Client, type Dispatcher } from 'undici';
 import ConnectionEnd from './ConnectionEnd';
 import type TrackedDispatchOptions from './TrackedDispatchOptions';
@@ -26,6 +27,11 @@
     return this.connectionEnd.isOrderly;
   }
 
+  /** The newest connection that was established. */
+  get socket(): Socket | undefined {
+    return this.connectionEnd.socket;
+  }
+
   override dispatch(options: TrackedDispatchOptions, handler: Dispatcher.DispatchHandler): boolean {
     return super.dispatch(options, options.connectionUse?.assign(this, handler) ?? handler);
   }
