--- a/packages/edge/src/StallWatch.ts
+++ b/packages/edge/src/StallWatch.ts
@@ -66,9 +66,20 @@
     }
     if (this.isAsking || !this.isQuestionDue) return;
     this.isAsking = true;
-    const isOver = await this.askWhetherOver();
-    this.isAsking = false;
-    if (isOver && this.timer !== undefined) attempt.giveUp();
+    try {
+      const isOver = await this.askWhetherOver();
+      if (isOver && this.timer !== undefined) attempt.giveUp();
+    } catch (error) {
+      const { attemptId } = attempt.request.fields;
+      this.deps.log.event('stream_not_asked', {
+        request: attemptId,
+        target: attempt.target.id,
+        error: (error as Error).message,
+      });
+    } finally {
+      this.isAsking = false;
+      this.nextQuestionAtMs = this.deps.clock.nowMs() + ASK_INTERVAL_MS;
+    }
   }
 
   /** Asks the engine; resolves to whether the attempt is to be given up. */
@@ -78,7 +89,6 @@
     const askedAtSilentMs = attempt.silentMs();
     const hasBegun = attempt.hasBegun();
     const runs = await deps.probe.runs(attempt.target);
-    this.nextQuestionAtMs = deps.clock.nowMs() + ASK_INTERVAL_MS;
     const silentMs = attempt.silentMs();
     const goesOn = silentMs < askedAtSilentMs;
     const isOver = !goesOn && !mayStillRun({ attemptId, hasBegun }, runs) && this.hasAlternative();
--- a/packages/response-ends/src/watchHandover.ts
+++ b/packages/response-ends/src/watchHandover.ts
@@ -11,16 +11,23 @@
  * @example
  * client.dispatch(options, watchHandover(handler, () => { mayHaveSent = true; }));
  */
-const watchHandover = (handler: Handler, onHandover: () => void): Handler =>
-  new Proxy(handler, {
-    get: (target, name) => {
-      const member: unknown = Reflect.get(target, name);
-      if (typeof member !== 'function') return member;
-      return (...args: unknown[]): unknown => {
-        if (HANDOVER_CALLBACKS.has(name)) onHandover();
-        return Reflect.apply(member, target, args);
-      };
+const watchHandover = (handler: Handler, onHandover: () => void): Handler => {
+  const members = new Map<string | symbol, unknown>();
+  const wrap = (name: string | symbol): unknown => {
+    const member: unknown = Reflect.get(handler, name);
+    if (typeof member !== 'function') return member;
+    if (!HANDOVER_CALLBACKS.has(name)) return member.bind(handler) as unknown;
+    return (...args: unknown[]): unknown => {
+      onHandover();
+      return Reflect.apply(member, handler, args);
+    };
+  };
+  return new Proxy(handler, {
+    get: (_, name) => {
+      if (!members.has(name)) members.set(name, wrap(name));
+      return members.get(name);
     },
   });
+};
 
 export default watchHandover;
