TWICE: the silence of a report is no sign that an engine cannot be reached

Callers saw one whole stream; two engines worked on it for up to two seconds. A question without a byte for half a second counted as "cannot be reached", and the stream went on at a second engine. Class: a pause taken for an end, one level down. Fix: only an address that refuses connections, or three connections in a row that do not open, show that nothing runs there for us. They are tried beside a question that is quiet for 0.25 s; a late answer counts for 1.5 s.

--- a/packages/edge/src/Edge.ts
+++ b/packages/edge/src/Edge.ts
@@ -204,7 +204,7 @@
       retryBudgets: new PoolRetryBudgets(options.sharedLimits, instances),
       memory: new MemoryBudget(options.memoryLimitBytes * BODY_MEMORY_FRACTION, log),
       suspects: this.suspects,
-      probe: new TargetProbe(ports.engineControl),
+      probe: new TargetProbe(ports.engineControl, clock),
       connections,
       signals: this.signals,
       connectionLimit: (maxConnections) => connectionShare(maxConnections, instances()),
--- a/packages/edge/src/RunQuestions.ts
+++ b/packages/edge/src/RunQuestions.ts
@@ -1,22 +1,39 @@
+import type { Clock } from '@wisteriapath/model';
 import {
   EngineContact,
   type EngineControl,
   type EngineRuns,
   type RegisteredTarget,
 } from '@wisteriapath/fleet';
+import confirmContact from './confirmContact';
+import type probeConnection from './probeConnection';
+
+interface Parts {
+  readonly clock: Clock;
+  readonly control: Pick<EngineControl, 'runs'>;
+  readonly open: typeof probeConnection;
+}
 
 interface Question {
   readonly number: number;
   readonly answer: Promise<EngineRuns>;
 }
 
+/** Time without an answer after which it is looked whether the engine can be reached at all. */
+const QUIET_MS = 250;
+/** Contacts that show that the engine works on nothing, or is out of reach; they hold also for those who ask meanwhile. */
+const FINAL: ReadonlySet<EngineContact> = new Set([
+  EngineContact.Unreachable,
+  EngineContact.Refused,
+]);
+
 /** Asks engines which requests they work on, one question at a time for each engine. */
 class RunQuestions {
-  private readonly open = new Map<string, Question>();
+  private readonly questions = new Map<string, Question>();
 
   private count = 0;
 
-  constructor(private readonly control: EngineControl) {}
+  constructor(private readonly parts: Parts) {}
 
   /**
    * Asks an engine. Callers share a question that was put after they had called; the answer to an earlier one may be older than
@@ -25,19 +42,41 @@
   async ask(engine: RegisteredTarget): Promise<EngineRuns> {
     const calledAt = this.count;
     for (;;) {
-      const question = this.open.get(engine.id) ?? this.put(engine);
+      const question = this.questions.get(engine.id) ?? this.put(engine);
       const runs = await question.answer;
-      if (question.number > calledAt || runs.contact === EngineContact.Unreachable) return runs;
+      if (question.number > calledAt || FINAL.has(runs.contact)) return runs;
     }
   }
 
   private put(engine: RegisteredTarget): Question {
     this.count += 1;
-    const answer = this.control.runs(engine).finally(() => this.open.delete(engine.id));
+    const answer = this.question(engine).finally(() => this.questions.delete(engine.id));
     const question = { number: this.count, answer };
-    this.open.set(engine.id, question);
+    this.questions.set(engine.id, question);
     return question;
   }
+
+  /** Puts a question. If no answer comes soon, connections are tried beside it, which may show that none will come. */
+  private async question(engine: RegisteredTarget): Promise<EngineRuns> {
+    const answered = new AbortController();
+    const answer = this.parts.control.runs(engine).finally(() => answered.abort());
+    const first = await Promise.race([answer, this.findOutOfReach(engine, answered.signal)]);
+    const runs = first ?? (await answer);
+    const contact = await confirmContact(runs.contact, engine.address, this.parts.open);
+    return { ...runs, contact };
+  }
+
+  /** Resolves to nothing if the engine answers soon, or can be reached. */
+  private async findOutOfReach(
+    { address }: RegisteredTarget,
+    answered: AbortSignal,
+  ): Promise<EngineRuns | undefined> {
+    const { clock, open } = this.parts;
+    await clock.sleep(QUIET_MS, answered);
+    if (answered.aborted) return undefined;
+    const contact = await confirmContact(EngineContact.Silent, address, open);
+    return FINAL.has(contact) ? { contact, unlisted: 0 } : undefined;
+  }
 }
 
 export default RunQuestions;
--- a/packages/edge/src/StallWatch.ts
+++ b/packages/edge/src/StallWatch.ts
@@ -91,7 +91,8 @@
     const runs = await deps.probe.runs(attempt.target);
     const silentMs = attempt.silentMs();
     const goesOn = silentMs < askedAtSilentMs;
-    const isOver = !goesOn && !mayStillRun({ attemptId, hasBegun }, runs) && this.hasAlternative();
+    const isOver =
+      !goesOn && !mayStillRun({ attemptId, isShown: hasBegun }, runs) && this.hasAlternative();
     deps.log.event('stream_stalled', {
       request: attemptId,
       target: attempt.target.id,
--- a/packages/edge/src/TargetProbe.ts
+++ b/packages/edge/src/TargetProbe.ts
@@ -1,9 +1,14 @@
-import { connect } from 'node:net';
-import type { EngineControl, EngineRuns, RegisteredTarget } from '@wisteriapath/fleet';
+import type { Clock } from '@wisteriapath/model';
+import {
+  EngineContact,
+  type EngineControl,
+  type EngineRuns,
+  type RegisteredTarget,
+} from '@wisteriapath/fleet';
 import RunQuestions from './RunQuestions';
+import probeConnection from './probeConnection';
 
 const PROBE_TIMEOUT_MS = 300;
-const REFUSED = 'ECONNREFUSED';
 
 /** Finds out whether a target has ended, after a connection to it broke, and on which requests an engine works. */
 class TargetProbe {
@@ -11,8 +16,8 @@
 
   private readonly runQuestions: RunQuestions;
 
-  constructor(engineControl: EngineControl) {
-    this.runQuestions = new RunQuestions(engineControl);
+  constructor(control: EngineControl, clock: Clock) {
+    this.runQuestions = new RunQuestions({ clock, control, open: probeConnection });
   }
 
   /** Asks an engine which requests it works on. Never rejects. */
@@ -27,23 +32,13 @@
   hasEnded(address: string): Promise<boolean> {
     const running = this.probes.get(address);
     if (running !== undefined) return running;
-    const probe = TargetProbe.probe(address).finally(() => this.probes.delete(address));
+    const probe = TargetProbe.refuses(address).finally(() => this.probes.delete(address));
     this.probes.set(address, probe);
     return probe;
   }
 
-  private static probe(address: string): Promise<boolean> {
-    const [host = '', port = '0'] = address.split(':');
-    return new Promise((resolve) => {
-      const socket = connect({ host, port: Number(port), timeout: PROBE_TIMEOUT_MS });
-      const finish = (hasEnded: boolean) => {
-        socket.destroy();
-        resolve(hasEnded);
-      };
-      socket.on('connect', () => finish(false));
-      socket.on('timeout', () => finish(false));
-      socket.on('error', ({ code }: NodeJS.ErrnoException) => finish(code === REFUSED));
-    });
+  private static async refuses(address: string): Promise<boolean> {
+    return (await probeConnection(address, PROBE_TIMEOUT_MS)) === EngineContact.Refused;
   }
 }
 
--- a/packages/edge/test/runQuestions.test.ts
+++ b/packages/edge/test/runQuestions.test.ts
@@ -1,7 +1,11 @@
 /** A stalled stream is not judged by an answer that is older than its pause, and streams that stall together share a question. */
+import { systemClock } from '@wisteriapath/model';
 import { EngineContact, type EngineRuns, type RegisteredTarget } from '@wisteriapath/fleet';
+import type ConnectionProbe from '../src/ConnectionProbe';
 import RunQuestions from '../src/RunQuestions';
 
+type Parts = ConstructorParameters<typeof RunQuestions>[0];
+
 const ENGINE = { id: 'one' } as RegisteredTarget;
 
 /** An engine that answers its questions when told to. */
@@ -13,7 +17,7 @@
       asked += 1;
       pending.push(resolve);
     });
-  const control = { runs } as unknown as ConstructorParameters<typeof RunQuestions>[0];
+  const control = { runs };
   return {
     control,
     asked: () => asked,
@@ -26,10 +30,18 @@
   };
 };
 
+/** Longer than an engine may be quiet before connections to it are tried. */
+const LATE_MS = 400;
+
+const neverOpens = () => Promise.resolve<ConnectionProbe>(EngineContact.Unopened);
+
+const questionsTo = (control: Parts['control'], open: Parts['open'] = neverOpens) =>
+  new RunQuestions({ clock: systemClock, control, open });
+
 describe('questions to an engine', () => {
   test('those who ask while one is open share the next', async () => {
     const engine = createEngine();
-    const questions = new RunQuestions(engine.control);
+    const questions = questionsTo(engine.control);
     const first = questions.ask(ENGINE);
     const later = [questions.ask(ENGINE), questions.ask(ENGINE), questions.ask(ENGINE)];
     await engine.answer(EngineContact.Answered, 1);
@@ -39,9 +51,38 @@
     expect(engine.asked()).toBe(2);
   });
 
+  test.each([EngineContact.Silent, EngineContact.Unopened])(
+    'an engine counts as out of reach (%s) only if no connection opens',
+    async (contact) => {
+      const engine = createEngine();
+      const opens = () => Promise.resolve<ConnectionProbe>(EngineContact.Silent);
+      const results = [opens, neverOpens].map(async (open) => {
+        const runs = questionsTo(engine.control, open).ask(ENGINE);
+        await engine.answer(contact, 0);
+        return (await runs).contact;
+      });
+      expect(await Promise.all(results)).toEqual([EngineContact.Silent, EngineContact.Unreachable]);
+    },
+  );
+
+  test('a late answer counts while connections open', async () => {
+    const engine = createEngine();
+    const opens = () => Promise.resolve<ConnectionProbe>(EngineContact.Silent);
+    const runs = questionsTo(engine.control, opens).ask(ENGINE);
+    await systemClock.sleep(LATE_MS);
+    await engine.answer(EngineContact.Answered, 3);
+    expect(await runs).toMatchObject({ contact: EngineContact.Answered, unlisted: 3 });
+  });
+
+  test('no answer is awaited once no connection opens', async () => {
+    const engine = createEngine();
+    const runs = questionsTo(engine.control).ask(ENGINE);
+    expect(await runs).toMatchObject({ contact: EngineContact.Unreachable });
+  });
+
   test('an engine that does not answer is not asked by each of them', async () => {
     const engine = createEngine();
-    const questions = new RunQuestions(engine.control);
+    const questions = questionsTo(engine.control);
     const all = [questions.ask(ENGINE), questions.ask(ENGINE)];
     await engine.answer(EngineContact.Unreachable, 0);
     const contacts = (await Promise.all(all)).map(({ contact }) => contact);
