TWICE: the end of a connection is not the end of the run behind it

Callers saw one whole stream; two engines worked on it at once. Cause: a resumable stream whose connection broke (a reset, a close inside a chunk, the answer of another request in its place) went on at another engine at once. Most engines drop a request when its connection closes; some go on. Class: an indirect sign taken for the proof that something runs no more. Why it works: the stream goes on elsewhere only if a report that would show the run does not, with nothing beyond its list, or if the engine has ended or is out of reach. A run that has had its first event is listed, waits, or has ended; for one that has not, the report has to be later than the break by its lag.

--- a/packages/edge/src/RequestExecution.ts
+++ b/packages/edge/src/RequestExecution.ts
@@ -12,6 +12,7 @@
 import TargetAttempt from './TargetAttempt';
 import TargetFinder from './TargetFinder';
 import authorize from './authorize';
+import awaitRunEnd from './awaitRunEnd';
 import suspectError from './suspectError';
 
 /** Time before the deadline at which a request that could not be sent is refused. */
@@ -127,6 +128,7 @@
       if (outcome === AttemptOutcome.CallerDisconnected) return this.result(null, 0);
       const result = this.handleFailure(view, attempt, outcome);
       if (result !== undefined) return result;
+      if (!(await this.hasRunEnded(view, attempt, outcome))) return this.finishWithoutRetry();
     }
   }
 
@@ -287,6 +289,23 @@
     return this.canRetry(outcome) ? undefined : this.finishWithoutRetry();
   }
 
+  /** Waits until an engine whose stream broke off no longer runs it; resolves to false if that is not known in time. */
+  private async hasRunEnded(
+    { entry: target }: TargetView,
+    { firstEventAtMs }: TargetAttempt,
+    outcome: AttemptOutcome,
+  ): Promise<boolean> {
+    const { pool, fields } = this.request;
+    const isBrokenStream = outcome === AttemptOutcome.Broken && this.framer !== null;
+    if (!isBrokenStream || pool.engine === null) return true;
+    return awaitRunEnd(this.deps, {
+      attemptId: fields.attemptId,
+      target,
+      settledAtMs: firstEventAtMs ?? this.deps.clock.nowMs(),
+      isOver: () => this.isOver,
+    });
+  }
+
   private canRetry(outcome: AttemptOutcome): boolean {
     const { clock, retryBudgets } = this.deps;
     const { route, pool, deadlineAtMs } = this.request;
--- a/packages/edge/src/TargetAttempt.ts
+++ b/packages/edge/src/TargetAttempt.ts
@@ -79,6 +79,9 @@
 
   private exchangeEnd: ExchangeEnd | null = null;
 
+  /** When the first event of the target's stream was complete, on the monotonic clock; undefined if none was. */
+  firstEventAtMs: number | undefined;
+
   /** The complete response of the target, if it was buffered. */
   keptResponse: KeptResponse | null = null;
 
@@ -264,7 +267,10 @@
       this.abortOversized();
       return true;
     }
-    if (hasEvent) onBegun();
+    if (hasEvent) {
+      this.firstEventAtMs ??= this.lastByteAtMs;
+      onBegun();
+    }
     const mayContinue = caller.write(bytes, resume);
     const { unsentBytes } = caller;
     if (unsentBytes > MAX_UNSENT_BYTES) this.abortUnread();
