REFUSED: an error of a request that may have run has no status that promises the opposite

What callers could see: 503 or 429, which promise "not run and never will", for a request that may have run. On the platform's path only care prevented it; in the project's own protocol a completion that broke off and then found no target was answered 503 with `Retry-After`, and `ran: unknown` in its body. Cause: the status followed from the kind of the error alone. Class: two tables that say the same thing, of which one does not know the other. Fix: `responseTo` makes the response from kind and `ran`; `errorResponses` is not exported any more, so that nobody answers by the kind alone. Test: `responseTo`, 22 of 87 failed with the status of the kind alone (11 kinds, two states of a run).

--- a/packages/edge/src/CallerExchange.ts
+++ b/packages/edge/src/CallerExchange.ts
@@ -1,5 +1,5 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import { errorResponses, type ServeError } from '@wisteriapath/model';
+import { responseTo, type ServeError } from '@wisteriapath/model';
 import type Dialect from './Dialect';
 import type MemoryReservation from './MemoryReservation';
 import mediaTypeOf from './mediaTypeOf';
@@ -93,8 +93,7 @@
       this.abort();
       return;
     }
-    const { status, retryAfterMs } = errorResponses[error.kind];
-    const waitMs = error.retryAfterMs ?? retryAfterMs;
+    const { status, retryAfterMs: waitMs } = responseTo(error);
     const body = Buffer.from(JSON.stringify({ error: error.kind, message: error.message }));
     const retry: Record<string, string> =
       waitMs === null ? {} : { 'retry-after': (waitMs / 1_000).toFixed(2) };
