TWICE: a request is not repeated once its route's requests may run once only

Callers would see nothing; the work is done twice. Cause: whether a request may be sent again was decided by the route as it was when the request was admitted, while authorization is checked anew before each send. An operator who makes a route `unsafe`, or takes `resumable` away, had requests under way repeated all the same. Class: a decision by an older desired state. Fix: repeatable are requests that are so both as admitted and by the newest desired state; one cached answer of `authorize` serves both questions.

--- a/packages/edge/src/RequestExecution.ts
+++ b/packages/edge/src/RequestExecution.ts
@@ -1,5 +1,10 @@
 import { ErrorKind, ServeError } from '@wisteriapath/model';
-import { type DesiredState, RouteSemantics, type TargetView } from '@wisteriapath/fleet';
+import {
+  type DesiredState,
+  type PathRoute,
+  RouteSemantics,
+  type TargetView,
+} from '@wisteriapath/fleet';
 import { ResponseFraming } from '@wisteriapath/response-ends';
 import { SuspectVerdict } from '@wisteriapath/suspects';
 import type AdmittedRequest from './AdmittedRequest';
@@ -13,6 +18,7 @@
 import TargetFinder from './TargetFinder';
 import authorize from './authorize';
 import awaitRunEnd from './awaitRunEnd';
+import mayRunAgain from './mayRunAgain';
 import suspectError from './suspectError';
 
 /** Time before the deadline at which a request that could not be sent is refused. */
@@ -38,9 +44,12 @@
 /** Fraction of the latency target for which a request waits for a target of a pool of services. */
 const SERVICE_WAIT_FRACTION = 0.5;
 
-/** The reason why a desired state forbids the request; undefined if it allows it. */
+/** What a desired state says of the request. */
 interface Authorization {
   readonly state: DesiredState;
+  /** The route of the request; undefined if the state has none for it. */
+  readonly route: PathRoute | undefined;
+  /** Why the state forbids the request; undefined if it allows it. */
   readonly denial: ServeError | undefined;
 }
 
@@ -73,15 +82,17 @@
   private trialClaim: string | undefined;
 
   /** The result of authorizing the request against the newest desired state, cached. */
-  private lastAuthorization: Authorization | undefined;
+  private lastAuthorization: Authorization;
 
   constructor(
     private readonly deps: EdgeDependencies,
     private readonly request: AdmittedRequest,
     private readonly caller: CallerExchange,
   ) {
-    const { semantics, resumable } = request.route;
-    this.framer = semantics === RouteSemantics.Stream && resumable ? new EventFramer() : null;
+    const { state, route } = request;
+    this.lastAuthorization = { state, route, denial: undefined };
+    const isResumable = route.semantics === RouteSemantics.Stream && mayRunAgain(route);
+    this.framer = isResumable ? new EventFramer() : null;
     this.finder = new TargetFinder(deps);
   }
 
@@ -142,7 +153,7 @@
 
   /** Returns why the request may not be sent any more, though it was admitted; undefined if it may. */
   private denial(): ServeError | undefined {
-    return this.stopError() ?? this.authorizationError() ?? this.suspectError();
+    return this.stopError() ?? this.authorization.denial ?? this.suspectError();
   }
 
   /** Returns a refusal once a shutdown leaves no time to run a request; a stream that has begun may go on. */
@@ -201,30 +212,34 @@
     this.deps.suspects.recordCrash({ crashId, hasEnded, traits, sentAtMs });
   }
 
-  /** Returns why a desired state that is newer than the admission forbids the request; undefined if it does not. */
-  private authorizationError(): ServeError | undefined {
-    const { state, fields, workspace } = this.request;
+  /** What the newest desired state says of the request. Cached, because a waiting request checks this at every poll. */
+  private get authorization(): Authorization {
     const current = this.deps.desired();
-    if (current === undefined || current === state) return undefined;
-    // Cached, because a waiting request checks this at every poll.
-    if (this.lastAuthorization?.state === current) return this.lastAuthorization.denial;
-    const denial = authorize(current, fields, this.caller.request.url ?? '/').caseOf({
-      Left: (error) => error,
-      Right: (allowed): ServeError | undefined =>
-        allowed.workspace?.name === workspace?.name
+    if (current !== undefined && current !== this.lastAuthorization.state) {
+      this.lastAuthorization = this.authorizeAgain(current);
+    }
+    return this.lastAuthorization;
+  }
+
+  private authorizeAgain(state: DesiredState): Authorization {
+    const { fields, workspace } = this.request;
+    return authorize(state, fields, this.caller.request.url ?? '/').caseOf<Authorization>({
+      Left: (denial) => ({ state, route: undefined, denial }),
+      Right: ({ route, workspace: owner }) => {
+        const hasSameOwner = owner?.name === workspace?.name;
+        const message = 'the key now belongs to another workspace';
+        const denial = hasSameOwner
           ? undefined
-          : ServeError.notExecuted(
-              ErrorKind.NoTarget,
-              'the key now belongs to another workspace',
-              READMISSION_DELAY_MS,
-            ),
+          : ServeError.notExecuted(ErrorKind.NoTarget, message, READMISSION_DELAY_MS);
+        return { state, route, denial };
+      },
     });
-    this.lastAuthorization = { state: current, denial };
-    return denial;
   }
 
+  /** Whether the request may run again, both as it was admitted and by the newest desired state. */
   private get isRetryable(): boolean {
-    return this.request.route.semantics === RouteSemantics.Idempotent || this.framer !== null;
+    const { route } = this.authorization;
+    return mayRunAgain(this.request.route) && (route === undefined || mayRunAgain(route));
   }
 
   private async findTarget(): Promise<ChosenTarget | undefined> {
