REFUSED: a 421 is the proof that nothing ran only if it says so, for requests that may run once

Callers saw 503 for a booking that had run, where an engine ran it and then answered 421; or the booking ran at a second target. Cause: each 421 counted as "not run", with or without `Not-Executed`. The pages have two sentences (docs/decisions/promises.md); the stricter one names the header. Class: an indirect sign taken for the proof that something has not run. It is the engine's lie by the other sentence, so this is a hardening: not shown to be what the users saw. TargetAttempt: sending a whole response is a module of its own.

--- a/packages/edge/src/RequestExecution.ts
+++ b/packages/edge/src/RequestExecution.ts
@@ -19,6 +19,7 @@
 import authorize from './authorize';
 import awaitRunEnd from './awaitRunEnd';
 import mayRunAgain from './mayRunAgain';
+import sendResponse from './sendResponse';
 import suspectError from './suspectError';
 
 /** Time before the deadline at which a request that could not be sent is refused. */
@@ -335,7 +336,7 @@
   private finishWithoutRetry(): RequestResult {
     const kept = this.lastFailure?.keptResponse;
     if (kept && !this.caller.hasStarted) {
-      TargetAttempt.sendResponse(this.caller, kept);
+      sendResponse(this.caller, kept);
       return this.result(null, kept.status);
     }
     return this.fail('every attempt failed');
--- a/packages/edge/src/ResponseFields.ts
+++ b/packages/edge/src/ResponseFields.ts
@@ -4,8 +4,8 @@
   readonly attemptId: string;
   /** Whether the response carries the receipt that proves that the target produced it. */
   readonly hasReceipt: boolean;
-  /** Whether the target states that it has not run the request. */
-  readonly isNotExecuted: boolean;
+  /** Whether the response says in so many words that the target has not run the request. */
+  readonly statesNotExecuted: boolean;
   /** Whether a caller takes the status for a promise that its request has not run and never will. */
   readonly isPromiseToCallers: boolean;
   /** Whether the address belongs to another target now, or the target does not hold the model. */
--- a/packages/edge/src/TargetAttempt.ts
+++ b/packages/edge/src/TargetAttempt.ts
@@ -16,7 +16,9 @@
 import StallWatch from './StallWatch';
 import isTargetFailure from './isTargetFailure';
 import maxResponseBytes from './maxResponseBytes';
+import mayRunAgain from './mayRunAgain';
 import mediaTypeOf from './mediaTypeOf';
+import sendResponse from './sendResponse';
 
 interface Context {
   readonly chosen: ChosenTarget;
@@ -155,7 +157,13 @@
   get endFields() {
     const framing = this.mode === ResponseMode.None ? ResponseFraming.None : this.framing;
     const { errorCode = '', mayHaveSent = false } = this.exchange ?? {};
-    return { framing, end: this.exchangeEnd ?? '', error: errorCode, handed_over: mayHaveSent };
+    return {
+      framing,
+      end: this.exchangeEnd ?? '',
+      error: errorCode,
+      handed_over: mayHaveSent,
+      stated_not_run: this.fields?.statesNotExecuted ?? false,
+    };
   }
 
   get isMisdirected(): boolean {
@@ -207,7 +215,7 @@
     this.headers = headers;
     this.fields = fields;
     const isSuccess = status >= OK && status < MULTIPLE_CHOICES;
-    if (fields.isNotExecuted) {
+    if (this.isRejection(fields)) {
       this.mode = ResponseMode.NotExecuted;
       this.refusalTimer = setTimeout(() => this.abort?.(), REFUSAL_BODY_TIMEOUT_MS);
     } else if (isSuccess && (!fields.hasReceipt || !this.fitsStartedResponse())) {
@@ -224,6 +232,13 @@
     return attemptId === this.context.request.fields.attemptId;
   }
 
+  /**
+   * Whether the target has not run the request: by its statement, or by a status that is one where another run would do no harm.
+   */
+  private isRejection({ statesNotExecuted, isMisdirected }: ResponseFields): boolean {
+    return statesNotExecuted || (isMisdirected && mayRunAgain(this.context.request.route));
+  }
+
   /** Whether a response can go on with what the caller has received so far: a stream of the same kind. */
   private fitsStartedResponse(): boolean {
     const { caller } = this.context;
@@ -352,7 +367,7 @@
     this.context.onBegun();
     if (caller.hasStarted) return AttemptOutcome.Failed;
     if (this.status >= SERVER_ERROR && keepsFailure) return AttemptOutcome.Failed;
-    TargetAttempt.sendResponse(caller, this.keptResponse);
+    sendResponse(caller, this.keptResponse);
     return AttemptOutcome.Answered;
   }
 
@@ -376,12 +391,6 @@
     const mediaType = mediaTypeOf(this.headers['content-type']);
     return mediaType === '' || mediaType === EVENT_STREAM || this.context.framer !== null;
   }
-
-  /** Passes a complete response on to the caller. */
-  static sendResponse(caller: CallerExchange, { status, headers, body }: KeptResponse): void {
-    caller.start(status, headers);
-    caller.end(body);
-  }
 }
 
 export default TargetAttempt;
