A 421 without a statement counts by what the operator says of the route now, as repeats do

The read-through found that it still went by the route as it was admitted: a request whose route had been made one that may run once only was sent again after such a 421. No test of its own: changedRoutes and unconfirmedRefusals hold the two halves.

--- a/packages/edge/src/RequestExecution.ts
+++ b/packages/edge/src/RequestExecution.ts
@@ -127,6 +127,7 @@
         framer: this.framer,
         maySend: () => !this.isOver && this.judgement.verdict === SuspectVerdict.Clear,
         wasRefused: this.refusedBy.has(view.entry.id),
+        mayRunAgain: () => this.isRetryable,
         keepsFailure: this.isRetryable && this.executions + 1 < this.request.route.attempts,
         onBegun: () => this.recordBegun(),
       });
--- a/packages/edge/src/TargetAttempt.ts
+++ b/packages/edge/src/TargetAttempt.ts
@@ -16,7 +16,6 @@
 import StallWatch from './StallWatch';
 import isTargetFailure from './isTargetFailure';
 import maxResponseBytes from './maxResponseBytes';
-import mayRunAgain from './mayRunAgain';
 import mediaTypeOf from './mediaTypeOf';
 import sendResponse from './sendResponse';
 
@@ -28,6 +27,8 @@
   readonly framer: EventFramer | null;
   /** Whether the request may still be sent. */
   readonly maySend: () => boolean;
+  /** Whether the request may be run again, by what the operator says now. */
+  readonly mayRunAgain: () => boolean;
   /** Whether the target has refused this request before. */
   readonly wasRefused: boolean;
   /** Whether an error response of the target is kept instead of passed on, because another attempt may follow. */
@@ -236,7 +237,7 @@
    * Whether the target has not run the request: by its statement, or by a status that is one where another run would do no harm.
    */
   private isRejection({ statesNotExecuted, isMisdirected }: ResponseFields): boolean {
-    return statesNotExecuted || (isMisdirected && mayRunAgain(this.context.request.route));
+    return statesNotExecuted || (isMisdirected && this.context.mayRunAgain());
   }
 
   /** Whether a response can go on with what the caller has received so far: a stream of the same kind. */
