A broken stream waits for the end of its run no longer than its request may

The wait is now raced with the request's last moment, the caller's leaving and the end of a planned stop. awaitRunEnd: the case of an engine that never answers would not have ended.

--- a/packages/edge/src/RequestExecution.ts
+++ b/packages/edge/src/RequestExecution.ts
@@ -147,10 +147,14 @@
 
   /** Whether the request must not be sent any more: too late, caller disconnected, or no longer authorized. */
   private get isOver(): boolean {
-    const { caller, request, deps } = this;
-    const lastMs = caller.hasStarted ? request.deadlineAtMs : request.firstEventDeadlineAtMs;
-    const isLate = deps.clock.nowMs() > lastMs - MIN_RUN_MS;
-    return isLate || caller.disconnectSignal.aborted || this.denial() !== undefined;
+    const isLate = this.deps.clock.nowMs() > this.lastSendMs;
+    return isLate || this.caller.disconnectSignal.aborted || this.denial() !== undefined;
+  }
+
+  /** Time from which it is too late to send the request, on the monotonic clock. */
+  private get lastSendMs(): number {
+    const { deadlineAtMs, firstEventDeadlineAtMs } = this.request;
+    return (this.caller.hasStarted ? deadlineAtMs : firstEventDeadlineAtMs) - MIN_RUN_MS;
   }
 
   /** Returns why the request may not be sent any more, though it was admitted; undefined if it may. */
@@ -319,7 +323,8 @@
       attemptId: fields.attemptId,
       target,
       settledAtMs: firstEventAtMs ?? this.deps.clock.nowMs(),
-      isOver: () => this.isOver,
+      lastMs: this.lastSendMs,
+      overSignal: AbortSignal.any([this.caller.disconnectSignal, this.deps.stopSignal]),
     });
   }
 
--- a/packages/edge/src/awaitRunEnd.ts
+++ b/packages/edge/src/awaitRunEnd.ts
@@ -1,4 +1,4 @@
-import type { RegisteredTarget } from '@wisteriapath/fleet';
+import type { EngineRuns, RegisteredTarget } from '@wisteriapath/fleet';
 import type EdgeDependencies from './EdgeDependencies';
 import mayStillRun from './mayStillRun';
 
@@ -10,8 +10,10 @@
   readonly target: RegisteredTarget;
   /** Since when the engine has certainly had the request, or will never have it, on the monotonic clock. */
   readonly settledAtMs: number;
-  /** Whether the request must not be sent any more. */
-  readonly isOver: () => boolean;
+  /** Time from which the request must not be sent any more, on the monotonic clock. */
+  readonly lastMs: number;
+  /** Aborts when it must not be sent any more for another reason. */
+  readonly overSignal: AbortSignal;
 }
 
 /** Age of what an engine's report says, at most. */
@@ -26,31 +28,41 @@
  * that is not known by the time at which the request must not be sent any more.
  *
  * @example
- * if (!(await awaitRunEnd(deps, { attemptId, target, settledAtMs, isOver }))) return this.fail('may still run');
+ * if (!(await awaitRunEnd(deps, run))) return this.fail('may still run');
  */
 const awaitRunEnd = async (
   { clock, log, probe }: Dependencies,
-  { attemptId, target, settledAtMs, isOver }: BrokenRun,
+  { attemptId, target, settledAtMs, lastMs, overSignal }: BrokenRun,
 ): Promise<boolean> => {
   const startedMs = clock.nowMs();
+  const known = new AbortController();
+  const signal = AbortSignal.any([overSignal, known.signal]);
+  let isOver = false;
+  const over = clock.sleep(lastMs - startedMs, signal).then(() => {
+    isOver = true;
+  });
+  let last: EngineRuns | undefined;
   for (let questions = 1; ; questions += 1) {
     const isShown = clock.nowMs() - REPORT_LAG_MS >= settledAtMs;
-    const runs = await probe.runs(target);
-    const hasEnded = !mayStillRun({ attemptId, isShown }, runs);
-    if (hasEnded || isOver()) {
+    const runs = await Promise.race([probe.runs(target), over]);
+    last = runs ?? last;
+    const hasEnded = runs !== undefined && !mayStillRun({ attemptId, isShown }, runs);
+    if (hasEnded || isOver) {
+      known.abort();
       log.event('run_end_awaited', {
         request: attemptId,
         target: target.id,
-        engine: runs.contact,
-        listed: runs.ids?.has(attemptId) ?? 'unknown',
-        unlisted: runs.unlisted,
+        engine: last?.contact ?? '',
+        listed: last?.ids?.has(attemptId) ?? 'unknown',
+        unlisted: last?.unlisted ?? 'unknown',
         questions,
         waited_ms: Math.round(clock.nowMs() - startedMs),
         outcome: hasEnded ? 'ended' : 'not_known',
       });
       return hasEnded;
     }
-    await clock.sleep(questions < QUICK_QUESTIONS ? ASK_INTERVAL_MS : LATER_ASK_INTERVAL_MS);
+    const intervalMs = questions < QUICK_QUESTIONS ? ASK_INTERVAL_MS : LATER_ASK_INTERVAL_MS;
+    await clock.sleep(intervalMs, signal);
   }
 };
 
