REFUSED, TWICE: a connection carries no id twice, so that no copy of a refusal meets its request again

What callers saw: a booking that its caller sends again under its id after a refusal, or that goes again to a target that has started anew at its address, is answered 503 while it runs, or runs twice.

Cause: the rule "no second send over the connection of a refusal" was kept by the execution of a request and by ids of targets. Connections are kept by address, and outlive both: a second request with the same id has another execution, and a target that starts anew has another id at the same address. The copy of the refusal stands where the answer to the second send is due, and bears its id.

Fix: the rule is kept by the connection, which knows what it has carried, for every sender.

Ruled out: that the id or the status tells (the copy is the same bytes). A new connection after any refusal of the request leaves a caller's second send as it was.

--- a/packages/edge/src/RequestExecution.ts
+++ b/packages/edge/src/RequestExecution.ts
@@ -126,7 +126,6 @@
         caller: this.caller,
         framer: this.framer,
         maySend: () => !this.isOver && this.judgement.verdict === SuspectVerdict.Clear,
-        wasRefused: this.refusedBy.has(view.entry.id),
         mayRunAgain: () => this.isRetryable,
         keepsFailure: this.isRetryable && this.executions + 1 < this.request.route.attempts,
         onBegun: () => this.recordBegun(),
--- a/packages/edge/src/TargetAttempt.ts
+++ b/packages/edge/src/TargetAttempt.ts
@@ -29,8 +29,6 @@
   readonly maySend: () => boolean;
   /** Whether the request may be run again, by what the operator says now. */
   readonly mayRunAgain: () => boolean;
-  /** Whether the target has refused this request before. */
-  readonly wasRefused: boolean;
   /** Whether an error response of the target is kept instead of passed on, because another attempt may follow. */
   readonly keepsFailure: boolean;
   /** Called when the target has begun to answer: with a complete event of a stream, or with a whole response. */
@@ -157,13 +155,14 @@
   /** What bounded the response, and how the exchange ended, for the log. */
   get endFields() {
     const framing = this.mode === ResponseMode.None ? ResponseFraming.None : this.framing;
-    const { errorCode = '', mayHaveSent = false } = this.exchange ?? {};
+    const { errorCode = '', mayHaveSent = false, isAmbiguous = false } = this.exchange ?? {};
     return {
       framing,
       end: this.exchangeEnd ?? '',
       error: errorCode,
       handed_over: mayHaveSent,
       stated_not_run: this.fields?.statesNotExecuted ?? false,
+      ambiguous: isAmbiguous,
     };
   }
 
@@ -188,8 +187,7 @@
         resumeAfterEventId: framer?.lastEventId ?? null,
       }),
       body,
-      // On the old one, the target might write its refusal once more.
-      needsNewConnection: this.context.wasRefused,
+      exchangeId: request.fields.attemptId,
       maySend: () => this.context.maySend() && this.deps.table.mayReceive(chosen.view.entry),
     };
   }
@@ -235,8 +233,10 @@
 
   /**
    * Whether the target has not run the request: by its statement, or by a status that is one where another run would do no harm.
+   * A statement that may be a copy of an earlier one proves nothing.
    */
   private isRejection({ statesNotExecuted, isMisdirected }: ResponseFields): boolean {
+    if (this.exchange?.isAmbiguous) return false;
     return statesNotExecuted || (isMisdirected && this.context.mayRunAgain());
   }
 
--- a/packages/edge/src/TargetConnections.ts
+++ b/packages/edge/src/TargetConnections.ts
@@ -17,8 +17,8 @@
   /** Names and values in turn. */
   readonly headers: string[];
   readonly body: Buffer;
-  /** Whether a connection is used that has carried no earlier exchange. */
-  readonly needsNewConnection: boolean;
+  /** The id that the target repeats in its answers. */
+  readonly exchangeId: string;
   /** Asked just before the first byte is sent, as a connection may have had to be opened first. */
   readonly maySend: () => boolean;
 }
@@ -42,6 +42,8 @@
   readonly errorCode: string;
   /** Whether the request was handed to an established connection, so that bytes of it may have been sent. */
   readonly mayHaveSent: boolean;
+  /** Whether the answer may be a copy of the answer to an earlier request. */
+  readonly isAmbiguous: boolean;
   abort(): void;
   /** Continues the flow of data after `onData` returned false. */
   resume(): void;
@@ -75,7 +77,7 @@
 const closesConnection = (framing: ResponseFraming, { connection }: HeaderRecord): boolean =>
   framing === ResponseFraming.Close || /\bclose\b/i.test(String(connection ?? ''));
 
-/** The pools of connections to targets; a connection carries one exchange at a time. */
+/** The pools of connections to targets; a connection carries one exchange at a time, and no id twice. */
 class TargetConnections {
   private readonly pools = new Map<string, Pool>();
 
@@ -139,20 +141,17 @@
       onResponseError: (_, error) => settle(failure(error)),
     };
     try {
-      const { method, path, headers, body } = request;
+      const { method, path, headers, body, exchangeId } = request;
       const options: TrackedDispatchOptions = {
         connectionUse,
+        exchangeId,
         method,
         path,
         headers,
         body: body.length === 0 ? null : body,
       };
       // Throws if the address is not valid.
-      const dispatcher = request.needsNewConnection
-        ? createClient(originOf(request.address))
-        : this.poolOf(request.address);
-      dispatcher.dispatch(options, dispatch);
-      if (dispatcher instanceof TrackedClient) void dispatcher.close();
+      this.poolOf(request.address).dispatch(options, dispatch);
     } catch (error) {
       settle(failure(error as NodeJS.ErrnoException));
     }
@@ -164,6 +163,9 @@
       get mayHaveSent() {
         return connectionUse.mayHaveSent && !isWithheld;
       },
+      get isAmbiguous() {
+        return connectionUse.isAmbiguous;
+      },
       abort,
       resume: () => controller?.resume(),
     };
--- a/packages/edge/test/closeDelimited.test.ts
+++ b/packages/edge/test/closeDelimited.test.ts
@@ -44,7 +44,7 @@
         path: '/',
         headers: [],
         body: Buffer.alloc(0),
-        needsNewConnection: true,
+        exchangeId: 'one',
         maySend: () => true,
       },
       {
--- a/packages/edge/test/keptConnections.test.ts
+++ b/packages/edge/test/keptConnections.test.ts
@@ -93,7 +93,7 @@
         path: `/book/${id}`,
         headers: [],
         body: Buffer.from(BODY),
-        needsNewConnection: false,
+        exchangeId: id,
         maySend: () => true,
       };
       const handler = { onHeaders: () => true, onData: () => true };
--- a/packages/edge/test/targetConnections.test.ts
+++ b/packages/edge/test/targetConnections.test.ts
@@ -1,4 +1,5 @@
 /** Requests do not wait inside the HTTP client, and are checked again just before their first byte is sent. */
+import { randomUUID } from 'node:crypto';
 import { createServer, type Server, type ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import ExchangeEnd from '../src/ExchangeEnd';
@@ -34,7 +35,7 @@
         path: '/',
         headers: [],
         body: Buffer.alloc(0),
-        needsNewConnection: false,
+        exchangeId: randomUUID(),
         maySend,
       },
       { onHeaders: () => true, onData: () => true },
@@ -69,7 +70,7 @@
       path: '/',
       headers: [],
       body: Buffer.alloc(0),
-      needsNewConnection: false,
+      exchangeId: randomUUID(),
       maySend: () => true,
     };
     const { ended } = connections.send(request, { onHeaders: () => true, onData: () => true });
--- a/packages/response-ends/src/ConnectionUse.ts
+++ b/packages/response-ends/src/ConnectionUse.ts
@@ -1,27 +1,27 @@
 import type { Socket } from 'node:net';
-import type { Dispatcher } from 'undici';
+import type ConnectionHistory from './ConnectionHistory';
 import type TrackedClient from './TrackedClient';
-import watchHandover from './watchHandover';
 
-/** What one request has used: a client, and so its connection. Passed among the options of the dispatch. */
+/** The connection that one request has used. Passed among the options of the dispatch. */
 class ConnectionUse {
   private client: TrackedClient | undefined;
 
-  private wasHandedOver = false;
-
   private socket: Socket | undefined;
 
+  private history: ConnectionHistory | undefined;
+
+  private wasAmbiguous = false;
+
   /** Bytes of earlier answers on the same connection. */
   private earlierBytes = 0;
 
-  /** Called by the client that the request is dispatched to. Returns the handler to go on with. */
-  assign(client: TrackedClient, handler: Dispatcher.DispatchHandler): Dispatcher.DispatchHandler {
+  /** Called by the client when the request is handed to its connection. */
+  begin(client: TrackedClient, exchangeId: string | undefined): void {
     this.client = client;
-    return watchHandover(handler, () => {
-      this.wasHandedOver = true;
-      this.socket = client.socket;
-      this.earlierBytes = client.socket?.bytesRead ?? 0;
-    });
+    this.socket = client.socket;
+    this.history = client.history;
+    this.wasAmbiguous = client.history.isAmbiguous(exchangeId);
+    this.earlierBytes = client.socket?.bytesRead ?? 0;
   }
 
   /**
@@ -29,7 +29,12 @@
    * tell this: a connection that carries a request can end with the codes of one that was never opened.
    */
   get mayHaveSent(): boolean {
-    return this.wasHandedOver;
+    return this.client !== undefined;
+  }
+
+  /** Whether the answer may be a copy of the answer to an earlier request, which the ids in them do not tell. */
+  get isAmbiguous(): boolean {
+    return this.wasAmbiguous;
   }
 
   /** Whether a byte has come on the connection since the request was handed to it, readable as an answer or not. */
@@ -41,6 +46,11 @@
   get hasEndedInOrder(): boolean {
     return this.client?.hasEndedInOrder ?? false;
   }
+
+  /** Lets the connection carry no further request. */
+  retireConnection(): void {
+    this.history?.retire();
+  }
 }
 
 export default ConnectionUse;
