Own protocol: an answer without an id is believed only on a connection that had carried nothing

What callers saw: a completion whose engine runs it was sent to an engine once more; a call that may run at most once was answered with the refusal of another call, which was also recorded as its outcome.

Cause: TargetClient took an answer that bears no x-request-id for the answer to whoever waits on the connection, as the copy of an earlier refusal is.

Fix: such an answer is the attempt's own only if the request was the first of its connection (ConnectionUse.isFirst, new). Otherwise it is an AttemptMismatch, which may have run: ModelCall asks the retry budget, ServiceCall keeps its claim. Attempt ids are passed as exchangeId, so that the connection keeps the rule about ids as well.

Evidence: new cases of targetClient, modelCall and claimAfterSend: 3 of 3 failed before (copy without an id); the copy with the earlier id was told apart before too. Ruled out: AttemptLog, which counts any failure but NotSent as possibly run.

The server of modelCall.test named no id in its answers, contrary to docs/platform.md, and so relied on what is mended here: it names them now, its expectations are as they were. The stand-in engine named none in its 409, which would now count as possibly run on a kept connection: all stand-ins repeat the id in every answer.

--- a/packages/response-ends/src/ConnectionHistory.ts
+++ b/packages/response-ends/src/ConnectionHistory.ts
@@ -18,16 +18,21 @@
 
   private isRetired = false;
 
+  /** Whether the connection has carried nothing. */
+  get isUnused(): boolean {
+    return this.exchanges === 0;
+  }
+
   /** Whether an exchange may still go over the connection. */
   mayCarry(exchangeId: string | undefined, needsNewConnection: boolean): boolean {
     if (this.isRetired || this.idChars >= MAX_ID_CHARS) return false;
-    if (needsNewConnection) return this.exchanges === 0;
+    if (needsNewConnection) return this.isUnused;
     return exchangeId === undefined || !this.ids.has(exchangeId);
   }
 
   /** Whether an answer that bears this id may belong to an earlier exchange of the connection; one without an id always may. */
   isAmbiguous(exchangeId: string | undefined): boolean {
-    return exchangeId === undefined ? this.exchanges > 0 : this.ids.has(exchangeId);
+    return exchangeId === undefined ? !this.isUnused : this.ids.has(exchangeId);
   }
 
   /** Counts an exchange as carried. */
--- a/packages/response-ends/src/ConnectionUse.ts
+++ b/packages/response-ends/src/ConnectionUse.ts
@@ -12,6 +12,8 @@
 
   private wasAmbiguous = false;
 
+  private wasUnused = true;
+
   /** Bytes of earlier answers on the same connection. */
   private earlierBytes = 0;
 
@@ -20,6 +22,7 @@
     this.client = client;
     this.socket = client.socket;
     this.history = client.history;
+    this.wasUnused = client.history.isUnused;
     this.wasAmbiguous = client.history.isAmbiguous(exchangeId);
     this.earlierBytes = client.socket?.bytesRead ?? 0;
   }
@@ -37,6 +40,11 @@
     return this.wasAmbiguous;
   }
 
+  /** Whether the connection had carried nothing before the request. Otherwise nothing tells whose answer one without an id is. */
+  get isFirst(): boolean {
+    return this.wasUnused;
+  }
+
   /** Whether a byte has come on the connection since the request was handed to it, readable as an answer or not. */
   get hasReceived(): boolean {
     return (this.socket?.bytesRead ?? 0) > this.earlierBytes;
--- a/packages/routing/src/TargetClient.ts
+++ b/packages/routing/src/TargetClient.ts
@@ -19,7 +19,7 @@
   readonly path: string;
   readonly headers: Readonly<Record<string, string>>;
   readonly body: Buffer | string;
-  /** Id of this attempt; a response that names another one is dropped. */
+  /** Id of this attempt; a response that names another one, or may belong to another one, is dropped. */
   readonly attemptId: string;
   readonly signal: AbortSignal;
 }
@@ -41,6 +41,13 @@
   return SILENCE_ERROR_CODES.has(code) ? ExchangeFailure.Silent : ExchangeFailure.Broken;
 };
 
+/** Whether an answer belongs to an attempt. One without an id may belong to any that the connection has carried. */
+const isOwn = (
+  echoedId: string | string[] | undefined,
+  attemptId: string,
+  { isFirst, isAmbiguous }: ConnectionUse,
+): boolean => (echoedId === undefined ? isFirst : echoedId === attemptId && !isAmbiguous);
+
 /**
  * An HTTP client for targets. A connection whose exchange did not finish is closed and never
  * reused, so a late response cannot reach another request.
@@ -66,6 +73,7 @@
     try {
       const options = {
         connectionUse,
+        exchangeId: call.attemptId,
         highWaterMark: MAX_UNREAD_BYTES,
         dispatcher: this.agent,
         method: call.method,
@@ -74,8 +82,7 @@
         signal: call.signal,
       };
       const data = await request(`${url}${call.path}`, options);
-      const echoed = data.headers[ATTEMPT_ID_HEADER];
-      if (echoed === undefined || echoed === call.attemptId) {
+      if (isOwn(data.headers[ATTEMPT_ID_HEADER], call.attemptId, connectionUse)) {
         const framing = framingOf(call.method, data.statusCode, data.headers);
         const wasBrokenOff = () =>
           framing === ResponseFraming.Close && !connectionUse.hasEndedInOrder;
--- a/packages/routing/test/claimAfterSend.test.ts
+++ b/packages/routing/test/claimAfterSend.test.ts
@@ -1,4 +1,7 @@
 /** A call that its target may have run keeps its claim, so that a repeat of its key does not run it again. */
+import { createServer } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { setImmediate as nextTurn } from 'node:timers/promises';
 import { ErrorKind, systemClock } from '@wisteriapath/model';
 import { Right } from 'purify-ts';
 import connectCodes from '@wisteriapath/response-ends/test/support/connectCodes';
@@ -8,6 +11,8 @@
 import ServiceCall from '../src/ServiceCall';
 import TargetClient from '../src/TargetClient';
 
+const COPY = 'HTTP/1.1 409 Conflict\r\ncontent-length: 0\r\n\r\n';
+
 /** Calls a service at most once; tells the kind of its error and how often the claim was released. */
 const callOnce = async (client: TargetClient, port: number) => {
   let releases = 0;
@@ -75,6 +80,35 @@
     }
   });
 
+  test('keeps its claim when a copy of an earlier refusal, without an id, stands in place of its answer', async () => {
+    let arrivals = 0;
+    const server = createServer((request, response) => {
+      response.setHeader('x-request-id', String(request.headers['x-request-id']));
+      request.resume().on('end', () => {
+        arrivals += 1;
+        if (arrivals > 1) request.socket.write(COPY);
+        response.writeHead(arrivals > 1 ? 200 : 409).end();
+      });
+    });
+    await new Promise<void>((resolve) => {
+      server.listen(0, '127.0.0.1', resolve);
+    });
+    const { port } = server.address() as AddressInfo;
+    try {
+      expect(await callOnce(client, port)).toEqual({ kind: null, releases: 0 });
+      // The client counts its connection as in use until then.
+      await nextTurn();
+      expect(await callOnce(client, port)).toEqual({
+        kind: ErrorKind.OutcomeUnknown,
+        releases: 0,
+      });
+      expect(arrivals).toBe(2);
+    } finally {
+      server.closeAllConnections();
+      server.close();
+    }
+  });
+
   test('loses its claim if no connection could be opened', async () => {
     const target = await startLostServer('');
     target.close();
--- a/packages/routing/test/modelCall.test.ts
+++ b/packages/routing/test/modelCall.test.ts
@@ -19,6 +19,7 @@
   let answer: (response: ServerResponse) => void;
   beforeAll(async () => {
     server = createServer((request, response) => {
+      response.setHeader('x-request-id', String(request.headers['x-request-id']));
       request.resume().on('end', () => {
         arrivals += 1;
         answer(response);
@@ -106,4 +107,22 @@
     const result = await run(0);
     expect([result.isRight(), arrivals]).toEqual([true, 3]);
   });
+
+  test('is not sent again after the copy of an earlier refusal that bears no id, as it may run', async () => {
+    const refused = new WeakSet<object>();
+    answer = (response) => {
+      const socket = response.socket!;
+      if (refused.has(socket)) socket.write('HTTP/1.1 409 Conflict\r\ncontent-length: 0\r\n\r\n');
+      refused.add(socket);
+      response.writeHead(arrivals === 1 ? 409 : 200).end(DONE);
+    };
+    await run(0);
+    arrivals = 1;
+    const error = (await run(0)).swap().unsafeCoerce();
+    expect([error.kind, error.ran, arrivals]).toEqual([
+      ErrorKind.TargetFailed,
+      ExecutionStatus.Unknown,
+      2,
+    ]);
+  });
 });
--- a/packages/routing/test/targetClient.test.ts
+++ b/packages/routing/test/targetClient.test.ts
@@ -1,6 +1,7 @@
 /** Guards that a response reaches only the request that it belongs to. */
 import { createServer, type RequestListener } from 'node:http';
 import type { AddressInfo } from 'node:net';
+import { setImmediate as nextTurn } from 'node:timers/promises';
 import ExchangeFailure from '../src/ExchangeFailure';
 import TargetClient from '../src/TargetClient';
 
@@ -48,6 +49,39 @@
     expect(result.extract()).toBe(ExchangeFailure.AttemptMismatch);
   });
 
+  describe.each([
+    ['with the id of the refused attempt', 'x-request-id: refused\r\n'],
+    ['without an id', ''],
+  ])('on a connection on which its target writes a refusal once more, %s', (_, idLine) => {
+    const copy = `HTTP/1.1 409 Conflict\r\n${idLine}content-length: 0\r\n\r\n`;
+    beforeEach(async () => {
+      target = await startTarget((request, response) => {
+        const id = String(request.headers['x-request-id']);
+        response.setHeader('x-request-id', id);
+        if (id === 'refused') response.writeHead(409).end();
+        else request.socket.write(copy, () => response.end('done'));
+      });
+      const refused = (await client.send(target.url, call('refused'))).unsafeCoerce();
+      await refused.data.body.dump();
+      // The client counts its connection as in use until then.
+      await nextTurn();
+    });
+
+    test('does not take the copy for its own answer', async () => {
+      const result = await client.send(target.url, call('own'));
+      expect(result.extract()).toBe(ExchangeFailure.AttemptMismatch);
+      expect(target.connections()).toBe(1);
+    });
+  });
+
+  test('believes an answer without an id on a connection that has carried nothing before', async () => {
+    target = await startTarget((_request, response) => {
+      response.end('done');
+    });
+    const first = await client.send(target.url, call('first'));
+    expect(await first.unsafeCoerce().data.body.text()).toBe('done');
+  });
+
   test('a response that ends with its connection before it is read arrives whole', async () => {
     const text = 'a'.repeat(70_000);
     target = await startTarget((_request, response) => {
--- a/packages/standins/src/EngineCompletions.ts
+++ b/packages/standins/src/EngineCompletions.ts
@@ -106,8 +106,7 @@
     const workspace = context.get('x-wisteriapath-workspace');
     const promptTokens = Math.ceil(prompt.length / CHARS_PER_TOKEN);
     const { res } = context;
-    const requestId = context.get('x-request-id');
-    res.writeHead(200, { 'content-type': 'text/event-stream', 'x-request-id': requestId });
+    res.writeHead(200, { 'content-type': 'text/event-stream' });
     res.flushHeaders();
     this.countTokens(workspace, firstToken === 0 ? promptTokens : 0);
     for (let index = firstToken; index < maxTokens && !res.closed; index += 1) {
--- a/packages/standins/src/startService.ts
+++ b/packages/standins/src/startService.ts
@@ -41,7 +41,6 @@
         await systemClock.sleep(workMs);
         counts.inflight -= 1;
         counts.finished += 1;
-        context.set('x-request-id', context.get('x-request-id'));
         context.body = { path: context.path, method: context.method, body, run: runs[key] ?? 0 };
       });
     },
--- a/packages/standins/src/startStandin.ts
+++ b/packages/standins/src/startStandin.ts
@@ -1,7 +1,7 @@
 import { createServer } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import Router from '@koa/router';
-import Koa from 'koa';
+import Koa, { type Middleware } from 'koa';
 import FaultSwitch from './FaultSwitch';
 import type RunningStandin from './RunningStandin';
 import readJson from './readJson';
@@ -16,6 +16,14 @@
 }
 
 const LOOPBACK = '127.0.0.1';
+const REQUEST_ID_HEADER = 'x-request-id';
+
+/** Repeats the id of a request in its answer, whatever that is. */
+const echoRequestId: Middleware = async (context, next) => {
+  const requestId = context.get(REQUEST_ID_HEADER);
+  if (requestId !== '') context.set(REQUEST_ID_HEADER, requestId);
+  await next();
+};
 
 /**
  * Starts the HTTP server of a stand-in on the loopback address, with its routes, `/faults` and
@@ -43,7 +51,7 @@
   definition.routes(router);
   const app = new Koa();
   app.silent = true;
-  app.use(faults.middleware).use(router.routes());
+  app.use(echoRequestId).use(faults.middleware).use(router.routes());
   const server = createServer(app.callback());
   server.keepAliveTimeout = 60_000;
   server.on('connection', () => {
