Own protocol: no copy of an earlier answer is taken for the answer to an order

What targets saw: a placer that stood down, as the copy of an earlier 412 said that another had taken over; an order that was never carried out and was waited for, as the copy of a 200 (of an order, or of a report) said that it was taken.

Cause: HttpTargetControl sent orders and read reports over one plain agent, and their answers bear no id.

Fix: each order goes over a connection that carries nothing else; orders are few here and connections have no price, so that every answer can be believed. A connection on which a report was refused carries no more. createTrackedAgent is used for both.

Left: the copy of an older report, as reports may be late (lastOrder and incarnation say what they reflect).

--- a/packages/placement/src/HttpTargetControl.ts
+++ b/packages/placement/src/HttpTargetControl.ts
@@ -1,5 +1,6 @@
 import { Just, type Maybe, Nothing } from 'purify-ts';
-import { Agent, request } from 'undici';
+import { request } from 'undici';
+import { ConnectionUse, createTrackedAgent } from '@wisteriapath/response-ends';
 import type LoadReport from './LoadReport';
 import OrderResult from './OrderResult';
 import type TargetControl from './TargetControl';
@@ -11,18 +12,25 @@
 /** Status of a target that refuses an order because of a stale fencing token. */
 const HTTP_PRECONDITION_FAILED = 412;
 
-/** Controls targets by the HTTP protocol of docs/platform.md. */
+/**
+ * Controls targets by the HTTP protocol of docs/platform.md. Answers bear no ids, so that on a kept connection nothing tells them from
+ * the copy of an earlier answer.
+ */
 class HttpTargetControl implements TargetControl {
-  private readonly agent = new Agent({ connect: { timeout: CONNECT_TIMEOUT_MS } });
+  private readonly agent = createTrackedAgent({
+    connections: null,
+    connectTimeoutMs: CONNECT_TIMEOUT_MS,
+    headersTimeout: RESPONSE_TIMEOUT_MS,
+    bodyTimeout: RESPONSE_TIMEOUT_MS,
+  });
 
   async report(url: string): Promise<Maybe<LoadReport>> {
+    const connectionUse = new ConnectionUse();
     try {
-      const response = await request(`${url}/load`, {
-        dispatcher: this.agent,
-        headersTimeout: RESPONSE_TIMEOUT_MS,
-        bodyTimeout: RESPONSE_TIMEOUT_MS,
-      });
+      const options = { connectionUse, dispatcher: this.agent };
+      const response = await request(`${url}/load`, options);
       if (response.statusCode === HTTP_OK) return Just((await response.body.json()) as LoadReport);
+      connectionUse.retireConnection();
       await response.body.dump();
       return Nothing;
     } catch {
@@ -32,14 +40,16 @@
 
   async order(url: string, order: TargetOrder): Promise<OrderResult> {
     try {
-      const response = await request(`${url}/orders`, {
+      const options = {
+        // An order has a connection of its own: orders are few, and each answer is believed.
+        needsNewConnection: true,
+        reset: true,
         dispatcher: this.agent,
         method: 'POST',
         body: JSON.stringify(order),
         headers: { 'content-type': 'application/json' },
-        headersTimeout: RESPONSE_TIMEOUT_MS,
-        bodyTimeout: RESPONSE_TIMEOUT_MS,
-      });
+      };
+      const response = await request(`${url}/orders`, options);
       await response.body.dump();
       if (response.statusCode === HTTP_OK) return OrderResult.Accepted;
       return response.statusCode === HTTP_PRECONDITION_FAILED
