Log: the copy of an earlier refusal is not taken for the refusal of an append

What callers saw: a change that the log had written was answered "not written".

Cause: appends and reads bear no ids and share kept connections, and 429 or 503 to an append is believed without a look into the log.

Fix: a connection on which a call was refused carries no more, so that the copy of the refusal meets no other call. A refusal on a connection that has carried good answers only is still believed: it can't be the copy of one, and an outcome that is unknown costs a second record for each refused append.

Left: the copy of a 200 to an append; its record is then still awaited in the log and cancelled if it doesn't come (appendUntilSettled).

--- a/packages/log-client/src/HttpLog.ts
+++ b/packages/log-client/src/HttpLog.ts
@@ -14,7 +14,10 @@
 /** Statuses with which the log refuses an append without writing it. */
 const REFUSAL_STATUSES = new Set([429, 503]);
 
-/** A log client that uses the HTTP protocol of docs/platform.md. */
+/**
+ * A log client that uses the HTTP protocol of docs/platform.md. Its answers bear no ids, so that a connection carries nothing more once
+ * a call on it was refused: a copy of the refusal would be taken for the answer to the next call.
+ */
 class HttpLog implements LogPort {
   private readonly agent = createTrackedAgent({
     connections: null,
@@ -36,6 +39,7 @@
     };
     try {
       const response = await request(`${this.baseUrl}/streams/${stream}/records`, options);
+      if (response.statusCode !== OK) connectionUse.retireConnection();
       await response.body.dump();
       if (response.statusCode === OK) return AppendResult.Appended;
       return REFUSAL_STATUSES.has(response.statusCode)
@@ -54,14 +58,18 @@
   ): Promise<Maybe<LogBatch>> {
     const url = `${this.baseUrl}/streams/${stream}/records?from=${fromOffset}&waitMs=${waitMs}`;
     const timeoutMs = waitMs + READ_TIMEOUT_MARGIN_MS;
+    const connectionUse = new ConnectionUse();
+    const options = {
+      connectionUse,
+      dispatcher: this.agent,
+      signal,
+      headersTimeout: timeoutMs,
+      bodyTimeout: timeoutMs,
+    };
     try {
-      const response = await request(url, {
-        dispatcher: this.agent,
-        signal,
-        headersTimeout: timeoutMs,
-        bodyTimeout: timeoutMs,
-      });
+      const response = await request(url, options);
       if (response.statusCode !== OK) {
+        connectionUse.retireConnection();
         await response.body.dump();
         return Nothing;
       }
