A request that is aborted before it is sent ends at once, and its caller is told that it has not run

Callers saw: where the connection to a target did not open, a deadline was answered up to 0.6 s late (deadline 300 ms, answers after 883 to 922 ms), and with 504, which leaves open whether the request ran, though nothing had been sent.

Cause: before the hand-over there is nothing to abort in the HTTP client; the exchange ended only when the client called back, with the connection opened or given up (500 ms, on timers that turn every half second).

Now an exchange that was not handed over ends as withheld when it is aborted. When the connection opens after all, the client asks onRequestStart, which aborts the request before its first byte, as it does for one that must not be sent any more; a retry then follows only within the deadline. A request that was handed over ends as before.

Ruled out, by reading, as the cause of the test that once did not end ("a request that broke three targets"): an exchange aborted before its hand-over did end, as the client gives up each connection; the probe of a connection ends by its timer.

--- a/packages/edge/src/TargetConnections.ts
+++ b/packages/edge/src/TargetConnections.ts
@@ -44,6 +44,7 @@
   readonly mayHaveSent: boolean;
   /** Whether the answer may be a copy of the answer to an earlier request. */
   readonly isAmbiguous: boolean;
+  /** Ends the exchange; at once, with nothing sent now or later, if it has not been handed to a connection. */
   abort(): void;
   /** Continues the flow of data after `onData` returned false. */
   resume(): void;
@@ -98,7 +99,13 @@
     const abort = () => {
       if (isAborted) return;
       isAborted = true;
-      controller?.abort(new Error('exchange aborted by this instance'));
+      if (controller !== undefined) {
+        controller.abort(new Error('exchange aborted by this instance'));
+        return;
+      }
+      // The HTTP client reports the end only once the connection has opened or failed, and is then told to send nothing.
+      isWithheld = true;
+      settle(ExchangeEnd.Withheld);
     };
     let errorCode = '';
     const failure = (error: NodeJS.ErrnoException): ExchangeEnd => {
@@ -111,11 +118,8 @@
     const dispatch: Dispatcher.DispatchHandler = {
       onRequestStart: (started) => {
         controller = started;
-        if (isAborted) started.abort(new Error('exchange aborted by this instance'));
-        else if (!request.maySend()) {
-          isWithheld = true;
-          started.abort(new Error('the request must not be sent any more'));
-        }
+        isWithheld ||= !request.maySend();
+        if (isWithheld) started.abort(new Error('the request must not be sent any more'));
       },
       onResponseStart: (_, status, headers) => {
         if (status < 200) {
--- a/packages/edge/test/targetConnections.test.ts
+++ b/packages/edge/test/targetConnections.test.ts
@@ -2,10 +2,18 @@
 import { randomUUID } from 'node:crypto';
 import { createServer, type Server, type ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
+import { setTimeout as sleep } from 'node:timers/promises';
 import ExchangeEnd from '../src/ExchangeEnd';
 import TargetConnections from '../src/TargetConnections';
+import startDeafListener from './support/startDeafListener';
 
 const REQUESTS = 40;
+/** Time in which a connection to the deaf listener neither opens nor counts as failed. */
+const OPENING_MS = 100;
+/** Less than the HTTP client takes to give up a connection. */
+const END_LIMIT_MS = 200;
+/** Time after which the kernel has asked again for a connection that was not accepted. */
+const ASKED_AGAIN_MS = 1_500;
 
 describe('connections to targets', () => {
   const connections = new TargetConnections();
@@ -27,10 +35,12 @@
     server.close();
   });
 
-  const send = (maySend: () => boolean) =>
+  const serverAddress = () => `127.0.0.1:${(server.address() as AddressInfo).port}`;
+
+  const send = (maySend: () => boolean, address = serverAddress()) =>
     connections.send(
       {
-        address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
+        address,
         method: 'GET',
         path: '/',
         headers: [],
@@ -55,7 +65,7 @@
   });
 
   test('a request that may no longer be sent when its connection is open is not sent', async () => {
-    connections.retire(`127.0.0.1:${(server.address() as AddressInfo).port}`);
+    connections.retire(serverAddress());
     let isAllowed = true;
     const exchange = send(() => isAllowed);
     isAllowed = false;
@@ -76,4 +86,41 @@
     const { ended } = connections.send(request, { onHeaders: () => true, onData: () => true });
     expect(await ended).toBe(ExchangeEnd.NotSent);
   });
+
+  test('an exchange aborted while its connection opens ends at once, and nothing of it is sent', async () => {
+    const deaf = await startDeafListener();
+    try {
+      const exchange = send(() => true, deaf.address);
+      await sleep(OPENING_MS);
+      exchange.abort();
+      expect(await Promise.race([exchange.ended, sleep(END_LIMIT_MS)])).toBe(ExchangeEnd.Withheld);
+      expect(exchange.mayHaveSent).toBe(false);
+      deaf.release();
+      await sleep(ASKED_AGAIN_MS);
+      expect(deaf.received()).toBe('');
+      expect(exchange.mayHaveSent).toBe(false);
+    } finally {
+      await deaf.close();
+    }
+  });
+
+  test.each(['new', 'kept'])(
+    'an exchange aborted before its hand-over to a %s connection is not sent, and the next one is',
+    async (kind) => {
+      connections.retire(serverAddress());
+      onRequest = () => waiting.splice(0).forEach((response) => response.end());
+      if (kind === 'kept') expect(await send(() => true).ended).toBe(ExchangeEnd.Complete);
+      let arrived = 0;
+      onRequest = () => {
+        arrived += 1;
+        waiting.splice(0).forEach((response) => response.end());
+      };
+      const exchange = send(() => true);
+      exchange.abort();
+      expect(await exchange.ended).toBe(ExchangeEnd.Withheld);
+      await sleep(OPENING_MS);
+      expect([arrived, exchange.mayHaveSent]).toEqual([0, false]);
+      expect(await send(() => true).ended).toBe(ExchangeEnd.Complete);
+    },
+  );
 });
