--- a/packages/edge/src/RequestExecution.ts
+++ b/packages/edge/src/RequestExecution.ts
@@ -1,10 +1,5 @@
 import { ErrorKind, ServeError } from '@wisteriapath/model';
-import {
-  type DesiredState,
-  type PathRoute,
-  RouteSemantics,
-  type TargetView,
-} from '@wisteriapath/fleet';
+import { RouteSemantics, type TargetView } from '@wisteriapath/fleet';
 import { ResponseFraming } from '@wisteriapath/response-ends';
 import { SuspectVerdict } from '@wisteriapath/suspects';
 import type AdmittedRequest from './AdmittedRequest';
@@ -14,13 +9,13 @@
 import type EdgeDependencies from './EdgeDependencies';
 import EventFramer from './EventFramer';
 import type RequestResult from './RequestResult';
+import RequestAuthorization from './RequestAuthorization';
+import RequestTrial from './RequestTrial';
 import TargetAttempt from './TargetAttempt';
 import TargetFinder from './TargetFinder';
-import authorize from './authorize';
 import awaitRunEnd from './awaitRunEnd';
 import mayRunAgain from './mayRunAgain';
 import sendResponse from './sendResponse';
-import suspectError from './suspectError';
 
 /** Time before the deadline at which a request that could not be sent is refused. */
 const REFUSAL_MARGIN_MS = 60;
@@ -31,8 +26,6 @@
 const MAX_SENDS = 6;
 const MAX_LOGGED_PARTS = 8;
 const TRIAL_POLL_INTERVAL_MS = 25;
-/** Retry delay for a request that only has to be admitted again. */
-const READMISSION_DELAY_MS = 50;
 /** Outcomes after which the target may have run the request. */
 const POSSIBLY_EXECUTED = new Set([
   AttemptOutcome.Broken,
@@ -45,15 +38,6 @@
 /** Fraction of the latency target for which a request waits for a target of a pool of services. */
 const SERVICE_WAIT_FRACTION = 0.5;
 
-/** What a desired state says of the request. */
-interface Authorization {
-  readonly state: DesiredState;
-  /** The route of the request; undefined if the state has none for it. */
-  readonly route: PathRoute | undefined;
-  /** Why the state forbids the request; undefined if it allows it. */
-  readonly denial: ServeError | undefined;
-}
-
 /** The execution of one admitted request, with as many attempts as its route and the limits allow. */
 class RequestExecution {
   private readonly excluded = new Map<string, number>();
@@ -76,22 +60,18 @@
 
   private lastFailure: TargetAttempt | null = null;
 
-  /** Whether a target has begun to answer. */
-  private hasBegun = false;
-
-  /** Id of the claim under which the request is being tried though it is suspected. */
-  private trialClaim: string | undefined;
+  private readonly trial: RequestTrial;
 
-  /** The result of authorizing the request against the newest desired state, cached. */
-  private lastAuthorization: Authorization;
+  private readonly authorization: RequestAuthorization;
 
   constructor(
     private readonly deps: EdgeDependencies,
     private readonly request: AdmittedRequest,
     private readonly caller: CallerExchange,
   ) {
-    const { state, route } = request;
-    this.lastAuthorization = { state, route, denial: undefined };
+    const { route } = request;
+    this.trial = new RequestTrial(deps.suspects, request.traits);
+    this.authorization = new RequestAuthorization(deps.desired, request, caller.request.url ?? '/');
     const isResumable = route.semantics === RouteSemantics.Stream && mayRunAgain(route);
     this.framer = isResumable ? new EventFramer() : null;
     this.finder = new TargetFinder(deps);
@@ -115,7 +95,7 @@
         return this.executions > 0 ? this.fail(denial.message) : this.sendError(denial);
       }
       if (chosen === undefined) return this.failUnserved();
-      if (!this.claimTrialIfDue()) {
+      if (!this.trial.claimIfDue()) {
         chosen.reservation.release();
         continue;
       }
@@ -125,17 +105,18 @@
         request: this.request,
         caller: this.caller,
         framer: this.framer,
-        maySend: () => !this.isOver && this.judgement.verdict === SuspectVerdict.Clear,
-        mayRunAgain: () => this.isRetryable,
-        keepsFailure: this.isRetryable && this.executions + 1 < this.request.route.attempts,
-        onBegun: () => this.recordBegun(),
+        maySend: () => !this.isOver && this.trial.verdict === SuspectVerdict.Clear,
+        mayRunAgain: () => this.authorization.isRetryable,
+        keepsFailure:
+          this.authorization.isRetryable && this.executions + 1 < this.request.route.attempts,
+        onBegun: () => this.trial.recordBegun(),
       });
       const sentAtMs = this.deps.clock.nowMs();
       this.sends += 1;
       this.lastTargetId = view.entry.id;
       const outcome = await attempt.run();
       if (outcome === AttemptOutcome.Broken) await this.reportCrash(view, sentAtMs);
-      this.endTrial();
+      this.trial.end();
       if (outcome === AttemptOutcome.Answered) return this.finishAnswered(attempt);
       if (outcome === AttemptOutcome.CallerDisconnected) return this.result(null, 0);
       const result = this.handleFailure(view, attempt, outcome);
@@ -158,7 +139,7 @@
 
   /** Returns why the request may not be sent any more, though it was admitted; undefined if it may. */
   private denial(): ServeError | undefined {
-    return this.stopError() ?? this.authorization.denial ?? this.suspectError();
+    return this.stopError() ?? this.authorization.denial ?? this.trial.refusal;
   }
 
   /** Returns a refusal once a shutdown leaves no time to run a request; a stream that has begun may go on. */
@@ -168,85 +149,23 @@
     return ServeError.notExecuted(ErrorKind.Stopping, 'this instance is shutting down');
   }
 
-  private suspectError(): ServeError | undefined {
-    const { verdict, waitMs } = this.judgement;
-    return verdict === SuspectVerdict.Refused ? suspectError(waitMs) : undefined;
-  }
-
-  /** The judgement of the request's traits; none of them counts once a target has begun to answer, or in its own trial. */
-  private get judgement() {
-    const isSettled = this.hasBegun || this.trialClaim !== undefined;
-    return this.deps.suspects.judge(isSettled ? [] : this.request.traits);
-  }
-
   /** Waits while another request with the same suspected traits is being tried. */
   private async waitForTrial(): Promise<void> {
     const { clock } = this.deps;
-    while (this.judgement.verdict === SuspectVerdict.Wait && !this.isOver) {
+    while (this.trial.verdict === SuspectVerdict.Wait && !this.isOver) {
       await clock.sleep(TRIAL_POLL_INTERVAL_MS);
     }
   }
 
-  /** Claims the trial of the request if it may be sent only as one; returns false if another is being tried. */
-  private claimTrialIfDue(): boolean {
-    const { verdict } = this.judgement;
-    if (verdict !== SuspectVerdict.Trial) return verdict === SuspectVerdict.Clear;
-    this.trialClaim = this.deps.suspects.claimTrial(this.request.traits);
-    return true;
-  }
-
-  /** Lets another request be tried, once an attempt of this one has ended. */
-  private endTrial(): void {
-    if (this.trialClaim === undefined) return;
-    this.deps.suspects.endTrial(this.request.traits, this.trialClaim);
-    this.trialClaim = undefined;
-  }
-
-  private recordBegun(): void {
-    if (this.hasBegun) return;
-    this.hasBegun = true;
-    this.deps.suspects.recordAnswer(this.request.traits);
-  }
-
   /** Reports that the target that ran the request crashed or broke the connection, unless it had begun to answer. */
   private async reportCrash({ entry }: TargetView, sentAtMs: number): Promise<void> {
-    if (this.hasBegun) return;
+    if (this.trial.hasBegun) return;
     const hasEnded = await this.deps.probe.hasEnded(entry.address);
     const crashId = `${entry.id}@${entry.bornMs}`;
     const { traits } = this.request;
     this.deps.suspects.recordCrash({ crashId, hasEnded, traits, sentAtMs });
   }
 
-  /** What the newest desired state says of the request. Cached, because a waiting request checks this at every poll. */
-  private get authorization(): Authorization {
-    const current = this.deps.desired();
-    if (current !== undefined && current !== this.lastAuthorization.state) {
-      this.lastAuthorization = this.authorizeAgain(current);
-    }
-    return this.lastAuthorization;
-  }
-
-  private authorizeAgain(state: DesiredState): Authorization {
-    const { fields, workspace } = this.request;
-    return authorize(state, fields, this.caller.request.url ?? '/').caseOf<Authorization>({
-      Left: (denial) => ({ state, route: undefined, denial }),
-      Right: ({ route, workspace: owner }) => {
-        const hasSameOwner = owner?.name === workspace?.name;
-        const message = 'the key now belongs to another workspace';
-        const denial = hasSameOwner
-          ? undefined
-          : ServeError.notExecuted(ErrorKind.NoTarget, message, READMISSION_DELAY_MS);
-        return { state, route, denial };
-      },
-    });
-  }
-
-  /** Whether the request may run again, both as it was admitted and by the newest desired state. */
-  private get isRetryable(): boolean {
-    const { route } = this.authorization;
-    return mayRunAgain(this.request.route) && (route === undefined || mayRunAgain(route));
-  }
-
   private async findTarget(): Promise<ChosenTarget | undefined> {
     const { clock } = this.deps;
     const { firstEventDeadlineAtMs, pool, route } = this.request;
@@ -292,7 +211,7 @@
       outcome,
       status: attempt.statusCode,
       ...attempt.endFields,
-      began: this.hasBegun,
+      began: this.trial.hasBegun,
       shared_parts: fields.sharedParts.slice(0, MAX_LOGGED_PARTS).join(','),
       sends: this.sends,
     });
@@ -331,9 +250,11 @@
     const { clock, retryBudgets } = this.deps;
     const { route, pool, deadlineAtMs } = this.request;
     const mayHaveRun = this.executions > 0;
-    if (mayHaveRun && (!this.isRetryable || this.executions >= route.attempts)) return false;
+    if (mayHaveRun && (!this.authorization.isRetryable || this.executions >= route.attempts)) {
+      return false;
+    }
     if (deadlineAtMs - clock.nowMs() < MIN_RUN_MS || this.sends >= MAX_SENDS) return false;
-    if (this.suspectError() !== undefined) return false;
+    if (this.trial.refusal !== undefined) return false;
     return UNSENT.has(outcome) || retryBudgets.tryTake(pool.name);
   }
 
