Copies of answers make no request a suspect: a rejected answer is no crash of its target

What callers saw: after the copy of an earlier answer had come in place of the answer at three targets, every booking with the same path and body was refused with 503 (crash_suspected) for eight seconds or more, though no target had crashed.

Cause: an answer that names another request ends its exchange, and the instance closes the connection itself. That counted as a connection broken by the target under the request, and three of them convict its traits.

Fix: an exchange whose answer was rejected is reported as a crash only if the address of its target refuses connections afterwards.

--- a/packages/edge/src/RequestExecution.ts
+++ b/packages/edge/src/RequestExecution.ts
@@ -13,6 +13,7 @@
 import type ChosenTarget from './ChosenTarget';
 import type EdgeDependencies from './EdgeDependencies';
 import EventFramer from './EventFramer';
+import ExchangeEnd from './ExchangeEnd';
 import type RequestResult from './RequestResult';
 import TargetAttempt from './TargetAttempt';
 import TargetFinder from './TargetFinder';
@@ -134,7 +135,7 @@
       this.sends += 1;
       this.lastTargetId = view.entry.id;
       const outcome = await attempt.run();
-      if (outcome === AttemptOutcome.Broken) await this.reportCrash(view, sentAtMs);
+      if (outcome === AttemptOutcome.Broken) await this.reportCrash(view, attempt, sentAtMs);
       this.endTrial();
       if (outcome === AttemptOutcome.Answered) return this.finishAnswered(attempt);
       if (outcome === AttemptOutcome.CallerDisconnected) return this.result(null, 0);
@@ -208,10 +209,18 @@
     this.deps.suspects.recordAnswer(this.request.traits);
   }
 
-  /** Reports that the target that ran the request crashed or broke the connection, unless it had begun to answer. */
-  private async reportCrash({ entry }: TargetView, sentAtMs: number): Promise<void> {
+  /**
+   * Reports that the target that ran the request crashed or broke the connection, unless it had begun to answer. One whose response
+   * was rejected did neither, if it goes on running.
+   */
+  private async reportCrash(
+    { entry }: TargetView,
+    { exchangeEnd }: TargetAttempt,
+    sentAtMs: number,
+  ): Promise<void> {
     if (this.hasBegun) return;
     const hasEnded = await this.deps.probe.hasEnded(entry.address);
+    if (exchangeEnd === ExchangeEnd.Rejected && !hasEnded) return;
     const crashId = `${entry.id}@${entry.bornMs}`;
     const { traits } = this.request;
     this.deps.suspects.recordCrash({ crashId, hasEnded, traits, sentAtMs });
--- a/packages/edge/src/TargetAttempt.ts
+++ b/packages/edge/src/TargetAttempt.ts
@@ -78,7 +78,8 @@
 
   private exchange: ReturnType<EdgeDependencies['connections']['send']> | undefined;
 
-  private exchangeEnd: ExchangeEnd | null = null;
+  /** How the exchange ended; null until then. */
+  exchangeEnd: ExchangeEnd | null = null;
 
   /** When the first event of the target's stream was complete, on the monotonic clock; undefined if none was. */
   firstEventAtMs: number | undefined;
