--- a/packages/edge/src/RunQuestions.ts
+++ b/packages/edge/src/RunQuestions.ts
@@ -27,8 +27,12 @@
   EngineContact.Refused,
 ]);
 
+/** Names an engine in one life at one address; what is learned of it there says nothing of the next. */
+const lifeOf = ({ id, bornMs, address }: RegisteredTarget): string => `${id}@${bornMs}@${address}`;
+
 /** Asks engines which requests they work on, one question at a time for each engine. */
 class RunQuestions {
+  /** The questions that are open, by the life of their engine. */
   private readonly questions = new Map<string, Question>();
 
   private count = 0;
@@ -41,18 +45,19 @@
    */
   async ask(engine: RegisteredTarget): Promise<EngineRuns> {
     const calledAt = this.count;
+    const life = lifeOf(engine);
     for (;;) {
-      const question = this.questions.get(engine.id) ?? this.put(engine);
+      const question = this.questions.get(life) ?? this.put(engine, life);
       const runs = await question.answer;
       if (question.number > calledAt || FINAL.has(runs.contact)) return runs;
     }
   }
 
-  private put(engine: RegisteredTarget): Question {
+  private put(engine: RegisteredTarget, life: string): Question {
     this.count += 1;
-    const answer = this.question(engine).finally(() => this.questions.delete(engine.id));
+    const answer = this.question(engine).finally(() => this.questions.delete(life));
     const question = { number: this.count, answer };
-    this.questions.set(engine.id, question);
+    this.questions.set(life, question);
     return question;
   }
 
--- a/packages/edge/test/runQuestions.test.ts
+++ b/packages/edge/test/runQuestions.test.ts
@@ -89,4 +89,19 @@
     expect(contacts).toEqual([EngineContact.Unreachable, EngineContact.Unreachable]);
     expect(engine.asked()).toBe(1);
   });
+
+  test.each([
+    ['starts anew under its id', { bornMs: 2 }],
+    ['registers another address', { address: '127.0.0.1:2' }],
+  ])('what is learned of an engine does not hold for it once it %s', async (_, change) => {
+    const earlier = { ...ENGINE, bornMs: 1, address: '127.0.0.1:1' };
+    const engine = createEngine();
+    const questions = questionsTo(engine.control);
+    const ofEarlier = questions.ask(earlier);
+    const ofLater = questions.ask({ ...earlier, ...change });
+    await engine.answer(EngineContact.Refused, 0);
+    await engine.answer(EngineContact.Answered, 1);
+    expect((await ofEarlier).contact).toBe(EngineContact.Refused);
+    expect((await ofLater).contact).toBe(EngineContact.Answered);
+  });
 });
