A planned stop with requests that do not end keeps to its times

What could be seen: with a request that had not ended, a stop gave requests up to 50 ms more than it should at each of its two ends, and could come to the limit of the whole stop (250 ms before the end of the grace) before it had closed its connections. The program would then report a stop that failed, and end with code 1. Not seen on the program; found while the late end of a stop that hangs was traced.

Cause: the wait for requests slept a whole interval also where less was left.

--- a/packages/edge/src/Shutdown.ts
+++ b/packages/edge/src/Shutdown.ts
@@ -60,7 +60,7 @@
   private async finishRequests(listeners: readonly HttpListener[], endMs: number): Promise<void> {
     const { clock, activeRequests } = this.parts;
     while (activeRequests() > 0 && clock.nowMs() < endMs) {
-      await clock.sleep(POLL_INTERVAL_MS);
+      await clock.sleep(Math.min(POLL_INTERVAL_MS, endMs - clock.nowMs()));
       // Responses that started before the stop signal leave their connections open.
       listeners.forEach((listener) => listener.closeIdle());
     }
--- /dev/null
+++ b/packages/edge/test/shutdown.test.ts
@@ -0,0 +1,43 @@
+/** A planned stop keeps to its times also where requests do not end, so that what follows it fits into the grace period. */
+import VirtualClock from '@wisteriapath/virtual-clock';
+import Shutdown from '../src/Shutdown';
+
+/** Part of the grace period that is left when the requests in progress must be answered. */
+const FINAL_PART_MS = 500;
+/** Part of the grace period that is left when answers that their callers have not taken are broken off. */
+const END_PART_MS = 300;
+
+describe('a planned stop', () => {
+  const run = (graceMs: number, activeRequests: () => number) => {
+    const clock = new VirtualClock();
+    const shutdown = new Shutdown({ clock, graceMs, activeRequests });
+    const atMs = { final: NaN, end: NaN };
+    shutdown.finalSignal.addEventListener('abort', () => {
+      atMs.final = clock.nowMs();
+    });
+    const ended = shutdown.run([]).then(() => {
+      atMs.end = clock.nowMs();
+    });
+    return { clock, atMs, ended };
+  };
+
+  test.each([6_000, 6_010, 6_030, 6_049])(
+    'of %j ms with a request that does not end takes no more than its part',
+    async (graceMs) => {
+      const { clock, atMs, ended } = run(graceMs, () => 1);
+      await clock.runUntil(graceMs);
+      await ended;
+      expect(atMs).toEqual({ final: graceMs - FINAL_PART_MS, end: graceMs - END_PART_MS });
+    },
+  );
+
+  test('ends soon after the last request has ended', async () => {
+    let active = 1;
+    const { clock, atMs, ended } = run(6_000, () => active);
+    await clock.runUntil(4_000);
+    active = 0;
+    await clock.runUntil(6_000);
+    await ended;
+    expect(atMs.end).toBeLessThanOrEqual(4_050);
+  });
+});
