Budgets: one slow home no longer keeps requests from the tokens of the others

Cause: requests of a workspace are served one after the other. The one in turn waited for each home for as long as the call took (up to 500 ms), whatever deadline was left; the others were looked at only when their turn came. So one home that answered after their 250 ms expired all requests behind the first.

Fix: the wait for a home is at most 100 ms and at most its share of the deadline that is left; then the next home is asked too. The call goes on, one at a time for each home; its late reply is applied, serves whoever waits then, and is returned to the home by the refreshes, or at the close, if nobody does. Each queued request is refused at its own deadline. The order stays that of arrival. Escrow is as before: only the borrower's wait has changed, not what is lent, reported or returned. A request is not refused as over its rate while a home that was asked may still lend in time.

Ruled out: a wrong order (a test of the order passed before and after); tokens spent twice by late replies (totals only grow; rate and burst hold over 3 instances with homes of 10 to 500 ms).

--- a/packages/ledger/src/WorkspaceBudget.ts
+++ b/packages/ledger/src/WorkspaceBudget.ts
@@ -2,11 +2,17 @@
 import { type Clock, type Deadline, ErrorKind, ServeError, sum } from '@wisteriapath/model';
 import type BudgetSyncReply from './BudgetSyncReply';
 import type BorrowerAccount from './BorrowerAccount';
+import LoanCall from './LoanCall';
 import type LoanRequest from './LoanRequest';
 import type Reservation from './Reservation';
+import TurnQueue from './TurnQueue';
 
+/** Reason of an expected abort. The default reason is an exception, which costs a stack trace. */
+const EXPECTED_ABORT_REASON = 'ended';
 const MAX_RETRY_DELAY_MS = 400;
 const MIN_RETRY_DELAY_MS = 20;
+/** Longest wait for one home before the next one is asked too. */
+const MAX_HOME_PATIENCE_MS = 100;
 /** Window whose use predicts the use of the near future. */
 const RECENT_USE_WINDOW_MS = 500;
 
@@ -30,41 +36,54 @@
 
 /** One workspace's token budget on this instance. Borrows from the homes, request by request. */
 class WorkspaceBudget {
-  private queueTail: Promise<unknown> = Promise.resolve();
+  private readonly turns: TurnQueue;
+
+  /** Calls for loans to the homes, in the order of the accounts. */
+  private readonly loanCalls: readonly LoanCall[];
+
+  /** Ends the wait of the request in turn for its next try. */
+  private wakeUpController = new AbortController();
 
   /** Monotonic time before which the homes are expected to lend nothing. */
   private emptyUntilMs = -Infinity;
 
   private isRefreshing = false;
 
-  /** Tokens of the queued requests that have not been started. */
-  private queuedTokens = 0;
+  /** Tokens of the requests that have neither got them nor been refused. */
+  private waitingTokens = 0;
 
   private readonly closing = new AbortController();
 
   private recentUses: { readonly atMs: number; readonly tokens: number }[] = [];
 
-  constructor(private readonly parts: Parts) {}
+  constructor(private readonly parts: Parts) {
+    const { accounts, clock } = parts;
+    const onEnded = () => this.onLoanCallEnded();
+    this.turns = new TurnQueue(clock);
+    this.loanCalls = accounts.map((account) => new LoanCall({ account, clock, onEnded }));
+  }
 
   /**
    * Reserves tokens, and waits for them up to the deadline. Refuses at once if a home has announced
    * a time after the deadline, so that a flood of requests does not reach the homes.
    */
-  reserve(tokens: number, deadline: Deadline): Promise<Either<ServeError, Reservation>> {
+  async reserve(tokens: number, deadline: Deadline): Promise<Either<ServeError, Reservation>> {
     const refusal = this.refuseEarly(deadline);
-    if (refusal !== undefined) return Promise.resolve(Left(refusal));
-    this.queuedTokens += tokens;
-    const turn = this.queueTail.then(() => {
-      this.queuedTokens -= tokens;
-      return this.reserveInTurn(tokens, deadline);
-    });
-    this.queueTail = turn;
-    return turn;
+    if (refusal !== undefined) return Left(refusal);
+    this.waitingTokens += tokens;
+    const hasTurn = await this.turns.take(deadline);
+    try {
+      return hasTurn ? await this.reserveInTurn(tokens, deadline) : Left(this.deadlineError());
+    } finally {
+      this.waitingTokens -= tokens;
+      if (hasTurn) this.turns.release();
+    }
   }
 
   /** Returns all unused tokens to the homes. Call it once, after the last reservation. */
   async close(): Promise<void> {
     this.closing.abort();
+    await Promise.all(this.loanCalls.map((loanCall) => loanCall.ended()));
     await Promise.all(
       this.parts.accounts
         .filter((account) => account.hasOutstandingTokens)
@@ -90,28 +109,58 @@
     tokens: number,
     deadline: Deadline,
   ): Promise<Either<ServeError, Reservation>> {
+    let lateReplyWaits = this.loanCalls.length;
     for (;;) {
       const refusal = this.refuseEarly(deadline);
       if (refusal !== undefined) return Left(refusal);
-      if (deadline.isExpired()) return Left(this.deadlineExpiredError());
-      const replies = await this.borrowMissing(tokens);
+      if (deadline.isExpired()) return Left(this.deadlineError());
+      const replies = await this.borrowMissing(tokens, deadline);
       if (this.balance() >= tokens) return Right(this.reserveFromAccounts(tokens));
       const waitMs = this.earliestRetryMs(replies, tokens);
-      if (deadline.isExpired()) {
-        return Left(waitMs === undefined ? this.unavailableError() : this.overRateError(waitMs));
-      }
       if (waitMs !== undefined && waitMs > deadline.remainingMs()) {
-        this.emptyUntilMs = this.parts.clock.nowMs() + Math.min(waitMs, MAX_RETRY_DELAY_MS);
-        return Left(this.overRateError(waitMs));
+        // A home that has not answered yet may still lend in time.
+        if (lateReplyWaits === 0 || !this.isLoanCallUnderWay()) {
+          return Left(this.refuseUntil(waitMs));
+        }
+        lateReplyWaits -= 1;
       }
-      const retryMs = Math.max(
-        MIN_RETRY_DELAY_MS,
-        Math.min(waitMs ?? MAX_RETRY_DELAY_MS, MAX_RETRY_DELAY_MS),
-      );
-      await this.parts.clock.sleep(Math.min(retryMs, deadline.remainingMs()));
+      await this.awaitRetry(waitMs, deadline);
     }
   }
 
+  /** Waits for the time of the next try, for the end of a call, or for the deadline. */
+  private async awaitRetry(waitMs: number | undefined, deadline: Deadline): Promise<void> {
+    this.wakeUpController = new AbortController();
+    const retryMs = Math.max(
+      MIN_RETRY_DELAY_MS,
+      Math.min(waitMs ?? MAX_RETRY_DELAY_MS, MAX_RETRY_DELAY_MS),
+    );
+    const sleepMs = Math.min(retryMs, deadline.remainingMs());
+    await this.parts.clock.sleep(sleepMs, this.wakeUpController.signal);
+  }
+
+  private isLoanCallUnderWay(): boolean {
+    return this.loanCalls.some((loanCall) => loanCall.isUnderWay);
+  }
+
+  private onLoanCallEnded(): void {
+    this.wakeUpController.abort(EXPECTED_ABORT_REASON);
+    // Tokens for which nobody waits any more are returned by the refreshes.
+    if (this.parts.accounts.some((account) => account.hasOutstandingTokens)) this.startRefreshing();
+  }
+
+  /** Refuses the requests of the next moments too, since the homes lend nothing for `waitMs`. */
+  private refuseUntil(waitMs: number): ServeError {
+    this.emptyUntilMs = this.parts.clock.nowMs() + Math.min(waitMs, MAX_RETRY_DELAY_MS);
+    return this.overRateError(waitMs);
+  }
+
+  /** Returns the error of a request whose deadline has passed. */
+  private deadlineError(): ServeError {
+    const isAnyReachable = this.loanCalls.some((loanCall) => loanCall.isReachable);
+    return isAnyReachable ? this.deadlineExpiredError() : this.unavailableError();
+  }
+
   private deadlineExpiredError(): ServeError {
     const message = `the budget of workspace ${this.parts.workspace} granted no tokens before the deadline`;
     return ServeError.notExecuted(ErrorKind.DeadlineExpired, message);
@@ -126,18 +175,20 @@
     return sum(this.parts.accounts.map((account) => account.balance()));
   }
 
-  /** Borrows missing tokens, from the own domain's home first. Returns the homes' replies. */
-  private async borrowMissing(tokens: number): Promise<BudgetSyncReply[]> {
+  /**
+   * Borrows missing tokens, from the own domain's home first. Waits for no home so long that the
+   * others cannot be asked before the deadline. Returns the replies that came.
+   */
+  private async borrowMissing(tokens: number, deadline: Deadline): Promise<BudgetSyncReply[]> {
     const replies: BudgetSyncReply[] = [];
-    const [own, ...others] = this.parts.accounts;
     const missing = () => Math.max(0, Math.ceil(tokens - this.balance()));
-    if (missing() === 0) return replies;
-    const headroom = Math.max(this.recentlyUsedTokens(), this.queuedTokens);
-    const ownReply = await own.sync(loanRequestFor(missing(), missing(), headroom, true));
-    if (ownReply !== undefined) replies.push(ownReply);
-    for (const account of others) {
+    const headroom = Math.max(this.recentlyUsedTokens(), this.waitingTokens - tokens);
+    for (const [index, loanCall] of this.loanCalls.entries()) {
       if (missing() === 0) return replies;
-      const reply = await account.sync(loanRequestFor(1, missing(), headroom, false));
+      const isOwn = index === 0;
+      const request = loanRequestFor(isOwn ? missing() : 1, missing(), headroom, isOwn);
+      const shareMs = deadline.remainingMs() / (this.loanCalls.length - index);
+      const reply = await loanCall.ask(request, Math.min(shareMs, MAX_HOME_PATIENCE_MS));
       if (reply !== undefined) replies.push(reply);
     }
     return replies;
@@ -180,9 +231,9 @@
     return sum(this.recentUses.map((use) => use.tokens));
   }
 
-  /** Keeps as many tokens as were used recently, in account order, and returns the rest. */
+  /** Keeps as many tokens as are awaited or were used recently, and returns the rest. */
   private returnUnneeded(accounts: readonly BorrowerAccount[]): void {
-    let keep = this.recentlyUsedTokens();
+    let keep = Math.max(this.recentlyUsedTokens(), this.waitingTokens);
     accounts.forEach((account) => {
       account.returnSurplus(keep);
       keep = Math.max(0, keep - account.balance());
