--- a/packages/daemon/src/CallerApi.ts
+++ b/packages/daemon/src/CallerApi.ts
@@ -60,7 +60,14 @@
 /** The name of the route that served the request, or the error that the caller gets. */
 type Outcome = Either<ServeError, string>;
 
-type Handler = (context: Context, requestId: string) => Promise<Outcome>;
+/** What is known of a request on its arrival, before its body is read. */
+interface Arrival {
+  readonly requestId: string;
+  /** Monotonic time from which its deadline counts. */
+  readonly atMs: number;
+}
+
+type Handler = (context: Context, arrival: Arrival) => Promise<Outcome>;
 
 /** Returns the SHA-256 of the bearer key in hex, `null` if the request carries none. */
 const presentedKeySha256 = (context: Context): string | null => {
@@ -97,12 +104,14 @@
     const startedMs = this.parts.clock.nowMs();
     context.set(REQUEST_ID_HEADER, requestId);
     if (this.parts.isStopping()) context.set('connection', 'close');
-    const result = await handler.call(this, context, requestId).catch((error: Error): Outcome => {
-      this.parts.logger.error({ requestId, reason: error.message }, 'request_failed');
-      return Left(
-        ServeError.maybeExecuted(ErrorKind.Internal, 'internal error in the entry instance'),
-      );
-    });
+    const result = await handler
+      .call(this, context, { requestId, atMs: startedMs })
+      .catch((error: Error): Outcome => {
+        this.parts.logger.error({ requestId, reason: error.message }, 'request_failed');
+        return Left(
+          ServeError.maybeExecuted(ErrorKind.Internal, 'internal error in the entry instance'),
+        );
+      });
     const outcome = result.caseOf<string>({ Left: (error) => error.kind, Right: () => OK_OUTCOME });
     const durationMs = Math.round(this.parts.clock.nowMs() - startedMs);
     const route = result.orDefault('');
@@ -127,7 +136,7 @@
 
   private async handleCompletion(
     context: Context,
-    requestId: string,
+    arrival: Arrival,
   ): Promise<Either<ServeError, string>> {
     const { requests } = this.parts.settings;
     const body = await readBody(context, requests.max_body_bytes);
@@ -136,7 +145,7 @@
     );
     if (parsed.isLeft()) return parsed.map(() => '');
     const { routeName, request } = parsed.unsafeCoerce();
-    const created = this.createCallContext(context, requestId, routeName);
+    const created = this.createCallContext(context, arrival, routeName);
     if (created.isLeft()) return created.map(() => '');
     const call = created.unsafeCoerce();
     if (call.call.route.model === '') {
@@ -181,10 +190,10 @@
 
   private async handleServiceCall(
     context: Context,
-    requestId: string,
+    arrival: Arrival,
   ): Promise<Either<ServeError, string>> {
     const [routeName, ...rest] = context.url.slice(SERVICE_PREFIX.length).split(/(?=[/?])/);
-    const created = this.createCallContext(context, requestId, routeName);
+    const created = this.createCallContext(context, arrival, routeName);
     if (created.isLeft()) return created.map(() => '');
     const call = created.unsafeCoerce();
     if (call.call.route.model !== '') {
@@ -208,7 +217,7 @@
   /** Checks key and route, the number of waiting requests and the deadline header, in this order. */
   private createCallContext(
     context: Context,
-    requestId: string,
+    { requestId, atMs }: Arrival,
     routeName: string,
   ): Either<ServeError, CallContext> {
     const keySha256 = presentedKeySha256(context);
@@ -216,7 +225,7 @@
     return recheck()
       .chain((call) => this.checkWaitingCapacity(call))
       .chain((call) =>
-        this.parseDeadline(context, call).map((deadline) => ({
+        this.parseDeadline(context, call, atMs).map((deadline) => ({
           requestId,
           call,
           deadline,
@@ -233,18 +242,25 @@
     return Left(ServeError.notExecuted(ErrorKind.CannotFit, message));
   }
 
-  /** Reads the deadline header, in milliseconds from now; without it the route's default applies. */
-  private parseDeadline(context: Context, call: CheckedCall): Either<ServeError, Deadline> {
+  /** Reads the deadline header, in milliseconds from the arrival; without it the route's default applies. */
+  private parseDeadline(
+    context: Context,
+    call: CheckedCall,
+    arrivedAtMs: number,
+  ): Either<ServeError, Deadline> {
     const header = context.get(DEADLINE_HEADER);
     const durationMs = header === '' ? call.route.deadlineMs : Number(header);
     if (!Number.isInteger(durationMs) || durationMs < 0 || durationMs > MAX_DEADLINE_MS) {
       const message = `${DEADLINE_HEADER} must be a whole number of milliseconds`;
       return Left(ServeError.notExecuted(ErrorKind.BadRequest, message));
     }
-    if (durationMs === 0) {
+    const { clock } = this.parts;
+    const sinceArrivalMs = clock.nowMs() - arrivedAtMs;
+    const deadline = Deadline.after(clock, durationMs).earlierBy(sinceArrivalMs);
+    if (deadline.isExpired()) {
       return Left(ServeError.notExecuted(ErrorKind.DeadlineExpired, 'the deadline has passed'));
     }
-    return Right(Deadline.after(this.parts.clock, durationMs));
+    return Right(deadline);
   }
 
   /** Returns the scheduling weight of the caller's workspace, 1 if it has none. */
