--- a/packages/edge/src/Edge.ts
+++ b/packages/edge/src/Edge.ts
@@ -11,11 +11,12 @@
   type Placer,
   type StoreFollower,
   StoreTopic,
+  suspectUpdateCodec,
   TargetTable,
 } from '@wisteriapath/fleet';
 import CallerListener from './CallerListener';
 import ColdTargetLimiter from './ColdTargetLimiter';
-import type ConvictionKeeper from './ConvictionKeeper';
+import type QuarantineKeeper from './QuarantineKeeper';
 import DemandReporter from './DemandReporter';
 import type EdgeDependencies from './EdgeDependencies';
 import EdgeListeners from './EdgeListeners';
@@ -41,10 +42,9 @@
 import createSuspects from './createSuspects';
 import readsStoreForAll from './readsStoreForAll';
 import registerInstanceGauges from './registerInstanceGauges';
+import repeatedSuspects from './repeatedSuspects';
 
 const HEARTBEAT_INTERVAL_MS = 200;
-/** Fraction of the heartbeats that repeat convictions. */
-const REPEATED_FRACTION = 0.2;
 /** Fraction of the process's memory for the bodies that it holds. */
 const BODY_MEMORY_FRACTION = 0.2;
 /** Silence after which a peer is assumed to spend nothing more of the shared limits. */
@@ -76,7 +76,7 @@
 
   private readonly suspects: SuspectRegistry;
 
-  private readonly convictions: ConvictionKeeper;
+  private readonly quarantines: QuarantineKeeper;
 
   private readonly limits: WorkspaceLimits;
 
@@ -144,12 +144,12 @@
       log,
       announce: (targets) => this.peers.sendLeavingTargets(targets),
     });
-    ({ suspects: this.suspects, keeper: this.convictions } = createSuspects({
+    ({ suspects: this.suspects, keeper: this.quarantines } = createSuspects({
       clock,
       ports,
       log,
       isWriter: () => this.lease.isCurrent,
-      announce: (update) => this.peers.sendSuspects(update),
+      announce: (update) => this.peers.sendSuspects(suspectUpdateCodec.encode(update)),
     }));
     this.peers = this.createPeers();
     this.lease = new Lease(
@@ -228,7 +228,7 @@
       targetsAgeMs: () => this.clock.nowMs() - this.storeView.confirmedAtMs(StoreTopic.Targets),
       isLeaseHeld: () => this.lease.isHeld(),
       instances: () => this.peers.instanceCount(PEER_SPENDING_TIMEOUT_MS),
-      convictedTraits: () => this.suspects.convictedCount,
+      quarantinedTraits: () => this.suspects.quarantinedCount,
     });
     this.follower = this.ports.followStore(this.storeView, () => this.isStoreReader);
     await this.listeners.open();
@@ -277,7 +277,7 @@
     const { member } = this.options;
     const stored = await announceAndListMembers(this.ports.memberStore, this.clock, member, isOver);
     this.peers.addMembers(stored.members);
-    this.suspects.merge(this.convictions.toUpdate(stored.convictions));
+    this.suspects.merge(this.quarantines.toUpdate(stored.quarantines));
   }
 
   private get isReady(): boolean {
@@ -303,9 +303,7 @@
     const { options, clock, log } = this;
     return new Peers(
       {
-        name: options.member.name,
-        failureDomain: options.member.failureDomain,
-        host: options.member.host,
+        ...options.member,
         port: options.peerPort,
         heartbeatIntervalMs: HEARTBEAT_INTERVAL_MS,
         seedHosts: options.seedHosts,
@@ -341,7 +339,7 @@
       targetsOffset: this.storeView.end(StoreTopic.Targets) ?? 0,
       reachesStore: this.follower?.isReachable ?? false,
       leavingTargets: this.table.selfDeclaredLeaving,
-      suspects: Math.random() < REPEATED_FRACTION ? this.suspects.repeatConvictions() : null,
+      suspects: repeatedSuspects(this.suspects),
       leaseOffset: this.lease.isCurrent ? this.lease.offset : -1,
       isStopping: this.shutdown.hasBegun,
       usage,
--- a/packages/edge/src/ConvictionKeeper.ts
+++ b/packages/edge/src/QuarantineKeeper.ts
@@ -1,5 +1,5 @@
 import type { Clock } from '@wisteriapath/model';
-import type { ConvictionRecord, EventLog, MemberStore, WallClock } from '@wisteriapath/fleet';
+import type { QuarantineRecord, EventLog, MemberStore, WallClock } from '@wisteriapath/fleet';
 import type { SuspectUpdate } from '@wisteriapath/suspects';
 
 interface Dependencies {
@@ -13,19 +13,19 @@
 
 /** Minimum time between two writes. */
 const WRITE_INTERVAL_MS = 250;
-/** Convictions that wait to be written; beyond it the oldest are not kept. */
+/** Quarantines that wait to be written; beyond it the oldest are not kept. */
 const MAX_WAITING = 64;
 
-/** Keeps convictions in the store, from which the instances read them after all of them have stopped. */
-class ConvictionKeeper {
-  private readonly waiting = new Map<string, ConvictionRecord>();
+/** Keeps quarantines in the store, from which the instances read them after all of them have stopped. */
+class QuarantineKeeper {
+  private readonly waiting = new Map<string, QuarantineRecord>();
 
   private isWriting = false;
 
   constructor(private readonly deps: Dependencies) {}
 
-  /** Writes the crashes of a convicted trait, or that it has been acquitted. */
-  save(trait: string, crashes: ConvictionRecord['crashes']): void {
+  /** Writes the crashes of a quarantined trait, or that it has been cleared. */
+  save(trait: string, crashes: QuarantineRecord['crashes']): void {
     const { isWriter, wallClock, log } = this.deps;
     if (!isWriter()) return;
     this.waiting.delete(trait);
@@ -33,7 +33,7 @@
     if (this.waiting.size > MAX_WAITING) {
       const [oldest] = this.waiting.keys();
       this.waiting.delete(oldest);
-      log.event('conviction_not_kept', { trait: oldest, reason: 'too many are waiting' });
+      log.event('quarantine_not_kept', { trait: oldest, reason: 'too many are waiting' });
     }
     if (!this.isWriting) void this.write();
   }
@@ -45,24 +45,24 @@
       const [next] = this.waiting.values();
       if (next === undefined) break;
       this.waiting.delete(next.trait);
-      const isKept = await store.saveConviction(next);
+      const isKept = await store.saveQuarantine(next);
       const { trait, crashes } = next;
-      log.event('conviction_kept', { trait, crashes: crashes.length, done: isKept });
+      log.event('quarantine_kept', { trait, crashes: crashes.length, done: isKept });
       await clock.sleep(WRITE_INTERVAL_MS);
     }
     this.isWriting = false;
   }
 
   /** Returns what the store keeps, as a peer would tell it now. */
-  toUpdate(convictions: readonly ConvictionRecord[]): SuspectUpdate {
+  toUpdate(quarantines: readonly QuarantineRecord[]): SuspectUpdate {
     const nowWallMs = this.deps.wallClock();
-    const crashes = convictions.flatMap(({ trait, writtenWallMs, crashes: ofTrait }) => {
+    const crashes = quarantines.flatMap(({ trait, writtenWallMs, crashes: ofTrait }) => {
       // The time of day may have been set back since.
       const keptMs = Math.max(0, nowWallMs - writtenWallMs);
       return ofTrait.map((crash) => ({ ...crash, ageMs: crash.ageMs + keptMs, traits: [trait] }));
     });
-    return { crashes, acquittals: [], trials: [] };
+    return { crashes, clearances: [], probes: [] };
   }
 }
 
-export default ConvictionKeeper;
+export default QuarantineKeeper;
--- a/packages/edge/src/RequestExecution.ts
+++ b/packages/edge/src/RequestExecution.ts
@@ -1,7 +1,7 @@
 import { ErrorKind, ServeError } from '@wisteriapath/model';
 import { RouteSemantics, type TargetView } from '@wisteriapath/fleet';
 import { ResponseFraming } from '@wisteriapath/response-ends';
-import { SuspectVerdict } from '@wisteriapath/suspects';
+import { SuspectDecision } from '@wisteriapath/suspects';
 import type AdmittedRequest from './AdmittedRequest';
 import AttemptOutcome from './AttemptOutcome';
 import type CallerExchange from './CallerExchange';
@@ -11,7 +11,7 @@
 import ExchangeEnd from './ExchangeEnd';
 import type RequestResult from './RequestResult';
 import RequestAuthorization from './RequestAuthorization';
-import RequestTrial from './RequestTrial';
+import RequestProbe from './RequestProbe';
 import TargetAttempt from './TargetAttempt';
 import TargetFinder from './TargetFinder';
 import awaitRunEnd from './awaitRunEnd';
@@ -26,7 +26,7 @@
 const EXCLUSION_MS = 150;
 const MAX_SENDS = 6;
 const MAX_LOGGED_PARTS = 8;
-const TRIAL_POLL_INTERVAL_MS = 25;
+const PROBE_POLL_INTERVAL_MS = 25;
 /** Outcomes after which the target may have run the request. */
 const POSSIBLY_EXECUTED = new Set([
   AttemptOutcome.Broken,
@@ -61,7 +61,7 @@
 
   private lastFailure: TargetAttempt | null = null;
 
-  private readonly trial: RequestTrial;
+  private readonly probe: RequestProbe;
 
   private readonly authorization: RequestAuthorization;
 
@@ -71,7 +71,7 @@
     private readonly caller: CallerExchange,
   ) {
     const { route } = request;
-    this.trial = new RequestTrial(deps.suspects, request.traits);
+    this.probe = new RequestProbe(deps.suspects, request.traits);
     this.authorization = new RequestAuthorization(deps.desired, request, caller.request.url ?? '/');
     const isResumable = route.semantics === RouteSemantics.Stream && mayRunAgain(route);
     this.framer = isResumable ? new EventFramer() : null;
@@ -84,7 +84,7 @@
     this.deps.retryBudgets.recordRequest(pool.name);
     if (pool.engine !== null) this.deps.rates.record(pool.name, fields.model, fields.adapter);
     for (;;) {
-      await this.waitForTrial();
+      await this.waitForProbe();
       const chosen = await this.findTarget();
       if (this.caller.disconnectSignal.aborted) {
         chosen?.reservation.release();
@@ -96,7 +96,7 @@
         return this.executions > 0 ? this.fail(denial.message) : this.sendError(denial);
       }
       if (chosen === undefined) return this.failUnserved();
-      if (!this.trial.claimIfDue()) {
+      if (!this.probe.claimIfDue()) {
         chosen.reservation.release();
         continue;
       }
@@ -106,18 +106,18 @@
         request: this.request,
         caller: this.caller,
         framer: this.framer,
-        maySend: () => !this.isOver && this.trial.verdict === SuspectVerdict.Clear,
+        maySend: () => !this.isOver && this.probe.decision === SuspectDecision.Clear,
         mayRunAgain: () => this.authorization.isRetryable,
         keepsFailure:
           this.authorization.isRetryable && this.executions + 1 < this.request.route.attempts,
-        onBegun: () => this.trial.recordBegun(),
+        onBegun: () => this.probe.recordBegun(),
       });
       const sentAtMs = this.deps.clock.nowMs();
       this.sends += 1;
       this.lastTargetId = view.entry.id;
       const outcome = await attempt.run();
       if (outcome === AttemptOutcome.Broken) await this.reportCrash(view, attempt, sentAtMs);
-      this.trial.end();
+      this.probe.end();
       if (outcome === AttemptOutcome.Answered) return this.finishAnswered(attempt);
       if (outcome === AttemptOutcome.CallerDisconnected) return this.result(null, 0);
       const result = this.handleFailure(view, attempt, outcome);
@@ -140,7 +140,7 @@
 
   /** Returns why the request may not be sent any more, though it was admitted; undefined if it may. */
   private denial(): ServeError | undefined {
-    return this.stopError() ?? this.authorization.denial ?? this.trial.refusal;
+    return this.stopError() ?? this.authorization.denial ?? this.probe.refusal;
   }
 
   /** Returns a refusal once a shutdown leaves no time to run a request; a stream that has begun may go on. */
@@ -151,10 +151,10 @@
   }
 
   /** Waits while another request with the same suspected traits is being tried. */
-  private async waitForTrial(): Promise<void> {
+  private async waitForProbe(): Promise<void> {
     const { clock } = this.deps;
-    while (this.trial.verdict === SuspectVerdict.Wait && !this.isOver) {
-      await clock.sleep(TRIAL_POLL_INTERVAL_MS);
+    while (this.probe.decision === SuspectDecision.Wait && !this.isOver) {
+      await clock.sleep(PROBE_POLL_INTERVAL_MS);
     }
   }
 
@@ -167,7 +167,7 @@
     { exchangeEnd }: TargetAttempt,
     sentAtMs: number,
   ): Promise<void> {
-    if (this.trial.hasBegun) return;
+    if (this.probe.hasBegun) return;
     const hasEnded = await this.deps.probe.hasEnded(entry.address);
     if (exchangeEnd === ExchangeEnd.Rejected && !hasEnded) return;
     const crashId = `${entry.id}@${entry.bornMs}`;
@@ -220,7 +220,7 @@
       outcome,
       status: attempt.statusCode,
       ...attempt.endFields,
-      began: this.trial.hasBegun,
+      began: this.probe.hasBegun,
       shared_parts: fields.sharedParts.slice(0, MAX_LOGGED_PARTS).join(','),
       sends: this.sends,
     });
@@ -263,7 +263,7 @@
       return false;
     }
     if (deadlineAtMs - clock.nowMs() < MIN_RUN_MS || this.sends >= MAX_SENDS) return false;
-    if (this.trial.refusal !== undefined) return false;
+    if (this.probe.refusal !== undefined) return false;
     return UNSENT.has(outcome) || retryBudgets.tryTake(pool.name);
   }
 
--- a/packages/edge/src/RequestTrial.ts
+++ b/packages/edge/src/RequestProbe.ts
@@ -1,11 +1,11 @@
 import type { ServeError } from '@wisteriapath/model';
-import { SuspectVerdict } from '@wisteriapath/suspects';
+import { SuspectDecision } from '@wisteriapath/suspects';
 import type AdmittedRequest from './AdmittedRequest';
 import type EdgeDependencies from './EdgeDependencies';
 import suspectError from './suspectError';
 
-/** Whether a request that has something in common with crashes may be sent: freely, as a trial that runs alone, or not. */
-class RequestTrial {
+/** Whether a request that has something in common with crashes may be sent: freely, as a probe that runs alone, or not. */
+class RequestProbe {
   /** Id of the claim under which the request is being tried though it is suspected. */
   private claimId: string | undefined;
 
@@ -16,15 +16,15 @@
     private readonly traits: AdmittedRequest['traits'],
   ) {}
 
-  /** The judgement of the request's traits; none of them counts once a target has begun to answer, or in its own trial. */
-  get verdict(): SuspectVerdict {
-    return this.judgement.verdict;
+  /** What the registry decides on the request's traits; none of them counts once a target has begun to answer, or in its own probe. */
+  get decision(): SuspectDecision {
+    return this.checked.decision;
   }
 
   /** Why the request must not be sent; undefined if it may, now or later. */
   get refusal(): ServeError | undefined {
-    const { verdict, waitMs } = this.judgement;
-    return verdict === SuspectVerdict.Refused ? suspectError(waitMs) : undefined;
+    const { decision, waitMs } = this.checked;
+    return decision === SuspectDecision.Refused ? suspectError(waitMs) : undefined;
   }
 
   /** Whether a target has begun to answer. */
@@ -39,25 +39,25 @@
     this.suspects.recordAnswer(this.traits);
   }
 
-  /** Claims the trial of the request if it may be sent only as one; returns false if another is being tried. */
+  /** Claims the probe of the request if it may be sent only as one; returns false if another is being tried. */
   claimIfDue(): boolean {
-    const { verdict } = this.judgement;
-    if (verdict !== SuspectVerdict.Trial) return verdict === SuspectVerdict.Clear;
-    this.claimId = this.suspects.claimTrial(this.traits);
+    const { decision } = this.checked;
+    if (decision !== SuspectDecision.Probe) return decision === SuspectDecision.Clear;
+    this.claimId = this.suspects.claimProbe(this.traits);
     return true;
   }
 
   /** Lets another request be tried, once an attempt of this one has ended. */
   end(): void {
     if (this.claimId === undefined) return;
-    this.suspects.endTrial(this.traits, this.claimId);
+    this.suspects.endProbe(this.traits, this.claimId);
     this.claimId = undefined;
   }
 
-  private get judgement() {
+  private get checked() {
     const isSettled = this.isAnswered || this.claimId !== undefined;
-    return this.suspects.judge(isSettled ? [] : this.traits);
+    return this.suspects.check(isSettled ? [] : this.traits);
   }
 }
 
-export default RequestTrial;
+export default RequestProbe;
--- a/packages/edge/src/admit.ts
+++ b/packages/edge/src/admit.ts
@@ -1,7 +1,7 @@
 import { type Either, Left, Right } from 'purify-ts';
 import { ErrorKind, ServeError } from '@wisteriapath/model';
 import { type PathRoute, RouteSemantics, type WorkspaceSpec } from '@wisteriapath/fleet';
-import { SuspectVerdict } from '@wisteriapath/suspects';
+import { SuspectDecision } from '@wisteriapath/suspects';
 import type AdmittedRequest from './AdmittedRequest';
 import type CallerExchange from './CallerExchange';
 import type EdgeDependencies from './EdgeDependencies';
@@ -57,8 +57,8 @@
   if (read.isLeft()) return Left(read.extract());
   const body = read.unsafeCoerce();
   const traits = traitsOf(workspace?.name ?? '', path, body, fields.sharedParts);
-  const { verdict, waitMs: suspectWaitMs } = deps.suspects.judge(traits);
-  if (verdict === SuspectVerdict.Refused) return Left(suspectError(suspectWaitMs));
+  const { decision, waitMs: suspectWaitMs } = deps.suspects.check(traits);
+  if (decision === SuspectDecision.Refused) return Left(suspectError(suspectWaitMs));
   const pool = state.pools.get(choosePool(route, Math.random()) ?? '');
   if (pool === undefined) return notRun(ErrorKind.RouteIncomplete, 'the route has no pool');
   const waitMs = workspace === null ? 0 : deps.limits.admit(workspace, unitsOf(workspace, fields));
--- a/packages/edge/src/announceAndListMembers.ts
+++ b/packages/edge/src/announceAndListMembers.ts
@@ -4,11 +4,11 @@
 const RETRY_INTERVAL_MS = 1_000;
 
 /**
- * Announces an instance to those that start later, and returns the members and convictions known so far. Retries until
+ * Announces an instance to those that start later, and returns the members and quarantines known so far. Retries until
  * both succeed; returns none once `isOver` returns true.
  *
  * @example
- * const { members, convictions } = await announceAndListMembers(store, clock, self, () => isStopping);
+ * const { members, quarantines } = await announceAndListMembers(store, clock, self, () => isStopping);
  */
 const announceAndListMembers = async (
   store: MemberStore,
@@ -22,7 +22,7 @@
     if (records !== undefined) return records;
     await clock.sleep(RETRY_INTERVAL_MS);
   }
-  return { members: [], convictions: [] };
+  return { members: [], quarantines: [] };
 };
 
 export default announceAndListMembers;
--- a/packages/edge/src/createPeerHandlers.ts
+++ b/packages/edge/src/createPeerHandlers.ts
@@ -5,6 +5,7 @@
   type Peers,
   type Placer,
   StoreTopic,
+  suspectUpdateCodec,
   type TargetTable,
 } from '@wisteriapath/fleet';
 import type { SuspectRegistry } from '@wisteriapath/suspects';
@@ -46,8 +47,9 @@
     // Instances of an earlier build do not say.
     const suspects = heartbeat.suspects ?? null;
     if (suspects === null) return;
-    const missed = deps.suspects.merge(suspects);
-    if (missed !== undefined) deps.peers().sendSuspects(missed, heartbeat.member.host);
+    const missed = deps.suspects.merge(suspectUpdateCodec.decode(suspects));
+    if (missed === undefined) return;
+    deps.peers().sendSuspects(suspectUpdateCodec.encode(missed), heartbeat.member.host);
   },
   demand: (report) => {
     deps.demand.record(report);
@@ -56,8 +58,8 @@
   targets: (span, sender) => deps.storeView.mergeFromPeer(StoreTopic.Targets, span, sender),
   leavingTargets: (targets) => deps.signals.recordFromPeer(targets),
   placement: (updates) => updates.forEach((update) => deps.table.applyPlacement(update)),
-  suspects: (update) => {
-    deps.suspects.merge(update);
+  suspects: (message) => {
+    deps.suspects.merge(suspectUpdateCodec.decode(message));
   },
 });
 
--- a/packages/edge/src/createSuspects.ts
+++ b/packages/edge/src/createSuspects.ts
@@ -1,14 +1,14 @@
 import type { Clock } from '@wisteriapath/model';
 import type { EventLog } from '@wisteriapath/fleet';
 import { SuspectRegistry, type SuspectUpdate } from '@wisteriapath/suspects';
-import ConvictionKeeper from './ConvictionKeeper';
+import QuarantineKeeper from './QuarantineKeeper';
 import type EdgePorts from './EdgePorts';
 
 interface Dependencies {
   readonly clock: Clock;
   readonly ports: EdgePorts;
   readonly log: EventLog;
-  /** Whether this instance writes convictions to the store. */
+  /** Whether this instance writes quarantines to the store. */
   readonly isWriter: () => boolean;
   /** Sends an update to all peers. */
   readonly announce: (update: SuspectUpdate) => void;
@@ -21,7 +21,7 @@
  * const { suspects, keeper } = createSuspects({ clock, ports, log, isWriter, announce });
  */
 const createSuspects = ({ clock, ports, log, isWriter, announce }: Dependencies) => {
-  const keeper = new ConvictionKeeper({
+  const keeper = new QuarantineKeeper({
     clock,
     wallClock: ports.wallClock,
     log,
@@ -32,7 +32,7 @@
     clock,
     log,
     announce,
-    onConvictionChanged: (trait, crashes) => keeper.save(trait, crashes),
+    onQuarantineChanged: (trait, crashes) => keeper.save(trait, crashes),
   });
   return { suspects, keeper };
 };
--- a/packages/edge/src/registerInstanceGauges.ts
+++ b/packages/edge/src/registerInstanceGauges.ts
@@ -10,14 +10,14 @@
   readonly isLeaseHeld: () => boolean;
   readonly instances: () => number;
   /** Number of parts and requests that are kept from targets. */
-  readonly convictedTraits: () => number;
+  readonly quarantinedTraits: () => number;
 }
 
 /**
  * Registers gauges for the state of an instance.
  *
  * @example
- * registerInstanceGauges(metrics, { version: () => 3, targets, targetsAgeMs, isLeaseHeld, instances, convictedTraits });
+ * registerInstanceGauges(metrics, { version: () => 3, targets, targetsAgeMs, isLeaseHeld, instances, quarantinedTraits });
  */
 const registerInstanceGauges = (metrics: EdgeMetrics, state: InstanceState): void => {
   metrics.gauge('desired_version', 'Version of the desired state in force', state.version);
@@ -31,9 +31,9 @@
     Number(state.isLeaseHeld()),
   );
   metrics.gauge(
-    'suspects_convicted',
+    'suspects_quarantined',
     'Number of prompt parts and requests that are kept from targets since these crashed',
-    state.convictedTraits,
+    state.quarantinedTraits,
   );
   metrics.gauge('instances', 'Number of active instances, including this one', state.instances);
 };
--- a/packages/edge/test/convictionKeeper.test.ts
+++ b/packages/edge/test/quarantineKeeper.test.ts
@@ -1,24 +1,24 @@
 /** What crashes targets is known again after all instances have stopped at once. */
 import { systemClock } from '@wisteriapath/model';
-import type { ConvictionRecord } from '@wisteriapath/fleet';
-import { SuspectRegistry, SuspectVerdict } from '@wisteriapath/suspects';
-import ConvictionKeeper from '../src/ConvictionKeeper';
+import type { QuarantineRecord } from '@wisteriapath/fleet';
+import { SuspectRegistry, SuspectDecision } from '@wisteriapath/suspects';
+import QuarantineKeeper from '../src/QuarantineKeeper';
 
 const MAX_WRITES = 64;
 
-const createInstance = (kept: Map<string, ConvictionRecord>, isWriter: boolean) => {
+const createInstance = (kept: Map<string, QuarantineRecord>, isWriter: boolean) => {
   let nowMs = 0;
   const clock = { nowMs: () => nowMs, sleep: () => Promise.resolve() };
   const log = { event: () => {} };
-  const keeper = new ConvictionKeeper({
+  const keeper = new QuarantineKeeper({
     clock,
     wallClock: () => 5_000_000 + nowMs,
     log,
     isWriter: () => isWriter,
     store: {
       announce: () => Promise.resolve(true),
-      saveConviction: (conviction) => {
-        kept.set(conviction.trait, conviction);
+      saveQuarantine: (quarantine) => {
+        kept.set(quarantine.trait, quarantine);
         return Promise.resolve(true);
       },
       list: () => Promise.resolve(undefined),
@@ -28,7 +28,7 @@
     clock,
     log,
     announce: () => {},
-    onConvictionChanged: (trait, crashes) => keeper.save(trait, crashes),
+    onQuarantineChanged: (trait, crashes) => keeper.save(trait, crashes),
   });
   const crash = (crashId: string) =>
     registry.recordCrash({ crashId, hasEnded: true, traits: ['part:a1'], sentAtMs: nowMs });
@@ -38,8 +38,8 @@
   return { keeper, registry, crash, pass };
 };
 
-test('an instance that starts anew refuses what was convicted before, until the same time', async () => {
-  const kept = new Map<string, ConvictionRecord>();
+test('an instance that starts anew refuses what was quarantined before, until the same time', async () => {
+  const kept = new Map<string, QuarantineRecord>();
   const one = createInstance(kept, true);
   one.crash('crash-1');
   one.crash('crash-2');
@@ -47,14 +47,14 @@
   const restarted = createInstance(kept, false);
   restarted.pass(3_000);
   restarted.registry.merge(restarted.keeper.toUpdate([...kept.values()]));
-  expect(restarted.registry.judge(['part:a1'])).toEqual({
-    verdict: SuspectVerdict.Refused,
+  expect(restarted.registry.check(['part:a1'])).toEqual({
+    decision: SuspectDecision.Refused,
     waitMs: 5_000,
   });
 });
 
-test('an acquittal removes what was kept', async () => {
-  const kept = new Map<string, ConvictionRecord>();
+test('a clearance removes what was kept', async () => {
+  const kept = new Map<string, QuarantineRecord>();
   const one = createInstance(kept, true);
   one.crash('crash-1');
   one.crash('crash-2');
@@ -63,8 +63,8 @@
   expect(kept.get('part:a1')!.crashes).toEqual([]);
 });
 
-test('convictions that come all at once are written in bounded number, the newest first kept', async () => {
-  const kept = new Map<string, ConvictionRecord>();
+test('quarantines that come all at once are written in bounded number, the newest first kept', async () => {
+  const kept = new Map<string, QuarantineRecord>();
   const { keeper } = createInstance(kept, true);
   const crashes = [{ crashId: 'crash-1', hasEnded: true, ageMs: 0, sentBeforeMs: 0 }];
   for (let number = 0; number < 1_000; number += 1) keeper.save(`part:${number}`, crashes);
@@ -75,7 +75,7 @@
 });
 
 test('an instance that gives no orders writes nothing', async () => {
-  const kept = new Map<string, ConvictionRecord>();
+  const kept = new Map<string, QuarantineRecord>();
   const one = createInstance(kept, false);
   one.crash('crash-1');
   one.crash('crash-2');
--- a/packages/fleet/src/FleetRecords.ts
+++ b/packages/fleet/src/FleetRecords.ts
@@ -1,10 +1,10 @@
-import type ConvictionRecord from './ConvictionRecord';
+import type QuarantineRecord from './QuarantineRecord';
 import type MemberRecord from './MemberRecord';
 
 /** What the instances keep in the store about themselves. */
 interface FleetRecords {
   readonly members: readonly MemberRecord[];
-  readonly convictions: readonly ConvictionRecord[];
+  readonly quarantines: readonly QuarantineRecord[];
 }
 
 export default FleetRecords;
--- a/packages/fleet/src/Heartbeat.ts
+++ b/packages/fleet/src/Heartbeat.ts
@@ -1,6 +1,6 @@
-import type { SuspectUpdate } from '@wisteriapath/suspects';
 import type HeartbeatKind from './HeartbeatKind';
 import type MemberRecord from './MemberRecord';
+import type SuspectMessage from './SuspectMessage';
 
 /** A message that each instance sends to its peers several times a second. */
 interface Heartbeat {
@@ -14,8 +14,8 @@
   readonly reachesStore: boolean;
   /** Targets that said that they are leaving, by id and start. */
   readonly leavingTargets: readonly (readonly [string, number])[];
-  /** Convictions of what crashes targets; `null` in most heartbeats. */
-  readonly suspects: SuspectUpdate | null;
+  /** What is quarantined as it crashes targets; `null` in most heartbeats. */
+  readonly suspects: SuspectMessage | null;
   /** Offset of the lease record under which the sender gives orders; -1 if it gives none. */
   readonly leaseOffset: number;
   /** Whether the sender is shutting down. */
--- a/packages/fleet/src/MemberStore.ts
+++ b/packages/fleet/src/MemberStore.ts
@@ -1,4 +1,4 @@
-import type ConvictionRecord from './ConvictionRecord';
+import type QuarantineRecord from './QuarantineRecord';
 import type FleetRecords from './FleetRecords';
 import type MemberRecord from './MemberRecord';
 
@@ -9,9 +9,9 @@
 interface MemberStore {
   /** Stores the record of this instance. Returns whether it was stored. */
   announce(member: MemberRecord): Promise<boolean>;
-  /** Stores a conviction, or removes it if it has no crashes. Returns whether that was done. */
-  saveConviction(conviction: ConvictionRecord): Promise<boolean>;
-  /** Lists all known instances and convictions; `undefined` if the store does not answer. */
+  /** Stores a quarantine, or removes it if it has no crashes. Returns whether that was done. */
+  saveQuarantine(quarantine: QuarantineRecord): Promise<boolean>;
+  /** Lists all known instances and quarantines; `undefined` if the store does not answer. */
   list(): Promise<FleetRecords | undefined>;
 }
 
--- a/packages/fleet/src/PeerHandlers.ts
+++ b/packages/fleet/src/PeerHandlers.ts
@@ -1,8 +1,8 @@
-import type { SuspectUpdate } from '@wisteriapath/suspects';
 import type Heartbeat from './Heartbeat';
 import type DemandReport from './DemandReport';
 import type PlacementUpdate from './PlacementUpdate';
 import type RecordSpan from './RecordSpan';
+import type SuspectMessage from './SuspectMessage';
 
 /** Handlers of the datagrams that peers send. */
 interface PeerHandlers {
@@ -14,7 +14,7 @@
   /** Receives targets that said that they are leaving, by id and start. */
   leavingTargets(targets: readonly (readonly [string, number])[]): void;
   /** Receives what a peer knows of requests that crash targets. */
-  suspects(update: SuspectUpdate): void;
+  suspects(message: SuspectMessage): void;
 }
 
 export default PeerHandlers;
--- a/packages/fleet/src/PeerMessageKind.ts
+++ b/packages/fleet/src/PeerMessageKind.ts
@@ -9,7 +9,7 @@
   LeavingTargets = 7,
   /** Records of the targets, sent by the instance that reads the store for all. Kind 5 had another format. */
   Targets = 6,
-  /** Crashes of targets, and acquittals of what is suspected of them. Kind 4 had another format. */
+  /** Crashes of targets, and clearances of what is suspected of them. Kind 4 had another format. */
   Suspects = 8,
 }
 
--- a/packages/fleet/src/Peers.ts
+++ b/packages/fleet/src/Peers.ts
@@ -1,7 +1,6 @@
 import { createSocket, type Socket } from 'node:dgram';
 import { decode, encode } from '@msgpack/msgpack';
 import type { Clock } from '@wisteriapath/model';
-import type { SuspectUpdate } from '@wisteriapath/suspects';
 import type Heartbeat from './Heartbeat';
 import type HeartbeatContent from './HeartbeatContent';
 import HeartbeatKind from './HeartbeatKind';
@@ -17,6 +16,7 @@
 import FULL_MESH_MAX_INSTANCES from './fullMeshMaxInstances';
 import heartbeatRecipients from './heartbeatRecipients';
 import type RecordSpan from './RecordSpan';
+import type SuspectMessage from './SuspectMessage';
 import recordSpanCodec from './recordSpanCodec';
 
 interface Options {
@@ -247,9 +247,9 @@
   }
 
   /** Sends what is known of requests that crash targets to `host`, or to all peers. */
-  sendSuspects(update: SuspectUpdate, host?: string): void {
-    if (host === undefined) this.broadcast(PeerMessageKind.Suspects, update);
-    else this.send(host, PeerMessageKind.Suspects, update);
+  sendSuspects(message: SuspectMessage, host?: string): void {
+    if (host === undefined) this.broadcast(PeerMessageKind.Suspects, message);
+    else this.send(host, PeerMessageKind.Suspects, message);
   }
 
   /**
--- a/packages/routing/src/GuardedTargetClient.ts
+++ b/packages/routing/src/GuardedTargetClient.ts
@@ -2,7 +2,7 @@
 import { ErrorKind, ServeError } from '@wisteriapath/model';
 import ExchangeFailure from './ExchangeFailure';
 import type PoisonRegistry from './PoisonRegistry';
-import PoisonVerdict from './PoisonVerdict';
+import PoisonStatus from './PoisonStatus';
 import TargetClient from './TargetClient';
 import type TargetResponse from './TargetResponse';
 import UnreadableResponse from './UnreadableResponse';
@@ -34,12 +34,12 @@
    * alone. Call the returned function when the request is over.
    */
   async admit(fingerprint: string): Promise<Either<ServeError, () => void>> {
-    const verdict = this.poison.verdict(fingerprint);
-    if (verdict === PoisonVerdict.Clear) return Right(() => {});
+    const status = this.poison.statusOf(fingerprint);
+    if (status === PoisonStatus.Clear) return Right(() => {});
     await this.waitForCrashReports();
-    if (verdict === PoisonVerdict.Suspect) {
-      const done = await this.poison.beginSoloTrial();
-      if (this.poison.verdict(fingerprint) !== PoisonVerdict.Quarantined) return Right(done);
+    if (status === PoisonStatus.Suspect) {
+      const done = await this.poison.beginSoloProbe();
+      if (this.poison.statusOf(fingerprint) !== PoisonStatus.Quarantined) return Right(done);
       done();
     }
     const message = 'this request crashed several targets and is quarantined';
--- a/packages/routing/src/PoisonRegistry.ts
+++ b/packages/routing/src/PoisonRegistry.ts
@@ -2,7 +2,7 @@
 import { LRUCache } from 'lru-cache';
 import { type Clock, systemClock } from '@wisteriapath/model';
 import type InflightRequest from './InflightRequest';
-import PoisonVerdict from './PoisonVerdict';
+import PoisonStatus from './PoisonStatus';
 
 /** Weight of a crash of a target that had not begun to answer a request. */
 const CRASH_WEIGHT = 3;
@@ -62,7 +62,7 @@
   /** Resolves when the peers have received all reports, or did not reply in time. */
   reportsShared: Promise<void> = Promise.resolve();
 
-  private lastTrial: Promise<void> = Promise.resolve();
+  private lastProbe: Promise<void> = Promise.resolve();
 
   constructor(
     /** Sends new suspicions to the peers. Resolves within a bounded time. */
@@ -71,21 +71,21 @@
   ) {}
 
   /** Returns whether a request may run freely, only alone, or not at all. */
-  verdict(fingerprint: string): PoisonVerdict {
+  statusOf(fingerprint: string): PoisonStatus {
     const crashes = this.crashes.get(fingerprint) ?? [];
     const weight = crashes.reduce((sum, crash) => sum + crash.weight, 0);
-    if (weight < CRASH_WEIGHT) return PoisonVerdict.Clear;
-    return weight >= QUARANTINE_WEIGHT ? PoisonVerdict.Quarantined : PoisonVerdict.Suspect;
+    if (weight < CRASH_WEIGHT) return PoisonStatus.Clear;
+    return weight >= QUARANTINE_WEIGHT ? PoisonStatus.Quarantined : PoisonStatus.Suspect;
   }
 
   /** Waits until this instance tries no other suspect. Call the returned function afterwards. */
-  async beginSoloTrial(): Promise<() => void> {
-    const previousTrial = this.lastTrial;
+  async beginSoloProbe(): Promise<() => void> {
+    const previousProbe = this.lastProbe;
     let finish = () => {};
-    this.lastTrial = new Promise((resolve) => {
+    this.lastProbe = new Promise((resolve) => {
       finish = resolve;
     });
-    await previousTrial;
+    await previousProbe;
     return finish;
   }
 
--- a/packages/routing/src/PoisonVerdict.ts
+++ b/packages/routing/src/PoisonStatus.ts
@@ -1,5 +1,5 @@
 /** Whether a request is suspected of crashing targets. */
-enum PoisonVerdict {
+enum PoisonStatus {
   Clear = 'clear',
   /** The request was in flight on a crashed target. It is tried again only alone. */
   Suspect = 'suspect',
@@ -7,4 +7,4 @@
   Quarantined = 'quarantined',
 }
 
-export default PoisonVerdict;
+export default PoisonStatus;
--- a/packages/routing/src/requestFingerprint.ts
+++ b/packages/routing/src/requestFingerprint.ts
@@ -6,7 +6,7 @@
  * repeat and instance.
  *
  * @example
- * poison.verdict(requestFingerprint(context, body));
+ * poison.statusOf(requestFingerprint(context, body));
  */
 const requestFingerprint = (context: CallContext, body: Buffer): string => {
   const { caller, routeName } = context.call;
--- a/packages/routing/test/guardedTargetClient.test.ts
+++ b/packages/routing/test/guardedTargetClient.test.ts
@@ -3,7 +3,7 @@
 import type { AddressInfo } from 'node:net';
 import GuardedTargetClient from '../src/GuardedTargetClient';
 import PoisonRegistry from '../src/PoisonRegistry';
-import PoisonVerdict from '../src/PoisonVerdict';
+import PoisonStatus from '../src/PoisonStatus';
 import TargetClient from '../src/TargetClient';
 import parseChunk from '../src/parseChunk';
 
@@ -26,8 +26,8 @@
     server.close();
   });
 
-  /** Lets one response fail, and returns the verdict on a request that was in flight beside it. */
-  const verdictBeside = async (error: unknown) => {
+  /** Lets one response fail, and returns the status on a request that was in flight beside it. */
+  const statusBeside = async (error: unknown) => {
     registry.trackInflight(TARGET, 'neighbour');
     const url = `http://127.0.0.1:${(server.address() as AddressInfo).port}`;
     const { signal } = new AbortController();
@@ -37,7 +37,7 @@
     const exchange = sent.unsafeCoerce();
     await exchange.response.data.body.dump();
     exchange.markBroken(error);
-    return registry.verdict('neighbour');
+    return registry.statusOf('neighbour');
   };
 
   const errorOf = (data: string): unknown => {
@@ -51,11 +51,11 @@
   test.each(['no json', 'null', '7'])(
     'an event that cannot be read (%s) is no crash',
     async (data) => {
-      expect(await verdictBeside(errorOf(data))).toBe(PoisonVerdict.Clear);
+      expect(await statusBeside(errorOf(data))).toBe(PoisonStatus.Clear);
     },
   );
 
   test('a connection that broke is one', async () => {
-    expect(await verdictBeside(new Error('terminated'))).toBe(PoisonVerdict.Suspect);
+    expect(await statusBeside(new Error('terminated'))).toBe(PoisonStatus.Suspect);
   });
 });
--- a/packages/routing/test/poisonRegistry.test.ts
+++ b/packages/routing/test/poisonRegistry.test.ts
@@ -1,6 +1,6 @@
 /** Of the requests that were on a target when it crashed, only those are suspected that may have been the cause. */
 import PoisonRegistry from '../src/PoisonRegistry';
-import PoisonVerdict from '../src/PoisonVerdict';
+import PoisonStatus from '../src/PoisonStatus';
 
 type Suspicions = Parameters<PoisonRegistry['merge']>[0];
 
@@ -21,16 +21,16 @@
   const cause = registry.trackInflight('engine-1', 'cause');
   answered.begun();
   cause.targetCrashed();
-  expect(registry.verdict('answered')).toBe(PoisonVerdict.Clear);
-  expect(registry.verdict('cause')).toBe(PoisonVerdict.Suspect);
+  expect(registry.statusOf('answered')).toBe(PoisonStatus.Clear);
+  expect(registry.statusOf('cause')).toBe(PoisonStatus.Suspect);
 });
 
 test('one crash that several instances see counts once', () => {
   const instances = createInstances(3);
   const tracked = instances.map((instance) => instance.trackInflight('engine-1', 'same'));
   tracked.forEach((request) => request.targetCrashed());
-  expect(instances.map((instance) => instance.verdict('same'))).toEqual(
-    Array(3).fill(PoisonVerdict.Suspect),
+  expect(instances.map((instance) => instance.statusOf('same'))).toEqual(
+    Array(3).fill(PoisonStatus.Suspect),
   );
 });
 
@@ -38,7 +38,7 @@
   const [registry] = createInstances(1);
   registry.trackInflight('engine-1', 'cause').targetCrashed();
   registry.trackInflight('engine-2', 'cause').targetCrashed();
-  expect(registry.verdict('cause')).toBe(PoisonVerdict.Quarantined);
+  expect(registry.statusOf('cause')).toBe(PoisonStatus.Quarantined);
 });
 
 test('a request under which targets crash again and again in the middle of the answer is stopped too', () => {
@@ -49,7 +49,7 @@
     request.targetCrashed();
   };
   ['engine-1', 'engine-2'].forEach(crashWhileAnswering);
-  expect(registry.verdict('late cause')).toBe(PoisonVerdict.Clear);
+  expect(registry.statusOf('late cause')).toBe(PoisonStatus.Clear);
   ['engine-3', 'engine-4', 'engine-5', 'engine-6'].forEach(crashWhileAnswering);
-  expect(registry.verdict('late cause')).toBe(PoisonVerdict.Quarantined);
+  expect(registry.statusOf('late cause')).toBe(PoisonStatus.Quarantined);
 });
--- a/packages/suspects/src/SuspectRegistry.ts
+++ b/packages/suspects/src/SuspectRegistry.ts
@@ -1,12 +1,12 @@
 import { randomBytes } from 'node:crypto';
 import { LRUCache } from 'lru-cache';
 import type { Clock } from '@wisteriapath/model';
-import type Acquittal from './Acquittal';
+import type Clearance from './Clearance';
 import type CrashReport from './CrashReport';
 import CrashWaves from './CrashWaves';
 import type Sighting from './Sighting';
 import type SuspectUpdate from './SuspectUpdate';
-import SuspectVerdict from './SuspectVerdict';
+import SuspectDecision from './SuspectDecision';
 import TraitRecord from './TraitRecord';
 import successiveCrashes from './successiveCrashes';
 
@@ -17,8 +17,8 @@
   };
   /** Sends an update to all peers. */
   readonly announce: (update: SuspectUpdate) => void;
-  /** Called with the newest crashes of a convicted trait when these change, and with none when it is acquitted. */
-  readonly onConvictionChanged: (
+  /** Called with the newest crashes of a quarantined trait when these change, and with none when it is cleared. */
+  readonly onQuarantineChanged: (
     trait: string,
     crashes: readonly Omit<CrashReport, 'traits'>[],
   ) => void;
@@ -30,44 +30,44 @@
   readonly sentAtMs: number;
 }
 
-/** A verdict, with the time after which a refused request may be tried; 0 unless it is refused. */
-interface Judgement {
-  readonly verdict: SuspectVerdict;
+/** A decision, with the time after which a refused request may be tried; 0 unless it is refused. */
+interface CheckResult {
+  readonly decision: SuspectDecision;
   readonly waitMs: number;
 }
 
 const MAX_TRAITS = 10_000;
 /** Time after which crashes and answers no longer count. */
 const RETENTION_MS = 1_800_000;
-/** Weight with which a trait is convicted that no target is known to have answered on: two crashes or three broken connections. */
+/** Weight with which a trait is quarantined that no target is known to have answered on: two crashes or three broken connections. */
 const CONVICTION_WEIGHT = 6;
 /** The same for a trait that targets have answered on before, in crashes that did not come at once. */
 const SOUND_CONVICTION_WEIGHT = 12;
-/** Time from the last crash until a request with a convicted trait is tried; grows with each further crash. */
-const FIRST_TRIAL_DELAY_MS = 8_000;
+/** Time from the last crash until a request with a quarantined trait is tried; grows with each further crash. */
+const FIRST_PROBE_DELAY_MS = 8_000;
 /** Successive crashes up to which the time is the first. */
 const FIRST_CRASHES = 2;
-const TRIAL_DELAY_FACTOR = 4;
-const MAX_TRIAL_DELAY_MS = 600_000;
+const PROBE_DELAY_FACTOR = 4;
+const MAX_PROBE_DELAY_MS = 600_000;
 /** Time after a wave of crashes until a trait is tried whose own crash the wave explains. */
 const WAVE_PAUSE_MS = 2_000;
-/** Time in which a trial is decided: the target has begun to answer, or has crashed. */
-const TRIAL_MS = 5_000;
+/** Time in which a probe is decided: the target has begun to answer, or has crashed. */
+const PROBE_MS = 5_000;
 const CLAIM_ID_BYTES = 6;
-/** Convicted traits that are repeated at once, so that a heartbeat with them fits into a packet. */
+/** Quarantined traits that are repeated at once, so that a heartbeat with them fits into a packet. */
 const MAX_REPEATED_TRAITS = 3;
-/** Crashes of each that are repeated: as many as convict. */
+/** Crashes of each that are repeated: as many as quarantine. */
 const MAX_REPEATED_CRASHES = 4;
-const CLEAR: Judgement = { verdict: SuspectVerdict.Clear, waitMs: 0 };
-const WAIT: Judgement = { verdict: SuspectVerdict.Wait, waitMs: 0 };
-const TRIAL: Judgement = { verdict: SuspectVerdict.Trial, waitMs: 0 };
+const CLEAR: CheckResult = { decision: SuspectDecision.Clear, waitMs: 0 };
+const WAIT: CheckResult = { decision: SuspectDecision.Wait, waitMs: 0 };
+const PROBE: CheckResult = { decision: SuspectDecision.Probe, waitMs: 0 };
 
-const isEmpty = ({ crashes, acquittals, trials }: SuspectUpdate): boolean =>
-  crashes.length + acquittals.length + trials.length === 0;
+const isEmpty = ({ crashes, clearances, probes }: SuspectUpdate): boolean =>
+  crashes.length + clearances.length + probes.length === 0;
 
-/** Judges requests by the crashes of targets that had not begun to answer them. */
+/** Checks requests by the crashes of targets that had not begun to answer them. */
 class SuspectRegistry {
-  private readonly convicted = new Map<string, TraitRecord>();
+  private readonly quarantined = new Map<string, TraitRecord>();
 
   private readonly records: LRUCache<string, TraitRecord>;
 
@@ -82,41 +82,41 @@
   ) {
     this.records = new LRUCache({
       max: maxTraits,
-      dispose: (_, trait) => this.convicted.delete(trait),
+      dispose: (_, trait) => this.quarantined.delete(trait),
     });
     this.answeredAtMs = new LRUCache({ max: maxTraits });
   }
 
-  /** Number of convicted traits. */
-  get convictedCount(): number {
-    return this.convicted.size;
+  /** Number of quarantined traits. */
+  get quarantinedCount(): number {
+    return this.quarantined.size;
   }
 
-  /** Judges a request by its traits. */
-  judge(traits: readonly string[]): Judgement {
-    if (this.convicted.size === 0) return CLEAR;
-    const held = traits.filter((trait) => this.convicted.has(trait));
+  /** Returns whether a request with these traits may be sent. */
+  check(traits: readonly string[]): CheckResult {
+    if (this.quarantined.size === 0) return CLEAR;
+    const held = traits.filter((trait) => this.quarantined.has(trait));
     if (held.length === 0) return CLEAR;
-    const waitMs = Math.max(...held.map((trait) => this.trialDueInMs(trait, traits)));
-    if (waitMs > 0) return { verdict: SuspectVerdict.Refused, waitMs };
-    return held.some((trait) => this.isOnTrial(trait)) ? WAIT : TRIAL;
+    const waitMs = Math.max(...held.map((trait) => this.probeDueInMs(trait, traits)));
+    if (waitMs > 0) return { decision: SuspectDecision.Refused, waitMs };
+    return held.some((trait) => this.isBeingProbed(trait)) ? WAIT : PROBE;
   }
 
-  /** Claims the trial of a request that was judged so, before it is sent; returns the id of the claim. */
-  claimTrial(traits: readonly string[]): string {
+  /** Claims the probe of a request that may be sent as one, before it is sent; returns the id of the claim. */
+  claimProbe(traits: readonly string[]): string {
     const claimId = randomBytes(CLAIM_ID_BYTES).toString('hex');
-    const held = traits.filter((trait) => this.convicted.has(trait));
-    this.parts.log.event('suspect_trial', { traits: held.join(','), claim: claimId });
-    this.shareTrials(held.map((trait) => [trait, TRIAL_MS, claimId]));
+    const held = traits.filter((trait) => this.quarantined.has(trait));
+    this.parts.log.event('suspect_probe', { traits: held.join(','), claim: claimId });
+    this.shareProbes(held.map((trait) => [trait, PROBE_MS, claimId]));
     return claimId;
   }
 
-  /** Gives back the claim of a trial that has ended, so that another request can be tried if it decided nothing. */
-  endTrial(traits: readonly string[], claimId: string): void {
-    const held = traits.filter((trait) => this.convicted.has(trait));
+  /** Gives back the claim of a probe that has ended, so that another request can be tried if it decided nothing. */
+  endProbe(traits: readonly string[], claimId: string): void {
+    const held = traits.filter((trait) => this.quarantined.has(trait));
     if (held.length === 0) return;
-    this.parts.log.event('suspect_trial_ended', { traits: held.join(','), claim: claimId });
-    this.shareTrials(held.map((trait) => [trait, 0, claimId]));
+    this.parts.log.event('suspect_probe_ended', { traits: held.join(','), claim: claimId });
+    this.shareProbes(held.map((trait) => [trait, 0, claimId]));
   }
 
   /** Records the crash of a target that had not begun to answer a request, or the break of its connection. */
@@ -129,55 +129,55 @@
 
   /** Records that a target has begun to answer a request. */
   recordAnswer(traits: readonly string[]): void {
-    const acquittals = traits.flatMap((trait) => {
+    const clearances = traits.flatMap((trait) => {
       this.markSound(trait);
       const crashIds = this.records.peek(trait)?.crashIds ?? [];
       return crashIds.length > 0 ? [{ trait, crashIds }] : [];
     });
-    if (acquittals.length === 0) return;
-    acquittals.forEach((acquittal) => this.applyAcquittal(acquittal, 'self'));
-    this.announce({ acquittals });
+    if (clearances.length === 0) return;
+    clearances.forEach((clearance) => this.applyClearance(clearance, 'self'));
+    this.announce({ clearances });
   }
 
   /** Merges an update of a peer; returns what the peer does not seem to know, undefined if nothing. */
-  merge({ crashes, acquittals, trials }: SuspectUpdate): SuspectUpdate | undefined {
+  merge({ crashes, clearances, probes }: SuspectUpdate): SuspectUpdate | undefined {
     const refuted = crashes.flatMap(({ crashId, traits }) =>
       traits
-        .filter((trait) => this.records.peek(trait)?.wasAcquittedOf(crashId))
+        .filter((trait) => this.records.peek(trait)?.wasClearedOf(crashId))
         .map((trait) => ({ trait, crashIds: [crashId] })),
     );
     crashes.forEach((report) => this.applyCrash(report, 'peer'));
-    acquittals.forEach((acquittal) => this.applyAcquittal(acquittal, 'peer'));
-    this.applyTrials(trials);
-    const reply = { crashes: [], acquittals: refuted, trials: [] };
+    clearances.forEach((clearance) => this.applyClearance(clearance, 'peer'));
+    this.applyProbes(probes);
+    const reply = { crashes: [], clearances: refuted, probes: [] };
     return isEmpty(reply) ? undefined : reply;
   }
 
   /**
-   * Drops convictions that have expired, and returns a few of the others, chosen at random, for peers that may have
+   * Drops quarantines that have expired, and returns a few of the others, chosen at random, for peers that may have
    * missed them; `null` if there are none.
    */
-  repeatConvictions(): SuspectUpdate | null {
+  repeatQuarantines(): SuspectUpdate | null {
     const nowMs = this.parts.clock.nowMs();
-    this.convicted.forEach(({ lastCrashAtMs }, trait) => {
+    this.quarantined.forEach(({ lastCrashAtMs }, trait) => {
       if (lastCrashAtMs >= nowMs - RETENTION_MS) return;
       this.records.delete(trait);
-      this.parts.onConvictionChanged(trait, []);
+      this.parts.onQuarantineChanged(trait, []);
     });
-    if (this.convicted.size === 0) return null;
-    const first = Math.floor(Math.random() * this.convicted.size);
-    const convicted = [...this.convicted];
-    const repeated = [...convicted.slice(first), ...convicted.slice(0, first)].slice(
+    if (this.quarantined.size === 0) return null;
+    const first = Math.floor(Math.random() * this.quarantined.size);
+    const quarantined = [...this.quarantined];
+    const repeated = [...quarantined.slice(first), ...quarantined.slice(0, first)].slice(
       0,
       MAX_REPEATED_TRAITS,
     );
     const crashes = repeated.flatMap(([trait, record]) =>
       this.newestCrashes(record).map((crash) => ({ ...crash, traits: [trait] })),
     );
-    return { crashes, acquittals: [], trials: [] };
+    return { crashes, clearances: [], probes: [] };
   }
 
-  /** Returns the newest crashes of a trait, as many as convict. */
+  /** Returns the newest crashes of a trait, as many as quarantine. */
   private newestCrashes(record: TraitRecord): readonly Omit<CrashReport, 'traits'>[] {
     const nowMs = this.parts.clock.nowMs();
     return record.sightings
@@ -190,13 +190,13 @@
       }));
   }
 
-  private isOnTrial(trait: string): boolean {
-    return this.convicted.get(trait)!.trialUntilMs > this.parts.clock.nowMs();
+  private isBeingProbed(trait: string): boolean {
+    return this.quarantined.get(trait)!.probeUntilMs > this.parts.clock.nowMs();
   }
 
   /** Returns the time until a request with these traits may be tried for one of them. */
-  private trialDueInMs(trait: string, traits: readonly string[]): number {
-    const record = this.convicted.get(trait)!;
+  private probeDueInMs(trait: string, traits: readonly string[]): number {
+    const record = this.quarantined.get(trait)!;
     const excused = record.sightings.filter(([crashId]) => record.isExcusedFor(crashId));
     const counted = record.sightings.filter(([crashId]) => !record.isExcusedFor(crashId));
     const waveEndMs = Math.max(
@@ -205,26 +205,26 @@
     );
     const dueAtMs = this.isExplainedElsewhere(counted, traits)
       ? -Infinity
-      : SuspectRegistry.trialAtMs(counted.map(([, sighting]) => sighting));
+      : SuspectRegistry.probeAtMs(counted.map(([, sighting]) => sighting));
     return Math.max(0, Math.max(dueAtMs, waveEndMs) - this.parts.clock.nowMs());
   }
 
   /** Returns the time, on the monotonic clock, from which a trait with these crashes may be tried. */
-  private static trialAtMs(sightings: readonly Sighting[]): number {
+  private static probeAtMs(sightings: readonly Sighting[]): number {
     const furtherCrashes = Math.max(0, successiveCrashes(sightings).length - FIRST_CRASHES);
     const delayMs = Math.min(
-      MAX_TRIAL_DELAY_MS,
-      FIRST_TRIAL_DELAY_MS * TRIAL_DELAY_FACTOR ** furtherCrashes,
+      MAX_PROBE_DELAY_MS,
+      FIRST_PROBE_DELAY_MS * PROBE_DELAY_FACTOR ** furtherCrashes,
     );
     return Math.max(...sightings.map(({ crashedAtMs }) => crashedAtMs)) + delayMs;
   }
 
-  /** Whether another convicted trait, which a request with these traits does not have, was there at all the crashes. */
+  /** Whether another quarantined trait, which a request with these traits does not have, was there at all the crashes. */
   private isExplainedElsewhere(
     crashes: readonly (readonly [crashId: string, sighting: Sighting])[],
     traits: readonly string[],
   ): boolean {
-    return [...this.convicted].some(
+    return [...this.quarantined].some(
       ([other, record]) =>
         !traits.includes(other) && crashes.every(([crashId]) => record.has(crashId)),
     );
@@ -241,50 +241,50 @@
       this.parts.log.event('crash_reported', fields);
     }
     added.forEach((trait) => this.review(trait, source));
-    this.convicted.forEach((record, trait) => {
+    this.quarantined.forEach((record, trait) => {
       // Marks it as used, so that the many traits of a wave do not displace it.
       this.records.get(trait);
       this.waves.excuse(record);
     });
   }
 
-  private applyAcquittal({ trait, crashIds }: Acquittal, source: 'self' | 'peer'): void {
+  private applyClearance({ trait, crashIds }: Clearance, source: 'self' | 'peer'): void {
     this.markSound(trait);
     const record = this.recordOf(trait);
-    record.acquit(crashIds);
+    record.clear(crashIds);
     this.review(trait, source);
   }
 
-  /** Notes trials here, and tells the peers. */
-  private shareTrials(trials: SuspectUpdate['trials']): void {
-    this.applyTrials(trials);
-    this.announce({ trials });
+  /** Notes probes here, and tells the peers. */
+  private shareProbes(probes: SuspectUpdate['probes']): void {
+    this.applyProbes(probes);
+    this.announce({ probes });
   }
 
-  private applyTrials(trials: SuspectUpdate['trials']): void {
+  private applyProbes(probes: SuspectUpdate['probes']): void {
     const nowMs = this.parts.clock.nowMs();
     // Instances of an earlier build send no ids of claims.
-    trials.forEach(([trait, durationMs, claimId = `unnamed-${nowMs}`]) => {
+    probes.forEach(([trait, durationMs, claimId = `unnamed-${nowMs}`]) => {
       const record = this.records.peek(trait);
-      if (durationMs === 0) record?.endTrial(claimId);
-      else record?.claimTrial(claimId, nowMs + Math.min(durationMs, TRIAL_MS));
+      if (durationMs === 0) record?.endProbe(claimId);
+      else record?.claimProbe(claimId, nowMs + Math.min(durationMs, PROBE_MS));
     });
   }
 
-  /** Convicts or acquits a trait after its crashes have changed. */
+  /** Quarantines or clears a trait after its crashes have changed. */
   private review(trait: string, source: 'self' | 'peer'): void {
     const record = this.recordOf(trait);
-    const isConvicted = this.isSound(trait)
+    const isQuarantined = this.isSound(trait)
       ? record.successiveWeight >= SOUND_CONVICTION_WEIGHT
       : record.weight >= CONVICTION_WEIGHT;
-    const wasConvicted = this.convicted.has(trait);
-    if (isConvicted || wasConvicted) {
-      this.parts.onConvictionChanged(trait, isConvicted ? this.newestCrashes(record) : []);
+    const wasQuarantined = this.quarantined.has(trait);
+    if (isQuarantined || wasQuarantined) {
+      this.parts.onQuarantineChanged(trait, isQuarantined ? this.newestCrashes(record) : []);
     }
-    if (isConvicted === wasConvicted) return;
-    if (isConvicted) this.convicted.set(trait, record);
-    else this.convicted.delete(trait);
-    const name = isConvicted ? 'suspect_convicted' : 'suspect_acquitted';
+    if (isQuarantined === wasQuarantined) return;
+    if (isQuarantined) this.quarantined.set(trait, record);
+    else this.quarantined.delete(trait);
+    const name = isQuarantined ? 'suspect_quarantined' : 'suspect_cleared';
     this.parts.log.event(name, { trait, source, crashes: record.crashIds.length });
   }
 
@@ -307,7 +307,7 @@
   }
 
   private announce(update: Partial<SuspectUpdate>): void {
-    this.parts.announce({ crashes: [], acquittals: [], trials: [], ...update });
+    this.parts.announce({ crashes: [], clearances: [], probes: [], ...update });
   }
 }
 
--- a/packages/suspects/src/TraitRecord.ts
+++ b/packages/suspects/src/TraitRecord.ts
@@ -2,11 +2,11 @@
 import successiveCrashes from './successiveCrashes';
 
 const MAX_CRASHES = 16;
-const MAX_ACQUITTED = 64;
+const MAX_CLEARED = 64;
 /** Crashes that are excused at most, in the life of a record: what crashes targets may do so in waves too. */
 const MAX_EXCUSED = 2;
-/** Trials that are kept, ended ones too; there is one at a time but for those that lost datagrams hide from each other. */
-const MAX_TRIALS = 16;
+/** Probes that are kept, ended ones too; there is one at a time but for those that lost datagrams hide from each other. */
+const MAX_PROBES = 16;
 const CRASH_WEIGHT = 3;
 const BROKEN_CONNECTION_WEIGHT = 2;
 
@@ -16,57 +16,55 @@
     0,
   );
 
-/** The crashes that one trait is suspected of, and those of which it was acquitted. */
+/** The crashes that one trait is suspected of, and those of which it was cleared. */
 class TraitRecord {
   private readonly crashes = new Map<string, Sighting>();
 
-  private readonly acquitted = new Set<string>();
+  private readonly cleared = new Set<string>();
 
-  /** Crashes that came in a wave, and do not delay the next trial for long. */
+  /** Crashes that came in a wave, and do not delay the next probe for long. */
   private readonly excused = new Set<string>();
 
-  /** Trials of requests with the trait: until when no other is tried, on the monotonic clock, by claim. */
-  private readonly trials = new Map<string, number>();
+  /** Probes of requests with the trait: until when no other is tried, on the monotonic clock, by claim. */
+  private readonly probes = new Map<string, number>();
 
-  /** When a trial is decided at the latest that is under way now; -Infinity if none is. */
-  get trialUntilMs(): number {
-    return Math.max(-Infinity, ...this.trials.values());
+  /** When a probe is decided at the latest that is under way now; -Infinity if none is. */
+  get probeUntilMs(): number {
+    return Math.max(-Infinity, ...this.probes.values());
   }
 
-  /** Notes a trial; one that has ended stays so, also if its claim arrives later. */
-  claimTrial(claimId: string, untilMs: number): void {
-    if (!this.trials.has(claimId)) this.trials.set(claimId, untilMs);
-    this.dropOldTrials();
+  /** Notes a probe; one that has ended stays so, also if its claim arrives later. */
+  claimProbe(claimId: string, untilMs: number): void {
+    if (!this.probes.has(claimId)) this.probes.set(claimId, untilMs);
+    this.dropOldProbes();
   }
 
-  endTrial(claimId: string): void {
-    this.trials.set(claimId, -Infinity);
-    this.dropOldTrials();
+  endProbe(claimId: string): void {
+    this.probes.set(claimId, -Infinity);
+    this.dropOldProbes();
   }
 
-  private dropOldTrials(): void {
-    [...this.trials.keys()].slice(0, -MAX_TRIALS).forEach((claimId) => this.trials.delete(claimId));
+  private dropOldProbes(): void {
+    [...this.probes.keys()].slice(0, -MAX_PROBES).forEach((claimId) => this.probes.delete(claimId));
   }
 
   /** Adds a crash; returns whether it is new, or known to be one only now. */
   add(crashId: string, sighting: Sighting): boolean {
     const known = this.crashes.get(crashId);
     const isNews = known === undefined || (sighting.hasEnded && !known.hasEnded);
-    if (!isNews || this.acquitted.has(crashId)) return false;
+    if (!isNews || this.cleared.has(crashId)) return false;
     this.crashes.set(crashId, sighting);
     this.crashIds.slice(0, -MAX_CRASHES).forEach((oldest) => this.crashes.delete(oldest));
     return true;
   }
 
   /** Removes crashes, also those that are reported only later. */
-  acquit(crashIds: readonly string[]): void {
+  clear(crashIds: readonly string[]): void {
     crashIds.forEach((crashId) => {
       this.crashes.delete(crashId);
-      this.acquitted.add(crashId);
+      this.cleared.add(crashId);
     });
-    [...this.acquitted]
-      .slice(0, -MAX_ACQUITTED)
-      .forEach((crashId) => this.acquitted.delete(crashId));
+    [...this.cleared].slice(0, -MAX_CLEARED).forEach((crashId) => this.cleared.delete(crashId));
   }
 
   /** Notes that a crash came in a wave; the first few of each trait are excused. */
@@ -78,8 +76,8 @@
     return this.excused.has(crashId);
   }
 
-  wasAcquittedOf(crashId: string): boolean {
-    return this.acquitted.has(crashId);
+  wasClearedOf(crashId: string): boolean {
+    return this.cleared.has(crashId);
   }
 
   get crashIds(): readonly string[] {
--- a/packages/suspects/src/index.ts
+++ b/packages/suspects/src/index.ts
@@ -2,4 +2,4 @@
 export type { default as CrashReport } from './CrashReport';
 export { default as SuspectRegistry } from './SuspectRegistry';
 export type { default as SuspectUpdate } from './SuspectUpdate';
-export { default as SuspectVerdict } from './SuspectVerdict';
+export { default as SuspectDecision } from './SuspectDecision';
--- a/packages/suspects/test/support/registries.ts
+++ b/packages/suspects/test/support/registries.ts
@@ -18,7 +18,7 @@
 /** Creates an instance that has no peers. */
 const createSingle = (clock: Clock) =>
   new SuspectRegistry(
-    { clock, log: silentLog, announce: () => {}, onConvictionChanged: () => {} },
+    { clock, log: silentLog, announce: () => {}, onQuarantineChanged: () => {} },
     MAX_TRAITS,
   );
 
@@ -33,7 +33,7 @@
         {
           clock,
           log: silentLog,
-          onConvictionChanged: () => {},
+          onQuarantineChanged: () => {},
           announce: (update) => {
             const others = Array.from({ length: size }, (__, to) => to).filter((to) => to !== from);
             waiting.push(...others.map((to) => ({ to, update })));
@@ -49,6 +49,6 @@
 const crash = (registry: SuspectRegistry, crashId: string, traits: string[], sentAtMs: number) =>
   registry.recordCrash({ crashId, hasEnded: true, traits, sentAtMs });
 
-const judge = (registry: SuspectRegistry, ...traits: string[]) => registry.judge(traits).verdict;
+const check = (registry: SuspectRegistry, ...traits: string[]) => registry.check(traits).decision;
 
-export default { MAX_TRAITS, createSingle, createFleet, crash, judge };
+export default { MAX_TRAITS, createSingle, createFleet, crash, check };
--- a/packages/suspects/test/suspectRegistry.test.ts
+++ b/packages/suspects/test/suspectRegistry.test.ts
@@ -1,12 +1,12 @@
 /** What crashes targets is stopped after few crashes, and nothing else is stopped for long. */
 import fc from 'fast-check';
-import { SuspectVerdict } from '../src';
+import { SuspectDecision } from '../src';
 import support from './support/registries';
 
-const FIRST_TRIAL_MS = 8_000;
-const LONGEST_TRIAL_MS = 600_000;
+const FIRST_PROBE_MS = 8_000;
+const LONGEST_PROBE_MS = 600_000;
 
-const { MAX_TRAITS, createSingle, createFleet, crash, judge } = support;
+const { MAX_TRAITS, createSingle, createFleet, crash, check } = support;
 
 describe('a part that crashes targets', () => {
   test('is refused everywhere after two crashes, and those that share all else are served', () => {
@@ -19,10 +19,10 @@
     third.recordAnswer(['first', 'subject']);
     deliver();
     registries.forEach((registry) => {
-      expect(judge(registry, 'request-3', 'first', 'subject', 'deadly')).toBe(
-        SuspectVerdict.Refused,
+      expect(check(registry, 'request-3', 'first', 'subject', 'deadly')).toBe(
+        SuspectDecision.Refused,
       );
-      expect(judge(registry, 'request-4', 'first', 'subject')).toBe(SuspectVerdict.Clear);
+      expect(check(registry, 'request-4', 'first', 'subject')).toBe(SuspectDecision.Clear);
     });
   });
 
@@ -32,15 +32,15 @@
     crash(one, 'crash-1', ['first', 'deadly'], 0);
     crash(one, 'crash-2', ['first', 'deadly'], 0);
     deliver();
-    expect(judge(other, 'first', 'deadly')).toBe(SuspectVerdict.Refused);
-    expect(judge(other, 'first')).toBe(SuspectVerdict.Trial);
-    other.claimTrial(['first']);
+    expect(check(other, 'first', 'deadly')).toBe(SuspectDecision.Refused);
+    expect(check(other, 'first')).toBe(SuspectDecision.Probe);
+    other.claimProbe(['first']);
     deliver();
-    expect(judge(one, 'first')).toBe(SuspectVerdict.Wait);
+    expect(check(one, 'first')).toBe(SuspectDecision.Wait);
     other.recordAnswer(['first']);
     deliver();
-    expect(judge(one, 'first')).toBe(SuspectVerdict.Clear);
-    expect(judge(one, 'first', 'deadly')).toBe(SuspectVerdict.Refused);
+    expect(check(one, 'first')).toBe(SuspectDecision.Clear);
+    expect(check(one, 'first', 'deadly')).toBe(SuspectDecision.Refused);
   });
 
   test('crashes few targets however its requests come, and is tried more and more rarely', () => {
@@ -56,39 +56,39 @@
           clock.now += afterMs;
           const registry = registries[instance];
           const traits = [`request-${number}`, 'deadly'];
-          const verdict = judge(registry, ...traits);
-          if (verdict !== SuspectVerdict.Clear && verdict !== SuspectVerdict.Trial) return;
-          if (verdict === SuspectVerdict.Trial) registry.claimTrial(traits);
+          const decision = check(registry, ...traits);
+          if (decision !== SuspectDecision.Clear && decision !== SuspectDecision.Probe) return;
+          if (decision === SuspectDecision.Probe) registry.claimProbe(traits);
           crashes += 1;
           crash(registry, `crash-${crashes}`, traits, clock.now);
           deliver();
         });
         const delaysMs = [8_000, 32_000, 128_000, 512_000];
-        const trials = delaysMs.filter(
+        const probes = delaysMs.filter(
           (_, count) => delaysMs.slice(0, count + 1).reduce((sum, ms) => sum + ms, 0) < clock.now,
         );
-        expect(crashes).toBeLessThanOrEqual(2 + trials.length);
+        expect(crashes).toBeLessThanOrEqual(2 + probes.length);
       }),
     );
   });
 
-  test('is refused again by an instance that starts anew, once a peer repeats its convictions', () => {
+  test('is refused again by an instance that starts anew, once a peer repeats its quarantines', () => {
     const { clock, registries, deliver } = createFleet(2);
     crash(registries[0], 'crash-1', ['deadly'], 0);
     crash(registries[0], 'crash-2', ['deadly'], 0);
     deliver();
     clock.now = 1_000;
     const restarted = createSingle(clock);
-    restarted.merge(registries[1].repeatConvictions()!);
-    expect(restarted.judge(['deadly'])).toEqual({
-      verdict: SuspectVerdict.Refused,
-      waitMs: FIRST_TRIAL_MS - 1_000,
+    restarted.merge(registries[1].repeatQuarantines()!);
+    expect(restarted.check(['deadly'])).toEqual({
+      decision: SuspectDecision.Refused,
+      waitMs: FIRST_PROBE_MS - 1_000,
     });
   });
 });
 
 describe('without a part that crashes targets', () => {
-  test('one crash of many targets at once convicts nothing that was answered before', () => {
+  test('one crash of many targets at once quarantines nothing that was answered before', () => {
     const { clock, registries, deliver } = createFleet(3);
     registries.forEach((registry) => registry.recordAnswer(['first']));
     clock.now = 1_000;
@@ -96,27 +96,27 @@
       crash(registries[target % 3], `crash-${target}`, ['first'], 900),
     );
     deliver();
-    expect(registries.map((registry) => judge(registry, 'first'))).toEqual(
-      Array(3).fill(SuspectVerdict.Clear),
+    expect(registries.map((registry) => check(registry, 'first'))).toEqual(
+      Array(3).fill(SuspectDecision.Clear),
     );
   });
 
-  test('broken connections to two targets that live convict nothing, and those to three do', () => {
+  test('broken connections to two targets that live quarantine nothing, and those to three do', () => {
     const { clock } = createFleet(1);
     const registry = createSingle(clock);
     const breakAt = (crashId: string, hasEnded = false) =>
       registry.recordCrash({ crashId, hasEnded, traits: ['request-1'], sentAtMs: 0 });
     ['target-1', 'target-2', 'target-2'].forEach((target) => breakAt(target));
-    expect(judge(registry, 'request-1')).toBe(SuspectVerdict.Clear);
+    expect(check(registry, 'request-1')).toBe(SuspectDecision.Clear);
     breakAt('target-3');
-    expect(judge(registry, 'request-1')).toBe(SuspectVerdict.Refused);
+    expect(check(registry, 'request-1')).toBe(SuspectDecision.Refused);
   });
 
   test('a crash that several instances report counts once', () => {
     const { registries, deliver } = createFleet(3);
     registries.forEach((registry) => crash(registry, 'crash-1', ['first'], 0));
     deliver();
-    expect(judge(registries[0], 'first')).toBe(SuspectVerdict.Clear);
+    expect(check(registries[0], 'first')).toBe(SuspectDecision.Clear);
   });
 
   const step = fc.oneof(
@@ -163,11 +163,11 @@
           clock.now += 50;
           handlers[kind](at, `trait-${trait}`, id);
         });
-        clock.now += LONGEST_TRIAL_MS;
+        clock.now += LONGEST_PROBE_MS;
         registries.forEach((registry) => {
           for (let trait = 0; trait < 4; trait += 1) {
-            expect([SuspectVerdict.Clear, SuspectVerdict.Trial]).toContain(
-              judge(registry, `trait-${trait}`),
+            expect([SuspectDecision.Clear, SuspectDecision.Probe]).toContain(
+              check(registry, `trait-${trait}`),
             );
           }
         });
@@ -175,7 +175,7 @@
         // What was lost is repeated by heartbeats, and answered where it is refuted.
         for (let round = 0; round < 20; round += 1) {
           registries.forEach((registry, from) => {
-            const told = registry.repeatConvictions();
+            const told = registry.repeatQuarantines();
             if (told === null) return;
             registries.forEach((receiver, to) => {
               if (to === from) return;
@@ -186,8 +186,8 @@
         }
         registries.forEach((registry) => {
           for (let trait = 0; trait < 4; trait += 1) {
-            expect([SuspectVerdict.Clear, SuspectVerdict.Trial]).toContain(
-              judge(registry, `trait-${trait}`),
+            expect([SuspectDecision.Clear, SuspectDecision.Probe]).toContain(
+              check(registry, `trait-${trait}`),
             );
           }
         });
@@ -196,11 +196,11 @@
     );
   });
 
-  test('updates that arrive in any order, and more than once, leave the same convictions', () => {
+  test('updates that arrive in any order, and more than once, leave the same quarantines', () => {
     const { clock, registries, waiting } = createFleet(2);
     const trait = fc.constantFrom('a', 'b', 'c');
     const crashFact = fc.record({ kind: fc.constant('crash' as const), trait, id: fc.nat(5) });
-    const acquittal = fc.record({ kind: fc.constant('acquittal' as const), trait, id: fc.nat(5) });
+    const clearance = fc.record({ kind: fc.constant('clearance' as const), trait, id: fc.nat(5) });
     const toUpdate = ({ kind, trait: name, id }: { kind: string; trait: string; id: number }) => {
       const crashId = `crash-${id}`;
       // Each crash at a time of its own, whoever tells of it.
@@ -213,14 +213,14 @@
       };
       return {
         crashes: kind === 'crash' ? [report] : [],
-        acquittals: kind === 'crash' ? [] : [{ trait: name, crashIds: [crashId] }],
-        trials: [],
+        clearances: kind === 'crash' ? [] : [{ trait: name, crashIds: [crashId] }],
+        probes: [],
       };
     };
     expect([registries.length, waiting.length]).toEqual([2, 0]);
     fc.assert(
       fc.property(
-        fc.array(fc.oneof(crashFact, acquittal), { maxLength: 20 }),
+        fc.array(fc.oneof(crashFact, clearance), { maxLength: 20 }),
         fc.infiniteStream(fc.nat()),
         (facts, order) => {
           const shuffled = [...facts, ...facts]
@@ -231,7 +231,7 @@
           facts.forEach((fact) => inOrder.merge(toUpdate(fact)));
           shuffled.forEach(({ fact }) => other.merge(toUpdate(fact)));
           ['a', 'b', 'c'].forEach((name) =>
-            expect(other.judge([name])).toEqual(inOrder.judge([name])),
+            expect(other.check([name])).toEqual(inOrder.check([name])),
           );
         },
       ),
@@ -246,17 +246,17 @@
       crash(registry, 'crash-1', [`trait-${number}`], 0);
       crash(registry, 'crash-2', [`trait-${number}`], 0);
     }
-    expect(registry.convictedCount).toBe(MAX_TRAITS);
-    expect(JSON.stringify(registry.repeatConvictions()).length).toBeLessThan(1_500);
+    expect(registry.quarantinedCount).toBe(MAX_TRAITS);
+    expect(JSON.stringify(registry.repeatQuarantines()).length).toBeLessThan(1_500);
   });
 
-  test('a conviction ends when no target has crashed for long', () => {
+  test('a quarantine ends when no target has crashed for long', () => {
     const { clock } = createFleet(1);
     const registry = createSingle(clock);
     crash(registry, 'crash-1', ['part'], 0);
     crash(registry, 'crash-2', ['part'], 0);
     clock.now += 1_800_001;
-    expect(registry.repeatConvictions()).toBeNull();
-    expect(judge(registry, 'part')).toBe(SuspectVerdict.Clear);
+    expect(registry.repeatQuarantines()).toBeNull();
+    expect(check(registry, 'part')).toBe(SuspectDecision.Clear);
   });
 });
