A start says what it was given, what it waits for and when it is ready

Operators saw no line between the start of a process and `started`, so a process that waits for a port, for the store or for a desired state, one that is given few descriptors or addresses, and one that dies while it loads, left the same picture: nothing. No change of what the process does.

- `starting` once settings are read: Node.js, architecture, process, time of loading, limits of heap, memory, descriptors and addresses.
The last two are absent where /proc/self/limits cannot be read.
- `not_ready` every 10 s while the instance is neither ready nor stopping: what it waits for, each port with its last error and the number of tries.
- `ready` once, with the time since the start.

--- a/packages/edge/src/Edge.ts
+++ b/packages/edge/src/Edge.ts
@@ -37,6 +37,7 @@
 import candidateRank from './candidateRank';
 import createPeerHandlers from './createPeerHandlers';
 import createPlacer from './createPlacer';
+import createReadinessLog from './createReadinessLog';
 import connectionShare from './connectionShare';
 import createSuspects from './createSuspects';
 import readsStoreForAll from './readsStoreForAll';
@@ -215,7 +216,6 @@
       view: this.storeView,
       callers: this.callers,
       peers: this.peers,
-      isReady: () => this.isReady,
     });
   }
 
@@ -231,6 +231,8 @@
       convictedTraits: () => this.suspects.convictedCount,
     });
     this.follower = this.ports.followStore(this.storeView, () => this.isStoreReader);
+    const { listeners, storeView: view, follower } = this;
+    void createReadinessLog(this.deps, { listeners, view, follower }).run();
     await this.listeners.open();
     if (this.shutdown.hasBegun) return;
     void this.lease.run();
@@ -280,10 +282,6 @@
     this.suspects.merge(this.convictions.toUpdate(stored.convictions));
   }
 
-  private get isReady(): boolean {
-    return !this.shutdown.hasBegun && this.listeners.areOpen && this.storeView.isLoaded;
-  }
-
   /** Whether this instance reads the targets' entries from the store and relays them to the peers. */
   private get isStoreReader(): boolean {
     const { name } = this.options.member;
@@ -350,7 +348,7 @@
 
   /** Returns the rank of this instance among the candidates for the lease of its failure domain; -1 if not ready. */
   private leaseRank(): number {
-    return this.isReady ? candidateRank(this.options.member, this.peers.candidates) : -1;
+    return this.listeners.isReady ? candidateRank(this.options.member, this.peers.candidates) : -1;
   }
 
   /** Sends a demand report to the local placer, if it holds the lease, and to the other placers. */
--- a/packages/edge/src/EdgeListeners.ts
+++ b/packages/edge/src/EdgeListeners.ts
@@ -3,7 +3,9 @@
 import type EdgeDependencies from './EdgeDependencies';
 import type EdgeOptions from './EdgeOptions';
 import type HttpListener from './HttpListener';
+import type OpenFailure from './OpenFailure';
 import type StoreView from './StoreView';
+import PortStates from './PortStates';
 import openWhenFree from './openWhenFree';
 import serveMetrics from './serveMetrics';
 import serveReadiness from './serveReadiness';
@@ -14,9 +16,11 @@
   readonly view: StoreView;
   readonly callers: CallerListener;
   readonly peers: Peers;
-  readonly isReady: () => boolean;
 }
 
+/** Marks the address of a port for datagrams in log lines. */
+const DATAGRAMS = '/udp';
+
 const portOf = (address: string): number => Number(address.split(':').at(-1));
 
 /** The listeners of an instance. Each is opened once its port is free, which another process may still hold. */
@@ -26,27 +30,35 @@
 
   private isServing = false;
 
+  private readonly needed = new PortStates();
+
   constructor(
     private readonly options: EdgeOptions,
     private readonly parts: Parts,
   ) {}
 
-  /** Whether all ports are open that serving needs. */
-  get areOpen(): boolean {
-    return this.isServing;
+  /** Whether the instance serves: all ports that serving needs are open, the store has been read, and no stop has begun. */
+  get isReady(): boolean {
+    const { deps, view } = this.parts;
+    return this.isServing && view.isLoaded && !deps.isStopping();
+  }
+
+  /** The ports that serving needs and that are not open, each with its last error. */
+  get unopened(): readonly string[] {
+    return this.needed.describe();
   }
 
   /** Resolves once all ports are open that serving needs, or the instance stops. Nothing waits for that of the metrics. */
   async open(): Promise<void> {
     const { options, parts } = this;
-    const { deps, view, callers, peers, isReady } = parts;
+    const { deps, view, callers, peers } = parts;
     const { log, isStopping } = deps;
     const peerAddress = `${options.member.host}:${options.peerPort}`;
     void this.openMetrics();
     await Promise.all([
-      this.listen(options.readinessAddress, (at) => serveReadiness(at, log, isReady)),
+      this.listen(options.readinessAddress, (at) => serveReadiness(at, log, () => this.isReady)),
       this.listen(peerAddress, (at) => serveRecords(at, view, log)),
-      this.openWhenFree(peerAddress, () => peers.start()),
+      this.openNeeded(`${peerAddress}${DATAGRAMS}`, () => peers.start()),
       this.listen(options.callersAddress, (at) => callers.open(at)),
     ]);
     this.isServing = !isStopping();
@@ -68,20 +80,38 @@
       return;
     }
     const address = `${host}:${metricsPort}`;
-    await this.listen(address, (at) => serveMetrics(at, metrics.registry, log));
+    const open = () => serveMetrics(address, metrics.registry, log);
+    this.add(await this.openWhenFree(address, open, () => {}));
   }
 
   private async listen(
     address: string,
     open: (address: string) => Promise<HttpListener>,
   ): Promise<void> {
-    const listener = await this.openWhenFree(address, () => open(address));
+    this.add(await this.openNeeded(address, () => open(address)));
+  }
+
+  /** Opens a port that serving needs. */
+  private async openNeeded<T>(address: string, open: () => Promise<T>): Promise<T | undefined> {
+    this.needed.expect(address);
+    const opened = await this.openWhenFree(address, open, (failure) =>
+      this.needed.fail(address, failure),
+    );
+    this.needed.open(address);
+    return opened;
+  }
+
+  private add(listener: HttpListener | undefined): void {
     if (listener !== undefined) this.all.push(listener);
   }
 
-  private openWhenFree<T>(address: string, open: () => Promise<T>): Promise<T | undefined> {
+  private openWhenFree<T>(
+    address: string,
+    open: () => Promise<T>,
+    onFailure: (failure: OpenFailure) => void,
+  ): Promise<T | undefined> {
     const { clock, log, isStopping } = this.parts.deps;
-    return openWhenFree(address, { clock, log, isOver: isStopping }, open);
+    return openWhenFree(address, { clock, log, isOver: isStopping, onFailure }, open);
   }
 }
 
--- a/packages/edge/src/openWhenFree.ts
+++ b/packages/edge/src/openWhenFree.ts
@@ -1,11 +1,14 @@
 import type { Clock } from '@wisteriapath/model';
 import type { EventLog } from '@wisteriapath/fleet';
+import type OpenFailure from './OpenFailure';
 
 interface Options {
   readonly clock: Clock;
   readonly log: EventLog;
   /** Whether the process is stopping, so that nothing more is opened. */
   readonly isOver: () => boolean;
+  /** Called after each failure. */
+  readonly onFailure: (failure: OpenFailure) => void;
 }
 
 const RETRY_INTERVAL_MS = 200;
@@ -17,21 +20,21 @@
  * to end. Returns undefined if it was not opened.
  *
  * @example
- * const listener = await openWhenFree('10.1.0.25:8221', { clock, log, isOver }, () => HttpListener.open(...));
+ * const listener = await openWhenFree('10.1.0.25:8221', options, () => HttpListener.open(...));
  */
 const openWhenFree = async <T>(
   address: string,
-  { clock, log, isOver }: Options,
+  { clock, log, isOver, onFailure }: Options,
   open: () => Promise<T>,
 ): Promise<T | undefined> => {
-  for (let failures = 0; !isOver(); failures += 1) {
+  for (let failures = 1; !isOver(); failures += 1) {
     try {
       return await open();
     } catch (error) {
-      const { code, message } = error as NodeJS.ErrnoException;
-      if (failures % LOGGED_PERIOD === 0) {
-        log.event('listen_failed', { address, code: code ?? message, failures: failures + 1 });
-      }
+      const { code: errorCode, message } = error as NodeJS.ErrnoException;
+      const failure = { code: errorCode ?? message, failures };
+      if (failures % LOGGED_PERIOD === 1) log.event('listen_failed', { address, ...failure });
+      onFailure(failure);
       await clock.sleep(RETRY_INTERVAL_MS);
     }
   }
