A start that a port keeps waiting ends with its reason, not never

Operators saw a process that was neither ready nor ended where a port that serving needs could not be opened: an address that is not of the machine, a port that another process keeps, or that the user may not open. It was tried again without end, whatever the error, so the platform, which starts again only what has ended, did nothing.

An error that does not pass (EACCES and the like) now ends the start at once. One that may pass (EADDRINUSE, EADDRNOTAVAIL, too few descriptors, buffers or names) is tried until the grace period and 10 s are over, as an earlier process may hold the port for its grace period. The port of metrics still keeps nothing waiting; a stop meanwhile is still a stop in order.

Ruled out: that a start in order meets the bound, which is above the longest time for which a process that keeps its grace holds its ports.

--- a/packages/edge/src/EdgeListeners.ts
+++ b/packages/edge/src/EdgeListeners.ts
@@ -18,6 +18,8 @@
   readonly peers: Peers;
 }
 
+/** Time beyond the grace period of an earlier process for which a port that is taken, or an address, is waited for. */
+const PORT_MARGIN_MS = 10_000;
 /** Marks the address of a port for datagrams in log lines. */
 const DATAGRAMS = '/udp';
 
@@ -30,6 +32,8 @@
 
   private isServing = false;
 
+  private hasFailed = false;
+
   private readonly needed = new PortStates();
 
   constructor(
@@ -48,8 +52,25 @@
     return this.needed.describe();
   }
 
-  /** Resolves once all ports are open that serving needs, or the instance stops. Nothing waits for that of the metrics. */
+  /**
+   * Resolves once all ports are open that serving needs, or the instance stops. Rejects, and opens no more, if one of them
+   * cannot be opened. Nothing waits for that of the metrics.
+   */
   async open(): Promise<void> {
+    try {
+      await this.openAll();
+    } catch (error) {
+      this.hasFailed = true;
+      throw error;
+    }
+  }
+
+  /** Closes all listeners and their connections. */
+  destroy(): void {
+    this.all.forEach((listener) => listener.destroy());
+  }
+
+  private async openAll(): Promise<void> {
     const { options, parts } = this;
     const { deps, view, callers, peers } = parts;
     const { log, isStopping } = deps;
@@ -64,11 +85,6 @@
     this.isServing = !isStopping();
   }
 
-  /** Closes all listeners and their connections. */
-  destroy(): void {
-    this.all.forEach((listener) => listener.destroy());
-  }
-
   /** Opens the port of the metrics, unless serving needs it. */
   private async openMetrics(): Promise<void> {
     const { host } = this.options.member;
@@ -81,7 +97,7 @@
     }
     const address = `${host}:${metricsPort}`;
     const open = () => serveMetrics(address, metrics.registry, log);
-    this.add(await this.openWhenFree(address, open, () => {}));
+    this.add(await this.openWhenFree(address, open, null));
   }
 
   private async listen(
@@ -94,9 +110,8 @@
   /** Opens a port that serving needs. */
   private async openNeeded<T>(address: string, open: () => Promise<T>): Promise<T | undefined> {
     this.needed.expect(address);
-    const opened = await this.openWhenFree(address, open, (failure) =>
-      this.needed.fail(address, failure),
-    );
+    const limitMs = this.options.shutdownGraceMs + PORT_MARGIN_MS;
+    const opened = await this.openWhenFree(address, open, limitMs);
     this.needed.open(address);
     return opened;
   }
@@ -108,10 +123,12 @@
   private openWhenFree<T>(
     address: string,
     open: () => Promise<T>,
-    onFailure: (failure: OpenFailure) => void,
+    limitMs: number | null,
   ): Promise<T | undefined> {
     const { clock, log, isStopping } = this.parts.deps;
-    return openWhenFree(address, { clock, log, isOver: isStopping, onFailure }, open);
+    const isOver = () => this.hasFailed || isStopping();
+    const onFailure = (failure: OpenFailure) => this.needed.fail(address, failure);
+    return openWhenFree(address, { clock, log, limitMs, isOver, onFailure }, open);
   }
 }
 
