A process whose HTTP client doesn't work ends its start, not lives on unready

Once its ports are open, an instance now calls its own readiness port, with the client that targets are called with. Any response will do. Without one in 5 s in which the event loop ran, the start fails with the client's error, code 1.

--- a/packages/edge/src/EdgeListeners.ts
+++ b/packages/edge/src/EdgeListeners.ts
@@ -6,6 +6,7 @@
 import type OpenFailure from './OpenFailure';
 import type StoreView from './StoreView';
 import PortStates from './PortStates';
+import callOwnPort from './callOwnPort';
 import openWhenFree from './openWhenFree';
 import serveMetrics from './serveMetrics';
 import serveReadiness from './serveReadiness';
@@ -23,6 +24,11 @@
 /** Marks the address of a port for datagrams in log lines. */
 const DATAGRAMS = '/udp';
 
+/** Stands among the ports that are not open for the call of the own readiness port. */
+const SELF_CHECK = 'self_check';
+/** The host of a listener at all addresses, which is none to connect to. */
+const ANY_HOST = '0.0.0.0';
+
 const portOf = (address: string): number => Number(address.split(':').at(-1));
 
 /** The listeners of an instance. Each is opened once its port is free, which another process may still hold. */
@@ -47,14 +53,14 @@
     return this.isServing && view.isLoaded && !deps.isStopping();
   }
 
-  /** The ports that serving needs and that are not open, each with its last error. */
+  /** The ports that serving needs and that are not open, each with its last error; then the self-check. */
   get unopened(): readonly string[] {
     return this.needed.describe();
   }
 
   /**
-   * Resolves once all ports are open that serving needs, or the instance stops. Rejects, and opens no more, if one of them
-   * cannot be opened. Nothing waits for that of the metrics.
+   * Resolves once all ports are open that serving needs and this process has got an answer from one of them, or the instance
+   * stops. Rejects, and opens no more, if one cannot be opened or does not answer. Nothing waits for that of the metrics.
    */
   async open(): Promise<void> {
     try {
@@ -75,6 +81,7 @@
     const { deps, view, callers, peers } = parts;
     const { log, isStopping } = deps;
     const peerAddress = `${options.member.host}:${options.peerPort}`;
+    this.needed.expect(SELF_CHECK);
     void this.openMetrics();
     await Promise.all([
       this.listen(options.readinessAddress, (at) => serveReadiness(at, log, () => this.isReady)),
@@ -82,6 +89,7 @@
       this.openNeeded(`${peerAddress}${DATAGRAMS}`, () => peers.start()),
       this.listen(options.callersAddress, (at) => callers.open(at)),
     ]);
+    await this.checkSelf();
     this.isServing = !isStopping();
   }
 
@@ -100,6 +108,14 @@
     this.add(await this.openWhenFree(address, open, null));
   }
 
+  /** Calls the readiness port as targets are called: without HTTP client, or not reached at its address, nothing can be served. */
+  private async checkSelf(): Promise<void> {
+    const { readinessAddress, member } = this.options;
+    const address = readinessAddress.replace(ANY_HOST, member.host);
+    await callOwnPort(address, this.parts.deps.isStopping);
+    this.needed.open(SELF_CHECK);
+  }
+
   private async listen(
     address: string,
     open: (address: string) => Promise<HttpListener>,
