A chunk size that isn't hexadecimal, at the port of metrics, is no error of the process

The server had refused it with 400 while the metrics were being collected, and the handler, which answers later, wrote a second head; nothing handled its error. The same class: a handler that fails left its request without an answer for good.

A listener now takes handlers that answer later, logs their error as `answer_failed` and closes the connection of a request that has no answer. The handler of metrics writes nothing into a response that has been answered.

--- a/packages/edge/src/HttpListener.ts
+++ b/packages/edge/src/HttpListener.ts
@@ -1,9 +1,24 @@
-import type { RequestListener, Server, ServerOptions } from 'node:http';
+import type { IncomingMessage, Server, ServerOptions, ServerResponse } from 'node:http';
 import type { EventLog } from '@wisteriapath/fleet';
 import { CallerServer } from '@wisteriapath/response-ends';
 
+/** Answers a request, at once or later. The server may have answered it before: bytes that cannot be read come after its head. */
+type Handle = (request: IncomingMessage, response: ServerResponse) => void | Promise<void>;
+
 const BACKLOG = 1_024;
 
+/** Lets an error of a handler end its own response, so that no request waits for an answer that does not come. */
+const guard =
+  (handle: Handle, address: string, log: EventLog) =>
+  async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
+    try {
+      await handle(request, response);
+    } catch (error) {
+      log.event('answer_failed', { address, error: (error as Error).stack ?? String(error) });
+      if (!response.writableEnded) response.destroy();
+    }
+  };
+
 /** An HTTP server that listens at one address. */
 class HttpListener {
   private constructor(readonly server: Server) {}
@@ -13,11 +28,18 @@
     address: string,
     options: ServerOptions,
     log: EventLog,
-    handle: RequestListener,
+    handle: Handle,
   ): Promise<HttpListener> {
-    const server = new CallerServer(options, handle, ({ code, underWay, status }) => {
-      log.event('caller_unreadable', { address, code, under_way: underWay, status });
-    });
+    const answer = guard(handle, address, log);
+    const server = new CallerServer(
+      options,
+      (request, response) => {
+        void answer(request, response);
+      },
+      ({ code, underWay, status }) => {
+        log.event('caller_unreadable', { address, code, under_way: underWay, status });
+      },
+    );
     const [host = '', port = '0'] = address.split(':');
     await new Promise<void>((resolve, reject) => {
       server.once('error', reject);
--- a/packages/edge/src/serveMetrics.ts
+++ b/packages/edge/src/serveMetrics.ts
@@ -11,10 +11,11 @@
  * const listener = await serveMetrics('10.1.0.25:7610', registry, log);
  */
 const serveMetrics = (address: string, registry: Registry, log: EventLog): Promise<HttpListener> =>
-  HttpListener.open(address, {}, log, (_, response) => {
-    void registry.metrics().then((text) => {
-      response.writeHead(OK, { 'content-type': registry.contentType }).end(text);
-    });
+  HttpListener.open(address, {}, log, async (_, response) => {
+    const text = await registry.metrics();
+    // The request may have been refused meanwhile.
+    if (response.headersSent) return;
+    response.writeHead(OK, { 'content-type': registry.contentType }).end(text);
   });
 
 export default serveMetrics;
