A log write that blocks does not keep the process from ending, whatever standard output is

Seen: with standard output a socket that nobody reads, a process was not ended 3 s after SIGTERM (row of surroundings.test.ts, always); with a terminal that is stopped, neither after a stop in order, nor after a stop or a start that failed. Cause: the thread of the pool that writes the log stands in write(2), and Node.js joins the pool at process.exit; only a pipe was opened again as non-blocking.

The log now needs no thread for a pipe, a terminal or another device (opened again, EAGAIN tried again later), nor for a socket or a pipe that can't be opened again (net.Socket). A file knows no non-blocking write: it is written through the pool, and a process that exits while such a write stands ends itself by SIGKILL, which waits for no thread. Weighed against a process for the log and writes in the event loop (docs/decisions/process-start.md).

Not tried: a file on a store that hangs (a full pipe stands in for it in logOutput).

--- a/packages/edge/src/LineLog.ts
+++ b/packages/edge/src/LineLog.ts
@@ -1,7 +1,7 @@
-import { write } from 'node:fs';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { stringify } from 'logfmt';
 import type { EventLog } from '@wisteriapath/fleet';
+import type LogOutput from './LogOutput';
 import openLogOutput from './openLogOutput';
 
 const FLUSH_INTERVAL_MS = 100;
@@ -27,9 +27,10 @@
 
   private timer: NodeJS.Timeout | undefined;
 
-  private readonly output = openLogOutput();
-
-  constructor(private readonly instance: string) {}
+  constructor(
+    private readonly instance: string,
+    private readonly output: LogOutput = openLogOutput(),
+  ) {}
 
   /** Adds a line to the buffer; drops it if the buffer is full. */
   event(name: string, fields: Readonly<Record<string, string | number | boolean>>): void {
@@ -85,9 +86,10 @@
   }
 
   private writeUnwritten(): void {
-    write(this.output, this.unwritten, (error, written) => {
-      this.unwritten = this.rest(error, written);
-      if (error === null && this.unwritten.length > 0) {
+    this.output.write(this.unwritten, (error, writtenBytes) => {
+      // There is no other place to report the error.
+      this.unwritten = error === null ? this.unwritten.subarray(writtenBytes) : NO_BYTES;
+      if (writtenBytes > 0 && this.unwritten.length > 0) {
         this.writeUnwritten();
         return;
       }
@@ -99,13 +101,6 @@
       if (this.hasBuffered) this.schedule();
     });
   }
-
-  /** Returns the bytes that are still to be written after a write. */
-  private rest(error: NodeJS.ErrnoException | null, written: number): Buffer {
-    if (error === null) return this.unwritten.subarray(written);
-    // Only a full pipe is tried again; there is no other place to report the error.
-    return error.code === 'EAGAIN' ? this.unwritten : NO_BYTES;
-  }
 }
 
 export default LineLog;
--- /dev/null
+++ b/packages/edge/test/logOutput.test.ts
@@ -0,0 +1,142 @@
+/** The log of a process keeps its lines whole and in order, bounded, and blocks nothing, whatever its output is. */
+import { type ChildProcess, spawn, spawnSync } from 'node:child_process';
+import { closeSync, constants, mkdtempSync, openSync, readSync, rmSync, writeSync } from 'node:fs';
+import { once } from 'node:events';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import LineLog from '../src/LineLog';
+import type LogOutput from '../src/LogOutput';
+import NonBlockingOutput from '../src/NonBlockingOutput';
+import openLogOutput from '../src/openLogOutput';
+import PoolOutput from '../src/PoolOutput';
+import SocketOutput from '../src/SocketOutput';
+
+const LIMIT_MS = 10_000;
+const CHUNK_BYTES = 4_096;
+const POLL_INTERVAL_MS = 20;
+const NO_FOLDER = '/nowhere';
+const COMPILED = join(__dirname, '../dist');
+
+const sleep = (durationMs: number) =>
+  new Promise<'late'>((resolve) => {
+    setTimeout(resolve, durationMs, 'late');
+  });
+
+/** Takes a few bytes of each write, and none of each tenth. */
+class NarrowOutput implements LogOutput {
+  text = '';
+
+  private writes = 0;
+
+  write(bytes: Buffer, done: (error: Error | null, writtenBytes: number) => void): void {
+    this.writes += 1;
+    const taken = this.writes % 10 === 0 ? 0 : Math.min(bytes.length, 1 + (this.writes % 100));
+    this.text += bytes.toString('latin1', 0, taken);
+    done(null, taken);
+  }
+}
+
+const fill = (descriptor: number) => {
+  try {
+    for (;;) writeSync(descriptor, Buffer.alloc(CHUNK_BYTES, '.'));
+  } catch {
+    // The pipe is full.
+  }
+};
+
+describe('the log of a process', () => {
+  let folder: string;
+  let path: string;
+  let reader: number;
+  const children = new Set<ChildProcess>();
+  beforeEach(() => {
+    folder = mkdtempSync(join(tmpdir(), 'log-'));
+    path = join(folder, 'pipe');
+    spawnSync('mkfifo', [path]);
+    reader = openSync(path, constants.O_RDWR + constants.O_NONBLOCK);
+  });
+  afterEach(() => {
+    children.forEach((child) => child.kill('SIGKILL'));
+    children.clear();
+    closeSync(reader);
+    rmSync(folder, { recursive: true });
+  });
+
+  const readAll = (): string => {
+    let text = '';
+    const bytes = Buffer.alloc(CHUNK_BYTES);
+    try {
+      for (;;) text += bytes.toString('latin1', 0, readSync(reader, bytes));
+    } catch {
+      return text;
+    }
+  };
+
+  /** Runs a script whose standard output is the pipe; returns how it ended, or 'late'. */
+  const run = async (script: string) => {
+    const output = openSync(path, constants.O_WRONLY);
+    const child = spawn(process.execPath, ['-e', script], { stdio: ['ignore', output, 'inherit'] });
+    children.add(child);
+    closeSync(output);
+    const [code, signal] = (await Promise.race([once(child, 'exit'), sleep(LIMIT_MS)])) as [
+      number | null,
+      NodeJS.Signals | null,
+    ];
+    return { code, signal };
+  };
+
+  test('keeps its lines whole and in order where only parts of them are taken', async () => {
+    const output = new NarrowOutput();
+    const log = new LineLog('one', output);
+    for (let count = 0; count < 20; count += 1) log.event('tested', { count });
+    while (!output.text.includes('count=19\n')) await sleep(POLL_INTERVAL_MS);
+    await log.close();
+    const lines = output.text.trimEnd().split('\n');
+    expect(
+      lines.map((line) => /^time=\S+ instance=one event=tested (\S+)$/.exec(line)?.[1]),
+    ).toEqual(Array.from({ length: 20 }, (_, count) => `count=${count}`));
+  });
+
+  test('keeps a bounded part of its lines while there is no room, and counts the others', async () => {
+    const output = openLogOutput(openSync(path, constants.O_WRONLY));
+    fill(reader);
+    const log = new LineLog('one', output);
+    const events = 10_000;
+    for (let count = 0; count < events; count += 1) log.event('tested', { count });
+    let text = '';
+    const endMs = performance.now() + LIMIT_MS;
+    while (!text.includes('event=lines_left_out') && performance.now() < endMs) {
+      await sleep(POLL_INTERVAL_MS);
+      text += readAll();
+    }
+    await log.close();
+    const kept = text.match(/event=tested/g)!.length;
+    const leftOut = Number(/event=lines_left_out count=(\d+)/.exec(text)?.[1]);
+    expect(kept + leftOut).toBe(events);
+    expect(text.length).toBeLessThan(400_000);
+  });
+
+  test('opens a pipe again, and uses it as a socket where it cannot', () => {
+    const descriptor = openSync(path, constants.O_WRONLY);
+    expect(openLogOutput(descriptor)).toBeInstanceOf(NonBlockingOutput);
+    expect(openLogOutput(descriptor, NO_FOLDER)).toBeInstanceOf(SocketOutput);
+    expect(openLogOutput(openSync('/dev/null', 'w'))).toBeInstanceOf(NonBlockingOutput);
+    expect(openLogOutput(openSync(join(folder, 'file'), 'w'))).toBeInstanceOf(PoolOutput);
+  });
+
+  test.each([
+    ["require('./openLogOutput').default(1)", { code: 0, signal: null }],
+    [`require('./openLogOutput').default(1, '${NO_FOLDER}')`, { code: 0, signal: null }],
+    ["new (require('./PoolOutput').default)(1)", { code: null, signal: 'SIGKILL' }],
+  ])('that is not read does not keep a process with %s from ending', async (output, end) => {
+    fill(reader);
+    const script = `
+      process.chdir(${JSON.stringify(COMPILED)});
+      const load = require('node:module').createRequire(process.cwd() + '/main.js');
+      const LineLog = load('./LineLog').default;
+      const log = new LineLog('one', ${output.replace('require', 'load')});
+      log.event('tested', {});
+      log.close().then(() => process.exit(0));`;
+    expect(await run(script)).toEqual(end);
+  });
+});
