--- a/packages/edge/src/index.ts
+++ b/packages/edge/src/index.ts
@@ -9,3 +9,4 @@
 export type { default as ResponseFields } from './ResponseFields';
 export { default as StoreView } from './StoreView';
 export type { default as TargetHeaderInput } from './TargetHeaderInput';
+export { default as writeError } from './writeError';
