--- a/tools/bundle.mjs
+++ b/tools/bundle.mjs
@@ -1,18 +1,11 @@
 /**
- * Bundles `platform/src/main.ts`, the program that runs on the users' platform, into one file under `target/`. Ends with 0
- * only if the packages in it are those of `package-lock.json`, and the program creates an instance from sample settings.
+ * Bundles `platform/src/main.ts`, the program that runs on the users' platform, into one file on standard output.
+ * Ends with 0 only if the packages in it are those of `package-lock.json`. The last line of standard error tells the reason.
  */
-import { execFileSync } from 'node:child_process';
-import { mkdirSync, readFileSync, renameSync, rmSync, writeFileSync } from 'node:fs';
-import { dirname } from 'node:path';
+import { readFileSync } from 'node:fs';
 import undeclaredImports from './undeclaredImports.mjs';
 
 const ENTRY_POINT = 'platform/src/main.ts';
-const PROGRAM = 'target/wisteriapath.cjs';
-/** Replaces the program once it has been checked, so that a process which starts meanwhile finds a whole one. */
-const UNCHECKED_PROGRAM = `target/wisteriapath.${process.pid}.cjs`;
-const SAMPLE_SETTINGS = 'deploy/settings.sample.toml';
-const CHECK_TIMEOUT_MS = 60_000;
 
 const readJson = (path) => JSON.parse(readFileSync(path, 'utf8'));
 const versionIn = (folder) => readJson(`${folder}/package.json`).version;
@@ -21,7 +14,6 @@
   const { build } = await import('esbuild');
   return build({
     entryPoints: [ENTRY_POINT],
-    outfile: PROGRAM,
     write: false,
     metafile: true,
     bundle: true,
@@ -42,13 +34,11 @@
   });
 };
 
-/** Throws if the program does not load, or does not create an instance from settings. */
-const checkProgram = () => {
-  execFileSync(process.execPath, [UNCHECKED_PROGRAM, '--check'], {
-    env: { WISTERIAPATH_BOOT: SAMPLE_SETTINGS },
-    stdio: ['ignore', 'ignore', 'inherit'],
-    timeout: CHECK_TIMEOUT_MS,
-  });
+/** Returns the reason of an error in one line. The message of esbuild begins with a line that counts its errors. */
+const reasonOf = ({ errors, message }) => {
+  if (errors === undefined || errors.length === 0) return message.replaceAll('\n', '; ');
+  const [{ location, text }] = errors;
+  return location === null ? text : `${location.file}:${location.line}: ${text}`;
 };
 
 try {
@@ -56,12 +46,8 @@
   const { packages } = readJson('package-lock.json');
   const problems = undeclaredImports(metafile, packages, versionIn);
   if (problems.length > 0) throw new Error(problems.join('\n'));
-  mkdirSync(dirname(PROGRAM), { recursive: true });
-  writeFileSync(UNCHECKED_PROGRAM, outputFiles[0].contents);
-  checkProgram();
-  renameSync(UNCHECKED_PROGRAM, PROGRAM);
+  process.stdout.write(outputFiles[0].contents);
 } catch (error) {
-  rmSync(UNCHECKED_PROGRAM, { force: true });
-  console.error(`${PROGRAM} was not built: ${error.message}`);
+  console.error(reasonOf(error));
   process.exitCode = 1;
 }
