--- a/tools/buildProgram.mjs
+++ b/tools/buildProgram.mjs
@@ -1,20 +1,22 @@
 /** Builds the program, and puts it in place once it has been checked. */
-import { mkdirSync, renameSync, rmSync, writeFileSync } from 'node:fs';
-import { dirname } from 'node:path';
+import { chmodSync, mkdirSync, renameSync, rmSync, writeFileSync } from 'node:fs';
 import BuildError from './BuildError.mjs';
 import checkProgram from './checkProgram.mjs';
 import installPackages from './installPackages.mjs';
 import lastLine from './lastLine.mjs';
+import paths from './paths.mjs';
 import runStep from './runStep.mjs';
 import timeouts from './timeouts.mjs';
 
-const PROGRAM = 'target/wisteriapath.cjs';
-/** Replaces the program once it has been checked, so that a process which starts meanwhile finds a whole one. */
-const UNCHECKED_PROGRAM = `target/wisteriapath.${process.pid}.cjs`;
-
 /** The steps that fail where packages are missing, or are those of another version or machine. */
 const INSTALL_MAY_HELP = ['bundle', 'check'];
 
+/** The user that runs the program may be another than the one that builds it, under any umask. */
+const READABLE_MODE = 0o644;
+const READABLE_FOLDER_MODE = 0o755;
+
+const TEMPORARY = [paths.uncheckedProgram, paths.npmCache];
+
 /** Runs a step that writes files; an error names the step. */
 const place = (act) => {
   try {
@@ -24,6 +26,12 @@
   }
 };
 
+/** Creates the folder of the program; the mode of one that is there stays. */
+const makeFolder = () => {
+  const created = mkdirSync(paths.folder, { recursive: true });
+  if (created !== undefined) chmodSync(paths.folder, READABLE_FOLDER_MODE);
+};
+
 const bundle = () =>
   runStep('bundle', process.execPath, ['tools/bundle.mjs'], {
     timeoutMs: timeouts.bundleMs,
@@ -32,8 +40,9 @@
 
 const bundleAndCheck = async () => {
   const program = await bundle();
-  place(() => writeFileSync(UNCHECKED_PROGRAM, program));
-  await checkProgram(UNCHECKED_PROGRAM);
+  place(() => writeFileSync(paths.uncheckedProgram, program));
+  place(() => chmodSync(paths.uncheckedProgram, READABLE_MODE));
+  await checkProgram(paths.uncheckedProgram);
 };
 
 /** Installs all packages and tries once more if the program cannot be made from those in place. */
@@ -57,12 +66,12 @@
  * @throws BuildError that names the step and the reason.
  */
 const buildProgram = async () => {
-  place(() => mkdirSync(dirname(PROGRAM), { recursive: true }));
+  place(makeFolder);
   try {
     await bundleInstalled();
-    place(() => renameSync(UNCHECKED_PROGRAM, PROGRAM));
+    place(() => renameSync(paths.uncheckedProgram, paths.program));
   } finally {
-    rmSync(UNCHECKED_PROGRAM, { force: true });
+    TEMPORARY.forEach((path) => rmSync(path, { recursive: true, force: true }));
   }
 };
 
