Keep records of the store without the answers that brought them

What an operator sees: the memory of a process grows for as long as targets come and go, and the platform kills it at its limit, without a line of ours.

Cause: a record is a view on the answer of the store that held it, of up to 1 MB, and TopicReplica kept the view for as long as the key's newest record. So each key kept a whole answer, and so did each of the 2,000 deletions that are remembered, though theirs are empty.

--- a/packages/fleet/src/TopicReplica.ts
+++ b/packages/fleet/src/TopicReplica.ts
@@ -84,7 +84,8 @@
       if (!isUnchanged) changed.add(record.key);
       this.rows.set(record.key, {
         offset: record.offset,
-        value: record.value,
+        // The given value is a part of a whole answer, which must not be kept for it.
+        value: new Uint8Array(record.value),
         readAtMs: this.clock.nowMs() - record.ageMs,
         changedOffset: isUnchanged ? known.changedOffset : record.offset,
       });
