Work that is repeated goes on after an error in one round

An error that nobody expected is logged as `uncaught` and lived on with. In four places it left the process without a part of its work for good, which nobody would notice: the reports of demand to placers ended (a timer that set itself again after the report), convictions were not kept any more and an engine got no more orders (a flag that stayed set), and an instance was not announced and did not learn of the others (a loop that ended). Found by reading; no run of users showed it.

The next report is scheduled first; the others log the error and go on.

--- a/packages/edge/src/ConvictionKeeper.ts
+++ b/packages/edge/src/ConvictionKeeper.ts
@@ -39,20 +39,28 @@
   }
 
   private async write(): Promise<void> {
-    const { clock, log, store } = this.deps;
     this.isWriting = true;
     for (;;) {
       const [next] = this.waiting.values();
       if (next === undefined) break;
       this.waiting.delete(next.trait);
-      const isKept = await store.saveConviction(next);
-      const { trait, crashes } = next;
-      log.event('conviction_kept', { trait, crashes: crashes.length, done: isKept });
-      await clock.sleep(WRITE_INTERVAL_MS);
+      await this.writeOne(next);
+      await this.deps.clock.sleep(WRITE_INTERVAL_MS);
     }
     this.isWriting = false;
   }
 
+  private async writeOne(conviction: ConvictionRecord): Promise<void> {
+    const { log, store } = this.deps;
+    const { trait, crashes } = conviction;
+    try {
+      const isKept = await store.saveConviction(conviction);
+      log.event('conviction_kept', { trait, crashes: crashes.length, done: isKept });
+    } catch (error) {
+      log.event('conviction_not_kept', { trait, reason: (error as Error).message });
+    }
+  }
+
   /** Returns what the store keeps, as a peer would tell it now. */
   toUpdate(convictions: readonly ConvictionRecord[]): SuspectUpdate {
     const nowWallMs = this.deps.wallClock();
--- a/packages/edge/src/DemandReporter.ts
+++ b/packages/edge/src/DemandReporter.ts
@@ -45,8 +45,9 @@
     if (this.isStopped) return;
     const intervalMs = Math.min(MAX_REPORT_INTERVAL_MS, REPORT_INTERVAL_MS * this.intervalFactor);
     this.timer = setTimeout(() => {
-      this.report();
+      // First, so that an error in a report does not end the reports.
       this.start();
+      this.report();
     }, intervalMs);
   }
 
--- a/packages/edge/src/Edge.ts
+++ b/packages/edge/src/Edge.ts
@@ -277,7 +277,7 @@
   private async learnStoredRecords(): Promise<void> {
     const isOver = () => this.shutdown.hasBegun;
     const { member } = this.options;
-    const stored = await announceAndListMembers(this.ports.memberStore, this.clock, member, isOver);
+    const stored = await announceAndListMembers(this.ports.memberStore, this.deps, member, isOver);
     this.peers.addMembers(stored.members);
     this.suspects.merge(this.convictions.toUpdate(stored.convictions));
   }
--- a/packages/edge/src/announceAndListMembers.ts
+++ b/packages/edge/src/announceAndListMembers.ts
@@ -1,24 +1,41 @@
 import type { Clock } from '@wisteriapath/model';
-import type { FleetRecords, MemberRecord, MemberStore } from '@wisteriapath/fleet';
+import type { EventLog, FleetRecords, MemberRecord, MemberStore } from '@wisteriapath/fleet';
+
+interface Parts {
+  readonly clock: Clock;
+  readonly log: EventLog;
+}
 
 const RETRY_INTERVAL_MS = 1_000;
 
+/** Returns the result of a call; undefined after an error, which is logged. */
+const attempt = async <T>(log: EventLog, call: () => Promise<T>): Promise<T | undefined> => {
+  try {
+    return await call();
+  } catch (error) {
+    log.event('members_failed', { error: (error as Error).stack ?? String(error) });
+    return undefined;
+  }
+};
+
 /**
  * Announces an instance to those that start later, and returns the members and convictions known so far. Retries until
- * both succeed; returns none once `isOver` returns true.
+ * both succeed, whatever the error; returns none once `isOver` returns true.
  *
  * @example
- * const { members, convictions } = await announceAndListMembers(store, clock, self, () => isStopping);
+ * const { members, convictions } = await announceAndListMembers(store, { clock, log }, self, () => isStopping);
  */
 const announceAndListMembers = async (
   store: MemberStore,
-  clock: Clock,
+  { clock, log }: Parts,
   self: MemberRecord,
   isOver: () => boolean,
 ): Promise<FleetRecords> => {
-  while (!isOver() && !(await store.announce(self))) await clock.sleep(RETRY_INTERVAL_MS);
+  while (!isOver() && (await attempt(log, () => store.announce(self))) !== true) {
+    await clock.sleep(RETRY_INTERVAL_MS);
+  }
   while (!isOver()) {
-    const records = await store.list();
+    const records = await attempt(log, () => store.list());
     if (records !== undefined) return records;
     await clock.sleep(RETRY_INTERVAL_MS);
   }
--- a/packages/fleet/src/EngineOrderExecutor.ts
+++ b/packages/fleet/src/EngineOrderExecutor.ts
@@ -1,6 +1,7 @@
 import type { Clock } from '@wisteriapath/model';
 import type Authority from './Authority';
 import type EngineControl from './EngineControl';
+import type EngineReport from './EngineReport';
 import type EventLog from './EventLog';
 import OrderAnswer from './OrderAnswer';
 import OrderKind from './OrderKind';
@@ -103,9 +104,9 @@
   /** Reads the engine's report, after a wait so that it reflects orders of earlier holders of the authority. */
   private async sync(): Promise<void> {
     this.isSyncing = true;
-    const { clock, control } = this.parts;
+    const { clock } = this.parts;
     await clock.sleep(MAX_REPORT_LAG_MS);
-    const report = await control.report(this.entry);
+    const report = await this.readReport();
     this.isSyncing = false;
     if (report === undefined || report.isBusy || !this.isSameIncarnation) return;
     this.orderCount = report.orderCount;
@@ -114,6 +115,17 @@
     this.publishState();
   }
 
+  /** Returns the engine's report; undefined if it cannot be read. */
+  private async readReport(): Promise<EngineReport | undefined> {
+    const { control, log } = this.parts;
+    try {
+      return await control.report(this.entry);
+    } catch (error) {
+      log.event('report_failed', { engine: this.entry.id, error: (error as Error).message });
+      return undefined;
+    }
+  }
+
   /** Announces to every instance that a model is being loaded, or that none is if `model` is `null`. */
   announceLoading(model: string | null, forMs: number, isFromStore: boolean): void {
     const untilMs = this.parts.clock.nowMs() + forMs;
