A heartbeat that is none leaves the peers and their shares as they were

A datagram whose fields are not those of a heartbeat (another program at the port, an instance of another build) was logged as `peer_datagram_unreadable` only after its sender had become a peer. A host that is no text then made each later heartbeat throw before it reached the rest of the peers; a count that is no number made the number of instances NaN, and with it the share of connections to each target, so that no target was chosen at all. `uncaught`, or nothing, was all that operators would see.

What this class goes on working with is now looked at first.

Evidence: five tests of peers.test.ts failed before and pass; the other two passed before and after.

--- a/packages/fleet/src/Peers.ts
+++ b/packages/fleet/src/Peers.ts
@@ -17,6 +17,7 @@
 import FULL_MESH_MAX_INSTANCES from './fullMeshMaxInstances';
 import heartbeatRecipients from './heartbeatRecipients';
 import type RecordSpan from './RecordSpan';
+import readHeartbeat from './readHeartbeat';
 import recordSpanCodec from './recordSpanCodec';
 
 interface Options {
@@ -337,8 +338,7 @@
   private receive(bytes: Uint8Array): void {
     try {
       const [version, kind, payload] = decode(bytes) as [number, PeerMessageKind, never];
-      if (version !== PROTOCOL_VERSION) return;
-      this.dispatch(kind, payload);
+      if (version === PROTOCOL_VERSION) this.dispatch(kind, payload);
     } catch (error) {
       this.parts.log.event('peer_datagram_unreadable', { error: (error as Error).message });
     }
@@ -347,7 +347,7 @@
   private dispatch(kind: PeerMessageKind, payload: never): void {
     const { handlers } = this.parts;
     const table: Record<PeerMessageKind, () => void> = {
-      [PeerMessageKind.Heartbeat]: () => this.receiveHeartbeat(payload),
+      [PeerMessageKind.Heartbeat]: () => this.receiveHeartbeat(readHeartbeat(payload)),
       [PeerMessageKind.Demand]: () => handlers.demand(payload),
       [PeerMessageKind.Placement]: () => handlers.placement(payload as PlacementUpdate[]),
       [PeerMessageKind.Targets]: () => this.receiveTargets(payload),
--- a/packages/fleet/test/peers.test.ts
+++ b/packages/fleet/test/peers.test.ts
@@ -13,6 +13,7 @@
 
 const DOMAINS = ['a', 'b'];
 const INSTANCES_PER_DOMAIN = 10;
+const LONG_MS = 10_000;
 
 const freePort = (): Promise<number> =>
   new Promise((resolve) => {
@@ -114,6 +115,35 @@
   }
 });
 
+test.each([
+  { what: 'a host that is none', member: { host: 5 } },
+  { what: 'no name', member: { name: null } },
+  { what: 'a count that is none', more: { counted: 'x' } },
+  { what: 'no placers', more: { placers: null } },
+  { what: 'a placer without a host', more: { placers: [{ name: 'b0' }] } },
+])('a heartbeat with $what leaves the sending and counting of others as it was', async (bad) => {
+  const port = await freePort();
+  const [self, peer, other] = MEMBERS;
+  const heard: string[] = [];
+  const peers = await startPeers(self, port, ({ member }) => heard.push(member.name));
+  const socket = createSocket('udp4');
+  const send = (heartbeat: object) =>
+    socket.send(encode([1, PeerMessageKind.Heartbeat, heartbeat]), port, self.host);
+  try {
+    const whole = heartbeatOf(other, 1);
+    send({ ...whole, ...bad.more, member: { ...other, ...bad.member } });
+    send(heartbeatOf(peer, 1));
+    const deadlineMs = Date.now() + 5_000;
+    while (!heard.includes(peer.name) && Date.now() < deadlineMs) await systemClock.sleep(20);
+    expect(heard).toEqual([peer.name]);
+    expect(peers.instanceCount(LONG_MS)).toBe(2);
+    expect(() => peers.sendHeartbeat()).not.toThrow();
+  } finally {
+    socket.close();
+    peers.stop();
+  }
+});
+
 test('an instance that is unknown to all others discovers all placers', async () => {
   const port = await freePort();
   const early = MEMBERS.slice(0, -1);
