A grace period of 1 or 2 s is enough for a stop in order

Seen: with grace_s 1 and 2 every stop ended with stop_failed and code 1, with or without callers. Cause: the 2.6 s for the balancer came before all else, so the limit of the stop passed first. Now at most all but 0.4 s of the grace is left to the balancer, and requests under way are answered in the rest; from 3 s on every time is as it was.

--- a/packages/edge/src/Shutdown.ts
+++ b/packages/edge/src/Shutdown.ts
@@ -14,6 +14,8 @@
 const BALANCER_LAG_MS = 2_600;
 /** Part of the grace period that is left unused, so that the process exits before it is killed. */
 const GRACE_MARGIN_MS = 500;
+/** Least part of the grace period after connections are no longer accepted, also where the balancer has not noticed by then. */
+const LEAST_REST_MS = 400;
 /** Time for the last answers to requests whose targets have not finished by the end of the grace period. */
 const FINAL_ANSWERS_MS = 200;
 const POLL_INTERVAL_MS = 50;
@@ -47,8 +49,9 @@
   async run(listeners: readonly HttpListener[]): Promise<void> {
     const { clock, graceMs } = this.parts;
     const startedMs = clock.nowMs();
-    this.cutoffAtMs = startedMs + BALANCER_LAG_MS;
-    await clock.sleep(BALANCER_LAG_MS);
+    const acceptingMs = Math.max(0, Math.min(BALANCER_LAG_MS, graceMs - LEAST_REST_MS));
+    this.cutoffAtMs = startedMs + acceptingMs;
+    await clock.sleep(acceptingMs);
     listeners.forEach((listener) => listener.stopAccepting());
     const endMs = startedMs + graceMs - GRACE_MARGIN_MS;
     await this.finishRequests(listeners, endMs);
--- a/packages/edge/test/shutdown.test.ts
+++ b/packages/edge/test/shutdown.test.ts
@@ -31,6 +31,18 @@
     },
   );
 
+  test.each([
+    { graceMs: 500, finalMs: 100, endMs: 200 },
+    { graceMs: 1_000, finalMs: 600, endMs: 700 },
+    { graceMs: 2_000, finalMs: 1_600, endMs: 1_700 },
+    { graceMs: 3_000, finalMs: 2_600, endMs: 2_700 },
+  ])('of $graceMs ms, not enough for the balancer and answers, fits into it', async (times) => {
+    const { clock, atMs, ended } = run(times.graceMs, () => 1);
+    await clock.runUntil(times.graceMs);
+    await ended;
+    expect(atMs).toEqual({ final: times.finalMs, end: times.endMs });
+  });
+
   test('ends soon after the last request has ended', async () => {
     let active = 1;
     const { clock, atMs, ended } = run(6_000, () => active);
