Builds at once in one checkout take turns

An operator whose supervisor started a build beside one that ran saw all of them end with 1 and no program in place (three at once in a clean checkout: none with 0).

What a killed build left in target/ is removed by the next one.

Ruled out: a lock file with process id and start time, or with a renewed date (docs/decisions/build.md).

--- a/tools/build.mjs
+++ b/tools/build.mjs
@@ -3,12 +3,13 @@
  * if the program starts; if not, the last line of standard error names the step that failed and the reason.
  */
 import buildProgram from './buildProgram.mjs';
+import buildTurn from './buildTurn.mjs';
 
 /** A write beyond the limit on the size of files is then an error that names the file, and not the end of the process. */
 process.on('SIGXFSZ', () => undefined);
 
 try {
-  await buildProgram();
+  await buildTurn('.', buildProgram);
 } catch (error) {
   console.error(`build: failed in ${error.name === 'BuildError' ? error.message : error.stack}`);
   process.exitCode = 1;
--- a/tools/buildProgram.mjs
+++ b/tools/buildProgram.mjs
@@ -1,5 +1,6 @@
 /** Builds the program, and puts it in place once it has been checked. */
-import { chmodSync, mkdirSync, renameSync, rmSync, writeFileSync } from 'node:fs';
+import { chmodSync, mkdirSync, readdirSync, renameSync, rmSync, writeFileSync } from 'node:fs';
+import { join } from 'node:path';
 import BuildError from './BuildError.mjs';
 import checkProgram from './checkProgram.mjs';
 import installPackages from './installPackages.mjs';
@@ -15,7 +16,8 @@
 const READABLE_MODE = 0o644;
 const READABLE_FOLDER_MODE = 0o755;
 
-const TEMPORARY = [paths.uncheckedProgram, paths.npmCache];
+/** What a build leaves that is killed. */
+const LEFT_BEHIND = /^(npm-cache|wisteriapath\.\d+\.cjs)$/;
 
 /** Runs a step that writes files; an error names the step. */
 const place = (act) => {
@@ -32,6 +34,12 @@
   if (created !== undefined) chmodSync(paths.folder, READABLE_FOLDER_MODE);
 };
 
+/** Removes all but the program, that of killed builds too; only one build at a time works in a checkout. */
+const removeTemporary = () =>
+  readdirSync(paths.folder)
+    .filter((name) => LEFT_BEHIND.test(name))
+    .forEach((name) => rmSync(join(paths.folder, name), { recursive: true, force: true }));
+
 const bundle = () =>
   runStep('bundle', process.execPath, ['tools/bundle.mjs'], {
     timeoutMs: timeouts.bundleMs,
@@ -71,7 +79,7 @@
     await bundleInstalled();
     place(() => renameSync(paths.uncheckedProgram, paths.program));
   } finally {
-    TEMPORARY.forEach((path) => rmSync(path, { recursive: true, force: true }));
+    removeTemporary();
   }
 };
 
