A build with an older Node.js, or no place for the program, ends at once

Operators with a Node.js older than package.json asks for saw whatever broke first, and those whose target/ belongs to another user saw it only after all packages had been bundled or installed.

Neither was asked before work starts. The build compares Node.js with `engines` (step `node`, both versions and the path of the one that ran), and writes an empty file to target/ before all else (step `place`, with the system's error and the file).

Evidence: the rows "a Node.js that is older" and "a target of another user" fail before. "a file in the place of target" and "a target that cannot be written" held since the steps have names. A full disk itself was not tried; the limit on file sizes stands in for it.

--- a/tools/build.mjs
+++ b/tools/build.mjs
@@ -4,11 +4,13 @@
  */
 import buildProgram from './buildProgram.mjs';
 import buildTurn from './buildTurn.mjs';
+import checkNodeVersion from './checkNodeVersion.mjs';
 
 /** A write beyond the limit on the size of files is then an error that names the file, and not the end of the process. */
 process.on('SIGXFSZ', () => undefined);
 
 try {
+  checkNodeVersion();
   await buildTurn('.', buildProgram);
 } catch (error) {
   console.error(`build: failed in ${error.name === 'BuildError' ? error.message : error.stack}`);
--- a/tools/buildProgram.mjs
+++ b/tools/buildProgram.mjs
@@ -28,10 +28,12 @@
   }
 };
 
-/** Creates the folder of the program; the mode of one that is there stays. */
-const makeFolder = () => {
+/** Creates the folder of the program, and a first file in it. The mode of a folder that is there stays. */
+const preparePlace = () => {
   const created = mkdirSync(paths.folder, { recursive: true });
   if (created !== undefined) chmodSync(paths.folder, READABLE_FOLDER_MODE);
+  writeFileSync(paths.uncheckedProgram, '');
+  chmodSync(paths.uncheckedProgram, READABLE_MODE);
 };
 
 /** Removes all but the program, that of killed builds too; only one build at a time works in a checkout. */
@@ -49,7 +51,6 @@
 const bundleAndCheck = async () => {
   const program = await bundle();
   place(() => writeFileSync(paths.uncheckedProgram, program));
-  place(() => chmodSync(paths.uncheckedProgram, READABLE_MODE));
   await checkProgram(paths.uncheckedProgram);
 };
 
@@ -74,7 +75,7 @@
  * @throws BuildError that names the step and the reason.
  */
 const buildProgram = async () => {
-  place(makeFolder);
+  place(preparePlace);
   try {
     await bundleInstalled();
     place(() => renameSync(paths.uncheckedProgram, paths.program));
