--- a/tools/buildProgram.mjs
+++ b/tools/buildProgram.mjs
@@ -1,5 +1,6 @@
 /** Builds the program, and puts it in place once it has been checked. */
-import { chmodSync, mkdirSync, renameSync, rmSync, writeFileSync } from 'node:fs';
+import { chmodSync, mkdirSync, readdirSync, renameSync, rmSync, writeFileSync } from 'node:fs';
+import { join } from 'node:path';
 import BuildError from './BuildError.mjs';
 import checkProgram from './checkProgram.mjs';
 import installPackages from './installPackages.mjs';
@@ -15,7 +16,8 @@
 const READABLE_MODE = 0o644;
 const READABLE_FOLDER_MODE = 0o755;
 
-const TEMPORARY = [paths.uncheckedProgram, paths.npmCache];
+/** What a build leaves that is killed. */
+const LEFT_BEHIND = /^(npm-cache|wisteriapath\.\d+\.cjs)$/;
 
 /** Runs a step that writes files; an error names the step. */
 const place = (act) => {
@@ -26,12 +28,20 @@
   }
 };
 
-/** Creates the folder of the program; the mode of one that is there stays. */
-const makeFolder = () => {
+/** Creates the folder of the program, and a first file in it. The mode of a folder that is there stays. */
+const preparePlace = () => {
   const created = mkdirSync(paths.folder, { recursive: true });
   if (created !== undefined) chmodSync(paths.folder, READABLE_FOLDER_MODE);
+  writeFileSync(paths.uncheckedProgram, '');
+  chmodSync(paths.uncheckedProgram, READABLE_MODE);
 };
 
+/** Removes all but the program, that of killed builds too; only one build at a time works in a checkout. */
+const removeTemporary = () =>
+  readdirSync(paths.folder)
+    .filter((name) => LEFT_BEHIND.test(name))
+    .forEach((name) => rmSync(join(paths.folder, name), { recursive: true, force: true }));
+
 const bundle = () =>
   runStep('bundle', process.execPath, ['tools/bundle.mjs'], {
     timeoutMs: timeouts.bundleMs,
@@ -41,7 +51,6 @@
 const bundleAndCheck = async () => {
   const program = await bundle();
   place(() => writeFileSync(paths.uncheckedProgram, program));
-  place(() => chmodSync(paths.uncheckedProgram, READABLE_MODE));
   await checkProgram(paths.uncheckedProgram);
 };
 
@@ -66,12 +75,12 @@
  * @throws BuildError that names the step and the reason.
  */
 const buildProgram = async () => {
-  place(makeFolder);
+  place(preparePlace);
   try {
     await bundleInstalled();
     place(() => renameSync(paths.uncheckedProgram, paths.program));
   } finally {
-    TEMPORARY.forEach((path) => rmSync(path, { recursive: true, force: true }));
+    removeTemporary();
   }
 };
 
