An error in one part of a stop does not cut off the requests under way, nor leave the other parts undone

Seen (errors made by the test): where the heartbeat that tells the peers of the stop threw, the stop ended at once with stop_failed and code 1, and a booking that ran was cut off without an answer; where the socket of the peers threw as it was closed, all requests had been answered and the code was 1. Cause: the parts of a stop followed each other in one function, and an error in one ended it. Each part is now done by itself; an error is logged as stop_part_failed with the part's name (that of the lease's release was lease_release_failed).

Evidence: programStop, both rows fail on the code before (status 0; code 1), pass now (200, code 0).

--- a/packages/edge/src/Edge.ts
+++ b/packages/edge/src/Edge.ts
@@ -41,6 +41,7 @@
 import createSuspects from './createSuspects';
 import readsStoreForAll from './readsStoreForAll';
 import registerInstanceGauges from './registerInstanceGauges';
+import stopParts from './stopParts';
 
 const HEARTBEAT_INTERVAL_MS = 200;
 /** Fraction of the heartbeats that repeat convictions. */
@@ -249,29 +250,25 @@
   private async stopOnce(): Promise<void> {
     this.log.event('stopping', { under_way: this.callers.activeRequests });
     const finished = this.shutdown.run(this.listeners.all);
-    this.peers.sendHeartbeat();
-    void this.releaseLease();
-    await finished;
-    this.placer.stop();
-    this.demandReporter.stop();
-    this.follower?.stop();
-    this.peers.stop();
-    this.callers.abortActive();
-    this.listeners.destroy();
-    await this.catchUp.close();
-    await this.deps.connections.close();
+    // A silent store must not let the release of the lease delay the rest.
+    void stopParts(this.log, {
+      heartbeat: () => this.peers.sendHeartbeat(),
+      lease: () => this.lease.stop(),
+    });
+    await stopParts(this.log, {
+      requests: () => finished,
+      placer: () => this.placer.stop(),
+      demand: () => this.demandReporter.stop(),
+      store: () => this.follower?.stop(),
+      peers: () => this.peers.stop(),
+      callers: () => this.callers.abortActive(),
+      listeners: () => this.listeners.destroy(),
+      catch_up: () => this.catchUp.close(),
+      targets: () => this.deps.connections.close(),
+    });
     this.log.event('stopped', { under_way: this.callers.activeRequests });
   }
 
-  /** Releases the lease, which a silent store must not let delay the rest of the stop. */
-  private async releaseLease(): Promise<void> {
-    try {
-      await this.lease.stop();
-    } catch (error) {
-      this.log.event('lease_release_failed', { error: (error as Error).message });
-    }
-  }
-
   private async learnStoredRecords(): Promise<void> {
     const isOver = () => this.shutdown.hasBegun;
     const { member } = this.options;
