A load whose announcement fails leaves its engine and its share of the weight store free

The announcement came before the block that undoes it. An error in it (a datagram that cannot be made or sent) left the engine busy, and a load from the weight store counted as running, until the engine restarted or the lease changed: `uncaught` once, then models that are not loaded.

Evidence: the test of failedAnnouncement.test.ts failed before and passes; the placer's nine tests pass.

--- a/packages/fleet/src/EngineRegistry.ts
+++ b/packages/fleet/src/EngineRegistry.ts
@@ -116,11 +116,11 @@
     });
     const release = fromStore ? this.storeLimiter.acquire() : () => {};
     const busyUntilMs = clock.nowMs() + plan.expectedMs;
-    if (adapter === null) {
-      Object.assign(engine, { isBusy: true, loading: model, busyUntilMs });
-      engine.executor.announceLoading(model, plan.expectedMs, fromStore);
-    } else engine.loadingAdapters.add(asset);
     try {
+      if (adapter === null) {
+        Object.assign(engine, { isBusy: true, loading: model, busyUntilMs });
+        engine.executor.announceLoading(model, plan.expectedMs, fromStore);
+      } else engine.loadingAdapters.add(asset);
       const isDone = await executeOrders(engine.executor, plan);
       if (isDone) engine.loadedMs.set(model, clock.nowMs());
       else engine.avoidUntilMs = clock.nowMs() + AVOID_AFTER_FAILURE_MS;
