A listener at all addresses is called at the instance's own by the self-check

"0.0.0.0" was replaced anywhere in the address, so that 20.0.0.0 would have become another host. The new test of reachableAddress covers three addresses.

--- a/packages/edge/src/EdgeListeners.ts
+++ b/packages/edge/src/EdgeListeners.ts
@@ -8,6 +8,7 @@
 import PortStates from './PortStates';
 import callOwnPort from './callOwnPort';
 import openWhenFree from './openWhenFree';
+import reachableAddress from './reachableAddress';
 import serveMetrics from './serveMetrics';
 import serveReadiness from './serveReadiness';
 import serveRecords from './serveRecords';
@@ -26,8 +27,6 @@
 
 /** Stands among the ports that are not open for the call of the own readiness port. */
 const SELF_CHECK = 'self_check';
-/** The host of a listener at all addresses, which is none to connect to. */
-const ANY_HOST = '0.0.0.0';
 
 const portOf = (address: string): number => Number(address.split(':').at(-1));
 
@@ -111,7 +110,7 @@
   /** Calls the readiness port as targets are called: without HTTP client, or not reached at its address, nothing can be served. */
   private async checkSelf(): Promise<void> {
     const { readinessAddress, member } = this.options;
-    const address = readinessAddress.replace(ANY_HOST, member.host);
+    const address = reachableAddress(readinessAddress, member.host);
     await callOwnPort(address, this.parts.deps.isStopping);
     this.needed.open(SELF_CHECK);
   }
--- a/packages/edge/test/callOwnPort.test.ts
+++ b/packages/edge/test/callOwnPort.test.ts
@@ -2,6 +2,7 @@
 import { createServer, type RequestListener, type Server } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import callOwnPort from '../src/callOwnPort';
+import reachableAddress from '../src/reachableAddress';
 
 const HOST = '127.0.0.1';
 /** Time in which the process must be able to run before the call is given up. */
@@ -72,3 +73,11 @@
     await callOwnPort(address, () => isOver);
   });
 });
+
+test.each([
+  ['0.0.0.0:8224', '10.1.0.25:8224'],
+  ['10.1.0.26:8224', '10.1.0.26:8224'],
+  ['20.0.0.0:8224', '20.0.0.0:8224'],
+])('a listener at %s is called at %s', (address, expected) => {
+  expect(reachableAddress(address, '10.1.0.25')).toBe(expected);
+});
