A stop in order whose log goes to a file is not ended by SIGKILL only since the process stood still

The time of the log's close now counts only while the event loop runs, as that of the self-check does.

Evidence: the new test of logOutput failed before (SIGKILL), passes now.

--- a/packages/edge/src/LineLog.ts
+++ b/packages/edge/src/LineLog.ts
@@ -2,12 +2,13 @@
 import { stringify } from 'logfmt';
 import type { EventLog } from '@wisteriapath/fleet';
 import type LogOutput from './LogOutput';
+import afterRunningTime from './afterRunningTime';
 import openLogOutput from './openLogOutput';
 
 const FLUSH_INTERVAL_MS = 100;
 /** Size of the buffer beyond which lines are dropped and counted. */
 const MAX_BUFFERED_BYTES = 262_144;
-/** Time for which `close` tries to write what is buffered. */
+/** Time, in which this process could run, for which `close` tries to write what is buffered. */
 const CLOSE_TIMEOUT_MS = 200;
 const CLOSE_POLL_INTERVAL_MS = 5;
 const NO_BYTES = Buffer.alloc(0);
@@ -47,12 +48,16 @@
 
   /** Writes the buffered lines, before the process exits. Gives up if nobody reads them. */
   async close(): Promise<void> {
-    const deadlineMs = performance.now() + CLOSE_TIMEOUT_MS;
+    let isOver = false;
+    const cancel = afterRunningTime(CLOSE_TIMEOUT_MS, () => {
+      isOver = true;
+    });
     this.flush();
-    while (this.hasBuffered && performance.now() < deadlineMs) {
+    while (this.hasBuffered && !isOver) {
       await sleep(CLOSE_POLL_INTERVAL_MS);
       this.flush();
     }
+    cancel();
     clearTimeout(this.timer);
   }
 
--- a/packages/edge/test/logOutput.test.ts
+++ b/packages/edge/test/logOutput.test.ts
@@ -1,6 +1,15 @@
 /** The log of a process keeps its lines whole and in order, bounded, and blocks nothing, whatever its output is. */
 import { type ChildProcess, spawn, spawnSync } from 'node:child_process';
-import { closeSync, constants, mkdtempSync, openSync, readSync, rmSync, writeSync } from 'node:fs';
+import {
+  closeSync,
+  constants,
+  mkdtempSync,
+  openSync,
+  readFileSync,
+  readSync,
+  rmSync,
+  writeSync,
+} from 'node:fs';
 import { once } from 'node:events';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
@@ -124,6 +133,20 @@
     expect(openLogOutput(openSync(join(folder, 'file'), 'w'))).toBeInstanceOf(PoolOutput);
   });
 
+  test('that goes to a file lets a process that stood still at its end exit in order', async () => {
+    const script = `
+      process.chdir(${JSON.stringify(COMPILED)});
+      const load = require('node:module').createRequire(process.cwd() + '/main.js');
+      const output = load('./openLogOutput').default(require('node:fs').openSync('${join(folder, 'log')}', 'w'));
+      const log = new (load('./LineLog').default)('one', output);
+      log.event('tested', {});
+      log.close().then(() => process.exit(0));
+      const endMs = performance.now() + 500;
+      while (performance.now() < endMs);`;
+    expect(await run(script)).toEqual({ code: 0, signal: null });
+    expect(readFileSync(join(folder, 'log'), 'utf8')).toContain('event=tested');
+  });
+
   test.each([
     ["require('./openLogOutput').default(1)", { code: 0, signal: null }],
     [`require('./openLogOutput').default(1, '${NO_FOLDER}')`, { code: 0, signal: null }],
