A start that stood still tries its ports again before it gives up

The limit was time of the clock, so a process that goes on after it gave up with its first try. It now counts the pauses between tries.

Evidence: the new test of openWhenFree failed before (ListenError), passes now; the other 15 unchanged.

--- a/packages/edge/src/openWhenFree.ts
+++ b/packages/edge/src/openWhenFree.ts
@@ -6,7 +6,10 @@
 interface Options {
   readonly clock: Clock;
   readonly log: EventLog;
-  /** Time for which errors that may pass are tried again; null if nothing needs the port, so that any error is, for good. */
+  /**
+   * Time for which errors that may pass are tried again, as the sum of the pauses: a process that stood still has not tried.
+   * Null if nothing needs the port, so that any error is tried again for good.
+   */
   readonly limitMs: number | null;
   /** Whether the process is stopping, so that nothing more is opened. */
   readonly isOver: () => boolean;
@@ -41,7 +44,7 @@
   { clock, log, limitMs, isOver, onFailure }: Options,
   open: () => Promise<T>,
 ): Promise<T | undefined> => {
-  const lastMs = clock.nowMs() + (limitMs ?? Infinity);
+  const maxTries = 1 + Math.ceil((limitMs ?? Infinity) / RETRY_INTERVAL_MS);
   for (let failures = 1; !isOver(); failures += 1) {
     try {
       return await open();
@@ -51,7 +54,7 @@
       if (failures % LOGGED_PERIOD === 1) log.event('listen_failed', { address, ...failure });
       onFailure(failure);
       const mayPass = limitMs === null || PASSING_CODES.has(failure.code);
-      const isLast = !mayPass || clock.nowMs() >= lastMs;
+      const isLast = !mayPass || failures >= maxTries;
       if (isLast && !isOver()) throw new ListenError(address, failure, { cause: error });
       await clock.sleep(RETRY_INTERVAL_MS);
     }
--- a/packages/edge/test/openWhenFree.test.ts
+++ b/packages/edge/test/openWhenFree.test.ts
@@ -79,6 +79,25 @@
     },
   );
 
+  test('is tried again by a process that stood still for longer than the limit', async () => {
+    let nowMs = 0;
+    let tries = 0;
+    const clock = {
+      nowMs: () => nowMs,
+      sleep: () => {
+        nowMs += 2 * LIMIT_MS;
+        return Promise.resolve();
+      },
+    };
+    const log = { event: () => {} };
+    const options = { clock, log, limitMs: LIMIT_MS, isOver: () => false, onFailure: () => {} };
+    const opened = openWhenFree(ADDRESS, options, () => {
+      tries += 1;
+      return tries > 2 ? Promise.resolve('open') : failWith('EADDRINUSE');
+    });
+    expect(await opened).toBe('open');
+  });
+
   test('is not opened, and fails nothing, once the process stops', async () => {
     const { clock, state } = start(() => failWith('EADDRINUSE'));
     await clock.runUntil(LIMIT_MS - 100);
