A heartbeat whose counts or offsets are no counts is refused

Found by the review: counted=-1 made the number of instances 0 and a target's share of connections infinite; -0.5 and 1e300 passed, too. Evidence: four new rows of peers failed before, pass now.

--- a/packages/fleet/src/readHeartbeat.ts
+++ b/packages/fleet/src/readHeartbeat.ts
@@ -7,7 +7,15 @@
   'failureDomain',
   'host',
 ];
-const NUMBERS: readonly (keyof Heartbeat)[] = ['number', 'leaseOffset', 'counted'];
+const INTEGERS: readonly (keyof Heartbeat)[] = [
+  'number',
+  'operatorOffset',
+  'targetsOffset',
+  'leaseOffset',
+  'counted',
+];
+/** More instances than a fleet can have. */
+const MAX_COUNTED = 1_000_000;
 const LISTS: readonly (keyof Heartbeat)[] = ['holderHeard', 'placers'];
 
 const isMember = (value: unknown): value is MemberRecord => {
@@ -19,7 +27,9 @@
   const heartbeat = payload as Heartbeat | null | undefined;
   return (
     isMember(heartbeat?.member) &&
-    NUMBERS.every((key) => Number.isFinite(heartbeat?.[key])) &&
+    INTEGERS.every((key) => Number.isSafeInteger(heartbeat?.[key])) &&
+    heartbeat.counted >= 0 &&
+    heartbeat.counted <= MAX_COUNTED &&
     LISTS.every((key) => Array.isArray(heartbeat?.[key])) &&
     heartbeat.placers.every(isMember)
   );
--- a/packages/fleet/test/peers.test.ts
+++ b/packages/fleet/test/peers.test.ts
@@ -119,6 +119,10 @@
   { what: 'a host that is none', member: { host: 5 } },
   { what: 'no name', member: { name: null } },
   { what: 'a count that is none', more: { counted: 'x' } },
+  { what: 'a count below 0', more: { counted: -1 } },
+  { what: 'a count of a part', more: { counted: 0.5 } },
+  { what: 'a count beyond any fleet', more: { counted: 1e300 } },
+  { what: 'an offset that is none', more: { targetsOffset: Infinity } },
   { what: 'no placers', more: { placers: null } },
   { what: 'a placer without a host', more: { placers: [{ name: 'b0' }] } },
 ])('a heartbeat with $what leaves the sending and counting of others as it was', async (bad) => {
