--- a/tools/installPackages.mjs
+++ b/tools/installPackages.mjs
@@ -35,6 +35,7 @@
   await runStep('install', 'npm', [...COMMAND, ...cacheArgs], {
     timeoutMs: timeouts.installMs,
     env: npmEnvironment(process.env),
+    name: 'npm ci',
     reasonIn: npmReason,
   });
 };
--- a/tools/npmCacheArgs.mjs
+++ b/tools/npmCacheArgs.mjs
@@ -8,6 +8,8 @@
 
 /** npm writes each package to this folder of its cache first. */
 const TEMPORARY_FOLDER = '_cacache/tmp';
+/** npm would name a log in the cache, which is removed. */
+const NO_LOG = '--logs-max=0';
 
 /** Throws if npm could not write to a cache. */
 const tryToWrite = (cache) => {
@@ -20,13 +22,14 @@
  * Resolves to the arguments for npm that name a cache which can be written; none if its own can. Says so if not.
  *
  * @example
- * await npmCacheArgs(); // ['--cache=target/npm-cache'] where HOME cannot be written
+ * await npmCacheArgs(); // ['--cache=target/npm-cache', '--logs-max=0'] where HOME cannot be written
  *
  * @throws BuildError if npm cannot be started.
  */
 const npmCacheArgs = async () => {
   const answer = await runStep('install', 'npm', ['config', 'get', 'cache', '--loglevel=error'], {
     timeoutMs: timeouts.configMs,
+    name: 'npm config',
     reasonIn: lastLine,
   });
   try {
@@ -35,7 +38,7 @@
   } catch (error) {
     const place = `uses ${paths.npmCache} for this install`;
     console.error(`build: npm's cache cannot be written, ${place}: ${error.message}`);
-    return [`--cache=${paths.npmCache}`];
+    return [`--cache=${paths.npmCache}`, NO_LOG];
   }
 };
 
--- a/tools/runStep.mjs
+++ b/tools/runStep.mjs
@@ -59,11 +59,11 @@
  * @param file The program.
  * @param args Its arguments.
  * @param options `timeoutMs`: the limit; `env`: the environment, by default that of this process;
- * `reasonIn`: returns the reason in the output of a program that failed.
+ * `name`: that of the command in errors, by default with all arguments; `reasonIn`: returns the reason in the output of a program that failed.
  * @throws BuildError if the program cannot be started, fails or takes longer; its standard error is passed on before.
  */
-const runStep = async (step, file, args, { timeoutMs, env = process.env, reasonIn }) => {
-  const command = [file === process.execPath ? 'node' : file, ...args].join(' ');
+const runStep = async (step, file, args, { timeoutMs, env = process.env, reasonIn, name }) => {
+  const command = name ?? [file === process.execPath ? 'node' : file, ...args].join(' ');
   const child = spawn(file, args, { env, stdio: ['ignore', 'pipe', 'pipe'] });
   const output = collect(child);
   const end = await ended(child, timeoutMs).catch((error) => {
