--- a/packages/edge/src/EdgeListeners.ts
+++ b/packages/edge/src/EdgeListeners.ts
@@ -8,6 +8,7 @@
 import PortStates from './PortStates';
 import callOwnPort from './callOwnPort';
 import openWhenFree from './openWhenFree';
+import portOf from './portOf';
 import reachableAddress from './reachableAddress';
 import serveMetrics from './serveMetrics';
 import serveReadiness from './serveReadiness';
@@ -28,8 +29,6 @@
 /** Stands among the ports that are not open for the call of the own readiness port. */
 const SELF_CHECK = 'self_check';
 
-const portOf = (address: string): number => Number(address.split(':').at(-1));
-
 /** The listeners of an instance. Each is opened once its port is free, which another process may still hold. */
 class EdgeListeners {
   /** The HTTP listeners that are open. */
