A process reads what has arrived before it closes anything

Callers saw (LOST): in a stop, requests on connections that had been accepted were reset without an answer. Six stops with 30 callers that go on until the process is gone, nothing beside: 8 to 21 resets each in four of them, 4 to 25 ms after the requests had been sent, all at 2.6 s, where connections are no longer accepted. With a process that stands still for 0.4 s there, or at the end of its last request, or of its grace: all that had come meanwhile, up to 0.4 s before. The same for a connection that is idle for too long.

Cause: the time limits of the event loop run before its sockets are read, and each turn accepts one connection only. What they close takes with it what the kernel has accepted and received for the process.

Fix: the server of callers closes nothing by the clock alone: it first lets turns of the event loop pass until nothing arrives any more, and closes in the part of a turn that follows the reading. A stop accepts connections until its last moment and refuses what comes too late (503, not run) in place of a reset; idle connections stay until then, and are closed with time for their callers to close their side. `connections_left` says what a stop still had to reset.

Ruled out: a limit of the backlog (30 callers), a caller that sends after it was told that the connection closes (each begins a new one). Known: a connection that the kernel accepts between the last accept and the close of the listener is still reset.

--- a/packages/edge/src/HttpListener.ts
+++ b/packages/edge/src/HttpListener.ts
@@ -1,11 +1,17 @@
-import type { IncomingMessage, Server, ServerOptions, ServerResponse } from 'node:http';
+import type { IncomingMessage, ServerOptions, ServerResponse } from 'node:http';
 import type { EventLog } from '@wisteriapath/fleet';
+import type { Clock } from '@wisteriapath/model';
 import { CallerServer } from '@wisteriapath/response-ends';
 
 /** Answers a request, at once or later. The server may have answered it before: bytes that cannot be read come after its head. */
 type Handle = (request: IncomingMessage, response: ServerResponse) => void | Promise<void>;
 
 const BACKLOG = 1_024;
+/** Time for the first request on a connection that has just been accepted. */
+const FIRST_REQUEST_MS = 50;
+/** Time for callers to close their side, and for requests that are being received. */
+const CLOSE_TIMEOUT_MS = 200;
+const POLL_INTERVAL_MS = 10;
 
 /** Lets an error of a handler end its own response, so that no request waits for an answer that does not come. */
 const guard =
@@ -21,7 +27,11 @@
 
 /** An HTTP server that listens at one address. */
 class HttpListener {
-  private constructor(readonly server: Server) {}
+  private constructor(
+    readonly server: CallerServer,
+    private readonly address: string,
+    private readonly log: EventLog,
+  ) {}
 
   /** Opens a listener; `address` is `host:port`. Rejects if the port cannot be bound. */
   static async open(
@@ -48,17 +58,26 @@
     server.removeAllListeners('error').on('error', (error: NodeJS.ErrnoException) => {
       log.event('listener_error', { address, code: error.code ?? error.message });
     });
-    return new HttpListener(server);
+    return new HttpListener(server, address, log);
   }
 
-  /** Stops accepting connections; open connections stay. */
-  stopAccepting(): void {
-    this.server.close();
-  }
-
-  /** Closes idle connections. Call it again, as further connections become idle. */
-  closeIdle(): void {
-    this.server.closeIdleConnections();
+  /**
+   * Handles what has arrived, then accepts nothing more and closes the connections that carry no request. Resolves once all
+   * connections are closed, after `CLOSE_TIMEOUT_MS` or at `limitMs` on the monotonic clock at the latest.
+   */
+  async finish(clock: Clock, limitMs: number): Promise<void> {
+    const { server } = this;
+    const endMs = Math.min(limitMs, clock.nowMs() + CLOSE_TIMEOUT_MS);
+    const leftMs = () => Math.max(0, endMs - clock.nowMs());
+    await server.handlePendingInput();
+    server.close();
+    await clock.sleep(Math.min(FIRST_REQUEST_MS, leftMs()));
+    while (server.connectionCount > 0 && leftMs() > 0) {
+      await server.closeUnusedConnections();
+      await clock.sleep(Math.min(POLL_INTERVAL_MS, leftMs()));
+    }
+    const count = server.connectionCount;
+    if (count > 0) this.log.event('connections_left', { address: this.address, count });
   }
 
   /** Closes the server and all connections. */
--- a/packages/edge/src/Shutdown.ts
+++ b/packages/edge/src/Shutdown.ts
@@ -10,17 +10,20 @@
   readonly activeRequests: () => number;
 }
 
-/** Time for which connections are still accepted after the stop signal, until the balancer has noticed it. */
+/** Time for which requests are still sent to targets after the stop signal, until the balancer has noticed it. */
 const BALANCER_LAG_MS = 2_600;
 /** Part of the grace period that is left unused, so that the process exits before it is killed. */
 const GRACE_MARGIN_MS = 500;
-/** Least part of the grace period after connections are no longer accepted, also where the balancer has not noticed by then. */
+/** Least part of the grace period after requests are no longer sent, also where the balancer has not noticed by then. */
 const LEAST_REST_MS = 400;
 /** Time for the last answers to requests whose targets have not finished by the end of the grace period. */
 const FINAL_ANSWERS_MS = 200;
 const POLL_INTERVAL_MS = 50;
 
-/** The planned stop of an instance: when it stops taking requests, sending them to targets, and waiting for targets. */
+/**
+ * The planned stop of an instance: when it stops sending requests to targets, and waiting for targets. Connections are accepted
+ * until its last moment; what arrives too late to be sent is refused.
+ */
 class Shutdown {
   private readonly controller = new AbortController();
 
@@ -49,23 +52,22 @@
   async run(listeners: readonly HttpListener[]): Promise<void> {
     const { clock, graceMs } = this.parts;
     const startedMs = clock.nowMs();
-    const acceptingMs = Math.max(0, Math.min(BALANCER_LAG_MS, graceMs - LEAST_REST_MS));
-    this.cutoffAtMs = startedMs + acceptingMs;
-    await clock.sleep(acceptingMs);
-    listeners.forEach((listener) => listener.stopAccepting());
+    const sendingMs = Math.max(0, Math.min(BALANCER_LAG_MS, graceMs - LEAST_REST_MS));
+    this.cutoffAtMs = startedMs + sendingMs;
+    await clock.sleep(sendingMs);
     const endMs = startedMs + graceMs - GRACE_MARGIN_MS;
-    await this.finishRequests(listeners, endMs);
+    await this.finishRequests(endMs);
     this.controller.abort();
-    await this.finishRequests(listeners, endMs + FINAL_ANSWERS_MS);
+    const limitMs = endMs + FINAL_ANSWERS_MS;
+    await Promise.all(listeners.map((listener) => listener.finish(clock, limitMs)));
+    await this.finishRequests(limitMs);
   }
 
   /** Waits until no request is in progress, until `endMs` at the latest. */
-  private async finishRequests(listeners: readonly HttpListener[], endMs: number): Promise<void> {
+  private async finishRequests(endMs: number): Promise<void> {
     const { clock, activeRequests } = this.parts;
     while (activeRequests() > 0 && clock.nowMs() < endMs) {
       await clock.sleep(Math.min(POLL_INTERVAL_MS, endMs - clock.nowMs()));
-      // Responses that started before the stop signal leave their connections open.
-      listeners.forEach((listener) => listener.closeIdle());
     }
   }
 }
--- a/packages/response-ends/src/CallerConnection.ts
+++ b/packages/response-ends/src/CallerConnection.ts
@@ -42,6 +42,11 @@
     return this.underWay === 0 && this.socket.bytesRead === this.requestBytes;
   }
 
+  /** Whether nothing has been read from this connection yet. */
+  get isUnused(): boolean {
+    return this.socket.bytesRead === 0;
+  }
+
   /** Whether nothing more is read from this connection. */
   get hasRefused(): boolean {
     return this.isEnding;
@@ -81,6 +86,14 @@
     return isFirst;
   }
 
+  /** Closes a connection that carries no request. Its caller has time to close its side: a reset could overtake its last response. */
+  close(): void {
+    if (this.isEnding) return;
+    this.isEnding = true;
+    this.discardInput();
+    this.end();
+  }
+
   /** Tells responses that their connection has closed. Node.js tells only the first one, not those that wait behind it. */
   closeResponses(): void {
     this.exchanges.forEach(({ response }) => response.emit('close'));
--- a/packages/response-ends/src/CallerServer.ts
+++ b/packages/response-ends/src/CallerServer.ts
@@ -6,6 +6,7 @@
   type ServerResponse,
 } from 'node:http';
 import type { Socket } from 'node:net';
+import { setImmediate as passTurn } from 'node:timers/promises';
 import CallerConnection from './CallerConnection';
 import type UnreadableBytes from './UnreadableBytes';
 import refusalOf from './refusalOf';
@@ -13,10 +14,14 @@
 /** Error code for a connection that the caller ends inside a request. */
 const EARLY_END = 'HPE_INVALID_EOF_STATE';
 const EXPECTATION_FAILED = 417;
+/** Turns of the event loop without input after which none waits: one accepts a connection, the next reads its request. */
+const QUIET_TURNS = 3;
+/** Each turn accepts one connection, so these empty a full backlog. */
+const MAX_TURNS = 1_024;
 
 /**
  * An HTTP server that knows which requests of each connection are under way: it writes a status of its own on a connection, or
- * closes it as idle, only while there are none.
+ * closes it as idle, only while there are none, and once it has read what had arrived before.
  *
  * @example
  * const server = new CallerServer({ requestTimeout: 0 }, handle, ({ code }) => log.event('caller_unreadable', { code }));
@@ -24,6 +29,9 @@
 class CallerServer extends Server {
   private readonly callerConnections = new Map<Socket, CallerConnection>();
 
+  /** Number of connections and requests so far. */
+  private arrivals = 0;
+
   constructor(
     options: ServerOptions,
     handle: RequestListener,
@@ -32,6 +40,9 @@
     super(options, handle);
     this.on('connection', (socket) => this.trackConnection(socket));
     this.prependListener('request', (request, response) => this.trackRequest(request, response));
+    this.on('timeout', (socket) => {
+      void this.closeIfIdle(socket);
+    });
     this.on('checkExpectation', (request, response) => {
       this.trackRequest(request, response);
       response.writeHead(EXPECTATION_FAILED).end();
@@ -41,16 +52,54 @@
     });
   }
 
-  /** Closes connections without a request under way. Node.js would also close those whose last response is still being sent. */
+  /** Number of open connections. */
+  get connectionCount(): number {
+    return this.callerConnections.size;
+  }
+
+  /**
+   * Resolves once what had arrived before is handled, in the part of a turn of the event loop that follows the reading of
+   * sockets. A timer may come before the reading, and what it closes would be reset beside unread requests.
+   */
+  async handlePendingInput(): Promise<void> {
+    let quietTurns = 0;
+    for (let turn = 0; quietTurns < QUIET_TURNS && turn < MAX_TURNS; turn += 1) {
+      const { arrivals } = this;
+      await passTurn();
+      quietTurns = this.arrivals === arrivals ? quietTurns + 1 : 0;
+    }
+  }
+
+  /** Closes connections without a request under way, soon. Node.js would also close those whose last response is still being sent. */
   override closeIdleConnections(): void {
-    this.callerConnections.forEach((connection, socket) => {
-      if (connection.isIdle) socket.destroy();
+    void this.closeWithoutRequest((connection) => connection.isIdle);
+  }
+
+  /** Closes connections without a request under way, also those that have not carried any. */
+  closeUnusedConnections(): Promise<void> {
+    return this.closeWithoutRequest((connection) => connection.isIdle || connection.isUnused);
+  }
+
+  private async closeWithoutRequest(
+    mayClose: (connection: CallerConnection) => boolean,
+  ): Promise<void> {
+    await this.handlePendingInput();
+    [...this.callerConnections.values()].filter(mayClose).forEach((connection) => {
+      connection.close();
     });
   }
 
+  /** Closes a connection that has been idle for too long, unless a request has arrived on it meanwhile. */
+  private async closeIfIdle(socket: Socket): Promise<void> {
+    await this.handlePendingInput();
+    const connection = this.callerConnections.get(socket);
+    if (connection?.isIdle) connection.close();
+  }
+
   private trackConnection(socket: Socket): void {
     const connection = new CallerConnection(socket);
     this.callerConnections.set(socket, connection);
+    this.arrivals += 1;
     socket.once('close', () => {
       this.callerConnections.delete(socket);
       // After the listeners of Node.js for the same event.
@@ -59,6 +108,7 @@
   }
 
   private trackRequest(request: IncomingMessage, response: ServerResponse): void {
+    this.arrivals += 1;
     this.callerConnections.get(request.socket)?.track(request, response);
   }
 
--- a/packages/response-ends/test/callerServer.test.ts
+++ b/packages/response-ends/test/callerServer.test.ts
@@ -32,10 +32,12 @@
     },
     () => {},
   );
+  const accepted: Socket[] = [];
+  server.on('connection', (socket) => accepted.push(socket));
   server.listen(0, '127.0.0.1');
   await once(server, 'listening');
   const { port } = server.address() as AddressInfo;
-  return { server, open: () => connect(port, '127.0.0.1').on('error', () => {}) };
+  return { server, accepted, open: () => connect(port, '127.0.0.1').on('error', () => {}) };
 };
 
 test('a closing server does not cut off an answer that its caller has not taken yet', async () => {
@@ -80,3 +82,46 @@
     server.closeAllConnections();
   }
 });
+
+describe('a request that waits to be read', () => {
+  const readShort = REQUEST.replace('/', '/short');
+
+  /** Counts the answers on a connection that has got one as `act` is called with it, as it stands on either side. */
+  const countAnswers = async (
+    act: (caller: Socket, server: CallerServer, accepted: Socket) => void,
+  ) => {
+    const { server, accepted, open } = await start();
+    const socket = open();
+    let text = '';
+    socket.on('data', (bytes: Buffer) => {
+      text += bytes.toString();
+    });
+    try {
+      socket.write(readShort);
+      await sleep(POLL_INTERVAL_MS);
+      act(socket, server, accepted[0]);
+      await sleep(PAUSE_MS);
+      return text.match(/HTTP\/1\.1 200/g)?.length;
+    } finally {
+      socket.destroy();
+      server.closeAllConnections();
+      server.close();
+    }
+  };
+
+  test('is answered on a connection that is closed as idle', async () => {
+    const answers = await countAnswers((caller, server) => {
+      caller.write(readShort);
+      server.closeIdleConnections();
+    });
+    expect(answers).toBe(2);
+  });
+
+  test('is answered on a connection that is closed as idle for too long', async () => {
+    const answers = await countAnswers((caller, _, accepted) => {
+      caller.write(readShort);
+      accepted.emit('timeout');
+    });
+    expect(answers).toBe(2);
+  });
+});
