Own protocol: a listener that closes answers what waits to be accepted, and does not wait for connections without a request

Callers saw: of ten callers that connected as an instance of the own protocol stopped, one was answered and nine were reset. A caller that had connected and sent nothing kept the stop from ending (more than nine minutes in the run of the test).

The second one: a connection that has not carried a request did not count as idle.

Evidence: httpListener of daemon, both new tests failed before (1 of 10; no end), pass. The listener of the edge has the same test.

--- a/packages/daemon/src/HttpListener.ts
+++ b/packages/daemon/src/HttpListener.ts
@@ -1,4 +1,5 @@
-import type { RequestListener, Server } from 'node:http';
+import { once } from 'node:events';
+import type { RequestListener } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import { CallerServer, type UnreadableBytes } from '@wisteriapath/response-ends';
 
@@ -6,7 +7,7 @@
 
 /** An HTTP server that can be closed without aborting requests in flight. */
 class HttpListener {
-  private readonly server: Server;
+  private readonly server: CallerServer;
 
   private constructor(
     handler: RequestListener,
@@ -37,17 +38,17 @@
   }
 
   /**
-   * Stops accepting connections and resolves when the last request has been answered. Closes
-   * connections that become idle in the meantime.
+   * Stops accepting connections, once those that wait have been accepted, and resolves when the last request has been
+   * answered. Closes connections that carry no request in the meantime.
    */
   async close(): Promise<void> {
-    const sweepTimer = setInterval(
-      () => this.server.closeIdleConnections(),
-      IDLE_SWEEP_INTERVAL_MS,
-    );
-    await new Promise<void>((resolve) => {
-      this.server.close(() => resolve());
-    });
+    await this.server.handlePendingInput();
+    const closed = once(this.server, 'close');
+    this.server.close();
+    const sweepTimer = setInterval(() => {
+      void this.server.closeUnusedConnections();
+    }, IDLE_SWEEP_INTERVAL_MS);
+    await closed;
     clearInterval(sweepTimer);
   }
 
--- a/packages/daemon/test/httpListener.test.ts
+++ b/packages/daemon/test/httpListener.test.ts
@@ -57,3 +57,49 @@
     isComplete: false,
   });
 });
+
+describe('a listener that closes', () => {
+  const CALLERS = 10;
+
+  const openWith = async (text: string) => {
+    const listener = await HttpListener.open(
+      '127.0.0.1:0',
+      (_, response) => response.end('done'),
+      () => {},
+    );
+    const { port } = new URL(listener.url);
+    let received = '';
+    const sockets = Array.from({ length: CALLERS }, () => {
+      const socket = connect(Number(port), '127.0.0.1', () => socket.write(text));
+      socket.on('error', () => {});
+      return socket.on('data', (bytes: Buffer) => {
+        received += bytes.toString();
+      });
+    });
+    await new Promise((resolve) => {
+      sockets[0].once('connect', resolve);
+    });
+    return { listener, sockets, countAnswers: () => received.split('done').length - 1 };
+  };
+
+  test('answers the requests of connections that wait to be accepted', async () => {
+    const { listener, sockets, countAnswers } = await openWith(REQUEST);
+    try {
+      await listener.close();
+      expect(countAnswers()).toBe(CALLERS);
+    } finally {
+      sockets.forEach((socket) => socket.destroy());
+      listener.destroy();
+    }
+  });
+
+  test('is not held up by connections that carry no request', async () => {
+    const { listener, sockets } = await openWith('');
+    try {
+      await listener.close();
+    } finally {
+      sockets.forEach((socket) => socket.destroy());
+      listener.destroy();
+    }
+  });
+});
--- a/packages/edge/test/httpListener.test.ts
+++ b/packages/edge/test/httpListener.test.ts
@@ -2,6 +2,7 @@
 import { connect } from 'node:net';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { Registry } from 'prom-client';
+import { systemClock } from '@wisteriapath/model';
 import HttpListener from '../src/HttpListener';
 import serveMetrics from '../src/serveMetrics';
 
@@ -12,6 +13,8 @@
 const BAD_CHUNK = `${HEAD}xyz\r\n`;
 const WHOLE = `${HEAD}0\r\n\r\n`;
 const PAUSE_MS = 50;
+const CALLERS = 10;
+const STATUS_END = 12;
 const ANSWER_LIMIT_MS = 2_000;
 
 const portOf = ({ server }: HttpListener): number => (server.address() as { port: number }).port;
@@ -90,4 +93,16 @@
     expect(errors).toEqual([]);
     expect(lines.join()).toMatch(/answer_failed.*made to fail/);
   });
+
+  test('that finishes answers the requests of connections that wait to be accepted', async () => {
+    const port = await open((_, response) => {
+      response.writeHead(200, { connection: 'close' }).end('ok');
+    });
+    const answers = Array.from({ length: CALLERS }, () => exchange(port, WHOLE));
+    // The event loop has begun to connect all, and the listener has accepted none.
+    await new Promise(setImmediate);
+    await listener.finish(systemClock, Infinity);
+    const statuses = (await Promise.all(answers)).map((answer) => answer.slice(0, STATUS_END));
+    expect(new Set(statuses)).toEqual(new Set(['HTTP/1.1 200']));
+  });
 });
