A status that no answer can have is no answer, whoever sends it

What callers saw: a target that answered 600, 700 or 999 was passed on as "HTTP/1.1 600 unknown" with its stamp and body, for bookings, streams and streams of model engines; for requests that may be repeated once no other target was left. With "Not-Executed" beside such a status the request counted as not run. The next request went over the same connection. Statuses end at 599 (RFC 9110, 15).

Cause: the HTTP client's parser believes any three digits from 100 on, and 101 without the header "Upgrade"; every sender took over the number. Senders that know a few statuses (orders, the store) treated it as unknown, but the store, the list of instances and calls of the own protocol went on over the connection, and the own protocol recorded 600 as the outcome of a call.

Fix: TrackedClient ends the exchange with an error where the status is first seen (isPossibleStatus), so that it is one without an answer that may have run: 502 for a request that may run once, another attempt for the others; the connection is closed.

Tried, and not a fault: 000, 099; 102, 103 and 199 before an answer (the answer is passed on) and in place of one (502); 101 with "Upgrade"; 100, for which the HTTP client drops its connection (502, never the 100). /healthz is asked by no part of the program.

--- a/packages/edge/src/PeerCatchUp.ts
+++ b/packages/edge/src/PeerCatchUp.ts
@@ -1,4 +1,4 @@
-import { Agent, request } from 'undici';
+import { request } from 'undici';
 import type { Clock } from '@wisteriapath/model';
 import {
   type EventLog,
@@ -7,6 +7,7 @@
   recordSpanCodec,
   StoreTopic,
 } from '@wisteriapath/fleet';
+import { createTrackedAgent } from '@wisteriapath/response-ends';
 import type EdgeMetrics from './EdgeMetrics';
 import type StoreView from './StoreView';
 
@@ -32,8 +33,9 @@
   /** Topics with a read in progress. */
   private readonly reading = new Set<StoreTopic>();
 
-  private readonly agent = new Agent({
-    connect: { timeout: CONNECT_TIMEOUT_MS },
+  private readonly agent = createTrackedAgent({
+    connections: null,
+    connectTimeoutMs: CONNECT_TIMEOUT_MS,
     maxResponseSize: MAX_RESPONSE_BYTES,
   });
 
--- a/packages/peer/src/HttpInstanceList.ts
+++ b/packages/peer/src/HttpInstanceList.ts
@@ -1,6 +1,7 @@
 import { Just, type Maybe, Nothing } from 'purify-ts';
-import { Agent, request } from 'undici';
+import { request } from 'undici';
 import type { InstanceAddress } from '@wisteriapath/model';
+import { createTrackedAgent } from '@wisteriapath/response-ends';
 import type InstanceListPort from './InstanceListPort';
 
 const REQUEST_TIMEOUT_MS = 1_000;
@@ -8,7 +9,10 @@
 
 /** A client of the platform's instance list, by the HTTP protocol of docs/platform.md. */
 class HttpInstanceList implements InstanceListPort {
-  private readonly agent = new Agent({ connect: { timeout: REQUEST_TIMEOUT_MS } });
+  private readonly agent = createTrackedAgent({
+    connections: null,
+    connectTimeoutMs: REQUEST_TIMEOUT_MS,
+  });
 
   constructor(private readonly baseUrl: string) {}
 
--- a/packages/response-ends/src/TrackedClient.ts
+++ b/packages/response-ends/src/TrackedClient.ts
@@ -2,8 +2,10 @@
 import { Client, type Dispatcher } from 'undici';
 import ConnectionEnd from './ConnectionEnd';
 import type ConnectionHistory from './ConnectionHistory';
+import ImpossibleStatusError from './ImpossibleStatusError';
 import type TrackedDispatchOptions from './TrackedDispatchOptions';
-import watchHandover from './watchHandover';
+import isPossibleStatus from './isPossibleStatus';
+import watchExchange from './watchExchange';
 
 interface Options extends Omit<Client.Options, 'connect' | 'pipelining'> {
   readonly connectTimeoutMs: number;
@@ -11,7 +13,8 @@
 
 /**
  * An HTTP client with one connection and one exchange at a time, which tells what its connection carried and how it ended. It replaces
- * the connection before an exchange that must not go over it.
+ * the connection before an exchange that must not go over it. An answer with a status that none can have ends its exchange without an
+ * answer (`ImpossibleStatusError`), and closes its connection.
  *
  * @example
  * new Pool(origin, { factory: (url) => new TrackedClient(url, { connectTimeoutMs: 500 }) });
@@ -48,14 +51,19 @@
     return super.dispatch(options, this.tracked(options, handler));
   }
 
-  /** Returns a handler that is otherwise the given one, and records the exchange when it is handed to a connection. */
+  /** Returns a handler that is otherwise the given one, records the exchange when it is handed to a connection, and believes no impossible status. */
   private tracked(
     { connectionUse, exchangeId }: TrackedDispatchOptions,
     handler: Dispatcher.DispatchHandler,
   ): Dispatcher.DispatchHandler {
-    return watchHandover(handler, () => {
-      connectionUse?.begin(this, exchangeId);
-      this.history.record(exchangeId);
+    return watchExchange(handler, {
+      onHandover: () => {
+        connectionUse?.begin(this, exchangeId);
+        this.history.record(exchangeId);
+      },
+      onStatus: (status) => {
+        if (!isPossibleStatus(status)) throw new ImpossibleStatusError(status);
+      },
     });
   }
 }
