A demand report that is none does not keep the placer from planning

Fix: it is read as a heartbeat is (readDemandReport): one that lacks what the placer goes on working with is dropped with `peer_datagram_unreadable`, and the report before it stays. What is checked is what DemandAggregator and the placer use; `leftMs` may be missing, or below 0.

In peers.test.ts startPeers takes any handlers in place of that of heartbeats; no check changed.

--- a/packages/fleet/src/Peers.ts
+++ b/packages/fleet/src/Peers.ts
@@ -17,7 +17,9 @@
 import heartbeatRecipients from './heartbeatRecipients';
 import type RecordSpan from './RecordSpan';
 import type SuspectMessage from './SuspectMessage';
+import readDemandReport from './readDemandReport';
 import readHeartbeat from './readHeartbeat';
+import readRelayedTargets from './readRelayedTargets';
 import recordSpanCodec from './recordSpanCodec';
 
 interface Options {
@@ -348,19 +350,15 @@
     const { handlers } = this.parts;
     const table: Record<PeerMessageKind, () => void> = {
       [PeerMessageKind.Heartbeat]: () => this.receiveHeartbeat(readHeartbeat(payload)),
-      [PeerMessageKind.Demand]: () => handlers.demand(payload),
+      [PeerMessageKind.Demand]: () => handlers.demand(readDemandReport(payload)),
       [PeerMessageKind.Placement]: () => handlers.placement(payload as PlacementUpdate[]),
-      [PeerMessageKind.Targets]: () => this.receiveTargets(payload),
+      [PeerMessageKind.Targets]: () => handlers.targets(...readRelayedTargets(payload)),
       [PeerMessageKind.Suspects]: () => handlers.suspects(payload),
       [PeerMessageKind.LeavingTargets]: () => handlers.leavingTargets(payload),
     };
     table[kind]?.();
   }
 
-  private receiveTargets([sender, bytes]: readonly [string, Uint8Array]): void {
-    this.parts.handlers.targets(recordSpanCodec.decode(bytes), sender);
-  }
-
   private receiveHeartbeat(heartbeat: Heartbeat): void {
     const { member } = heartbeat;
     const known = this.peers.get(member.name);
--- a/packages/fleet/test/peers.test.ts
+++ b/packages/fleet/test/peers.test.ts
@@ -3,10 +3,12 @@
 import { encode } from '@msgpack/msgpack';
 import { systemClock } from '@wisteriapath/model';
 import {
+  DemandAggregator,
   type Heartbeat,
   type HeartbeatContent,
   HeartbeatKind,
   type MemberRecord,
+  type PeerHandlers,
   PeerMessageKind,
   Peers,
 } from '../src';
@@ -54,7 +56,7 @@
 const startPeers = async (
   member: MemberRecord,
   port: number,
-  onHeartbeat: (heartbeat: Heartbeat) => void = () => {},
+  handlers: Partial<PeerHandlers> = {},
 ): Promise<Peers> => {
   const isPlacer = member.name.endsWith('0');
   const content: HeartbeatContent = {
@@ -83,12 +85,13 @@
       log: { event: () => {} },
       heartbeatContent: () => content,
       handlers: {
-        heartbeat: onHeartbeat,
+        heartbeat: () => {},
         demand: () => {},
         placement: () => {},
         targets: () => {},
         suspects: () => {},
         leavingTargets: () => {},
+        ...handlers,
       },
     },
   );
@@ -100,7 +103,9 @@
   const port = await freePort();
   const [self, peer] = MEMBERS;
   const heard: number[] = [];
-  const peers = await startPeers(self, port, ({ number }) => heard.push(number));
+  const peers = await startPeers(self, port, {
+    heartbeat: ({ number }) => heard.push(number),
+  });
   const socket = createSocket('udp4');
   const send = (number: number) =>
     socket.send(encode([1, PeerMessageKind.Heartbeat, heartbeatOf(peer, number)]), port, self.host);
@@ -129,7 +134,9 @@
   const port = await freePort();
   const [self, peer, other] = MEMBERS;
   const heard: string[] = [];
-  const peers = await startPeers(self, port, ({ member }) => heard.push(member.name));
+  const peers = await startPeers(self, port, {
+    heartbeat: ({ member }) => heard.push(member.name),
+  });
   const socket = createSocket('udp4');
   const send = (heartbeat: object) =>
     socket.send(encode([1, PeerMessageKind.Heartbeat, heartbeat]), port, self.host);
@@ -148,6 +155,59 @@
   }
 });
 
+const POOL = 'engines';
+const DEMAND = {
+  pool: POOL,
+  model: 'm',
+  adapter: null,
+  waiting: 1,
+  waitedMs: 0,
+  latencyTargetMs: 200,
+};
+const REPORT = { waiting: [DEMAND], rates: [], unreachable: [], running: [] };
+
+test.each([
+  { what: 'a number for its list', report: { waiting: 7 } },
+  { what: 'an entry that is none', report: { waiting: [null] } },
+  { what: 'a count that is none', report: { waiting: [{ ...DEMAND, waiting: 'x' }] } },
+  { what: 'a time that is none', report: { waiting: [{ ...DEMAND, leftMs: 'x' }] } },
+  { what: 'a time that is no number', report: { waiting: [{ ...DEMAND, leftMs: NaN }] } },
+  { what: 'a count beyond all', report: { waiting: [{ ...DEMAND, waiting: Infinity }] } },
+  { what: 'an adapter that is none', report: { waiting: [{ ...DEMAND, adapter: 5 }] } },
+  { what: 'no engines out of reach', report: { unreachable: null } },
+  { what: 'rates that are none', report: { rates: 7 } },
+  { what: 'a rate below 0', report: { rates: [[POOL, 'm', '', -1]] } },
+  { what: 'a rate without its model', report: { rates: [[POOL, 1]] } },
+  { what: 'no running requests', report: { running: undefined } },
+  { what: 'running requests that are none', report: { running: [7] } },
+  { what: 'nothing at all', report: null },
+])('a demand report with $what leaves planning as it was', async ({ report }) => {
+  const port = await freePort();
+  const [self, peer, other] = MEMBERS;
+  const aggregator = new DemandAggregator(systemClock);
+  const heard: string[] = [];
+  const peers = await startPeers(self, port, {
+    demand: (received) => {
+      aggregator.record(received);
+      heard.push(received.instance);
+    },
+  });
+  const socket = createSocket('udp4');
+  const send = (payload: unknown) =>
+    socket.send(encode([1, PeerMessageKind.Demand, payload]), port, self.host);
+  try {
+    send(report === null ? null : { ...REPORT, instance: other.host, ...report });
+    send({ ...REPORT, instance: peer.host });
+    const deadlineMs = Date.now() + 5_000;
+    while (!heard.includes(peer.host) && Date.now() < deadlineMs) await systemClock.sleep(20);
+    expect(heard).toEqual([peer.host]);
+    expect(aggregator.snapshot(POOL).waiting).toEqual([DEMAND]);
+  } finally {
+    socket.close();
+    peers.stop();
+  }
+});
+
 test('an instance that is unknown to all others discovers all placers', async () => {
   const port = await freePort();
   const early = MEMBERS.slice(0, -1);
