An engine that comes back under its id is not judged by the load of the one before

Seen: an engine that starts anew under its id, with another `born`, began with what TargetLoads kept of the one before: requests in progress, the load it had reported, failures, the pause after a connection that did not open. So it was chosen less often, or not at all, until these had decayed (up to 1.2 s, or for as long as requests to the one before hung), and was reported to the placer as out of reach.

Cause: loads were kept by id, whereas TargetTable, the run questions and the orders know the start, too.

Fix: a load belongs to the life that the table knew when it began; another life is read as one without a load and begins with its own. A request of the life before ends on the load that it began with. What is known of a target whose entry is gone stays as it was, as its requests may go on.

Left: ColdTargetLimiter keeps its tokens by id, which allows less than it may, never more.

--- a/packages/edge/src/Edge.ts
+++ b/packages/edge/src/Edge.ts
@@ -123,7 +123,7 @@
     this.demand = new DemandAggregator(clock);
     const instances = () => this.peers.instanceCount(PEER_SPENDING_TIMEOUT_MS);
     this.rates = new ModelRates(clock);
-    this.loads = new TargetLoads(clock);
+    this.loads = new TargetLoads(clock, this.table);
     this.demandReporter = new DemandReporter({
       clock,
       instance: options.member.host,
--- a/packages/edge/src/TargetLoads.ts
+++ b/packages/edge/src/TargetLoads.ts
@@ -1,9 +1,11 @@
 import type { Clock } from '@wisteriapath/model';
-import type { RegisteredTarget } from '@wisteriapath/fleet';
+import type { RegisteredTarget, TargetTable } from '@wisteriapath/fleet';
 import type TargetReservation from './TargetReservation';
 
-/** The state kept for one target. */
+/** The state kept for one life of a target. */
 interface Load {
+  /** Start of the target by its entry; undefined if it was not known. */
+  readonly bornMs: number | undefined;
   /** Requests of this instance in progress, by `model/adapter`. */
   readonly running: Map<string, number>;
   /** The requests that have not received response headers, with the time at which they were sent. */
@@ -33,11 +35,18 @@
 const CONNECT_BACKOFF_MS = 300;
 const MAX_CONNECT_BACKOFF_MS = 1_200;
 
-/** The load and health of targets as this instance observes them. */
+const sumOf = ({ running }: Load): number =>
+  [...running.values()].reduce((sum, count) => sum + count, 0);
+
+/** The load and health of targets as this instance observes them. A target that started anew begins without. */
 class TargetLoads {
   private readonly loads = new Map<string, Load>();
 
-  constructor(private readonly clock: Clock) {}
+  constructor(
+    private readonly clock: Clock,
+    /** Tells in which life each target is. */
+    private readonly table: Pick<TargetTable, 'get'>,
+  ) {}
 
   /** Reserves a target for a request, which counts as in progress from now on. */
   reserve(id: string, model: string, adapter: string | null): TargetReservation {
@@ -59,7 +68,7 @@
         load.lastByteAtMs = this.clock.nowMs();
         if (fields.load === null) return;
         const { running, waiting } = fields.load;
-        load.othersLoad = Math.max(0, running + waiting - this.ownRequests(id));
+        load.othersLoad = Math.max(0, running + waiting - sumOf(load));
         load.reportedAtMs = this.clock.nowMs();
       },
       recordData: () => {
@@ -83,16 +92,17 @@
 
   /** Returns the number of requests of this instance in progress at a target. */
   ownRequests(id: string): number {
-    return [...(this.loads.get(id)?.running.values() ?? [])].reduce((sum, count) => sum + count, 0);
+    const load = this.currentOf(id);
+    return load === undefined ? 0 : sumOf(load);
   }
 
   /** Returns the expected fraction of a target's slots in use, plus a penalty for failures; lower is better. */
   cost({ id, slots }: Pick<RegisteredTarget, 'id' | 'slots'>): number {
-    const load = this.loads.get(id);
+    const load = this.currentOf(id);
     if (load === undefined) return 0;
     const nowMs = this.clock.nowMs();
     const others = load.othersLoad * 0.5 ** ((nowMs - load.reportedAtMs) / REPORT_HALF_LIFE_MS);
-    const utilization = (this.ownRequests(id) + others) / Math.max(1, slots);
+    const utilization = (sumOf(load) + others) / Math.max(1, slots);
     const failureRate =
       load.failureRate * 0.5 ** ((nowMs - load.failureRateAtMs) / FAILURE_HALF_LIFE_MS);
     return utilization + failureRate * FAILURE_COST;
@@ -100,13 +110,13 @@
 
   /** Whether requests can be sent: connections can be opened, and responses arrive. */
   isReachable(id: string): boolean {
-    const load = this.loads.get(id);
+    const load = this.currentOf(id);
     return load === undefined || !this.isUnavailable(load);
   }
 
   /** Ids of the targets that cannot be reached or do not respond. */
   get unreachable(): readonly string[] {
-    return [...this.loads].filter(([, load]) => this.isUnavailable(load)).map(([id]) => id);
+    return this.current.filter(([, load]) => this.isUnavailable(load)).map(([id]) => id);
   }
 
   private isUnavailable(load: Load): boolean {
@@ -121,7 +131,7 @@
 
   /** The requests in progress, as `[target, model, adapter or '', count]`. */
   get running(): readonly (readonly [string, string, string, number])[] {
-    return [...this.loads].flatMap(([id, { running }]) =>
+    return this.current.flatMap(([id, { running }]) =>
       [...running].map(([key, count]) => {
         const [model = '', adapter = ''] = key.split('/');
         return [id, model, adapter, count] as const;
@@ -144,10 +154,26 @@
     Object.assign(load, { failureRate, failureRateAtMs: nowMs });
   }
 
+  /** Whether a load is that of a target's life, or of its last one that was known. */
+  private isCurrent(id: string, { bornMs }: Load): boolean {
+    const view = this.table.get(id);
+    return view === undefined || view.entry.bornMs === bornMs;
+  }
+
+  private get current(): readonly (readonly [string, Load])[] {
+    return [...this.loads].filter(([id, load]) => this.isCurrent(id, load));
+  }
+
+  private currentOf(id: string): Load | undefined {
+    const load = this.loads.get(id);
+    return load !== undefined && this.isCurrent(id, load) ? load : undefined;
+  }
+
   private loadOf(id: string): Load {
-    const known = this.loads.get(id);
+    const known = this.currentOf(id);
     if (known !== undefined) return known;
     const load: Load = {
+      bornMs: this.table.get(id)?.entry.bornMs,
       running: new Map(),
       unanswered: new Set(),
       othersLoad: 0,
