An answer with an impossible status is no crash of its target

What it did: since such an answer ended its exchange as a broken connection, so that its request was reported as having crashed the target. A request that three targets answer so, or that shares a part of its prompt with such, would have been held back as suspected, and its answer been a refusal of ours.

Cause: only an exchange that its handler rejects counts as no crash (ExchangeEnd.Rejected); the new error comes from below the handler. In the own protocol it became `broken`, which counts as a crash, too.

Fix: ImpossibleStatusError is a rejected answer to TargetConnections, and `failed` to TargetClient (a target that answered with a failure, and may have run the request), as such statuses were before. If the target refuses connections after it, that is a crash as before.

--- a/packages/edge/src/TargetConnections.ts
+++ b/packages/edge/src/TargetConnections.ts
@@ -2,6 +2,7 @@
 import {
   ConnectionUse,
   framingOf,
+  ImpossibleStatusError,
   ResponseFraming,
   TrackedClient,
   type TrackedDispatchOptions,
@@ -110,7 +111,7 @@
     let errorCode = '';
     const failure = (error: NodeJS.ErrnoException): ExchangeEnd => {
       errorCode = error.code ?? error.name;
-      if (isRejected) return ExchangeEnd.Rejected;
+      if (isRejected || error instanceof ImpossibleStatusError) return ExchangeEnd.Rejected;
       if (isWithheld) return ExchangeEnd.Withheld;
       if (isAborted) return ExchangeEnd.Aborted;
       return connectionUse.mayHaveSent ? ExchangeEnd.Broken : ExchangeEnd.NotSent;
--- a/packages/response-ends/src/index.ts
+++ b/packages/response-ends/src/index.ts
@@ -1,5 +1,6 @@
 export { default as CallerServer } from './CallerServer';
 export { default as ConnectionUse } from './ConnectionUse';
+export { default as ImpossibleStatusError } from './ImpossibleStatusError';
 export { default as ResponseFraming } from './ResponseFraming';
 export { default as TrackedClient } from './TrackedClient';
 export type { default as TrackedDispatchOptions } from './TrackedDispatchOptions';
--- a/packages/routing/src/TargetClient.ts
+++ b/packages/routing/src/TargetClient.ts
@@ -4,6 +4,7 @@
   ConnectionUse,
   createTrackedAgent,
   framingOf,
+  ImpossibleStatusError,
   ResponseFraming,
 } from '@wisteriapath/response-ends';
 import ExchangeFailure from './ExchangeFailure';
@@ -37,6 +38,7 @@
 /** Classifies an error of an exchange whose request may have been sent. */
 const failureOf = (error: unknown): ExchangeFailure => {
   const { code = '', name } = error as NodeJS.ErrnoException;
+  if (error instanceof ImpossibleStatusError) return ExchangeFailure.Failed;
   if (ABORT_ERROR_NAMES.has(name)) return ExchangeFailure.Aborted;
   return SILENCE_ERROR_CODES.has(code) ? ExchangeFailure.Silent : ExchangeFailure.Broken;
 };
