A stopping instance refuses what it can't finish, and serves what fits

What callers saw: streams that were sent up to 2.5 s after SIGTERM began, and were broken off 7.5 s after it. Their callers got half an answer, which is no promise that the request has not run.

Cause: from the signal on until the balancer has turned away (2.6 s) the instance took every request, though it knew when it would break off those in progress. The class: a process at its end takes what it can't finish.

Evidence: platform/test/streamsInStop (built program, grace of 8 s, engines that stream 4 to 8 s, new streams each 0.2 s after SIGTERM) failed on in all three cases: long streams ended with "200, complete: false, 1178 to 1638 bytes, run: true". In plannedStop, a body still under way was refused after 5,504 ms of a grace of 6 s with Retry-After 0.20, although nothing is sent from 2.6 s on; it is refused then now, with 0.

Fix: StopGate compares the expected duration of a request with what is left until requests are broken off, as it arrives, when its body is in, each time a target is chosen, at the last moment before its bytes go out, and before a broken stream goes on at a second engine. Refusals are 503 with Retry-After 0, the connection closes, and the request has not run. The duration is taken from the caller's estimate of the length or the tokens it allows and the pace of recent answers of the model, else of the pool; without a length from the longest recent answer of the route; never longer than its deadline. Streams of which nothing is known are refused, other requests are served by their objective. Each refusal by duration logs stop_refused with its inputs.

After it: every stream of the three cases is whole or refused and has not run; short streams and bookings are all answered 200.

Ruled out: refusing by the deadline alone (callers of streams wait for 10 to 20 s and are served in 2); three in four of the durations where no length is stated (streamsInStop failed: short answers hide long ones).

None expects less.

--- /dev/null
+++ b/packages/edge/src/AnswerPace.ts
@@ -0,0 +1,9 @@
+/** How fast answers come, by one of the lengths that requests state. */
+interface AnswerPace {
+  /** Time until the first event, with the wait in the engine's queue. */
+  readonly startMs: number;
+  /** Time from the first event on for each token of the length that its request states. */
+  readonly msPerToken: number;
+}
+
+export default AnswerPace;
--- /dev/null
+++ b/packages/edge/src/AnswerTimes.ts
@@ -0,0 +1,90 @@
+import type AnswerPace from './AnswerPace';
+import type AnswerTime from './AnswerTime';
+import type AnsweredRequest from './AnsweredRequest';
+import type TokenCounts from './TokenCounts';
+import weightedQuantile from './weightedQuantile';
+
+type Sample = AnswerTime & TokenCounts;
+
+/** Fraction of recent answers that were no slower than what is expected of the next one of known length. */
+const EXPECTED_FRACTION = 0.75;
+/** Answers that are kept for each model, pool and route: the newest. */
+const MAX_SAMPLES = 32;
+/** Answers below which nothing is expected from them. */
+const MIN_SAMPLES = 3;
+/** Models, pools and routes that are kept: those that were answered last. */
+const MAX_KEYS = 1_000;
+
+const modelKey = (pool: string, model: string): string => JSON.stringify(['model', pool, model]);
+const poolKey = (pool: string): string => JSON.stringify(['pool', pool]);
+const routeKey = (route: string): string => JSON.stringify(['route', route]);
+
+const startOf = ({ firstEventMs, totalMs }: Sample): number => firstEventMs ?? totalMs;
+
+const paceOf = (samples: readonly Sample[], length: keyof TokenCounts): AnswerPace | undefined => {
+  const stated = samples.flatMap((sample) => {
+    const tokens = sample[length];
+    if (tokens === null || tokens === 0) return [];
+    const startMs = startOf(sample);
+    return [{ startMs, msPerToken: (sample.totalMs - startMs) / tokens, tokens }];
+  });
+  if (stated.length < MIN_SAMPLES) return undefined;
+  const starts = stated.map(({ startMs }) => ({ value: startMs, weight: 1 }));
+  // A short answer that was held up once must not count as much as a long one.
+  const paces = stated.map(({ msPerToken, tokens }) => ({ value: msPerToken, weight: tokens }));
+  return {
+    startMs: weightedQuantile(starts, EXPECTED_FRACTION)!,
+    msPerToken: weightedQuantile(paces, EXPECTED_FRACTION)!,
+  };
+};
+
+/** How long recent answers took at this instance, by model, pool and route. */
+class AnswerTimes {
+  /** In the order of their newest answers. */
+  private readonly samples = new Map<string, Sample[]>();
+
+  /** Records an answer that has ended. */
+  record(
+    { pool, route, model, outputTokens, estimatedTokens }: AnsweredRequest,
+    time: AnswerTime,
+  ): void {
+    const sample = { ...time, outputTokens, estimatedTokens };
+    this.add(modelKey(pool, model), sample);
+    this.add(poolKey(pool), sample);
+    this.add(routeKey(route), sample);
+  }
+
+  /** Returns the pace of answers of a model by a length that their requests stated; undefined if too few are known. */
+  modelPace(pool: string, model: string, length: keyof TokenCounts): AnswerPace | undefined {
+    return paceOf(this.samplesOf(modelKey(pool, model)), length);
+  }
+
+  /** Returns the pace of answers of all models of a pool; undefined if too few are known. */
+  poolPace(pool: string, length: keyof TokenCounts): AnswerPace | undefined {
+    return paceOf(this.samplesOf(poolKey(pool)), length);
+  }
+
+  /** Returns the time of the longest of a route's recent answers; undefined if too few are known. */
+  longestMs(route: string): number | undefined {
+    const samples = this.samplesOf(routeKey(route));
+    if (samples.length < MIN_SAMPLES) return undefined;
+    return Math.max(...samples.map(({ totalMs }) => totalMs));
+  }
+
+  private samplesOf(key: string): readonly Sample[] {
+    return this.samples.get(key) ?? [];
+  }
+
+  private add(key: string, sample: Sample): void {
+    const samples = this.samples.get(key) ?? [];
+    samples.push(sample);
+    if (samples.length > MAX_SAMPLES) samples.shift();
+    this.samples.delete(key);
+    this.samples.set(key, samples);
+    if (this.samples.size <= MAX_KEYS) return;
+    const [oldestKey] = this.samples.keys();
+    this.samples.delete(oldestKey);
+  }
+}
+
+export default AnswerTimes;
--- a/packages/edge/src/Edge.ts
+++ b/packages/edge/src/Edge.ts
@@ -28,6 +28,7 @@
 import PeerCatchUp from './PeerCatchUp';
 import PoolRetryBudgets from './PoolRetryBudgets';
 import Shutdown from './Shutdown';
+import StopGate from './StopGate';
 import StoreView from './StoreView';
 import TargetConnections from './TargetConnections';
 import TargetLoads from './TargetLoads';
@@ -189,6 +190,8 @@
       desired: () => this.storeView.desired,
       isStopping: () => this.shutdown.hasBegun,
       sendCutoffAtMs: () => this.shutdown.sendCutoffAtMs,
+      sendCutoffSignal: this.shutdown.sendCutoffSignal,
+      stopGate: new StopGate({ clock, log, shutdown: this.shutdown }),
       stopSignal: this.shutdown.finalSignal,
       table: this.table,
       waiting: this.demandReporter.waiting,
--- a/packages/edge/src/EdgeDependencies.ts
+++ b/packages/edge/src/EdgeDependencies.ts
@@ -7,6 +7,7 @@
 import type MemoryBudget from './MemoryBudget';
 import type ModelRates from './ModelRates';
 import type PoolRetryBudgets from './PoolRetryBudgets';
+import type StopGate from './StopGate';
 import type TargetConnections from './TargetConnections';
 import type TargetLoads from './TargetLoads';
 import type TargetProbe from './TargetProbe';
@@ -24,6 +25,10 @@
   readonly isStopping: () => boolean;
   /** Returns the time from which no request is sent to targets, because the process is shutting down. */
   readonly sendCutoffAtMs: () => number;
+  /** Aborts at that time. */
+  readonly sendCutoffSignal: AbortSignal;
+  /** Decides which requests are still served during a shutdown. */
+  readonly stopGate: StopGate;
   /** Aborts at the end of a shutdown, when requests in progress must be answered at once. */
   readonly stopSignal: AbortSignal;
   readonly table: TargetTable;
--- a/packages/edge/src/RequestExecution.ts
+++ b/packages/edge/src/RequestExecution.ts
@@ -26,6 +26,7 @@
 const EXCLUSION_MS = 150;
 const MAX_SENDS = 6;
 const MAX_LOGGED_PARTS = 8;
+const CLIENT_ERROR = 400;
 const PROBE_POLL_INTERVAL_MS = 25;
 /** Outcomes after which the target may have run the request. */
 const POSSIBLY_EXECUTED = new Set([
@@ -34,6 +35,8 @@
   AttemptOutcome.Stalled,
   AttemptOutcome.UnconfirmedRefusal,
 ]);
+/** Outcomes that tell how long answers take: one that its deadline ended took at least as long. */
+const TIMED = new Set([AttemptOutcome.Answered, AttemptOutcome.DeadlineExceeded]);
 /** Outcomes after which no target got the request, so that another attempt is no repeat. */
 const UNSENT = new Set([AttemptOutcome.NotSent, AttemptOutcome.Withheld]);
 /** Fraction of the latency target for which a request waits for a target of a pool of services. */
@@ -59,6 +62,11 @@
 
   private lastTargetId = '';
 
+  /** When the request was first sent to a target, on the monotonic clock; undefined until then. */
+  private firstSentAtMs: number | undefined;
+
+  private stopRefusal: ServeError | undefined;
+
   private lastFailure: TargetAttempt | null = null;
 
   private readonly probe: RequestProbe;
@@ -113,11 +121,13 @@
         onBegun: () => this.probe.recordBegun(),
       });
       const sentAtMs = this.deps.clock.nowMs();
+      this.firstSentAtMs ??= sentAtMs;
       this.sends += 1;
       this.lastTargetId = view.entry.id;
       const outcome = await attempt.run();
       if (outcome === AttemptOutcome.Broken) await this.reportCrash(view, attempt, sentAtMs);
       this.probe.end();
+      this.recordTime(attempt, outcome, sentAtMs);
       if (outcome === AttemptOutcome.Answered) return this.finishAnswered(attempt);
       if (outcome === AttemptOutcome.CallerDisconnected) return this.result(null, 0);
       const result = this.handleFailure(view, attempt, outcome);
@@ -143,11 +153,26 @@
     return this.stopError() ?? this.authorization.denial ?? this.probe.refusal;
   }
 
-  /** Returns a refusal once a shutdown leaves no time to run a request; a stream that has begun may go on. */
+  /** Returns a refusal once a shutdown leaves no time to run the request, or the rest of a stream that has begun. */
   private stopError(): ServeError | undefined {
-    const { clock, sendCutoffAtMs } = this.deps;
-    if (this.caller.hasStarted || clock.nowMs() < sendCutoffAtMs()) return undefined;
-    return ServeError.notExecuted(ErrorKind.Stopping, 'this instance is shutting down');
+    const begunAtMs = this.caller.hasStarted ? this.firstSentAtMs : undefined;
+    this.stopRefusal ??= this.deps.stopGate.refusal(this.request, begunAtMs);
+    return this.stopRefusal;
+  }
+
+  /** Records how long an answer took that one target gave from its beginning, or would have taken at least. */
+  private recordTime(attempt: TargetAttempt, outcome: AttemptOutcome, sentAtMs: number): void {
+    if (this.executions > 0 || !TIMED.has(outcome) || attempt.statusCode >= CLIENT_ERROR) return;
+    const { pool, route, fields } = this.request;
+    const { model, outputTokens, estimatedTokens } = fields;
+    const { firstEventAtMs } = attempt;
+    this.deps.stopGate.recordAnswer(
+      { pool: pool.name, route: route.name, model, outputTokens, estimatedTokens },
+      {
+        firstEventMs: firstEventAtMs === undefined ? null : firstEventAtMs - sentAtMs,
+        totalMs: this.deps.clock.nowMs() - sentAtMs,
+      },
+    );
   }
 
   /** Waits while another request with the same suspected traits is being tried. */
--- a/packages/edge/src/RequestFields.ts
+++ b/packages/edge/src/RequestFields.ts
@@ -1,5 +1,7 @@
+import type TokenCounts from './TokenCounts';
+
 /** The metadata of a caller's request, read from its headers. */
-interface RequestFields {
+interface RequestFields extends TokenCounts {
   /** Host without port, in lower case; empty if absent. */
   readonly host: string;
   /** Id of the caller's attempt; empty if absent. */
--- a/packages/edge/src/Shutdown.ts
+++ b/packages/edge/src/Shutdown.ts
@@ -24,11 +24,15 @@
 class Shutdown {
   private readonly controller = new AbortController();
 
+  private readonly cutoffController = new AbortController();
+
   private cutoffAtMs = Infinity;
 
+  private finalAtMs = Infinity;
+
   constructor(private readonly parts: Parts) {
     // Each request in progress listens to it.
-    setMaxListeners(0, this.controller.signal);
+    setMaxListeners(0, this.controller.signal, this.cutoffController.signal);
   }
 
   get hasBegun(): boolean {
@@ -40,6 +44,16 @@
     return this.cutoffAtMs;
   }
 
+  /** Aborts at that time. */
+  get sendCutoffSignal(): AbortSignal {
+    return this.cutoffController.signal;
+  }
+
+  /** Time at which requests in progress must be answered at once, on the monotonic clock; Infinity if the stop has not begun. */
+  get endAtMs(): number {
+    return this.finalAtMs;
+  }
+
   /** Aborts when requests in progress must be answered at once. */
   get finalSignal(): AbortSignal {
     return this.controller.signal;
@@ -51,12 +65,13 @@
     const startedMs = clock.nowMs();
     const acceptingMs = Math.max(0, Math.min(BALANCER_LAG_MS, graceMs - LEAST_REST_MS));
     this.cutoffAtMs = startedMs + acceptingMs;
+    this.finalAtMs = startedMs + graceMs - GRACE_MARGIN_MS;
     await clock.sleep(acceptingMs);
+    this.cutoffController.abort();
     listeners.forEach((listener) => listener.stopAccepting());
-    const endMs = startedMs + graceMs - GRACE_MARGIN_MS;
-    await this.finishRequests(listeners, endMs);
+    await this.finishRequests(listeners, this.finalAtMs);
     this.controller.abort();
-    await this.finishRequests(listeners, endMs + FINAL_ANSWERS_MS);
+    await this.finishRequests(listeners, this.finalAtMs + FINAL_ANSWERS_MS);
   }
 
   /** Waits until no request is in progress, until `endMs` at the latest. */
--- /dev/null
+++ b/packages/edge/src/StopDecision.ts
@@ -0,0 +1,13 @@
+import type DurationSource from './DurationSource';
+
+/** Whether a request is served during a stop, and why. */
+interface StopDecision {
+  readonly isServed: boolean;
+  /** How long the request, or the rest of its stream, is expected to take. */
+  readonly expectedMs: number;
+  /** What is left until requests in progress are broken off; Infinity if no stop has begun. */
+  readonly leftMs: number;
+  readonly source: DurationSource;
+}
+
+export default StopDecision;
--- a/packages/edge/src/admit.ts
+++ b/packages/edge/src/admit.ts
@@ -39,9 +39,8 @@
   fields: RequestFields,
   arrivedMs: number,
 ): Promise<Either<ServeError, AdmittedRequest>> => {
-  if (deps.clock.nowMs() >= deps.sendCutoffAtMs()) {
-    return notRun(ErrorKind.Stopping, 'this instance is shutting down');
-  }
+  const lateRefusal = deps.stopGate.lateRefusal();
+  if (lateRefusal !== undefined) return Left(lateRefusal);
   const state = deps.desired();
   if (state === undefined) return notRun(ErrorKind.NoTarget, 'no desired state is known yet', 500);
   const { request } = exchange;
@@ -49,21 +48,26 @@
   const allowed = authorize(state, fields, path);
   if (allowed.isLeft()) return Left(allowed.extract());
   const { route, workspace } = allowed.unsafeCoerce();
+  const pool = state.pools.get(choosePool(route, Math.random()) ?? '');
+  if (pool === undefined) return notRun(ErrorKind.RouteIncomplete, 'the route has no pool');
+  const deadlineAtMs = arrivedMs + Math.min(fields.deadlineMs ?? Infinity, route.timeoutMs);
+  const timed = { route, pool, fields, deadlineAtMs };
+  const stopRefusal = deps.stopGate.refusal(timed);
+  if (stopRefusal !== undefined) return Left(stopRefusal);
   const read = await readBody(request, {
     limitBytes: state.limits.maxBodyBytes,
     memory: exchange.bodyMemory,
-    stopSignal: deps.stopSignal,
+    stopSignal: deps.sendCutoffSignal,
   });
   if (read.isLeft()) return Left(read.extract());
   const body = read.unsafeCoerce();
+  const refusalAfterBody = deps.stopGate.refusal(timed);
+  if (refusalAfterBody !== undefined) return Left(refusalAfterBody);
   const traits = traitsOf(workspace?.name ?? '', path, body, fields.sharedParts);
   const { decision, waitMs: suspectWaitMs } = deps.suspects.check(traits);
   if (decision === SuspectDecision.Refused) return Left(suspectError(suspectWaitMs));
-  const pool = state.pools.get(choosePool(route, Math.random()) ?? '');
-  if (pool === undefined) return notRun(ErrorKind.RouteIncomplete, 'the route has no pool');
   const waitMs = workspace === null ? 0 : deps.limits.admit(workspace, unitsOf(workspace, fields));
   if (waitMs > 0) return notRun(ErrorKind.OverRate, 'the workspace is over its rate', waitMs);
-  const deadlineAtMs = arrivedMs + Math.min(fields.deadlineMs ?? Infinity, route.timeoutMs);
   const firstEventDeadlineAtMs = Math.min(deadlineAtMs, arrivedMs + firstEventWaitMs(route));
   return Right({
     state,
--- a/packages/edge/src/readBody.ts
+++ b/packages/edge/src/readBody.ts
@@ -7,6 +7,7 @@
   readonly limitBytes: number;
   /** Holds the bytes of the body, which may have to give way until all of them have arrived. */
   readonly memory: MemoryReservation;
+  /** Aborts when a body that has not arrived is too late. */
   readonly stopSignal: AbortSignal;
 }
 
@@ -26,7 +27,7 @@
     let size = 0;
     const onStop = () => {
       const message = 'this instance stopped before the end of the body';
-      settle(Left(ServeError.notExecuted(ErrorKind.Stopping, message)));
+      settle(Left(ServeError.notExecuted(ErrorKind.Stopping, message, 0)));
     };
     stopSignal.addEventListener('abort', onStop);
     const reservation = memory;
