--- a/packages/edge/src/Shutdown.ts
+++ b/packages/edge/src/Shutdown.ts
@@ -27,11 +27,15 @@
 class Shutdown {
   private readonly controller = new AbortController();
 
+  private readonly cutoffController = new AbortController();
+
   private cutoffAtMs = Infinity;
 
+  private finalAtMs = Infinity;
+
   constructor(private readonly parts: Parts) {
     // Each request in progress listens to it.
-    setMaxListeners(0, this.controller.signal);
+    setMaxListeners(0, this.controller.signal, this.cutoffController.signal);
   }
 
   get hasBegun(): boolean {
@@ -43,6 +47,16 @@
     return this.cutoffAtMs;
   }
 
+  /** Aborts at that time. */
+  get sendCutoffSignal(): AbortSignal {
+    return this.cutoffController.signal;
+  }
+
+  /** Time at which requests in progress must be answered at once, on the monotonic clock; Infinity if the stop has not begun. */
+  get endAtMs(): number {
+    return this.finalAtMs;
+  }
+
   /** Aborts when requests in progress must be answered at once. */
   get finalSignal(): AbortSignal {
     return this.controller.signal;
@@ -54,11 +68,12 @@
     const startedMs = clock.nowMs();
     const sendingMs = Math.max(0, Math.min(BALANCER_LAG_MS, graceMs - LEAST_REST_MS));
     this.cutoffAtMs = startedMs + sendingMs;
+    this.finalAtMs = startedMs + graceMs - GRACE_MARGIN_MS;
     await clock.sleep(sendingMs);
-    const endMs = startedMs + graceMs - GRACE_MARGIN_MS;
-    await this.finishRequests(endMs);
+    this.cutoffController.abort();
+    await this.finishRequests(this.finalAtMs);
     this.controller.abort();
-    const limitMs = endMs + FINAL_ANSWERS_MS;
+    const limitMs = this.finalAtMs + FINAL_ANSWERS_MS;
     await Promise.all(listeners.map((listener) => listener.finish(clock, limitMs)));
     await this.finishRequests(limitMs);
   }
