The program is two files: signals are handled before the rest is loaded

Cause: a signal without a handler ends a process, and the handlers were set by the first statement of one file of 1.2 MB, which Node.js reads and compiles as a whole before. The class: the first moment of a life had no owner.

Now target/wisteriapath.cjs is a file of 3 kB that sets the handlers, refuses an old Node.js, and loads all the rest from a second file beside it.

The files never belong to two builds: the second is named after its content and is in place before the first, which names it, is renamed; the second file of the program before stays until the next build.

--- a/tools/buildProgram.mjs
+++ b/tools/buildProgram.mjs
@@ -1,5 +1,14 @@
 /** Builds the program, and puts it in place once it has been checked. */
-import { chmodSync, mkdirSync, readdirSync, renameSync, rmSync, writeFileSync } from 'node:fs';
+import {
+  chmodSync,
+  existsSync,
+  mkdirSync,
+  readFileSync,
+  readdirSync,
+  renameSync,
+  rmSync,
+  writeFileSync,
+} from 'node:fs';
 import { join } from 'node:path';
 import BuildError from './BuildError.mjs';
 import checkProgram from './checkProgram.mjs';
@@ -17,7 +26,7 @@
 const READABLE_FOLDER_MODE = 0o755;
 
 /** What a build leaves that is killed. */
-const LEFT_BEHIND = /^(npm-cache|wisteriapath\.\d+\.cjs)$/;
+const LEFT_BEHIND = /^(npm-cache|(wisteriapath|program)\.\d+\.cjs)$/;
 
 /** Runs a step that writes files; an error names the step. */
 const place = (act) => {
@@ -28,6 +37,13 @@
   }
 };
 
+/** Writes a file that the user who runs the program can read, and puts it in place whole. */
+const writeWhole = (path, unwrittenPath, text) => {
+  writeFileSync(unwrittenPath, text);
+  chmodSync(unwrittenPath, READABLE_MODE);
+  renameSync(unwrittenPath, path);
+};
+
 /** Creates the folder of the program, and a first file in it. The mode of a folder that is there stays. */
 const preparePlace = () => {
   const created = mkdirSync(paths.folder, { recursive: true });
@@ -36,38 +52,63 @@
   chmodSync(paths.uncheckedProgram, READABLE_MODE);
 };
 
-/** Removes all but the program, that of killed builds too; only one build at a time works in a checkout. */
-const removeTemporary = () =>
+/** Returns the names of the second files that the program in place loads: one, or none if there is no program. */
+const secondNamesInPlace = () =>
+  existsSync(paths.program)
+    ? (readFileSync(paths.program, 'utf8').match(paths.secondNames) ?? [])
+    : [];
+
+const isSecondName = (name) => name.match(paths.secondNames)?.[0] === name;
+
+/**
+ * Removes all but the program, that of killed builds too; only one build at a time works in a checkout.
+ *
+ * @param kept The second files that stay, beside that of the program in place.
+ */
+const removeTemporary = (kept) => {
+  const needed = new Set([...kept, ...secondNamesInPlace()]);
   readdirSync(paths.folder)
-    .filter((name) => LEFT_BEHIND.test(name))
+    .filter((name) => LEFT_BEHIND.test(name) || (isSecondName(name) && !needed.has(name)))
     .forEach((name) => rmSync(join(paths.folder, name), { recursive: true, force: true }));
+};
 
-const bundle = () =>
-  runStep('bundle', process.execPath, ['tools/bundle.mjs'], {
+const bundle = async () => {
+  const output = await runStep('bundle', process.execPath, ['tools/bundle.mjs'], {
     timeoutMs: timeouts.bundleMs,
     reasonIn: lastLine,
   });
+  return JSON.parse(output);
+};
 
+const placeSecond = ({ second, secondName }) =>
+  writeWhole(join(paths.folder, secondName), paths.unwrittenSecond, second);
+
+/** Puts the second file in place, which no program in place loads yet, checks the first one, and resolves to both. */
 const bundleAndCheck = async () => {
-  const program = await bundle();
-  place(() => writeFileSync(paths.uncheckedProgram, program));
+  const files = await bundle();
+  place(() => {
+    placeSecond(files);
+    writeFileSync(paths.uncheckedProgram, files.first);
+  });
   await checkProgram(paths.uncheckedProgram);
+  return files;
 };
 
 /** Installs all packages and tries once more if the program cannot be made from those in place. */
 const bundleInstalled = async () => {
   try {
-    await bundleAndCheck();
+    return await bundleAndCheck();
   } catch (error) {
     if (!INSTALL_MAY_HELP.includes(error.step)) throw error;
     console.error(`build: packages are installed, as of ${error.message}`);
     await installPackages();
-    await bundleAndCheck();
+    return bundleAndCheck();
   }
 };
 
 /**
- * Resolves once the program is in place. If that fails, the program built before stays.
+ * Resolves once the program is in place, by one rename: that of its first file. If that fails, the program built before stays.
+ * The second file of the program built before stays too, for a process that has begun with its first file.
  *
  * @example
  * await buildProgram();
@@ -76,11 +117,16 @@
  */
 const buildProgram = async () => {
   place(preparePlace);
+  const before = secondNamesInPlace();
   try {
-    await bundleInstalled();
-    place(() => renameSync(paths.uncheckedProgram, paths.program));
+    const files = await bundleInstalled();
+    place(() => {
+      // A build beside this one, where builds take no turns, may have taken it for one that nothing loads.
+      placeSecond(files);
+      renameSync(paths.uncheckedProgram, paths.program);
+    });
   } finally {
-    removeTemporary();
+    removeTemporary(before);
   }
 };
 
