--- a/packages/daemon/src/startInstance.ts
+++ b/packages/daemon/src/startInstance.ts
@@ -202,8 +202,7 @@
   const operators = await listen(settings.listen.operators, operatorApi.app.callback());
   logger.info({ callers: callers.url, operators: operators.url, peers: peerAddress }, 'started');
 
-  const stop = async (): Promise<void> => {
-    if (isStopping) return;
+  const stopOnce = async (): Promise<void> => {
     isStopping = true;
     logger.info({}, 'stopping');
     await components.clock.sleep(settings.shutdown.balancer_lag_ms);
@@ -214,6 +213,11 @@
     peers.close();
     logger.info({}, 'stopped');
   };
+  let stopped: Promise<void> | undefined;
+  const stop = (): Promise<void> => {
+    stopped ??= stopOnce();
+    return stopped;
+  };
   return { callersUrl: callers.url, operatorsUrl: operators.url, peerAddress, stop };
 };
 
--- a/tools/bundle.mjs
+++ b/tools/bundle.mjs
@@ -34,6 +34,7 @@
     logLevel: 'warning',
     alias: {
       '@wisteriapath/model': './packages/model/src/index.ts',
+      '@wisteriapath/process-signals': './packages/process-signals/src/index.ts',
       '@wisteriapath/response-ends': './packages/response-ends/src/index.ts',
       '@wisteriapath/suspects': './packages/suspects/src/index.ts',
       '@wisteriapath/fleet': './packages/fleet/src/index.ts',
