One loop writes what is left before a process ends, for the log and for the last error

What it did: writeError and LineLog.close were two loops over one kind of output, and writeError still counted time by the clock. A process that stood still while its standard error was full gave up at once when it went on, and its last error was lost: the only word of why it did not start.

Cause: the time in which a process could run was introduced in LineLog.close alone.

Fix: OutputWriter holds what is unwritten, tries again, and finishes within 0.2 s of running time; LineLog and writeError use it. Else no change: what LineLog drops, counts and schedules stays.

In that file the start of a script is shared by two functions now (standard output or standard error); no check changed.

TargetLoads uses `sum` of packages/model in place of a sum of its own.

--- a/packages/edge/src/LineLog.ts
+++ b/packages/edge/src/LineLog.ts
@@ -1,37 +1,35 @@
-import { setTimeout as sleep } from 'node:timers/promises';
 import { stringify } from 'logfmt';
 import type { EventLog } from '@wisteriapath/fleet';
 import type LogOutput from './LogOutput';
-import afterRunningTime from './afterRunningTime';
+import OutputWriter from './OutputWriter';
 import openLogOutput from './openLogOutput';
 
 const FLUSH_INTERVAL_MS = 100;
 /** Size of the buffer beyond which lines are dropped and counted. */
 const MAX_BUFFERED_BYTES = 262_144;
-/** Time, in which this process could run, for which `close` tries to write what is buffered. */
-const CLOSE_TIMEOUT_MS = 200;
-const CLOSE_POLL_INTERVAL_MS = 5;
-const NO_BYTES = Buffer.alloc(0);
 
 /** An event log that writes one logfmt line for each event to standard output, outside of request handling. */
 class LineLog implements EventLog {
   private lines: string[] = [];
 
-  /** Bytes of lines whose write is in progress, or is to be tried again. */
-  private unwritten: Buffer = NO_BYTES;
-
   private bufferedBytes = 0;
 
   private droppedLines = 0;
 
-  private isWriting = false;
-
   private timer: NodeJS.Timeout | undefined;
 
+  private readonly writer: OutputWriter;
+
   constructor(
     private readonly instance: string,
-    private readonly output: LogOutput = openLogOutput(),
-  ) {}
+    output: LogOutput = openLogOutput(),
+  ) {
+    this.writer = new OutputWriter(output, {
+      hasText: () => this.lines.length > 0,
+      take: () => this.takeLines(),
+      onWritten: () => this.countBuffered(),
+    });
+  }
 
   /** Adds a line to the buffer; drops it if the buffer is full. */
   event(name: string, fields: Readonly<Record<string, string | number | boolean>>): void {
@@ -48,21 +46,9 @@
 
   /** Writes the buffered lines, before the process exits. Gives up if nobody reads them. */
   async close(): Promise<void> {
-    let isOver = false;
-    const cancel = afterRunningTime(CLOSE_TIMEOUT_MS, () => {
-      isOver = true;
-    });
-    this.flush();
-    while (this.hasBuffered && !isOver) {
-      await sleep(CLOSE_POLL_INTERVAL_MS);
-      this.flush();
-    }
-    cancel();
+    await this.writer.finish();
     clearTimeout(this.timer);
-  }
-
-  private get hasBuffered(): boolean {
-    return this.lines.length > 0 || this.unwritten.length > 0;
+    this.timer = undefined;
   }
 
   private schedule(): void {
@@ -70,41 +56,26 @@
   }
 
   private flush(): void {
-    clearTimeout(this.timer);
     this.timer = undefined;
-    if (this.isWriting || !this.hasBuffered) return;
-    if (this.unwritten.length === 0) this.unwritten = this.takeLines();
-    this.isWriting = true;
-    this.writeUnwritten();
+    this.writer.flush();
   }
 
-  private takeLines(): Buffer {
+  private takeLines(): string {
     if (this.droppedLines > 0) {
       const count = this.droppedLines;
       this.droppedLines = 0;
       const fields = { instance: this.instance, event: 'lines_left_out', count };
       this.lines.push(`${stringify(fields)}\n`);
     }
-    const bytes = Buffer.from(this.lines.join(''));
+    const text = this.lines.join('');
     this.lines = [];
-    return bytes;
+    return text;
   }
 
-  private writeUnwritten(): void {
-    this.output.write(this.unwritten, (error, writtenBytes) => {
-      // There is no other place to report the error.
-      this.unwritten = error === null ? this.unwritten.subarray(writtenBytes) : NO_BYTES;
-      if (writtenBytes > 0 && this.unwritten.length > 0) {
-        this.writeUnwritten();
-        return;
-      }
-      this.isWriting = false;
-      this.bufferedBytes = this.lines.reduce(
-        (sum, line) => sum + line.length,
-        this.unwritten.length,
-      );
-      if (this.hasBuffered) this.schedule();
-    });
+  private countBuffered(): void {
+    const { writer, lines } = this;
+    this.bufferedBytes = lines.reduce((size, line) => size + line.length, writer.unwrittenBytes);
+    if (!writer.isDone) this.schedule();
   }
 }
 
--- a/packages/edge/src/TargetLoads.ts
+++ b/packages/edge/src/TargetLoads.ts
@@ -1,4 +1,4 @@
-import type { Clock } from '@wisteriapath/model';
+import { type Clock, sum } from '@wisteriapath/model';
 import type { RegisteredTarget, TargetTable } from '@wisteriapath/fleet';
 import type TargetReservation from './TargetReservation';
 
@@ -35,8 +35,7 @@
 const CONNECT_BACKOFF_MS = 300;
 const MAX_CONNECT_BACKOFF_MS = 1_200;
 
-const sumOf = ({ running }: Load): number =>
-  [...running.values()].reduce((sum, count) => sum + count, 0);
+const requestsOf = ({ running }: Load): number => sum([...running.values()]);
 
 /** The load and health of targets as this instance observes them. A target that started anew begins without. */
 class TargetLoads {
@@ -68,7 +67,7 @@
         load.lastByteAtMs = this.clock.nowMs();
         if (fields.load === null) return;
         const { running, waiting } = fields.load;
-        load.othersLoad = Math.max(0, running + waiting - sumOf(load));
+        load.othersLoad = Math.max(0, running + waiting - requestsOf(load));
         load.reportedAtMs = this.clock.nowMs();
       },
       recordData: () => {
@@ -93,7 +92,7 @@
   /** Returns the number of requests of this instance in progress at a target. */
   ownRequests(id: string): number {
     const load = this.currentOf(id);
-    return load === undefined ? 0 : sumOf(load);
+    return load === undefined ? 0 : requestsOf(load);
   }
 
   /** Returns the expected fraction of a target's slots in use, plus a penalty for failures; lower is better. */
@@ -102,7 +101,7 @@
     if (load === undefined) return 0;
     const nowMs = this.clock.nowMs();
     const others = load.othersLoad * 0.5 ** ((nowMs - load.reportedAtMs) / REPORT_HALF_LIFE_MS);
-    const utilization = (sumOf(load) + others) / Math.max(1, slots);
+    const utilization = (requestsOf(load) + others) / Math.max(1, slots);
     const failureRate =
       load.failureRate * 0.5 ** ((nowMs - load.failureRateAtMs) / FAILURE_HALF_LIFE_MS);
     return utilization + failureRate * FAILURE_COST;
--- a/packages/edge/test/logOutput.test.ts
+++ b/packages/edge/test/logOutput.test.ts
@@ -1,5 +1,5 @@
 /** The log of a process keeps its lines whole and in order, bounded, and blocks nothing, whatever its output is. */
-import { type ChildProcess, spawn, spawnSync } from 'node:child_process';
+import { type ChildProcess, spawn, spawnSync, type StdioOptions } from 'node:child_process';
 import {
   closeSync,
   constants,
@@ -81,10 +81,9 @@
     }
   };
 
-  /** Runs a script whose standard output is the pipe; returns how it ended, or 'late'. */
-  const run = async (script: string) => {
+  const runWith = async (script: string, stdio: (pipe: number) => StdioOptions) => {
     const output = openSync(path, constants.O_WRONLY);
-    const child = spawn(process.execPath, ['-e', script], { stdio: ['ignore', output, 'inherit'] });
+    const child = spawn(process.execPath, ['-e', script], { stdio: stdio(output) });
     children.add(child);
     closeSync(output);
     const [code, signal] = (await Promise.race([once(child, 'exit'), sleep(LIMIT_MS)])) as [
@@ -94,6 +93,12 @@
     return { code, signal };
   };
 
+  /** Runs a script whose standard output is the pipe; returns how it ended, or 'late'. */
+  const run = (script: string) => runWith(script, (pipe) => ['ignore', pipe, 'inherit']);
+
+  /** Runs a script whose standard error is the pipe. */
+  const runOnError = (script: string) => runWith(script, (pipe) => ['ignore', 'inherit', pipe]);
+
   test('keeps its lines whole and in order where only parts of them are taken', async () => {
     const output = new NarrowOutput();
     const log = new LineLog('one', output);
@@ -147,6 +152,28 @@
     expect(readFileSync(join(folder, 'log'), 'utf8')).toContain('event=tested');
   });
 
+  test('finds room for the last error of a process that stood still meanwhile', async () => {
+    fill(reader);
+    // The room comes a little after the process has stood still for longer than it may try.
+    const script = `
+      process.chdir(${JSON.stringify(COMPILED)});
+      const load = require('node:module').createRequire(process.cwd() + '/main.js');
+      const { closeSync, constants, openSync, readSync } = require('node:fs');
+      load('./writeError').default('the last error').then(() => process.exit(0));
+      const makeRoom = () => {
+        const reader = openSync('${path}', constants.O_RDONLY + constants.O_NONBLOCK);
+        readSync(reader, Buffer.alloc(${2 * CHUNK_BYTES}));
+        closeSync(reader);
+      };
+      setTimeout(() => {
+        const endMs = performance.now() + 600;
+        while (performance.now() < endMs);
+        setTimeout(makeRoom, 60);
+      }, 20);`;
+    expect(await runOnError(script)).toEqual({ code: 0, signal: null });
+    expect(readAll().endsWith('the last error')).toBe(true);
+  });
+
   test.each([
     ["require('./openLogOutput').default(1)", { code: 0, signal: null }],
     [`require('./openLogOutput').default(1, '${NO_FOLDER}')`, { code: 0, signal: null }],
