A stop of an instance that was never ready does not wait for the balancer

The balancer turns away within 2.6 s of the signal, which an instance waits for while it goes on sending requests to targets. One that never told anybody that it is ready has nothing to wait for: its failed start, or its stop, now ends as soon as what it holds is answered.

--- a/packages/edge/src/EdgeListeners.ts
+++ b/packages/edge/src/EdgeListeners.ts
@@ -38,6 +38,8 @@
 
   private hasFailed = false;
 
+  private hasSaidReady = false;
+
   private readonly needed = new PortStates();
 
   constructor(
@@ -51,6 +53,11 @@
     return this.isServing && view.isLoaded && !deps.isStopping();
   }
 
+  /** Whether the balancer may have been told that the instance is ready. */
+  get isKnownAsReady(): boolean {
+    return this.hasSaidReady;
+  }
+
   /** The ports that serving needs and that are not open, each with its last error; then the self-check. */
   get unopened(): readonly string[] {
     return this.needed.describe();
@@ -82,7 +89,7 @@
     this.needed.expect(SELF_CHECK);
     void this.openMetrics();
     await Promise.all([
-      this.listen(options.readinessAddress, (at) => serveReadiness(at, log, () => this.isReady)),
+      this.listen(options.readinessAddress, (at) => serveReadiness(at, log, () => this.sayReady())),
       this.listen(peerAddress, (at) => serveRecords(at, view, log)),
       this.openNeeded(`${peerAddress}${DATAGRAMS}`, () => peers.start()),
       this.listen(options.callersAddress, (at) => callers.open(at)),
@@ -91,6 +98,11 @@
     this.isServing = !isStopping();
   }
 
+  private sayReady(): boolean {
+    this.hasSaidReady ||= this.isReady;
+    return this.isReady;
+  }
+
   /** Opens the port of the metrics, unless serving needs it. */
   private async openMetrics(): Promise<void> {
     const { host } = this.options.member;
--- a/packages/edge/src/Shutdown.ts
+++ b/packages/edge/src/Shutdown.ts
@@ -62,11 +62,15 @@
     return this.controller.signal;
   }
 
-  /** Finishes the requests in progress, and has the others answered before the grace period ends. */
-  async run(listeners: readonly HttpListener[]): Promise<void> {
+  /**
+   * Finishes the requests in progress, and has the others answered before the grace period ends. Where the balancer was never told
+   * that the instance is ready, nothing waits for it to turn away.
+   */
+  async run(listeners: readonly HttpListener[], isKnownAsReady: boolean): Promise<void> {
     const { clock, graceMs } = this.parts;
     const startedMs = clock.nowMs();
-    const sendingMs = Math.max(0, Math.min(BALANCER_LAG_MS, graceMs - LEAST_REST_MS));
+    const longestMs = Math.max(0, graceMs - LEAST_REST_MS);
+    const sendingMs = isKnownAsReady ? Math.min(BALANCER_LAG_MS, longestMs) : 0;
     this.cutoffAtMs = startedMs + sendingMs;
     this.finalAtMs = startedMs + graceMs - GRACE_MARGIN_MS;
     await clock.sleep(sendingMs);
--- a/packages/edge/test/shutdown.test.ts
+++ b/packages/edge/test/shutdown.test.ts
@@ -15,7 +15,7 @@
     shutdown.finalSignal.addEventListener('abort', () => {
       atMs.final = clock.nowMs();
     });
-    const ended = shutdown.run([]).then(() => {
+    const ended = shutdown.run([], true).then(() => {
       atMs.end = clock.nowMs();
     });
     return { clock, atMs, ended };
@@ -52,4 +52,13 @@
     await ended;
     expect(atMs.end).toBeLessThanOrEqual(4_050);
   });
+
+  test('of an instance that was never ready does not wait for the balancer', async () => {
+    const clock = new VirtualClock();
+    const shutdown = new Shutdown({ clock, graceMs: 6_000, activeRequests: () => 0 });
+    const ended = shutdown.run([], false);
+    expect(shutdown.sendCutoffAtMs).toBe(clock.nowMs());
+    await clock.runUntil(0);
+    await ended;
+  });
 });
