The log that is closed before the exit does not wait for lines that go on to come

Cause: closing wrote as long as there was a line, and each signal adds one, so that it ended by its limit of 0.2 s and with a write in progress; a write to a file is one of the pool, for which Node.js would wait at its exit, and PoolOutput then ends the process by SIGKILL.

Fix: closing takes what there is when it begins and writes nothing that comes later. A write that has not returned after 0.2 s still costs the exit code.

Ruled out: a slow disk (the lines of the last 0.2 s are in the file).

--- a/packages/edge/src/OutputWriter.ts
+++ b/packages/edge/src/OutputWriter.ts
@@ -24,6 +24,9 @@
 
   private isWriting = false;
 
+  /** What `finish` writes behind a write that is in progress; undefined before it is called. */
+  private lastText: Buffer | undefined;
+
   constructor(
     private readonly output: LogOutput,
     private readonly source: TextSource,
@@ -36,31 +39,44 @@
 
   /** Whether there is nothing left to write. */
   get isDone(): boolean {
-    return this.unwritten.length === 0 && !this.source.hasText();
+    const hasText = this.lastText === undefined ? this.source.hasText() : this.lastText.length > 0;
+    return this.unwritten.length === 0 && !hasText;
   }
 
   /** Tries to write what is left, unless a write is in progress. */
   flush(): void {
     if (this.isWriting || this.isDone) return;
-    if (this.unwritten.length === 0) this.unwritten = Buffer.from(this.source.take());
+    if (this.unwritten.length === 0) this.unwritten = this.takeText();
     this.isWriting = true;
     this.writeUnwritten();
   }
 
-  /** Writes all that is left, before the process exits. Gives up if it has found no room for 0.2 s. */
+  /**
+   * Writes all that there is now, before the process exits, and nothing that comes later: a write that is in progress at the exit
+   * may cost its exit code. Gives up if there has been no room for 0.2 s.
+   */
   async finish(): Promise<void> {
     let isOver = false;
     const cancel = afterRunningTime(FINISH_TIMEOUT_MS, () => {
       isOver = true;
     });
+    this.lastText = Buffer.from(this.source.take());
     this.flush();
-    while (!this.isDone && !isOver) {
+    while ((this.isWriting || !this.isDone) && !isOver) {
       await sleep(FINISH_POLL_INTERVAL_MS);
       this.flush();
     }
     cancel();
   }
 
+  /** Returns the next text: that of the source, or the rest of the last one once `finish` has been called. */
+  private takeText(): Buffer {
+    const { lastText } = this;
+    if (lastText === undefined) return Buffer.from(this.source.take());
+    this.lastText = NO_BYTES;
+    return lastText;
+  }
+
   private writeUnwritten(): void {
     this.output.write(this.unwritten, (error, writtenBytes) => {
       // There is no other place to report the error.
--- a/packages/edge/test/logOutput.test.ts
+++ b/packages/edge/test/logOutput.test.ts
@@ -19,9 +19,12 @@
 import openLogOutput from '../src/openLogOutput';
 import PoolOutput from '../src/PoolOutput';
 import SocketOutput from '../src/SocketOutput';
+import SlowOutput from './support/SlowOutput';
 
 const LIMIT_MS = 10_000;
 const CHUNK_BYTES = 4_096;
+const LINE_INTERVAL_MS = 1;
+const LINES_MS = 30;
 const POLL_INTERVAL_MS = 20;
 const NO_FOLDER = '/nowhere';
 const COMPILED = join(__dirname, '../dist');
@@ -99,6 +102,26 @@
   /** Runs a script whose standard error is the pipe. */
   const runOnError = (script: string) => runWith(script, (pipe) => ['ignore', 'inherit', pipe]);
 
+  test('is closed though lines go on to come, with all that came before and no write in progress', async () => {
+    const output = new SlowOutput();
+    const log = new LineLog('one', output);
+    let lines = 0;
+    const timer = setInterval(() => {
+      lines += 1;
+      log.event('line', { number: lines });
+    }, LINE_INTERVAL_MS);
+    try {
+      await sleep(LINES_MS);
+      const last = lines;
+      await log.close();
+      expect(output.isWriting).toBe(false);
+      expect(output.text).toContain(`number=${last}\n`);
+      expect(output.text).not.toContain(`number=${lines}\n`);
+    } finally {
+      clearInterval(timer);
+    }
+  });
+
   test('keeps its lines whole and in order where only parts of them are taken', async () => {
     const output = new NarrowOutput();
     const log = new LineLog('one', output);
