A build whose program cannot be read names the step again

Since the program is two files, a build reads the program in place to know its second file. Where that is a folder, or cannot be read, the last line of the build was a line of a stack in place of `build: failed in step place: EISDIR: ...`. The read is now part of the step, and comes before all else, so that such a build leaves what is there.

Test: a folder in the place of the program (programBuild); failed before, with the line of the stack. Run: programBuild, 38 passed.

--- a/tools/buildProgram.mjs
+++ b/tools/buildProgram.mjs
@@ -28,10 +28,10 @@
 /** What a build leaves that is killed. */
 const LEFT_BEHIND = /^(npm-cache|(wisteriapath|program)\.\d+\.cjs)$/;
 
-/** Runs a step that writes files; an error names the step. */
+/** Runs a step that reads or writes files of the program; an error names the step. */
 const place = (act) => {
   try {
-    act();
+    return act();
   } catch (error) {
     throw new BuildError('place', error.message);
   }
@@ -63,14 +63,12 @@
 /**
  * Removes all but the program, that of killed builds too; only one build at a time works in a checkout.
  *
- * @param kept The second files that stay, beside that of the program in place.
+ * @param kept The names of the second files that stay.
  */
-const removeTemporary = (kept) => {
-  const needed = new Set([...kept, ...secondNamesInPlace()]);
+const removeTemporary = (kept) =>
   readdirSync(paths.folder)
-    .filter((name) => LEFT_BEHIND.test(name) || (isSecondName(name) && !needed.has(name)))
+    .filter((name) => LEFT_BEHIND.test(name) || (isSecondName(name) && !kept.includes(name)))
     .forEach((name) => rmSync(join(paths.folder, name), { recursive: true, force: true }));
-};
 
 const bundle = async () => {
   const output = await runStep('bundle', process.execPath, ['tools/bundle.mjs'], {
@@ -116,8 +114,8 @@
  * @throws BuildError that names the step and the reason.
  */
 const buildProgram = async () => {
+  const before = place(secondNamesInPlace);
   place(preparePlace);
-  const before = secondNamesInPlace();
   try {
     const files = await bundleInstalled();
     place(() => {
@@ -126,7 +124,7 @@
       renameSync(paths.uncheckedProgram, paths.program);
     });
   } finally {
-    removeTemporary(before);
+    removeTemporary([...before, ...secondNamesInPlace()]);
   }
 };
 
