A stream of known length is served in a stop by its route's objectives

What callers saw: an instance that was stopped soon after its start refused each stream whose deadline was behind the grace period, also one of four tokens, as it knew no pace yet. Each refusal costs a caller one of its few retries.

Cause: without three recent answers nothing but the deadline was looked at. Fix: a stream of stated length is expected to meet the operator's objectives of its route, for the first event and for the pauses between events, with a token in each event at least. What has been measured goes first, as before.

The rows of stopGate on it failed before (nothing known, not served).

--- a/packages/edge/src/DurationSource.ts
+++ b/packages/edge/src/DurationSource.ts
@@ -10,8 +10,8 @@
   PoolPace = 'pool_pace',
   /** The longest of the recent answers on the same route, where no length is known. */
   RouteLongest = 'route_longest',
-  /** The time within which the operator expects whole answers of the route. */
-  LatencyTarget = 'latency_target',
+  /** The operator's objectives of the route: the time for a whole answer, or for the first event and between events. */
+  Objectives = 'objectives',
   /** The time that is left until the request must have been answered, which is shorter than what the others give. */
   Deadline = 'deadline',
   /** The same time, because nothing else tells. */
--- a/packages/edge/src/expectDuration.ts
+++ b/packages/edge/src/expectDuration.ts
@@ -24,6 +24,15 @@
   ({ pool, fields }, times) =>
     atPace(times.poolPace(pool.name, length), fields[length]);
 
+/** Each event has a token at least, so that a stream which meets its objectives takes no longer. */
+const byObjectives: Way = ({ route, fields: { estimatedTokens, outputTokens } }) => {
+  const { semantics, latencyTargetMs, gapTargetMs } = route;
+  if (semantics !== RouteSemantics.Stream) return latencyTargetMs;
+  const tokens = estimatedTokens ?? outputTokens;
+  const isKnown = tokens !== null && gapTargetMs > 0;
+  return isKnown ? latencyTargetMs + tokens * gapTargetMs : undefined;
+};
+
 /** The ways to an expectation, the best one first. Each returns a time in milliseconds, or undefined if it does not know. */
 const WAYS: readonly (readonly [DurationSource, Way])[] = [
   [DurationSource.ModelEstimate, byModel('estimatedTokens')],
@@ -31,12 +40,7 @@
   [DurationSource.PoolEstimate, byPool('estimatedTokens')],
   [DurationSource.PoolPace, byPool('outputTokens')],
   [DurationSource.RouteLongest, ({ route }, times) => times.longestMs(route.name)],
-  [
-    DurationSource.LatencyTarget,
-    // For streams it says only when the first event is to come.
-    ({ route: { semantics, latencyTargetMs } }) =>
-      semantics === RouteSemantics.Stream ? undefined : latencyTargetMs,
-  ],
+  [DurationSource.Objectives, byObjectives],
 ];
 
 /**
--- a/packages/edge/test/stopGate.test.ts
+++ b/packages/edge/test/stopGate.test.ts
@@ -20,15 +20,17 @@
   semantics = RouteSemantics.Stream,
   deadlineAtMs = 20_000,
   model = 'm',
+  gapTargetMs = 0,
 }: {
   readonly outputTokens?: number | null;
   readonly estimatedTokens?: number | null;
   readonly semantics?: RouteSemantics;
   readonly deadlineAtMs?: number;
   readonly model?: string;
+  readonly gapTargetMs?: number;
 }): TimedRequest =>
   ({
-    route: { name: 'write', semantics, latencyTargetMs: 300 },
+    route: { name: 'write', semantics, latencyTargetMs: 300, gapTargetMs },
     pool: { name: 'engines' },
     fields: { attemptId: 'a', model, outputTokens, estimatedTokens },
     deadlineAtMs,
@@ -79,6 +81,21 @@
   },
   { what: 'a stream, after too few others', before: [10, 20], request: { outputTokens: 10 } },
   { what: 'a stream of which nothing is known', before: [], request: { outputTokens: 10 } },
+  {
+    what: 'a short stream that fits by the objectives of its route',
+    before: [],
+    request: { outputTokens: 30, gapTargetMs: 200 },
+  },
+  {
+    what: 'a long stream that does not fit by the objectives of its route',
+    before: [],
+    request: { outputTokens: 40, gapTargetMs: 200 },
+  },
+  {
+    what: 'a stream whose objectives are worse than the pace of others',
+    before: LENGTHS,
+    request: { outputTokens: 40, gapTargetMs: 200 },
+  },
   {
     what: 'a stream of which only the deadline is known',
     before: [],
