--- a/packages/edge/src/index.ts
+++ b/packages/edge/src/index.ts
@@ -10,5 +10,6 @@
 export { default as StoreView } from './StoreView';
 export type { default as TargetHeaderInput } from './TargetHeaderInput';
 export { default as afterRunningTime } from './afterRunningTime';
+export { default as listensEverywhere } from './listensEverywhere';
 export { default as portOf } from './portOf';
 export { default as writeError } from './writeError';
