A wait that is no longer needed is ended by one function (no change of behaviour)

The reason that spares the stack trace of an abort stood four times (LoanCall, TurnQueue, WorkspaceBudget, RouteQueue), with its explanation; it is wakeUp in packages/model now. Run: the tests of ledger, placement and admission.

--- a/packages/ledger/src/LoanCall.ts
+++ b/packages/ledger/src/LoanCall.ts
@@ -1,11 +1,8 @@
-import type { Clock } from '@wisteriapath/model';
+import { type Clock, wakeUp } from '@wisteriapath/model';
 import type BorrowerAccount from './BorrowerAccount';
 import type BudgetSyncReply from './BudgetSyncReply';
 import type LoanRequest from './LoanRequest';
 
-/** Reason of an expected abort. The default reason is an exception, which costs a stack trace. */
-const EXPECTED_ABORT_REASON = 'ended';
-
 interface Parts {
   readonly account: BorrowerAccount;
   readonly clock: Clock;
@@ -58,7 +55,7 @@
     const answered = new AbortController();
     const timeout = this.parts.clock.sleep(durationMs, answered.signal).then(() => undefined);
     const reply = await Promise.race([this.underWay, timeout]);
-    answered.abort(EXPECTED_ABORT_REASON);
+    wakeUp(answered);
     return reply;
   }
 
--- a/packages/ledger/src/TurnQueue.ts
+++ b/packages/ledger/src/TurnQueue.ts
@@ -1,7 +1,4 @@
-import type { Clock, Deadline } from '@wisteriapath/model';
-
-/** Reason of an expected abort. The default reason is an exception, which costs a stack trace. */
-const EXPECTED_ABORT_REASON = 'ended';
+import { type Clock, type Deadline, wakeUp } from '@wisteriapath/model';
 
 /** Lets callers run one after the other, in the order in which they asked. */
 class TurnQueue {
@@ -24,7 +21,7 @@
       return true;
     }
     const came = new AbortController();
-    const waiter = () => came.abort(EXPECTED_ABORT_REASON);
+    const waiter = () => wakeUp(came);
     this.waiters.add(waiter);
     await this.clock.sleep(deadline.remainingMs(), came.signal);
     this.waiters.delete(waiter);
--- a/packages/ledger/src/WorkspaceBudget.ts
+++ b/packages/ledger/src/WorkspaceBudget.ts
@@ -1,5 +1,5 @@
 import { type Either, Left, Right } from 'purify-ts';
-import { type Clock, type Deadline, ErrorKind, ServeError, sum } from '@wisteriapath/model';
+import { type Clock, type Deadline, ErrorKind, ServeError, sum, wakeUp } from '@wisteriapath/model';
 import type BudgetSyncReply from './BudgetSyncReply';
 import type BorrowerAccount from './BorrowerAccount';
 import LoanCall from './LoanCall';
@@ -7,8 +7,6 @@
 import type Reservation from './Reservation';
 import TurnQueue from './TurnQueue';
 
-/** Reason of an expected abort. The default reason is an exception, which costs a stack trace. */
-const EXPECTED_ABORT_REASON = 'ended';
 const MAX_RETRY_DELAY_MS = 400;
 const MIN_RETRY_DELAY_MS = 20;
 /** Longest wait for one home before the next one is asked too. */
@@ -144,7 +142,7 @@
   }
 
   private onLoanCallEnded(): void {
-    this.wakeUpController.abort(EXPECTED_ABORT_REASON);
+    wakeUp(this.wakeUpController);
     // Tokens for which nobody waits any more are returned by the refreshes.
     if (this.parts.accounts.some((account) => account.hasOutstandingTokens)) this.startRefreshing();
   }
--- a/packages/model/src/index.ts
+++ b/packages/model/src/index.ts
@@ -20,6 +20,7 @@
 export { default as TableName } from './TableName';
 export type { default as Target } from './Target';
 export { default as TargetKind } from './TargetKind';
+export { default as wakeUp } from './wakeUp';
 export type { default as WorkspaceKey } from './WorkspaceKey';
 export type { default as Workspace } from './Workspace';
 export type { default as Zone } from './Zone';
--- a/packages/placement/src/RouteQueue.ts
+++ b/packages/placement/src/RouteQueue.ts
@@ -1,6 +1,6 @@
 import { FairQueue, type QueueItem } from '@wisteriapath/admission';
 import { type Either, Left, Right } from 'purify-ts';
-import { type Clock, ErrorKind, ServeError } from '@wisteriapath/model';
+import { type Clock, ErrorKind, ServeError, wakeUp } from '@wisteriapath/model';
 import type SlotLeaseReply from './SlotLeaseReply';
 import DemandCounter from './DemandCounter';
 import HeldTarget from './HeldTarget';
@@ -14,8 +14,6 @@
 /** Slots that are requested beyond the number of waiting and running requests. */
 const SPARE_SLOTS = 1;
 const RENEWALS_PER_TERM = 3;
-/** Reason of an expected abort. The default reason is an exception, which costs a stack trace. */
-const EXPECTED_ABORT_REASON = 'ended';
 
 interface Parts {
   readonly routeName: string;
@@ -78,7 +76,7 @@
         ...request,
         deadlineAtMs: this.parts.clock.nowMs() + request.deadline.remainingMs(),
         settle: (result) => {
-          settledController.abort(EXPECTED_ABORT_REASON);
+          wakeUp(settledController);
           this.waiters.delete(waiter);
           this.queue.remove(waiter);
           if (result.isLeft()) this.demands.remove(waiter.workspace);
@@ -104,7 +102,7 @@
   }
 
   private startRenewing(): void {
-    this.wakeUpController.abort(EXPECTED_ABORT_REASON);
+    wakeUp(this.wakeUpController);
     if (this.isRenewing) return;
     this.isRenewing = true;
     void this.renewWhileBusy();
@@ -267,7 +265,7 @@
   private onReleased({ workspace }: Waiter): void {
     this.demands.remove(workspace);
     this.assignSlots();
-    if (this.demand() === 0) this.wakeUpController.abort(EXPECTED_ABORT_REASON);
+    if (this.demand() === 0) wakeUp(this.wakeUpController);
   }
 }
 
