The end of a process does not wait for log lines that go on coming

SIGHUP came each ms until the process was gone, each writing `settings_read`; `stopped` was logged 4.41 s after `stopping`, the last line 198 ms after `stopped`, then came SIGKILL.

Cause of these 198 ms: the log closed when it was empty, which it never was while lines came, so its end always took its whole 0.2 s, of the 0.3 s that a stop leaves between its last answers and SIGKILL.

Fix: the end waits for the text that is there when it begins, no longer for what comes meanwhile. Such lines may be missing at the end, as those that came after it were before.

Not shown: that this alone would have saved that stop.

--- a/packages/edge/src/OutputWriter.ts
+++ b/packages/edge/src/OutputWriter.ts
@@ -24,6 +24,9 @@
 
   private isWriting = false;
 
+  /** How often text has been taken from the source. */
+  private takes = 0;
+
   constructor(
     private readonly output: LogOutput,
     private readonly source: TextSource,
@@ -42,25 +45,36 @@
   /** Tries to write what is left, unless a write is in progress. */
   flush(): void {
     if (this.isWriting || this.isDone) return;
-    if (this.unwritten.length === 0) this.unwritten = Buffer.from(this.source.take());
+    if (this.unwritten.length === 0) this.take();
     this.isWriting = true;
     this.writeUnwritten();
   }
 
-  /** Writes all that is left, before the process exits. Gives up if it has found no room for 0.2 s. */
+  /**
+   * Writes all that is there now, before the process exits, but does not wait for text that comes meanwhile. Gives up if it has found
+   * no room for 0.2 s.
+   */
   async finish(): Promise<void> {
+    const lastTake = this.source.hasText() ? this.takes + 1 : this.takes;
+    const isWritten = () =>
+      this.takes > lastTake || (this.takes === lastTake && this.unwritten.length === 0);
     let isOver = false;
     const cancel = afterRunningTime(FINISH_TIMEOUT_MS, () => {
       isOver = true;
     });
     this.flush();
-    while (!this.isDone && !isOver) {
+    while (!isWritten() && !isOver) {
       await sleep(FINISH_POLL_INTERVAL_MS);
       this.flush();
     }
     cancel();
   }
 
+  private take(): void {
+    this.takes += 1;
+    this.unwritten = Buffer.from(this.source.take());
+  }
+
   private writeUnwritten(): void {
     this.output.write(this.unwritten, (error, writtenBytes) => {
       // There is no other place to report the error.
--- a/packages/edge/test/logOutput.test.ts
+++ b/packages/edge/test/logOutput.test.ts
@@ -23,6 +23,9 @@
 const LIMIT_MS = 10_000;
 const CHUNK_BYTES = 4_096;
 const POLL_INTERVAL_MS = 20;
+const WRITE_MS = 10;
+/** Time for which the log tries to write what it has where there is no room. */
+const CLOSE_LIMIT_MS = 200;
 const NO_FOLDER = '/nowhere';
 const COMPILED = join(__dirname, '../dist');
 
@@ -130,6 +133,24 @@
     expect(text.length).toBeLessThan(400_000);
   });
 
+  test('does not wait at its end for lines that go on coming', async () => {
+    const texts: string[] = [];
+    const log = new LineLog('one', {
+      write: (bytes, done) => {
+        texts.push(bytes.toString());
+        setTimeout(done, WRITE_MS, null, bytes.length);
+      },
+    });
+    log.event('before', {});
+    const more = setInterval(() => log.event('meanwhile', {}), 1);
+    const startMs = performance.now();
+    await log.close();
+    const tookMs = performance.now() - startMs;
+    clearInterval(more);
+    expect(texts.join('')).toContain('event=before');
+    expect(tookMs).toBeLessThan(CLOSE_LIMIT_MS / 2);
+  });
+
   test('opens a pipe again, and uses it as a socket where it cannot', () => {
     const descriptor = openSync(path, constants.O_WRONLY);
     expect(openLogOutput(descriptor)).toBeInstanceOf(NonBlockingOutput);
