--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -47,6 +47,8 @@
 export type { default as RegisteredTarget } from './RegisteredTarget';
 export { default as RouteSemantics } from './RouteSemantics';
 export { default as runLoop } from './runLoop';
+export { default as comparePositions } from './comparePositions';
+export type { default as StorePosition } from './StorePosition';
 export type { default as StoreFollower } from './StoreFollower';
 export { default as StoreTopic } from './StoreTopic';
 export { default as TopicReplica } from './TopicReplica';
