A fencing token is an era and an offset; what an older copy of the lease says proves nothing

Cause: the token was the offset of the record that took the lease, plus one, and offsets are given out again. Besides, a candidate took a lease at once that the copy showed empty, released or as its own, and a holder went on whatever era answered it.

Why the change works: the token is era * 2^32 + offset + 1, in the era that the store stated for the append. A position of one era belongs to one record. Records say in which era their writer meant to append them; only what was written in the present era proves that nobody holds the lease (leaseClaimOf), else a candidate waits as for a holder that does not respond. An append carried out in another era than the one read gives no authority. A holder whose authority has lasted until an answer of the new era has no successor (each has to wait for longer than the authority lasts), so it keeps token and orders and writes its record again; one whose authority has ended gives up, as does one that hears of a later record, or that an engine answers 412 (OrderAnswer.Fenced). A candidate that hears the holder again while it waits starts anew. Heartbeats carry the era (leaseEra; absent: 0).

Tests: leaseAfterReturn plays a return, and two, to each copy of a lease that was released, taken, renewed and taken over, with the last holder in touch, cut off, suspended, without answers, stopped or restarted, and looks at all orders. In copiedOrderAnswers 412 is now Fenced in place of Refused, as strict as before; store.test and lease.test follow the port of the lease, whose stand-in is now one with that of the new tests.

--- a/packages/edge/src/Edge.ts
+++ b/packages/edge/src/Edge.ts
@@ -328,6 +328,7 @@
   private heartbeatContent(kind: HeartbeatKind): HeartbeatContent {
     const usage = this.limits.usage(kind);
     if (kind === HeartbeatKind.Own) this.limits.recordReport(usage);
+    const held = this.lease.isCurrent ? this.lease.position : undefined;
     return {
       member: this.options.member,
       operatorOffset: this.storeView.end(StoreTopic.Operator) ?? 0,
@@ -335,7 +336,8 @@
       reachesStore: this.follower?.isReachable ?? false,
       leavingTargets: this.table.selfDeclaredLeaving,
       suspects: repeatedSuspects(this.suspects),
-      leaseOffset: this.lease.isCurrent ? this.lease.offset : -1,
+      leaseOffset: held?.offset ?? -1,
+      leaseEra: held?.era ?? 0,
       isStopping: this.shutdown.hasBegun,
       usage,
     };
--- a/packages/edge/src/createPeerHandlers.ts
+++ b/packages/edge/src/createPeerHandlers.ts
@@ -4,6 +4,7 @@
   type PeerHandlers,
   type Peers,
   type Placer,
+  heartbeatLease,
   StoreTopic,
   suspectUpdateCodec,
   type TargetTable,
@@ -40,7 +41,8 @@
     const includesOwnUsage = !lease.isCurrent && deps.peers().isOwnUsageIncluded(heartbeat);
     deps.limits.applyHeartbeat(heartbeat, includesOwnUsage);
     const isSameDomain = heartbeat.member.failureDomain === deps.failureDomain;
-    if (isSameDomain && heartbeat.leaseOffset >= 0) lease.observeHolder(heartbeat.leaseOffset);
+    const claimed = isSameDomain ? heartbeatLease(heartbeat) : undefined;
+    if (claimed !== undefined) lease.observeHolder(claimed);
     deps.catchUp.observe(heartbeat);
     // Instances of an earlier build do not say.
     deps.signals.recordFromPeer(heartbeat.leavingTargets ?? []);
--- a/packages/fleet/src/Authority.ts
+++ b/packages/fleet/src/Authority.ts
@@ -4,8 +4,10 @@
   isHeld(): boolean;
   /** Whether orders may be sent now or will be allowed within `withinMs`. */
   isHeldWithin(withinMs: number): boolean;
-  /** Fencing token. Increases with each change of the holder. */
+  /** Fencing token. Increases with each change of the holder, also when the store comes back from an older copy. */
   readonly fence: number;
+  /** Notes that an engine refused a fencing token as it has seen a higher one; the authority of that token ends. */
+  observeFenced(fence: number): void;
   /** Name of the machine that this authority belongs to. */
   readonly holder: string;
 }
--- a/packages/fleet/src/EngineOrderExecutor.ts
+++ b/packages/fleet/src/EngineOrderExecutor.ts
@@ -178,12 +178,17 @@
     const { orderCount } = this;
     if (!authority.isHeld() || !this.isSameIncarnation) return OrderAnswer.Refused;
     if (orderCount === undefined) return OrderAnswer.Conflict;
+    const { holder, fence } = authority;
     const answer = await control.order(this.entry, {
       ...change,
       expectedCount: orderCount,
-      holder: authority.holder,
-      fence: authority.fence,
+      holder,
+      fence,
     });
+    if (answer === OrderAnswer.Fenced) {
+      authority.observeFenced(fence);
+      return OrderAnswer.Refused;
+    }
     const isPossiblyCounted = answer === OrderAnswer.Accepted || answer === OrderAnswer.Unknown;
     if (isPossiblyCounted) this.lastOrderMs = this.parts.clock.nowMs();
     return answer;
--- a/packages/fleet/src/Heartbeat.ts
+++ b/packages/fleet/src/Heartbeat.ts
@@ -16,8 +16,10 @@
   readonly leavingTargets: readonly (readonly [string, number])[];
   /** What is quarantined as it crashes targets; `null` in most heartbeats. */
   readonly suspects: SuspectMessage | null;
-  /** Offset of the lease record under which the sender gives orders; -1 if it gives none. */
+  /** Offset of the lease record under which the sender gives orders; -1 if it gives none. Read it by `heartbeatLease`. */
   readonly leaseOffset: number;
+  /** Era of the store to which that offset belongs; absent from heartbeats of an earlier build. */
+  readonly leaseEra?: number;
   /** Whether the sender is shutting down. */
   readonly isStopping: boolean;
   /** Sequence number. Increases with each heartbeat of one incarnation. */
--- a/packages/fleet/src/Lease.ts
+++ b/packages/fleet/src/Lease.ts
@@ -1,9 +1,16 @@
 import type { Clock } from '@wisteriapath/model';
 import type Authority from './Authority';
 import type EventLog from './EventLog';
+import LeaseClaim from './LeaseClaim';
+import type LeaseContent from './LeaseContent';
+import type LeaseState from './LeaseState';
 import type LeaseStore from './LeaseStore';
 import type Moment from './Moment';
+import type StorePosition from './StorePosition';
 import type WallClock from './WallClock';
+import comparePositions from './comparePositions';
+import fenceOf from './fenceOf';
+import leaseClaimOf from './leaseClaimOf';
 import runLoop from './runLoop';
 
 interface Options {
@@ -30,8 +37,10 @@
 interface Tenure {
   /** Fencing token. */
   readonly fence: number;
-  /** Offset at which the next renewal must be appended. */
-  nextOffset: number;
+  /** Where the next renewal must be appended, in the era of the store in which the lease was last seen to be held. */
+  next: StorePosition;
+  /** When an append at `next` whose outcome is not known was first sent. */
+  unknownSince: Moment | undefined;
   /** Send time of the renewal in force, on the monotonic clock and as time of day. */
   sentMs: number;
   sentWallMs: number;
@@ -57,6 +66,17 @@
 const STORE_RETRY_INTERVAL_MS = 300;
 /** A greater difference between both clocks shows a suspension or a jump of the time of day. */
 const MAX_CLOCK_SKEW_MS = 250;
+/** Why a holder gives up its tenure. */
+enum LossReason {
+  /** The store has a record of another holder. */
+  Record = 'record',
+  /** A peer holds the lease by a later record. */
+  Peer = 'peer',
+  /** An engine has seen a higher fencing token. */
+  Engine = 'engine',
+  /** The store came back from an older copy after the authority of the tenure had ended. */
+  StoreReturned = 'store_returned',
+}
 /** Longest time that an order sent in the last moment of a lease takes to reach its engine. */
 const MAX_ORDER_TRANSIT_MS = 150;
 
@@ -71,12 +91,20 @@
  * other candidates needs contact with half of its peers.
  * A successor waits until the authority of its predecessor has ended, and another `handoverDelayMs`
  * before its first order.
+ *
+ * The store may come back from an older copy, in which the newest records of the lease are gone. A holder whose
+ * authority has lasted until it learns of that has no successor, so it keeps its fencing token and writes its record
+ * again. One whose authority has ended takes the lease anew. For all others, what the copy says proves nothing
+ * (`leaseClaimOf`): they wait as for a holder that does not respond.
  */
 class Lease implements Authority {
   private tenure: Tenure | undefined;
 
   /** Newest known record of another holder, and when it was last known to be the newest. */
-  private observed: { offset: number; atMs: number } | undefined;
+  private observed: { readonly position: StorePosition; readonly atMs: number } | undefined;
+
+  /** Whether this process lost its last tenure, so that no record of its own proves anything. */
+  private hasLostTenure = false;
 
   /**
    * When the holder last sent a heartbeat, or when it could first be missed; on the monotonic
@@ -141,17 +169,31 @@
     return monotonicMs < limitMs && Math.abs(wallMs - monotonicMs) < MAX_CLOCK_SKEW_MS;
   }
 
-  /** Records that a peer claims the lease by the record at `offset`. */
-  observeHolder(offset: number): void {
+  /** Records that a peer claims the lease by the record at `position`. A tenure by an earlier record has ended. */
+  observeHolder(position: StorePosition): void {
     this.lastHolderHeartbeatMs = this.parts.clock.nowMs();
-    if (offset > (this.observed?.offset ?? -1)) {
-      this.observed = { offset, atMs: this.lastHolderHeartbeatMs };
+    this.observeRecord(position);
+    const { tenure } = this;
+    if (tenure === undefined || comparePositions(position, tenure.next) < 0) return;
+    this.lose(tenure, LossReason.Peer);
+  }
+
+  /** Records that an engine refused a fencing token as it has seen a higher one. The tenure of that token has ended. */
+  observeFenced(fence: number): void {
+    if (this.tenure?.fence === fence) this.lose(this.tenure, LossReason.Engine);
+  }
+
+  private observeRecord(position: StorePosition): void {
+    if (this.observed !== undefined && comparePositions(position, this.observed.position) <= 0) {
+      return;
     }
+    this.observed = { position, atMs: this.parts.clock.nowMs() };
   }
 
-  /** Offset of the record by which this machine holds the lease; -1 if it does not hold it. */
-  get offset(): number {
-    return (this.tenure?.nextOffset ?? 0) - 1;
+  /** Position of the newest record of this machine's tenure; `undefined` if it does not hold the lease. */
+  get position(): StorePosition | undefined {
+    const next = this.tenure?.next;
+    return next && { ...next, offset: next.offset - 1 };
   }
 
   /** Renews the lease, or takes it over from an unresponsive holder, until stopped. */
@@ -177,8 +219,14 @@
     this.stopped = true;
     this.tenure = undefined;
     if (tenure === undefined) return;
-    const released = await this.parts.store.append(tenure.nextOffset, this.holderId, true);
-    this.parts.log.event('lease_released', { fence: tenure.fence, stored: String(released) });
+    const answer = await this.parts.store.append(tenure.next, this.content(tenure, true));
+    const stored = String(answer?.isAppended);
+    this.parts.log.event('lease_released', { fence: tenure.fence, stored });
+  }
+
+  private content({ ordersFromMs }: Pick<Tenure, 'ordersFromMs'>, released: boolean): LeaseContent {
+    const isSettled = this.parts.clock.nowMs() >= ordersFromMs;
+    return { holder: this.holderId, released, isSettled };
   }
 
   private get holderId(): string {
@@ -198,32 +246,78 @@
   }
 
   private async renew(tenure: Tenure): Promise<void> {
-    const { clock, wallClock, store, log } = this.parts;
-    const sentMs = clock.nowMs();
-    const sentWallMs = wallClock();
-    const appended = await store.append(tenure.nextOffset, this.holderId, false);
-    if (this.stopped) return;
-    if (appended === true) {
-      Object.assign(tenure, { sentMs, sentWallMs, nextOffset: tenure.nextOffset + 1 });
+    const { clock, store, log } = this.parts;
+    const sent = this.now();
+    const answer = await store.append(tenure.next, this.content(tenure, false));
+    if (this.tenure !== tenure) return;
+    if (answer?.isAppended === true) {
+      const next = { era: answer.era, offset: tenure.next.offset + 1 };
+      if (this.outlasts(tenure, answer.era)) {
+        Object.assign(tenure, { ...sent, next, unknownSince: undefined });
+      }
       return;
     }
+    // Of several appends of unknown outcome, any one may have been carried out.
+    const firstSent = tenure.unknownSince ?? sent;
+    if (answer === undefined) Object.assign(tenure, { unknownSince: firstSent });
     const newest = await store.newest();
+    if (this.tenure !== tenure) return;
     if (newest === undefined) {
       log.event('lease_renewal_unknown', { fence: tenure.fence });
       await clock.sleep(STORE_RETRY_INTERVAL_MS);
       return;
     }
-    if (newest.record?.holder === this.holderId) {
-      // If the append was stored, authority counts from when it was sent. Otherwise the renewal
-      // before it stays in force.
-      const { nextOffset } = newest;
-      const isStored = nextOffset > tenure.nextOffset;
-      Object.assign(tenure, isStored ? { sentMs, sentWallMs, nextOffset } : { nextOffset });
+    this.applyNewest(tenure, newest, firstSent);
+  }
+
+  /** Applies what the store keeps after an append that was refused, or whose answer is not known. */
+  private applyNewest(tenure: Tenure, newest: LeaseState, firstSent: Moment): void {
+    const { era, record, nextOffset } = newest;
+    const next = { era, offset: nextOffset };
+    const isOwn = record?.holder === this.holderId;
+    if (era !== tenure.next.era) {
+      if (!this.outlasts(tenure, era)) return;
+      // A record of an earlier era is a copy. This holder writes its own again at once.
+      if (isOwn || record?.writtenInEra !== era) {
+        Object.assign(tenure, { next, unknownSince: undefined });
+        return;
+      }
+    }
+    if (!isOwn) {
+      this.lose(tenure, LossReason.Record, record?.holder);
       return;
     }
-    log.event('lease_lost', { fence: tenure.fence, holder: newest.record?.holder ?? '' });
+    // If the append was stored, authority counts from when it was sent. Otherwise the renewal
+    // before it stays in force.
+    const isStored = nextOffset > tenure.next.offset;
+    Object.assign(tenure, isStored ? { ...firstSent, next, unknownSince: undefined } : { next });
+  }
+
+  /**
+   * Whether a tenure goes on in the era of an answer. After a return of the store it does if its authority has lasted
+   * until now, as no other machine can have taken the lease before that.
+   */
+  private outlasts(tenure: Tenure, era: number): boolean {
+    if (era === tenure.next.era) return true;
+    if (!this.isCurrent) {
+      this.lose(tenure, LossReason.StoreReturned);
+      return false;
+    }
+    const { fence } = tenure;
+    this.parts.log.event('lease_kept', { fence, era, previous_era: tenure.next.era });
+    return true;
+  }
+
+  /** Ends a tenure. This machine takes the lease again only as after an unresponsive holder. */
+  private lose(tenure: Tenure, reason: LossReason, holder = ''): void {
+    this.parts.log.event('lease_lost', { fence: tenure.fence, holder, reason });
     this.tenure = undefined;
-    this.lastHolderHeartbeatMs = clock.nowMs();
+    this.hasLostTenure = true;
+    this.lastHolderHeartbeatMs = this.parts.clock.nowMs();
+  }
+
+  private now(): Moment {
+    return { sentMs: this.parts.clock.nowMs(), sentWallMs: this.parts.wallClock() };
   }
 
   private async tryTakeover(): Promise<void> {
@@ -233,44 +327,65 @@
     if (rank < 0 || silentMs < HOLDER_TIMEOUT_MS + rank * TAKEOVER_DELAY_PER_RANK_MS) return;
     const newest = await store.newest();
     if (newest === undefined || this.stopped) return;
-    const { record, nextOffset } = newest;
-    const machine = record?.holder.split('#')[0];
-    if (record === null || machine === this.options.machine) {
-      await this.acquire(nextOffset, clock.nowMs());
-    } else if (record.released) {
-      await this.acquire(nextOffset, clock.nowMs() + this.options.handoverDelayMs);
-    } else {
-      await this.takeFromUnresponsiveHolder(record.offset, nextOffset);
-    }
+    const isOwnDoubtful = this.hasLostTenure && newest.record?.holder === this.holderId;
+    const claim = isOwnDoubtful
+      ? LeaseClaim.AfterExpiry
+      : leaseClaimOf(newest, this.options.machine);
+    const take: Record<LeaseClaim, () => Promise<void>> = {
+      [LeaseClaim.AtOnce]: () => this.acquire(newest, clock.nowMs()),
+      [LeaseClaim.AfterHandover]: () => this.acquire(newest, clock.nowMs() + this.handoverMs),
+      [LeaseClaim.AfterExpiry]: () => this.takeFromUnresponsiveHolder(newest),
+    };
+    await take[claim]();
+  }
+
+  /** Least time from the end of another holder's authority to the first order of this one. */
+  private get handoverMs(): number {
+    return this.options.handoverDelayMs + MAX_ORDER_TRANSIT_MS;
   }
 
   /** Takes over once the authority of an unresponsive holder has ended. */
-  private async takeFromUnresponsiveHolder(offset: number, nextOffset: number): Promise<void> {
-    const { clock } = this.parts;
+  private async takeFromUnresponsiveHolder(newest: LeaseState): Promise<void> {
+    const { clock, store } = this.parts;
     const nowMs = clock.nowMs();
-    if (this.observed === undefined || offset > this.observed.offset) {
-      this.observed = { offset, atMs: nowMs };
-    }
+    const position = Lease.positionOf(newest);
+    this.observeRecord(position);
     if (nowMs - this.startedMs < MIN_TAKEOVER_UPTIME_MS) return;
+    const { lastHolderHeartbeatMs } = this;
     const endMs = Math.max(
-      this.observed.atMs + LEASE_DURATION_MS,
-      this.lastHolderHeartbeatMs + CONTACT_VALIDITY_MS,
+      this.observed!.atMs + LEASE_DURATION_MS,
+      lastHolderHeartbeatMs + CONTACT_VALIDITY_MS,
     );
     if (nowMs < endMs) {
       await clock.sleep(endMs - nowMs);
-      const latest = await this.parts.store.newest();
-      if (latest === undefined || latest.record?.offset !== offset) return;
+      const latest = await store.newest();
+      if (latest === undefined) return;
+      if (comparePositions(Lease.positionOf(latest), position) !== 0) return;
+      // The holder has been heard again, and may count on having been heard.
+      if (lastHolderHeartbeatMs !== this.lastHolderHeartbeatMs) return;
     }
-    await this.acquire(nextOffset, endMs + this.options.handoverDelayMs + MAX_ORDER_TRANSIT_MS);
+    await this.acquire(newest, endMs + this.handoverMs);
   }
 
-  private async acquire(at: number, ordersFromMs: number): Promise<void> {
-    const { clock, wallClock, store, log } = this.parts;
-    const sentMs = clock.nowMs();
-    const sentWallMs = wallClock();
-    const appended = await store.append(at, this.holderId, false);
-    if (appended !== true || this.stopped) return;
-    this.tenure = { fence: at + 1, nextOffset: at + 1, sentMs, sentWallMs, ordersFromMs };
+  /** Returns the position of the newest record; its offset is -1 if there is none. */
+  private static positionOf({ era, record }: LeaseState): StorePosition {
+    return { era, offset: record?.offset ?? -1 };
+  }
+
+  private async acquire({ era, nextOffset }: LeaseState, ordersFromMs: number): Promise<void> {
+    const { clock, store, log } = this.parts;
+    const at = { era, offset: nextOffset };
+    const sent = this.now();
+    const answer = await store.append(at, this.content({ ordersFromMs }, false));
+    if (answer?.isAppended !== true || this.stopped) return;
+    if (answer.era !== era) {
+      // What was read before the store came back says nothing about what is there now.
+      log.event('lease_not_taken', { era: answer.era, previous_era: era });
+      return;
+    }
+    const next = { era, offset: nextOffset + 1 };
+    this.tenure = { fence: fenceOf(at), next, unknownSince: undefined, ...sent, ordersFromMs };
+    this.hasLostTenure = false;
     const waitMs = Math.max(0, Math.round(ordersFromMs - clock.nowMs()));
     log.event('lease_taken', { fence: this.fence, first_order_in_ms: waitMs });
   }
--- a/packages/fleet/src/LeaseStore.ts
+++ b/packages/fleet/src/LeaseStore.ts
@@ -1,17 +1,17 @@
-import type LeaseRecord from './LeaseRecord';
+import type LeaseAppend from './LeaseAppend';
+import type LeaseContent from './LeaseContent';
+import type LeaseState from './LeaseState';
+import type StorePosition from './StorePosition';
 
-/** A port to the store that keeps the records of a lease. Its calls never reject. */
+/** A port to the store that keeps the records of a lease. Its calls never reject; the eras of its answers never fall. */
 interface LeaseStore {
+  /** Returns what the store keeps; `undefined` if it does not answer. */
+  newest(): Promise<LeaseState | undefined>;
   /**
-   * Returns the newest record and the offset of the next one; `undefined` if the store does not
-   * answer.
+   * Appends a record if the offset of `at` is still the next one; the store does not compare its era, which is written
+   * into the record. Returns `undefined` if the outcome is unknown.
    */
-  newest(): Promise<{ record: LeaseRecord | null; nextOffset: number } | undefined>;
-  /**
-   * Appends a record if `at` is still the next offset. Returns whether it was appended, or
-   * `undefined` if the outcome is unknown.
-   */
-  append(at: number, holder: string, released: boolean): Promise<boolean | undefined>;
+  append(at: StorePosition, content: LeaseContent): Promise<LeaseAppend | undefined>;
 }
 
 export default LeaseStore;
--- a/packages/fleet/src/OrderAnswer.ts
+++ b/packages/fleet/src/OrderAnswer.ts
@@ -6,7 +6,9 @@
   AlreadyApplied = 'holds',
   /** Another order is in progress, or the expected number of orders differs. */
   Conflict = 'conflict',
-  /** Refused permanently: outdated fencing token, unknown content, or another engine at the address. */
+  /** The engine has seen a higher fencing token: another instance has taken over since. */
+  Fenced = 'fenced',
+  /** Refused permanently: unknown content, or another engine at the address. */
   Refused = 'refused',
   /** There was no answer: the order may have been carried out, or may still be. */
   Unknown = 'unknown',
--- a/packages/fleet/src/Peers.ts
+++ b/packages/fleet/src/Peers.ts
@@ -16,7 +16,10 @@
 import FULL_MESH_MAX_INSTANCES from './fullMeshMaxInstances';
 import heartbeatRecipients from './heartbeatRecipients';
 import type RecordSpan from './RecordSpan';
+import type StorePosition from './StorePosition';
 import type SuspectMessage from './SuspectMessage';
+import heartbeatLease from './heartbeatLease';
+import leaseClaimants from './leaseClaimants';
 import readHeartbeat from './readHeartbeat';
 import recordSpanCodec from './recordSpanCodec';
 
@@ -51,13 +54,11 @@
   isStopping: boolean;
   /** Whether the store answered its last call. */
   reachesStore: boolean;
-  leaseOffset: number;
+  /** Position of the lease record under which it gives orders; `undefined` if it gives none. */
+  lease: StorePosition | undefined;
   /** Number of instances whose usage its heartbeats report. */
   counted: number;
-  /**
-   * Number of the newest heartbeat of this instance, sent as lease holder, that the peer
-   * acknowledged.
-   */
+  /** Number of the newest heartbeat of this instance, sent as lease holder, that the peer acknowledged. */
   ackedNumber: number;
 }
 
@@ -77,10 +78,7 @@
 const SEEDING_PERIOD = 5;
 /** Age up to which the usage that a peer reported counts as current. */
 const USAGE_REPORT_MAX_AGE_MS = 2_000;
-/**
- * Time without a heartbeat after which an instance of the same failure domain is no candidate for
- * its lease.
- */
+/** Time without a heartbeat after which an instance of the same failure domain is no candidate for its lease. */
 const CANDIDATE_TIMEOUT_MS = 1_000;
 /** The same where instances send heartbeats to each other in round-robin order. */
 const ROUND_ROBIN_CANDIDATE_TIMEOUT_MS = 3_000;
@@ -160,9 +158,7 @@
 
   /** The peers that claim a lease, by its failure domain; of several claims the newest counts. */
   get placers(): ReadonlyMap<string, MemberRecord> {
-    const claims = this.livePeers.filter(({ leaseOffset }) => leaseOffset >= 0);
-    claims.sort((one, other) => one.leaseOffset - other.leaseOffset);
-    return new Map(claims.map(({ member }) => [member.failureDomain, member]));
+    return leaseClaimants(this.livePeers);
   }
 
   /** The newest moment at which no other instance can have begun to take over the lease of this one. */
@@ -183,10 +179,9 @@
     if (this.sentHeartbeats.length > MAX_SENT_HEARTBEATS) this.sentHeartbeats.shift();
     const known = [...this.peers.values()];
     const { failureDomain } = this.options;
-    const isPlacer = heartbeatContent(HeartbeatKind.Presence).leaseOffset >= 0;
     const recipients = heartbeatRecipients({
       failureDomain,
-      isPlacer,
+      isPlacer: heartbeatLease(heartbeatContent(HeartbeatKind.Presence)) !== undefined,
       peers: known,
       instances: Math.max(1 + known.length, this.instanceCount(USAGE_REPORT_MAX_AGE_MS)),
       usageAggregator: this.usageAggregator,
@@ -377,10 +372,10 @@
     peer.isStopping = heartbeat.isStopping;
     // Instances of an earlier build do not say.
     peer.reachesStore = heartbeat.reachesStore ?? true;
-    peer.leaseOffset = heartbeat.leaseOffset;
+    peer.lease = heartbeatLease(heartbeat);
     peer.counted = heartbeat.counted;
     const isLocal = member.failureDomain === this.options.failureDomain;
-    if (isLocal && heartbeat.leaseOffset >= 0) this.holderHeard = [member.name, heartbeat.number];
+    if (isLocal && peer.lease !== undefined) this.holderHeard = [member.name, heartbeat.number];
     const [holder, number] = heartbeat.holderHeard;
     if (holder === this.options.name) peer.ackedNumber = Math.max(peer.ackedNumber, number);
     this.announceToPlacers(heartbeat.placers);
@@ -407,7 +402,7 @@
       newestNumber: 0,
       isStopping: false,
       reachesStore: false,
-      leaseOffset: -1,
+      lease: undefined,
       counted: 0,
       ackedNumber: 0,
     };
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -4,6 +4,8 @@
  */
 export { default as assetId } from './assetId';
 export type { default as Authority } from './Authority';
+export { default as fenceOf } from './fenceOf';
+export { default as heartbeatLease } from './heartbeatLease';
 export { default as HeartbeatKind } from './HeartbeatKind';
 export type { default as HeartbeatContent } from './HeartbeatContent';
 export type { default as Heartbeat } from './Heartbeat';
@@ -19,7 +21,12 @@
 export type { default as EngineSpec } from './EngineSpec';
 export type { default as EventLog } from './EventLog';
 export { default as Lease } from './Lease';
+export { default as LeaseClaim } from './LeaseClaim';
+export type { default as LeaseAppend } from './LeaseAppend';
+export type { default as LeaseContent } from './LeaseContent';
+export { default as leaseClaimOf } from './leaseClaimOf';
 export type { default as LeaseRecord } from './LeaseRecord';
+export type { default as LeaseState } from './LeaseState';
 export type { default as LeaseStore } from './LeaseStore';
 export type { default as QuarantineRecord } from './QuarantineRecord';
 export type { default as FleetRecords } from './FleetRecords';
--- a/packages/fleet/test/lease.test.ts
+++ b/packages/fleet/test/lease.test.ts
@@ -3,48 +3,28 @@
  * between the orders of one and the orders of the next.
  */
 import VirtualClock from '@wisteriapath/virtual-clock';
-import { Lease, type LeaseRecord, type LeaseStore } from '../src';
+import { Lease } from '../src';
+import FakeLeaseStore from './support/FakeLeaseStore';
 
 const HANDOVER_DELAY_MS = 3_000;
 
-/** A store with conditional appends that can be made unreachable for single machines. */
-class FakeStore {
-  record: LeaseRecord | null = null;
-
-  private next = 0;
-
-  port(isStoreUnreachable: () => boolean): LeaseStore {
-    return {
-      newest: () =>
-        Promise.resolve(
-          isStoreUnreachable() ? undefined : { record: this.record, nextOffset: this.next },
-        ),
-      append: (at, holder, released) => {
-        if (isStoreUnreachable()) return Promise.resolve(undefined);
-        if (at !== this.next) return Promise.resolve(false);
-        this.record = { holder, offset: at, released };
-        this.next += 1;
-        return Promise.resolve(true);
-      },
-    };
-  }
-}
-
 interface Machine {
   readonly lease: Lease;
-  isStoreUnreachable: boolean;
+  isUnreachable: boolean;
+  losesAppendAnswers: boolean;
   skewMs: number;
   acknowledged: { sentMs: number; sentWallMs: number } | undefined;
 }
 
 const start = (names: readonly string[]) => {
   const clock = new VirtualClock();
-  const store = new FakeStore();
+  const store = new FakeLeaseStore();
   const orders: { machine: string; atMs: number }[] = [];
   const machines = new Map<string, Machine>();
   names.forEach((name, rank) => {
     const machine = {
-      isStoreUnreachable: false,
+      isUnreachable: false,
+      losesAppendAnswers: false,
       skewMs: 0,
       acknowledged: undefined,
     } as unknown as Machine;
@@ -53,7 +33,7 @@
       {
         clock,
         wallClock: () => 1_000_000 + clock.nowMs() + machine.skewMs,
-        store: store.port(() => machine.isStoreUnreachable),
+        store: store.port(machine),
         log: { event: () => {} },
         lastContact: () => machine.acknowledged,
         rank: () => rank,
@@ -73,7 +53,7 @@
         if (lease.isHeld()) orders.push({ machine: name, atMs: clock.nowMs() });
         if (!isConnected || !lease.isCurrent) return;
         machines.forEach((other, otherName) => {
-          if (otherName !== name) other.lease.observeHolder(lease.offset);
+          if (otherName !== name) other.lease.observeHolder(lease.position!);
         });
       });
     }
@@ -101,7 +81,7 @@
   test('passes on after the handover delay when its holder is cut off from store and peers', async () => {
     const { machines, run, minHandoverMs, holders } = start(['one', 'two']);
     await run(3_000);
-    machines.get('one')!.isStoreUnreachable = true;
+    machines.get('one')!.isUnreachable = true;
     await run(9_000, false);
     expect(holders()).toEqual(['one', 'two']);
     expect(minHandoverMs()).toBeGreaterThanOrEqual(HANDOVER_DELAY_MS);
@@ -121,7 +101,7 @@
     await run(3_000);
     const one = machines.get('one')!;
     machines.forEach((machine) => {
-      Object.assign(machine, { isStoreUnreachable: true });
+      Object.assign(machine, { isUnreachable: true });
     });
     for (let passedMs = 0; passedMs < 6_000; passedMs += 200) {
       one.acknowledged = { sentMs: clock.nowMs(), sentWallMs: 1_000_000 + clock.nowMs() };
@@ -135,7 +115,7 @@
     const { clock, machines, run, minHandoverMs, holders } = start(['one', 'two']);
     await run(3_000);
     const one = machines.get('one')!;
-    one.isStoreUnreachable = true;
+    one.isUnreachable = true;
     for (let passedMs = 0; passedMs < 4_000; passedMs += 200) {
       one.acknowledged = { sentMs: clock.nowMs(), sentWallMs: 1_000_000 + clock.nowMs() };
       await run(200);
--- a/packages/fleet/test/placer.test.ts
+++ b/packages/fleet/test/placer.test.ts
@@ -42,7 +42,13 @@
     { failureDomain: 'a', maxConcurrentStoreLoads: 4, weightStoreWindowMs: 5_000 },
     {
       clock,
-      authority: { isHeld: () => isHeld, isHeldWithin: () => isHeld, fence: 1, holder: 'one' },
+      authority: {
+        isHeld: () => isHeld,
+        isHeldWithin: () => isHeld,
+        fence: 1,
+        holder: 'one',
+        observeFenced: () => {},
+      },
       control,
       table,
       demand,
--- a/packages/fleet/test/support/startPlacers.ts
+++ b/packages/fleet/test/support/startPlacers.ts
@@ -94,7 +94,13 @@
         { failureDomain, maxConcurrentStoreLoads: 4, weightStoreWindowMs: 5_000 },
         {
           clock,
-          authority: { isHeld: () => true, isHeldWithin: () => true, fence: 1, holder: 'one' },
+          authority: {
+            isHeld: () => true,
+            isHeldWithin: () => true,
+            fence: 1,
+            holder: 'one',
+            observeFenced: () => {},
+          },
           control,
           table: tables[index],
           demand: aggregators[index],
--- a/packages/trace/src/InstanceView.ts
+++ b/packages/trace/src/InstanceView.ts
@@ -18,7 +18,11 @@
     reachable === 'true' ? 'reachable' : `not reachable (${reason})`,
   ],
   lease_taken: ({ fence }) => ['lease', `held with fence ${fence}`],
-  lease_lost: ({ holder }) => ['lease', `lost to ${holder || 'nobody'}`],
+  lease_kept: ({ fence, era }) => ['lease', `held with fence ${fence} in era ${era}`],
+  lease_lost: ({ holder, reason }) => [
+    'lease',
+    `lost to ${holder || 'nobody'} (${reason ?? 'record'})`,
+  ],
   lease_released: () => ['lease', 'released'],
   target_seen: ({ target, address, leaving }) => [
     targetTopic(target),
