--- a/packages/fleet/src/Lease.ts
+++ b/packages/fleet/src/Lease.ts
@@ -10,6 +10,7 @@
 import type WallClock from './WallClock';
 import comparePositions from './comparePositions';
 import fenceOf from './fenceOf';
+import isCertainLease from './isCertainLease';
 import leaseClaimOf from './leaseClaimOf';
 import runLoop from './runLoop';
 
@@ -62,7 +63,7 @@
 /** Further time that a candidate waits for each candidate ranked before it. */
 const TAKEOVER_DELAY_PER_RANK_MS = 250;
 const POLL_INTERVAL_MS = 100;
-/** Pause after a renewal whose outcome is unknown because the store does not answer. */
+/** Pause after a renewal that the store refused or did not answer. */
 const STORE_RETRY_INTERVAL_MS = 300;
 /** A greater difference between both clocks shows a suspension or a jump of the time of day. */
 const MAX_CLOCK_SKEW_MS = 250;
@@ -252,7 +253,7 @@
     if (this.tenure !== tenure) return;
     if (answer?.isAppended === true) {
       const next = { era: answer.era, offset: tenure.next.offset + 1 };
-      if (this.outlasts(tenure, answer.era)) {
+      if (answer.era === tenure.next.era || this.outlasts(tenure, answer.era)) {
         Object.assign(tenure, { ...sent, next, unknownSince: undefined });
       }
       return;
@@ -267,19 +268,24 @@
       await clock.sleep(STORE_RETRY_INTERVAL_MS);
       return;
     }
+    const { next } = tenure;
     this.applyNewest(tenure, newest, firstSent);
+    // A store that only refuses appends answers at once.
+    if (comparePositions(tenure.next, next) === 0) await clock.sleep(STORE_RETRY_INTERVAL_MS);
   }
 
   /** Applies what the store keeps after an append that was refused, or whose answer is not known. */
   private applyNewest(tenure: Tenure, newest: LeaseState, firstSent: Moment): void {
     const { era, record, nextOffset } = newest;
     const next = { era, offset: nextOffset };
-    const isOwn = record?.holder === this.holderId;
-    if (era !== tenure.next.era) {
+    const isCertain = isCertainLease(newest);
+    const isOwn = isCertain && record?.holder === this.holderId;
+    if (!isCertain || era !== tenure.next.era) {
       if (!this.outlasts(tenure, era)) return;
-      // A record of an earlier era is a copy. This holder writes its own again at once.
-      if (isOwn || record?.writtenInEra !== era) {
-        Object.assign(tenure, { next, unknownSince: undefined });
+      // What is not certain is a copy, or was carried out late. This holder writes its own again at once.
+      if (!isCertain || isOwn) {
+        const isMoved = comparePositions(next, tenure.next) !== 0;
+        Object.assign(tenure, isMoved ? { next, unknownSince: undefined } : { next });
         return;
       }
     }
@@ -294,11 +300,10 @@
   }
 
   /**
-   * Whether a tenure goes on in the era of an answer. After a return of the store it does if its authority has lasted
-   * until now, as no other machine can have taken the lease before that.
+   * Whether a tenure goes on though what the store says does not prove it, as after a return. It does if its authority
+   * has lasted until now, as no other machine can have taken the lease before that.
    */
   private outlasts(tenure: Tenure, era: number): boolean {
-    if (era === tenure.next.era) return true;
     if (!this.isCurrent) {
       this.lose(tenure, LossReason.StoreReturned);
       return false;
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -24,6 +24,7 @@
 export { default as LeaseClaim } from './LeaseClaim';
 export type { default as LeaseAppend } from './LeaseAppend';
 export type { default as LeaseContent } from './LeaseContent';
+export { default as isCertainLease } from './isCertainLease';
 export { default as leaseClaimOf } from './leaseClaimOf';
 export type { default as LeaseRecord } from './LeaseRecord';
 export type { default as LeaseState } from './LeaseState';
--- a/packages/fleet/src/leaseClaimOf.ts
+++ b/packages/fleet/src/leaseClaimOf.ts
@@ -1,8 +1,6 @@
 import LeaseClaim from './LeaseClaim';
 import type LeaseState from './LeaseState';
-
-/** Era of a store that has never come back from an older copy, or does not say; a lease that was never held has it too. */
-const FIRST_ERA = 0;
+import isCertainLease from './isCertainLease';
 
 /**
  * Returns when a machine may take a lease by what the store says of it. Only what was written in the present era of the
@@ -12,9 +10,9 @@
  * @example
  * leaseClaimOf({ era: 2, record: null, nextOffset: 0 }, 'one'); // LeaseClaim.AfterExpiry
  */
-const leaseClaimOf = ({ era, record }: LeaseState, machine: string): LeaseClaim => {
-  const isCertain = (record?.writtenInEra ?? FIRST_ERA) === era;
-  if (!isCertain) return LeaseClaim.AfterExpiry;
+const leaseClaimOf = (state: LeaseState, machine: string): LeaseClaim => {
+  const { record } = state;
+  if (!isCertainLease(state)) return LeaseClaim.AfterExpiry;
   if (record === null) return LeaseClaim.AtOnce;
   const isOwn = record.holder.split('#')[0] === machine;
   if (isOwn && record.isSettled) return LeaseClaim.AtOnce;
--- a/packages/fleet/test/lease.test.ts
+++ b/packages/fleet/test/lease.test.ts
@@ -12,6 +12,7 @@
   readonly lease: Lease;
   isUnreachable: boolean;
   losesAppendAnswers: boolean;
+  holdsAppends: boolean;
   skewMs: number;
   acknowledged: { sentMs: number; sentWallMs: number } | undefined;
 }
@@ -25,6 +26,7 @@
     const machine = {
       isUnreachable: false,
       losesAppendAnswers: false,
+      holdsAppends: false,
       skewMs: 0,
       acknowledged: undefined,
     } as unknown as Machine;
--- a/packages/fleet/test/leaseAfterReturn.test.ts
+++ b/packages/fleet/test/leaseAfterReturn.test.ts
@@ -95,6 +95,22 @@
   expect(Math.max(...gapsMs)).toBe(50);
 });
 
+test('a renewal from before a return that is carried out late does not give a superseded holder its lease back', async () => {
+  const fleet = startLeases({ names: ['one', 'two'], handoverDelayMs: HANDOVER_DELAY_MS });
+  await fleet.run(4_000);
+  fleet.store.returnTo(0);
+  await fleet.run(2_000);
+  const one = fleet.of('one');
+  Object.assign(one, { isUnreachable: true, isSilent: true });
+  await fleet.run(TAKEN_OVER_MS);
+  expect(fleet.holders()).toEqual(['one', 'two']);
+  const late = { holder: 'one#1', released: false, isSettled: true };
+  expect(fleet.store.append({ era: 0, offset: fleet.store.length }, late)).toBe(true);
+  Object.assign(one, { isUnreachable: false });
+  await fleet.run(SETTLED_MS);
+  expect(fleet.faults()).toEqual([]);
+});
+
 test('a takeover carried out in an older copy than the one that was read gives no authority', async () => {
   const fleet = startLeases({ names: ['one', 'two'], handoverDelayMs: HANDOVER_DELAY_MS });
   const append = fleet.store.append.bind(fleet.store);
--- a/packages/fleet/test/support/FakeLeaseStore.ts
+++ b/packages/fleet/test/support/FakeLeaseStore.ts
@@ -6,12 +6,16 @@
   isUnreachable: boolean;
   /** Whether appends are carried out and their answers lost. */
   losesAppendAnswers: boolean;
+  /** Whether appends are under way and not answered, until `carryOutHeld`. */
+  holdsAppends: boolean;
 }
 
 /** A store with conditional appends that can come back from an older copy. */
 class FakeLeaseStore {
   private records: LeaseRecord[] = [];
 
+  private held: { readonly at: StorePosition; readonly content: LeaseContent }[] = [];
+
   /** Rises with each return. */
   era = 0;
 
@@ -33,6 +37,11 @@
     return true;
   }
 
+  /** Carries out the appends that were held, in the order in which they were sent. */
+  carryOutHeld(): void {
+    this.held.splice(0).forEach(({ at, content }) => this.append(at, content));
+  }
+
   port(faults: Faults): LeaseStore {
     const newest = () => ({
       era: this.era,
@@ -43,6 +52,10 @@
       newest: () => Promise.resolve(faults.isUnreachable ? undefined : newest()),
       append: (at, content) => {
         if (faults.isUnreachable) return Promise.resolve(undefined);
+        if (faults.holdsAppends) {
+          this.held.push({ at, content });
+          return Promise.resolve(undefined);
+        }
         const isAppended = this.append(at, content);
         return Promise.resolve(
           faults.losesAppendAnswers ? undefined : { isAppended, era: this.era },
--- a/packages/fleet/test/support/startLeases.ts
+++ b/packages/fleet/test/support/startLeases.ts
@@ -12,6 +12,7 @@
   /** Whether its calls to the store are neither carried out nor answered. */
   isUnreachable: boolean;
   losesAppendAnswers: boolean;
+  holdsAppends: boolean;
   /** Whether no heartbeat of it arrives, nor any at it. */
   isSilent: boolean;
   isStopped: boolean;
@@ -60,6 +61,7 @@
     const machine = {
       isUnreachable: false,
       losesAppendAnswers: false,
+      holdsAppends: false,
       isSilent: false,
       isStopped: false,
       skewMs: 0,
