A specification of the lease with returns of the store, searched in full

leaseSpec: two machines, appends that are carried out late, without an answer or not at all, processes that stand still, restart and release, and at each step a return of the store to any earlier record, with the same offsets given out again. It runs leaseClaimOf, isCertainLease, fenceOf and comparePositions of the library. Invariants: a token never falls, has one holder, and no two holders give orders within the handover delay. Each machine that may gives an order after each step, as an order can only break more.

Contact through peers and heartbeats are not in it; leaseAfterReturn and leaseUnknownAppends play them.

Mutations, each with a counterexample: the offset alone as token (8 steps), records of any era certain (3), an append of another era takes the lease (10), a holder whose authority ended goes on (10), no handover delay (8).

--- a/packages/spec/src/specs.ts
+++ b/packages/spec/src/specs.ts
@@ -2,6 +2,7 @@
 import claimsSpec from './claimsSpec';
 import configSpec from './configSpec';
 import explore from './explore';
+import leaseSpec from './leaseSpec';
 import placerSpec from './placerSpec';
 
 interface SpecCase {
@@ -9,6 +10,11 @@
   readonly run: (maxStates: number) => Exploration;
 }
 
+const ONE_RETURN = { machines: 2, returns: 1, restarts: 1, late: 1, records: 2 };
+/** Two returns with late appends have more states than a test should take. */
+const TWO_RETURNS = { machines: 2, returns: 2, restarts: 1, late: 0, records: 2 };
+const MORE_RECORDS = { machines: 2, returns: 1, restarts: 0, late: 0, records: 3 };
+
 /** The specifications: sound as implemented, and mutations with one rule removed each. */
 const specs: { readonly sound: readonly SpecCase[]; readonly mutations: readonly SpecCase[] } = {
   sound: [
@@ -16,6 +22,9 @@
     { name: 'configuration', run: (max) => explore(configSpec([]), max) },
     { name: 'placer, target checks fencing', run: (max) => explore(placerSpec(true, []), max) },
     { name: 'placer, target ignores fencing', run: (max) => explore(placerSpec(false, []), max) },
+    { name: 'lease, one return', run: (max) => explore(leaseSpec(ONE_RETURN, []), max) },
+    { name: 'lease, more records', run: (max) => explore(leaseSpec(MORE_RECORDS, []), max) },
+    { name: 'lease, two returns', run: (max) => explore(leaseSpec(TWO_RETURNS, []), max) },
   ],
   mutations: [
     {
@@ -50,6 +59,26 @@
       name: 'placer without: freezing of targets that ignore fencing',
       run: (max) => explore(placerSpec(false, ['freezing']), max),
     },
+    {
+      name: 'lease without: the era in a token',
+      run: (max) => explore(leaseSpec(ONE_RETURN, ['era_in_token']), max),
+    },
+    {
+      name: 'lease without: only records of the present era are certain',
+      run: (max) => explore(leaseSpec(ONE_RETURN, ['certain_records']), max),
+    },
+    {
+      name: 'lease without: an append of another era takes no lease',
+      run: (max) => explore(leaseSpec(MORE_RECORDS, ['era_of_append']), max),
+    },
+    {
+      name: 'lease without: a holder whose authority ended gives up at a return',
+      run: (max) => explore(leaseSpec(ONE_RETURN, ['authority_at_return']), max),
+    },
+    {
+      name: 'lease without: the handover delay',
+      run: (max) => explore(leaseSpec(ONE_RETURN, ['handover_wait']), max),
+    },
   ],
 };
 
--- a/packages/spec/test/specs.test.ts
+++ b/packages/spec/test/specs.test.ts
@@ -58,6 +58,31 @@
          "a target's memory is never overcommitted",
          7,
        ],
+       [
+         "lease without: the era in a token",
+         "a fencing token has one holder",
+         8,
+       ],
+       [
+         "lease without: only records of the present era are certain",
+         "no two holders give orders within the handover delay",
+         3,
+       ],
+       [
+         "lease without: an append of another era takes no lease",
+         "no two holders give orders within the handover delay",
+         10,
+       ],
+       [
+         "lease without: a holder whose authority ended gives up at a return",
+         "no two holders give orders within the handover delay",
+         10,
+       ],
+       [
+         "lease without: the handover delay",
+         "no two holders give orders within the handover delay",
+         8,
+       ],
      ]
     `);
   });
