A position in the store is an era and an offset wherever positions are compared

Callers saw, after the store had come back from an older copy: a key that was withdrawn later served until the end of the run, a new route never served, a new or leaving engine unknown until offsets had grown past the old end, and reads that got 410 again and again. The cause: replicas, spans between peers and heartbeats ordered records by their offsets alone, so whatever the store wrote below the end that had been read counted as known.

Replicas, records, spans, their encoding, the query between peers and heartbeats now have a StorePosition, compared as a pair. Into a newer era only a list of all keys leads; an answer or a span of an older era changes nothing. An instance that sees a newer era, in an answer of the store or from a peer, ends the read that waits, lists both topics at once, and serves by what it knew until the lists are in. A 410 is answered by one list. An instance that the store breaks off gets the list from a peer, which answers a position of another era with all keys.

What was known stays until it is written again: a desired state by its version, a target by the number of its entry, a target that was removed by its life. What the copy lacks is settled as after an outage, and a failure domain out of service stays out for as long. store_era_changed says the eras and what was read again; the metric is store_era.

A position that another instance is said to have read up to is dropped once a read of the store that began later found nothing there, so an absurd one keeps nobody reading; positions that the store itself does not have, without a newer era, are forgotten with one list.

Heartbeats and spans keep their fields and get the era as one more, which instances of an earlier build leave out: era 0.

--- a/packages/edge/src/Edge.ts
+++ b/packages/edge/src/Edge.ts
@@ -7,6 +7,7 @@
   type HeartbeatContent,
   HeartbeatKind,
   Lease,
+  packHeartbeatEnds,
   Peers,
   type Placer,
   type StoreFollower,
@@ -114,6 +115,7 @@
       decoder: ports.decoder,
       log,
       settlingMs: () => this.follower?.settlingMs ?? 0,
+      recoveryMs: () => this.follower?.recoveryMs ?? 0,
       onDesiredState: ({ limits }) => this.callers.setLimits(limits),
       onTargetsRemoved: () => this.dropRemovedTargets(),
       relayTargets: (span) => {
@@ -227,6 +229,7 @@
       version: () => this.storeView.desired?.version ?? 0,
       targets: () => this.table.size,
       targetsAgeMs: () => this.clock.nowMs() - this.storeView.confirmedAtMs(StoreTopic.Targets),
+      storeEra: () => this.storeView.era,
       isLeaseHeld: () => this.lease.isHeld(),
       instances: () => this.peers.instanceCount(PEER_SPENDING_TIMEOUT_MS),
       quarantinedTraits: () => this.suspects.quarantinedCount,
@@ -330,8 +333,7 @@
     if (kind === HeartbeatKind.Own) this.limits.recordReport(usage);
     return {
       member: this.options.member,
-      operatorOffset: this.storeView.end(StoreTopic.Operator) ?? 0,
-      targetsOffset: this.storeView.end(StoreTopic.Targets) ?? 0,
+      ...packHeartbeatEnds((topic) => this.storeView.end(topic)),
       reachesStore: this.follower?.isReachable ?? false,
       leavingTargets: this.table.selfDeclaredLeaving,
       suspects: repeatedSuspects(this.suspects),
--- a/packages/edge/src/PeerCatchUp.ts
+++ b/packages/edge/src/PeerCatchUp.ts
@@ -1,10 +1,13 @@
 import { Agent, request } from 'undici';
 import type { Clock } from '@wisteriapath/model';
 import {
+  comparePositions,
   type EventLog,
   type Heartbeat,
+  heartbeatEnds,
   type RecordSpan,
   recordSpanCodec,
+  type StorePosition,
   StoreTopic,
 } from '@wisteriapath/fleet';
 import type EdgeMetrics from './EdgeMetrics';
@@ -23,6 +26,7 @@
 const CONNECT_TIMEOUT_MS = 500;
 const MAX_RESPONSE_BYTES = 16 * 1_024 * 1_024;
 const OK = 200;
+const START: StorePosition = { era: 0, offset: 0 };
 
 /**
  * Reads from peers what they know of the platform's store and this instance does not, so that an instance that the
@@ -43,10 +47,13 @@
     private readonly deps: Dependencies,
   ) {}
 
-  /** Compares a peer's offsets with this instance's, and reads from the peer what is missing. */
-  observe({ member, operatorOffset, targetsOffset }: Heartbeat): void {
-    void this.catchUp(StoreTopic.Operator, operatorOffset, member.host, member.name);
-    void this.catchUp(StoreTopic.Targets, targetsOffset, member.host, member.name);
+  /** Compares a peer's positions with this instance's, and reads from the peer what is missing. */
+  observe(heartbeat: Heartbeat): void {
+    const ends = heartbeatEnds(heartbeat);
+    const { host, name } = heartbeat.member;
+    Object.values(StoreTopic).forEach((topic) => {
+      void this.catchUp(topic, ends[topic], host, name);
+    });
   }
 
   /** Ends reads in progress and closes all connections. */
@@ -56,14 +63,14 @@
 
   private async catchUp(
     topic: StoreTopic,
-    offset: number,
+    end: StorePosition,
     host: string,
     peer: string,
   ): Promise<void> {
     const { clock, view, log, metrics } = this.deps;
-    const isBehind = () => offset > (view.end(topic) ?? 0);
+    const isBehind = () => comparePositions(end, view.end(topic) ?? START) > 0;
     if (!isBehind() || this.reading.has(topic)) return;
-    view.observeEnd(topic, offset);
+    view.observeEnd(topic, end);
     this.reading.add(topic);
     try {
       await clock.sleep(READ_DELAY_MS);
@@ -80,7 +87,7 @@
 
   private async read(topic: StoreTopic, host: string): Promise<RecordSpan> {
     const end = this.deps.view.end(topic);
-    const from = end === undefined ? '' : `&from=${end}`;
+    const from = end === undefined ? '' : `&from=${end.offset}&era=${end.era}`;
     const url = `http://${host}:${this.port}/records?topic=${topic}${from}`;
     const { statusCode, body } = await request(url, {
       dispatcher: this.agent,
--- a/packages/edge/src/StoreView.ts
+++ b/packages/edge/src/StoreView.ts
@@ -8,10 +8,13 @@
   type RecordSink,
   type RecordSpan,
   type RegisteredTarget,
+  type StorePosition,
   StoreTopic,
   type TargetTable,
   TopicReplica,
 } from '@wisteriapath/fleet';
+import DrainedDomains from './DrainedDomains';
+import StoreReturn from './StoreReturn';
 
 interface Dependencies {
   readonly clock: Clock;
@@ -20,6 +23,8 @@
   readonly log: EventLog;
   /** Time after which a deletion that was read from the store is final. */
   readonly settlingMs: () => number;
+  /** Time after a return of the store within which all live targets have registered again. */
+  readonly recoveryMs: () => number;
   /** Called when a newer desired state comes into force. */
   readonly onDesiredState: (state: DesiredState) => void;
   /** Called when targets are gone, so that state held by their ids and addresses can be dropped. */
@@ -30,7 +35,7 @@
 
 /** The deletion of a target that is not final yet. */
 interface PendingRemoval {
-  readonly offset: number;
+  readonly position: StorePosition;
   /** When it is final, on the monotonic clock; undefined if this instance read it from the store itself. */
   readonly atMs: number | undefined;
 }
@@ -42,14 +47,18 @@
 
 /**
  * What this instance knows of the platform's store, whoever brought it: the store itself or a peer. Records are merged
- * by their offsets, and what they say is applied to the desired state and to the table of targets.
+ * by their positions, and what they say is applied to the desired state and to the table of targets. After the store has
+ * come back from an older copy, what was known stays in force until it is written again: a desired state by its version,
+ * a target by the number of its entry, and what the copy lacks for as long as live targets need to register again.
  */
 class StoreView implements RecordSink {
   private readonly replicas: Readonly<Record<StoreTopic, TopicReplica>>;
 
   private state: DesiredState | undefined;
 
-  private readonly drained = new Set<string>();
+  private readonly drained: DrainedDomains;
+
+  private readonly storeReturn: StoreReturn;
 
   /** Deletions of known targets that are not final yet, by id. */
   private readonly pendingRemovals = new Map<string, PendingRemoval>();
@@ -59,6 +68,8 @@
 
   constructor(private readonly deps: Dependencies) {
     const createReplica = () => new TopicReplica(deps.clock);
+    this.drained = new DrainedDomains(deps.clock, () => this.applyDrainedDomains(STORE));
+    this.storeReturn = new StoreReturn(deps.clock, deps.recoveryMs);
     this.replicas = {
       [StoreTopic.Operator]: createReplica(),
       [StoreTopic.Targets]: createReplica(),
@@ -75,7 +86,12 @@
     return this.state !== undefined && this.end(StoreTopic.Targets) !== undefined;
   }
 
-  end(topic: StoreTopic): number | undefined {
+  /** The oldest era of the store in which a topic is known; 0 before the first lists. */
+  get era(): number {
+    return Math.min(...Object.values(this.replicas).map(({ end }) => end?.era ?? 0));
+  }
+
+  end(topic: StoreTopic): StorePosition | undefined {
     return this.replicas[topic].end;
   }
 
@@ -87,19 +103,34 @@
     return this.replicas[topic].behindSinceMs;
   }
 
-  /** Notes that another instance knows a topic up to an offset. */
-  observeEnd(topic: StoreTopic, offset: number): void {
-    this.replicas[topic].observeEnd(offset);
+  isOfOlderEra(topic: StoreTopic): boolean {
+    return this.replicas[topic].isOfOlderEra;
+  }
+
+  /** Notes that another instance is said to know a topic up to a position. */
+  observeEnd(topic: StoreTopic, position: StorePosition): void {
+    this.replicas[topic].observeEnd(position);
+  }
+
+  confirmEnd(topic: StoreTopic, beganMs: number): void {
+    this.replicas[topic].confirmEnd(beganMs);
+  }
+
+  forgetPositions(topic: StoreTopic): void {
+    const { end } = this.replicas[topic];
+    const lost = { era: end?.era ?? 0, offset: end?.offset ?? 0 };
+    this.deps.log.event('store_positions_forgotten', { topic, ...lost });
+    this.replicas[topic].forgetPositions();
   }
 
   /** Returns what an instance lacks that knows a topic up to `from`; a list of all keys if that is `null`. */
-  since(topic: StoreTopic, from: number | null): RecordSpan {
+  since(topic: StoreTopic, from: StorePosition | null): RecordSpan {
     return this.replicas[topic].since(from, (key) => this.removalWaitMs(key));
   }
 
   mergeFromStore(topic: StoreTopic, span: RecordSpan): void {
     this.merge(topic, span, STORE);
-    // After a list of all keys the peers may lack more than is new here; they notice that by its offsets.
+    // After a list of all keys the peers may lack more than is new here; they notice that by its positions.
     if (topic === StoreTopic.Targets && span.from !== null) {
       this.deps.relayTargets(this.since(topic, span.from));
     }
@@ -112,9 +143,11 @@
       this.deps.log.event('records_from_peer', {
         topic,
         peer,
-        from: span.from ?? -1,
-        to: span.to,
-        own: replica.end ?? -1,
+        from: span.from?.offset ?? -1,
+        to: span.to.offset,
+        era: span.to.era,
+        own: replica.end?.offset ?? -1,
+        own_era: replica.end?.era ?? -1,
         records: span.records.length,
       });
     }
@@ -124,11 +157,15 @@
   private merge(topic: StoreTopic, span: RecordSpan, source: string): void {
     const replica = this.replicas[topic];
     const isFirstList = replica.end === undefined && span.from === null;
+    const entersEra = replica.entersEra(span);
+    if (entersEra) this.enterEra(topic, span, source);
+    const settlesInMs = entersEra ? this.storeReturn.leftMs : 0;
     const merges: Readonly<Record<StoreTopic, () => void>> = {
       [StoreTopic.Operator]: () =>
         this.applyOperatorRecords(
           replica.merge(span, () => false),
           source,
+          settlesInMs,
         ),
       [StoreTopic.Targets]: () => this.mergeTargets(replica, span, source),
     };
@@ -137,29 +174,56 @@
     this.deps.log.event('records_listed', {
       topic,
       source,
-      to: span.to,
+      to: span.to.offset,
+      era: span.to.era,
       keys: span.records.length,
     });
   }
 
-  private applyOperatorRecords(records: readonly KeyedRecord[], source: string): void {
-    const { decoder, log, table } = this.deps;
-    const drainedBefore = [...this.drained].join();
+  /** Begins the time in which what the store lost is written again. */
+  private enterEra(topic: StoreTopic, { to, records }: RecordSpan, source: string): void {
+    const { end } = this.replicas[topic];
+    this.storeReturn.begin();
+    this.deps.log.event('store_era_changed', {
+      topic,
+      source,
+      old: end?.era ?? 0,
+      new: to.era,
+      old_to: end?.offset ?? 0,
+      to: to.offset,
+      keys_read: records.length,
+      settles_in_ms: Math.round(this.storeReturn.leftMs),
+    });
+  }
+
+  /** Applies records; domains that a copy of the store lacks are back in service only after `settlesInMs`. */
+  private applyOperatorRecords(
+    records: readonly KeyedRecord[],
+    source: string,
+    settlesInMs: number,
+  ): void {
+    const { decoder } = this.deps;
+    const before = [...this.drained.all].join();
     records.forEach((record) => {
       const domain = decoder.drainedDomain(record.key);
       if (domain !== undefined && record.value.length > 0) this.drained.add(domain);
-      else if (domain !== undefined) this.drained.delete(domain);
+      else if (domain !== undefined) void this.drained.remove(domain, settlesInMs);
       else if (decoder.isDesiredState(record.key)) this.applyDesiredState(record, source);
     });
-    if (drainedBefore === [...this.drained].join()) return;
-    table.setDrainedDomains(new Set(this.drained));
-    log.event('domains_out', { domains: [...this.drained].join(','), source });
+    if (before !== [...this.drained.all].join()) this.applyDrainedDomains(source);
+  }
+
+  private applyDrainedDomains(source: string): void {
+    const domains = this.drained.all;
+    this.deps.table.setDrainedDomains(domains);
+    this.deps.log.event('domains_out', { domains: [...domains].join(','), source });
   }
 
   /** Puts a desired state into force if it is newer than the current one. */
-  private applyDesiredState({ value, offset, ageMs }: KeyedRecord, source: string): void {
+  private applyDesiredState({ value, position, ageMs }: KeyedRecord, source: string): void {
     if (value.length === 0) return;
     const { decoder, log } = this.deps;
+    const { offset } = position;
     const state = decoder.desiredState(value);
     if (state === undefined) {
       log.event('desired_state_unreadable', { bytes: value.length, offset, source });
@@ -194,10 +258,18 @@
         .orDefault(false);
     replica.merge(span, isRepeat).forEach((record) => {
       if (record.value.length === 0) this.scheduleRemoval(record, source);
+      else if (this.isOutdated(entryOf(record), span)) this.ignoredKeys.add(record.key);
       else this.applyTarget(record, entryOf(record), source);
     });
   }
 
+  private isOutdated(decoded: Either<string, RegisteredTarget>, { from }: RecordSpan): boolean {
+    const { table } = this.deps;
+    return decoded
+      .map((entry) => this.storeReturn.isOutdated(entry, table.get(entry.id)?.entry, from === null))
+      .orDefault(false);
+  }
+
   private decodeTarget({ key, value, ageMs }: KeyedRecord): Either<string, RegisteredTarget> {
     if (value.length === 0) return DELETED;
     return this.deps.decoder
@@ -210,10 +282,11 @@
     decoded: Either<string, RegisteredTarget>,
     source: string,
   ): void {
-    const { key, offset } = record;
+    const { key, position } = record;
     decoded.caseOf({
       Left: (reason) => {
         this.ignoredKeys.add(key);
+        const { offset } = position;
         this.deps.log.event('target_entry_unreadable', { target: key, reason, offset, source });
       },
       Right: (entry) => this.applyEntry(entry, record, source),
@@ -237,7 +310,7 @@
 
   private logIgnored(
     { id, pool, failureDomain, entryNumber, bornMs }: RegisteredTarget,
-    { offset }: KeyedRecord,
+    { position: { offset } }: KeyedRecord,
     source: string,
   ): void {
     const said = { pool, zone: failureDomain, entry: entryNumber, born_ms: bornMs };
@@ -246,7 +319,7 @@
 
   private logTarget(
     { id, pool, address, isLeaving, coldLeftMs, entryNumber }: RegisteredTarget,
-    { offset, ageMs }: KeyedRecord,
+    { position: { offset }, ageMs }: KeyedRecord,
     source: string,
   ): void {
     this.deps.log.event('target_seen', {
@@ -268,32 +341,38 @@
   }
 
   /** Removes a target as soon as the deletion of its entry is final. */
-  private scheduleRemoval({ key, offset, settlesInMs }: KeyedRecord, source: string): void {
+  private scheduleRemoval({ key, position, settlesInMs }: KeyedRecord, source: string): void {
     const { clock, table, log } = this.deps;
     this.ignoredKeys.delete(key);
     if (table.get(key) === undefined) return;
     const atMs = source === STORE ? undefined : clock.nowMs() + settlesInMs;
-    this.pendingRemovals.set(key, { offset, atMs });
+    this.pendingRemovals.set(key, { position, atMs });
     const waitMs = this.removalWaitMs(key);
     if (waitMs > 0) {
       log.event('target_missing', {
         target: key,
         source,
-        offset,
+        offset: position.offset,
         settles_in_ms: Math.round(waitMs),
       });
     }
-    void this.removeWhenFinal(key, offset, source);
+    void this.removeWhenFinal(key, position, source);
   }
 
-  private async removeWhenFinal(id: string, offset: number, source: string): Promise<void> {
+  private async removeWhenFinal(
+    id: string,
+    position: StorePosition,
+    source: string,
+  ): Promise<void> {
     const { clock, table, log, onTargetsRemoved } = this.deps;
-    const isPending = () => this.pendingRemovals.get(id)?.offset === offset;
+    const isPending = () => this.pendingRemovals.get(id)?.position === position;
     while (isPending() && this.removalWaitMs(id) > 0) await clock.sleep(this.removalWaitMs(id));
     if (!isPending()) return;
     this.pendingRemovals.delete(id);
+    const known = table.get(id);
+    if (known !== undefined) this.storeReturn.recordRemoval(known.entry);
     table.remove(id);
-    log.event('target_gone', { target: id, source, offset });
+    log.event('target_gone', { target: id, source, offset: position.offset });
     onTargetsRemoved();
   }
 
@@ -301,8 +380,9 @@
   private removalWaitMs(id: string): number {
     const pending = this.pendingRemovals.get(id);
     if (pending === undefined) return 0;
-    if (pending.atMs === undefined) return this.deps.settlingMs();
-    return Math.max(0, pending.atMs - this.deps.clock.nowMs());
+    const { leftMs } = this.storeReturn;
+    if (pending.atMs === undefined) return Math.max(leftMs, this.deps.settlingMs());
+    return Math.max(0, leftMs, pending.atMs - this.deps.clock.nowMs());
   }
 }
 
--- a/packages/edge/src/registerInstanceGauges.ts
+++ b/packages/edge/src/registerInstanceGauges.ts
@@ -7,6 +7,8 @@
   readonly targets: () => number;
   /** Time since the list of targets was known to be complete. */
   readonly targetsAgeMs: () => number;
+  /** The oldest era of the store in which a topic is known. */
+  readonly storeEra: () => number;
   readonly isLeaseHeld: () => boolean;
   readonly instances: () => number;
   /** Number of parts and requests that are kept from targets. */
@@ -17,7 +19,7 @@
  * Registers gauges for the state of an instance.
  *
  * @example
- * registerInstanceGauges(metrics, { version: () => 3, targets, targetsAgeMs, isLeaseHeld, instances, quarantinedTraits });
+ * registerInstanceGauges(metrics, { version: () => 3, targets, targetsAgeMs, storeEra, isLeaseHeld, instances, quarantinedTraits });
  */
 const registerInstanceGauges = (metrics: EdgeMetrics, state: InstanceState): void => {
   metrics.gauge('desired_version', 'Version of the desired state in force', state.version);
@@ -27,6 +29,11 @@
     'Time since the list of targets was known to be complete',
     () => state.targetsAgeMs() / MS_PER_S,
   );
+  metrics.gauge(
+    'store_era',
+    'Era of the store in which its records are known; rises each time it comes back from an older copy',
+    state.storeEra,
+  );
   metrics.gauge('lease_held', 'Whether this instance holds the lease to issue orders', () =>
     Number(state.isLeaseHeld()),
   );
--- a/packages/edge/src/serveRecords.ts
+++ b/packages/edge/src/serveRecords.ts
@@ -9,7 +9,8 @@
 
 /**
  * Serves what this instance knows of the platform's store to peers that lack it:
- * `GET /records?topic=targets&from=OFFSET`, or without `from` for all keys.
+ * `GET /records?topic=targets&from=OFFSET&era=ERA`, or without `from` for all keys. Without `era`, as from instances of
+ * an earlier build, the offset is of era 0.
  *
  * @example
  * const listener = await serveRecords('10.1.0.25:7600', storeView, log);
@@ -21,7 +22,9 @@
     const searchParams = new URLSearchParams(query);
     const topic = searchParams.get('topic') ?? '';
     const from = searchParams.get('from');
-    if (path !== '/records' || !TOPICS.has(topic) || !/^\d*$/.test(from ?? '')) {
+    const era = searchParams.get('era') ?? '0';
+    const areNumbers = [from ?? '0', era].every((text) => /^\d+$/.test(text));
+    if (path !== '/records' || !TOPICS.has(topic) || !areNumbers) {
       response.writeHead(NOT_FOUND).end();
       return;
     }
@@ -29,7 +32,8 @@
       response.writeHead(UNAVAILABLE).end();
       return;
     }
-    const span = view.since(topic as StoreTopic, from === null ? null : Number(from));
+    const position = from === null ? null : { era: Number(era), offset: Number(from) };
+    const span = view.since(topic as StoreTopic, position);
     response.writeHead(OK, { 'content-type': 'application/octet-stream' });
     response.end(recordSpanCodec.encode(span));
   });
--- a/packages/edge/test/storeView.test.ts
+++ b/packages/edge/test/storeView.test.ts
@@ -11,6 +11,7 @@
 import targetEntry from './support/targetEntry';
 
 const SETTLING_MS = 2_000;
+const RECOVERY_MS = 2_300;
 /** Value of a record that holds no entry. */
 const UNREADABLE = 255;
 
@@ -30,6 +31,7 @@
     } as unknown as RecordDecoder,
     log: { event: (name) => lines.push(name) },
     settlingMs: () => settlingMs,
+    recoveryMs: () => RECOVERY_MS,
     onDesiredState: () => {},
     onTargetsRemoved: () => {},
     relayTargets: ({ records }) =>
@@ -37,12 +39,13 @@
   });
   let end = 0;
   const readValue = (key: string, value: Uint8Array) => {
-    const from = end === 0 ? null : end;
+    const from = end === 0 ? null : { era: 1, offset: end };
+    const position = { era: 1, offset: end };
     end += 1;
     view.mergeFromStore(StoreTopic.Targets, {
       from,
-      to: end,
-      records: [{ key, offset: end - 1, value, ageMs: 0, settlesInMs: 0 }],
+      to: { era: 1, offset: end },
+      records: [{ key, position, value, ageMs: 0, settlesInMs: 0 }],
       hasEveryRecord: true,
       settlesInMs: 0,
     });
--- a/packages/fleet/src/Heartbeat.ts
+++ b/packages/fleet/src/Heartbeat.ts
@@ -6,10 +6,14 @@
 interface Heartbeat {
   /** The sender. */
   readonly member: MemberRecord;
-  /** Store offset up to which the sender knows the operator's records. */
+  /** Store offset up to which the sender knows the operator's records. Read it by `heartbeatEnds`. */
   readonly operatorOffset: number;
-  /** Store offset up to which the sender knows the targets' records. */
+  /** Era of the store to which that offset belongs; absent from heartbeats of an earlier build. */
+  readonly operatorEra?: number;
+  /** Store offset up to which the sender knows the targets' records. Read it by `heartbeatEnds`. */
   readonly targetsOffset: number;
+  /** Era of the store to which that offset belongs; absent from heartbeats of an earlier build. */
+  readonly targetsEra?: number;
   /** Whether the store answered the sender's last call. */
   readonly reachesStore: boolean;
   /** Targets that said that they are leaving, by id and start. */
--- a/packages/fleet/src/KeyedRecord.ts
+++ b/packages/fleet/src/KeyedRecord.ts
@@ -1,8 +1,10 @@
+import type StorePosition from './StorePosition';
+
 /** The newest known record of one key of a topic of the platform's store. */
 interface KeyedRecord {
   readonly key: string;
-  /** Position in the topic; a higher offset means a newer record. */
-  readonly offset: number;
+  /** Position in the topic; a later one means a newer record. */
+  readonly position: StorePosition;
   /** The bytes as the store holds them; empty if the record deletes its key. */
   readonly value: Uint8Array;
   /** Time since an instance read the record from the store. */
--- a/packages/fleet/src/StoreFollower.ts
+++ b/packages/fleet/src/StoreFollower.ts
@@ -4,6 +4,8 @@
   readonly isReachable: boolean;
   /** Time after which a deletion that was read from the store is final; live targets may still register again. */
   readonly settlingMs: number;
+  /** Time after a return of the store within which all live targets have registered again. */
+  readonly recoveryMs: number;
   stop(): void;
 }
 
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -7,6 +7,8 @@
 export { default as HeartbeatKind } from './HeartbeatKind';
 export type { default as HeartbeatContent } from './HeartbeatContent';
 export type { default as Heartbeat } from './Heartbeat';
+export { default as heartbeatEnds } from './heartbeatEnds';
+export { default as packHeartbeatEnds } from './packHeartbeatEnds';
 export type { default as CallerLimits } from './CallerLimits';
 export type { default as Demand } from './Demand';
 export { default as DemandAggregator } from './DemandAggregator';
--- a/packages/fleet/src/readHeartbeat.ts
+++ b/packages/fleet/src/readHeartbeat.ts
@@ -14,6 +14,8 @@
   'leaseOffset',
   'counted',
 ];
+/** Present since a later build. */
+const OPTIONAL_INTEGERS: readonly (keyof Heartbeat)[] = ['operatorEra', 'targetsEra'];
 /** More instances than a fleet can have. */
 const MAX_COUNTED = 1_000_000;
 const LISTS: readonly (keyof Heartbeat)[] = ['holderHeard', 'placers'];
@@ -28,6 +30,7 @@
   return (
     isMember(heartbeat?.member) &&
     INTEGERS.every((key) => Number.isSafeInteger(heartbeat?.[key])) &&
+    OPTIONAL_INTEGERS.every((key) => Number.isSafeInteger(heartbeat[key] ?? 0)) &&
     heartbeat.counted >= 0 &&
     heartbeat.counted <= MAX_COUNTED &&
     LISTS.every((key) => Array.isArray(heartbeat?.[key])) &&
--- a/packages/fleet/src/recordSpanCodec.ts
+++ b/packages/fleet/src/recordSpanCodec.ts
@@ -4,44 +4,60 @@
 
 type PackedRecord = readonly [string, number, Uint8Array, number, number];
 
-type PackedSpan = readonly [number | null, number, number, readonly PackedRecord[]];
+/** The era is that of all offsets; instances of an earlier build leave it out. */
+type PackedSpan = readonly [number | null, number, number, readonly PackedRecord[], number?];
 
-const packRecord = ({ key, offset, value, ageMs, settlesInMs }: KeyedRecord): PackedRecord => [
+/** Offset of the deletion of a key that a list of an empty topic lacks. */
+const BEFORE_FIRST_OFFSET = -1;
+
+const packRecord = ({ key, position, value, ageMs, settlesInMs }: KeyedRecord): PackedRecord => [
   key,
-  offset,
+  position.offset,
   value,
   Math.round(ageMs),
   Math.ceil(settlesInMs),
 ];
 
-const isOffset = (value: unknown): value is number =>
+const isCount = (value: unknown): value is number =>
   Number.isSafeInteger(value) && (value as number) >= 0;
 
-const unpackRecord = (packed: PackedRecord): KeyedRecord => {
+const unpackRecord = (packed: PackedRecord, era: number): KeyedRecord => {
   const [key, offset, value, ageMs, settlesInMs] = packed;
   const isValid =
     typeof key === 'string' &&
     value instanceof Uint8Array &&
-    [offset, ageMs, settlesInMs].every(isOffset);
+    (isCount(offset) || offset === BEFORE_FIRST_OFFSET) &&
+    [ageMs, settlesInMs].every(isCount);
   if (!isValid) throw new TypeError('a record of a span is not valid');
-  return { key, offset, value, ageMs, settlesInMs };
+  return { key, position: { era, offset }, value, ageMs, settlesInMs };
 };
 
 const encodeSpan = ({ from, to, settlesInMs, records }: RecordSpan): Uint8Array => {
-  const packed: PackedSpan = [from, to, Math.ceil(settlesInMs), records.map(packRecord)];
+  const packed: PackedSpan = [
+    from?.offset ?? null,
+    to.offset,
+    Math.ceil(settlesInMs),
+    records.map(packRecord),
+    to.era,
+  ];
   return encode(packed);
 };
 
 /** Decodes a span from a peer; throws if the bytes are not valid. */
 const decodeSpan = (bytes: Uint8Array): RecordSpan => {
-  const [from, to, settlesInMs, records] = decode(bytes) as PackedSpan;
+  const [from, to, settlesInMs, records, era = 0] = decode(bytes) as PackedSpan;
   const isValid =
-    (from === null || isOffset(from)) &&
-    isOffset(to) &&
-    isOffset(settlesInMs) &&
+    (from === null || isCount(from)) &&
+    [to, settlesInMs, era].every(isCount) &&
     Array.isArray(records);
   if (!isValid) throw new TypeError('a span of records is not valid');
-  return { from, to, settlesInMs, records: records.map(unpackRecord), hasEveryRecord: false };
+  return {
+    from: from === null ? null : { era, offset: from },
+    to: { era, offset: to },
+    settlesInMs,
+    records: records.map((record) => unpackRecord(record, era)),
+    hasEveryRecord: false,
+  };
 };
 
 /**
--- a/packages/fleet/test/keptRecords.test.ts
+++ b/packages/fleet/test/keptRecords.test.ts
@@ -3,6 +3,7 @@
 import { TopicReplica } from '../src';
 
 const ANSWER_BYTES = 1_048_576;
+const at = (offset: number) => ({ era: 1, offset });
 const ENTRY = Buffer.from('{"service":"desk"}');
 
 /** Returns a value as it stands in an answer of the store, behind other records. */
@@ -18,9 +19,15 @@
 ])('%s that is kept does not keep the answer that brought it', (_, value) => {
   const replica = new TopicReplica(new VirtualClock());
   const span = { hasEveryRecord: true, settlesInMs: 0 };
-  replica.merge({ ...span, from: null, to: 1, records: [] }, () => false);
-  const record = { key: 'target', offset: 1, value: inAnswer(value), ageMs: 0, settlesInMs: 0 };
-  replica.merge({ ...span, from: 1, to: 2, records: [record] }, () => false);
+  replica.merge({ ...span, from: null, to: at(1), records: [] }, () => false);
+  const record = {
+    key: 'target',
+    position: at(1),
+    value: inAnswer(value),
+    ageMs: 0,
+    settlesInMs: 0,
+  };
+  replica.merge({ ...span, from: at(1), to: at(2), records: [record] }, () => false);
   const [kept] = replica.since(null, () => 0).records;
   expect(Buffer.from(kept.value)).toEqual(value);
   expect(kept.value.buffer.byteLength).toBe(value.length);
--- a/packages/fleet/test/support/ReplicaHolder.ts
+++ b/packages/fleet/test/support/ReplicaHolder.ts
@@ -1,5 +1,11 @@
 import VirtualClock from '@wisteriapath/virtual-clock';
-import { type KeyedRecord, type RecordSpan, TopicReplica } from '../../src';
+import {
+  comparePositions,
+  type KeyedRecord,
+  type RecordSpan,
+  type StorePosition,
+  TopicReplica,
+} from '../../src';
 
 /** A replica that remembers the content of each key, by which it tells repeats. */
 class ReplicaHolder {
@@ -7,21 +13,22 @@
 
   private readonly content = new Map<string, string>();
 
-  private readonly newestOffsets = new Map<string, number>();
+  private readonly newest = new Map<string, StorePosition>();
 
   wentBack = false;
 
   merge(given: RecordSpan): void {
     const isRepeat = ({ key, value }: KeyedRecord) =>
       value.length > 0 && this.content.get(key) === Buffer.from(value).toString();
-    this.replica.merge(given, isRepeat).forEach(({ key, value, offset }) => {
-      if ((this.newestOffsets.get(key) ?? -1) >= offset) this.wentBack = true;
-      this.newestOffsets.set(key, offset);
+    this.replica.merge(given, isRepeat).forEach(({ key, value, position }) => {
+      const known = this.newest.get(key);
+      if (known !== undefined && comparePositions(known, position) >= 0) this.wentBack = true;
+      this.newest.set(key, position);
       this.content.set(key, Buffer.from(value).toString());
     });
   }
 
-  since(from: number | null): RecordSpan {
+  since(from: StorePosition | null): RecordSpan {
     return this.replica.since(from, () => 0);
   }
 
