--- a/packages/fleet/test/peers.test.ts
+++ b/packages/fleet/test/peers.test.ts
@@ -123,6 +123,8 @@
   { what: 'a count of a part', more: { counted: 0.5 } },
   { what: 'a count beyond any fleet', more: { counted: 1e300 } },
   { what: 'an offset that is none', more: { targetsOffset: Infinity } },
+  { what: 'an era of the operator that is none', more: { operatorEra: 'x' } },
+  { what: 'an era of the targets that is none', more: { targetsEra: 0.5 } },
   { what: 'no placers', more: { placers: null } },
   { what: 'a placer without a host', more: { placers: [{ name: 'b0' }] } },
 ])('a heartbeat with $what leaves the sending and counting of others as it was', async (bad) => {
