--- a/packages/trace/src/InstanceView.ts
+++ b/packages/trace/src/InstanceView.ts
@@ -6,6 +6,8 @@
 
 const targetTopic = (id: string): string => `target ${id}`;
 
+const eraTopic = (topic: string): string => `era of the store, topic ${topic}`;
+
 /** How each log event changes the view of the instance that wrote it. */
 const VIEW_UPDATES: Readonly<Record<string, ViewUpdate>> = {
   started: () => ['process', 'running'],
@@ -17,6 +19,11 @@
     'store',
     reachable === 'true' ? 'reachable' : `not reachable (${reason})`,
   ],
+  records_listed: ({ topic, era, source }) => [eraTopic(topic), `${era}, from ${source}`],
+  store_era_changed: ({ topic, new: era, old, source }) => [
+    eraTopic(topic),
+    `${era} after ${old}, from ${source}`,
+  ],
   lease_taken: ({ fence }) => ['lease', `held with fence ${fence}`],
   lease_lost: ({ holder }) => ['lease', `lost to ${holder || 'nobody'}`],
   lease_released: () => ['lease', 'released'],
--- a/packages/trace/test/trace.test.ts
+++ b/packages/trace/test/trace.test.ts
@@ -36,6 +36,18 @@
   expect(formatTrace('r1', await readTrace('r1', [ENTRY]))).toMatchSnapshot();
 });
 
+test('shows the era of the store that an instance went by before and after the store came back from a copy', async () => {
+  const lines = source([
+    line(1, 'b2', 'records_listed', 'topic=operator source=store to=1 era=1 keys=1'),
+    line(2, 'b2', 'request_ended', 'request=r3 route=look model="" target=e1 version=6'),
+    line(4, 'b2', 'store_era_changed', 'topic=operator source=a1 old=1 new=2 old_to=4 to=2'),
+    line(5, 'b2', 'request_refused', 'request=r3 kind=unauthenticated version=7'),
+  ]);
+  const text = formatTrace('r3', await readTrace('r3', [lines]));
+  expect(text).toContain('era of the store, topic operator: 1, from store, for 1.0 s');
+  expect(text).toContain('era of the store, topic operator: 2 after 1, from a1, for 1.0 s');
+});
+
 test('skips what a log collector puts before a line', async () => {
   const prefixed = source([`  -3.1 a1 ${line(5, 'a1', 'request_refused', 'request=r2 kind=x')}`]);
   const { entries, unreadableLines } = await readTrace('r2', [prefixed]);
