--- a/packages/fleet/src/readHeartbeat.ts
+++ b/packages/fleet/src/readHeartbeat.ts
@@ -15,7 +15,7 @@
   'counted',
 ];
 /** Present since a later build. */
-const OPTIONAL_INTEGERS: readonly (keyof Heartbeat)[] = ['leaseEra'];
+const OPTIONAL_INTEGERS: readonly (keyof Heartbeat)[] = ['operatorEra', 'targetsEra', 'leaseEra'];
 /** More instances than a fleet can have. */
 const MAX_COUNTED = 1_000_000;
 const LISTS: readonly (keyof Heartbeat)[] = ['holderHeard', 'placers'];
