Members and quarantines of the last minute are written again when the store comes back from an older copy

What callers saw: nothing yet; an instance that started within the lost seconds was not listed any more for those that start later, and a quarantine kept then was gone after all instances had stopped, or one that had been cleared was back.

Cause: both are written once. StoreView now tells of each new era (onStoreReturned); StoredRecords, once for each era, announces the instance again if it did so less than 60 s before, and has the holder of the lease keep again what changed since then, cleared ones too, with the time at which it was written first.

--- a/packages/edge/src/Edge.ts
+++ b/packages/edge/src/Edge.ts
@@ -17,7 +17,6 @@
 } from '@wisteriapath/fleet';
 import CallerListener from './CallerListener';
 import ColdTargetLimiter from './ColdTargetLimiter';
-import type QuarantineKeeper from './QuarantineKeeper';
 import DemandReporter from './DemandReporter';
 import type EdgeDependencies from './EdgeDependencies';
 import EdgeListeners from './EdgeListeners';
@@ -30,12 +29,12 @@
 import PoolRetryBudgets from './PoolRetryBudgets';
 import Shutdown from './Shutdown';
 import StoreView from './StoreView';
+import type StoredRecords from './StoredRecords';
 import TargetConnections from './TargetConnections';
 import TargetLoads from './TargetLoads';
 import TargetProbe from './TargetProbe';
 import TargetSignals from './TargetSignals';
 import WorkspaceLimits from './WorkspaceLimits';
-import announceAndListMembers from './announceAndListMembers';
 import candidateRank from './candidateRank';
 import createPeerHandlers from './createPeerHandlers';
 import createPlacer from './createPlacer';
@@ -79,7 +78,7 @@
 
   private readonly suspects: SuspectRegistry;
 
-  private readonly quarantines: QuarantineKeeper;
+  private readonly records: StoredRecords;
 
   private readonly limits: WorkspaceLimits;
 
@@ -118,6 +117,7 @@
       recoveryMs: () => this.follower?.recoveryMs ?? 0,
       onDesiredState: ({ limits }) => this.callers.setLimits(limits),
       onTargetsRemoved: () => this.dropRemovedTargets(),
+      onStoreReturned: (era) => this.records.writeAgain(era),
       relayTargets: (span) => {
         if (this.isStoreReader) this.peers.sendTargets(span);
       },
@@ -148,12 +148,15 @@
       log,
       announce: (targets) => this.peers.sendLeavingTargets(targets),
     });
-    ({ suspects: this.suspects, keeper: this.quarantines } = createSuspects({
+    ({ suspects: this.suspects, records: this.records } = createSuspects({
       clock,
       ports,
       log,
       isWriter: () => this.lease.isCurrent,
       announce: (update) => this.peers.sendSuspects(suspectUpdateCodec.encode(update)),
+      self: options.member,
+      isOver: () => this.shutdown.hasBegun,
+      onMembers: (members) => this.peers.addMembers(members),
     }));
     this.peers = this.createPeers();
     this.lease = new Lease(
@@ -242,7 +245,7 @@
     void this.lease.run();
     void this.placer.run();
     this.demandReporter.start();
-    void this.learnStoredRecords();
+    void this.records.learn();
     this.log.event('started', { callers: callersAddress, domain: member.failureDomain });
   }
 
@@ -274,14 +277,6 @@
     this.log.event('stopped', { under_way: this.callers.activeRequests });
   }
 
-  private async learnStoredRecords(): Promise<void> {
-    const isOver = () => this.shutdown.hasBegun;
-    const { member } = this.options;
-    const stored = await announceAndListMembers(this.ports.memberStore, this.deps, member, isOver);
-    this.peers.addMembers(stored.members);
-    this.suspects.merge(this.quarantines.toUpdate(stored.quarantines));
-  }
-
   /** Whether this instance reads the targets' entries from the store and relays them to the peers. */
   private get isStoreReader(): boolean {
     const { name } = this.options.member;
--- a/packages/edge/src/StoreView.ts
+++ b/packages/edge/src/StoreView.ts
@@ -29,6 +29,8 @@
   readonly onDesiredState: (state: DesiredState) => void;
   /** Called when targets are gone, so that state held by their ids and addresses can be dropped. */
   readonly onTargetsRemoved: () => void;
+  /** Called when the store has come back from an older copy, with its era; for each topic. */
+  readonly onStoreReturned: (era: number) => void;
   /** Relays records of the targets that were read from the store to the peers. */
   readonly relayTargets: (span: RecordSpan) => void;
 }
@@ -171,19 +173,16 @@
     };
     merges[topic]();
     if (!isFirstList) return;
-    this.deps.log.event('records_listed', {
-      topic,
-      source,
-      to: span.to.offset,
-      era: span.to.era,
-      keys: span.records.length,
-    });
+    const { to, records } = span;
+    const fields = { topic, source, to: to.offset, era: to.era, keys: records.length };
+    this.deps.log.event('records_listed', fields);
   }
 
   /** Begins the time in which what the store lost is written again. */
   private enterEra(topic: StoreTopic, { to, records }: RecordSpan, source: string): void {
     const { end } = this.replicas[topic];
     this.storeReturn.begin();
+    this.deps.onStoreReturned(to.era);
     this.deps.log.event('store_era_changed', {
       topic,
       source,
--- a/packages/edge/src/createSuspects.ts
+++ b/packages/edge/src/createSuspects.ts
@@ -1,7 +1,8 @@
 import type { Clock } from '@wisteriapath/model';
-import type { EventLog } from '@wisteriapath/fleet';
+import type { EventLog, MemberRecord } from '@wisteriapath/fleet';
 import { SuspectRegistry, type SuspectUpdate } from '@wisteriapath/suspects';
 import QuarantineKeeper from './QuarantineKeeper';
+import StoredRecords from './StoredRecords';
 import type EdgePorts from './EdgePorts';
 
 interface Dependencies {
@@ -12,15 +13,22 @@
   readonly isWriter: () => boolean;
   /** Sends an update to all peers. */
   readonly announce: (update: SuspectUpdate) => void;
+  readonly self: MemberRecord;
+  /** Whether this instance is shutting down. */
+  readonly isOver: () => boolean;
+  /** Called with the members that the store lists at the start. */
+  readonly onMembers: (members: readonly MemberRecord[]) => void;
 }
 
 /**
- * Creates what an instance knows of requests that crash targets, and what keeps it in the store.
+ * Creates what an instance knows of requests that crash targets, and what keeps it, and the instance's own record, in
+ * the store.
  *
  * @example
- * const { suspects, keeper } = createSuspects({ clock, ports, log, isWriter, announce });
+ * const { suspects, records } = createSuspects({ clock, ports, log, isWriter, announce, self, isOver, onMembers });
  */
-const createSuspects = ({ clock, ports, log, isWriter, announce }: Dependencies) => {
+const createSuspects = (deps: Dependencies) => {
+  const { clock, ports, log, isWriter, announce, self, isOver, onMembers } = deps;
   const keeper = new QuarantineKeeper({
     clock,
     wallClock: ports.wallClock,
@@ -34,7 +42,19 @@
     announce,
     onQuarantineChanged: (trait, crashes) => keeper.save(trait, crashes),
   });
-  return { suspects, keeper };
+  const records = new StoredRecords({
+    clock,
+    log,
+    store: ports.memberStore,
+    keeper,
+    self,
+    isOver,
+    onLearned: ({ members, quarantines }) => {
+      onMembers(members);
+      suspects.merge(keeper.toUpdate(quarantines));
+    },
+  });
+  return { suspects, records };
 };
 
 export default createSuspects;
--- a/packages/edge/test/storeReturn.test.ts
+++ b/packages/edge/test/storeReturn.test.ts
@@ -41,6 +41,7 @@
     recoveryMs: () => RECOVERY_MS,
     onDesiredState: () => {},
     onTargetsRemoved: () => {},
+    onStoreReturned: () => {},
     relayTargets: () => {},
   });
   const record = (key: string, value: readonly number[], position: StorePosition): KeyedRecord => ({
--- a/packages/edge/test/storeView.test.ts
+++ b/packages/edge/test/storeView.test.ts
@@ -34,6 +34,7 @@
     recoveryMs: () => RECOVERY_MS,
     onDesiredState: () => {},
     onTargetsRemoved: () => {},
+    onStoreReturned: () => {},
     relayTargets: ({ records }) =>
       relayed.push(...records.map(({ value }) => entries[value[0]]).filter(Boolean)),
   });
