--- a/packages/edge/src/Edge.ts
+++ b/packages/edge/src/Edge.ts
@@ -7,6 +7,7 @@
   type HeartbeatContent,
   HeartbeatKind,
   Lease,
+  packHeartbeatEnds,
   Peers,
   type Placer,
   type StoreFollower,
@@ -16,7 +17,6 @@
 } from '@wisteriapath/fleet';
 import CallerListener from './CallerListener';
 import ColdTargetLimiter from './ColdTargetLimiter';
-import type QuarantineKeeper from './QuarantineKeeper';
 import DemandReporter from './DemandReporter';
 import type EdgeDependencies from './EdgeDependencies';
 import EdgeListeners from './EdgeListeners';
@@ -30,12 +30,12 @@
 import Shutdown from './Shutdown';
 import StopGate from './StopGate';
 import StoreView from './StoreView';
+import type StoredRecords from './StoredRecords';
 import TargetConnections from './TargetConnections';
 import TargetLoads from './TargetLoads';
 import TargetProbe from './TargetProbe';
 import TargetSignals from './TargetSignals';
 import WorkspaceLimits from './WorkspaceLimits';
-import announceAndListMembers from './announceAndListMembers';
 import candidateRank from './candidateRank';
 import createPeerHandlers from './createPeerHandlers';
 import createPlacer from './createPlacer';
@@ -79,7 +79,7 @@
 
   private readonly suspects: SuspectRegistry;
 
-  private readonly quarantines: QuarantineKeeper;
+  private readonly records: StoredRecords;
 
   private readonly limits: WorkspaceLimits;
 
@@ -115,8 +115,10 @@
       decoder: ports.decoder,
       log,
       settlingMs: () => this.follower?.settlingMs ?? 0,
+      recoveryMs: () => this.follower?.recoveryMs ?? 0,
       onDesiredState: ({ limits }) => this.callers.setLimits(limits),
       onTargetsRemoved: () => this.dropRemovedTargets(),
+      onStoreReturned: (era) => this.records.writeAgain(era),
       relayTargets: (span) => {
         if (this.isStoreReader) this.peers.sendTargets(span);
       },
@@ -147,12 +149,15 @@
       log,
       announce: (targets) => this.peers.sendLeavingTargets(targets),
     });
-    ({ suspects: this.suspects, keeper: this.quarantines } = createSuspects({
+    ({ suspects: this.suspects, records: this.records } = createSuspects({
       clock,
       ports,
       log,
       isWriter: () => this.lease.isCurrent,
       announce: (update) => this.peers.sendSuspects(suspectUpdateCodec.encode(update)),
+      self: options.member,
+      isOver: () => this.shutdown.hasBegun,
+      onMembers: (members) => this.peers.addMembers(members),
     }));
     this.peers = this.createPeers();
     this.lease = new Lease(
@@ -230,6 +235,7 @@
       version: () => this.storeView.desired?.version ?? 0,
       targets: () => this.table.size,
       targetsAgeMs: () => this.clock.nowMs() - this.storeView.confirmedAtMs(StoreTopic.Targets),
+      storeEra: () => this.storeView.era,
       isLeaseHeld: () => this.lease.isHeld(),
       instances: () => this.peers.instanceCount(PEER_SPENDING_TIMEOUT_MS),
       quarantinedTraits: () => this.suspects.quarantinedCount,
@@ -242,7 +248,7 @@
     void this.lease.run();
     void this.placer.run();
     this.demandReporter.start();
-    void this.learnStoredRecords();
+    void this.records.learn();
     this.log.event('started', { callers: callersAddress, domain: member.failureDomain });
   }
 
@@ -274,14 +280,6 @@
     this.log.event('stopped', { under_way: this.callers.activeRequests });
   }
 
-  private async learnStoredRecords(): Promise<void> {
-    const isOver = () => this.shutdown.hasBegun;
-    const { member } = this.options;
-    const stored = await announceAndListMembers(this.ports.memberStore, this.deps, member, isOver);
-    this.peers.addMembers(stored.members);
-    this.suspects.merge(this.quarantines.toUpdate(stored.quarantines));
-  }
-
   /** Whether this instance reads the targets' entries from the store and relays them to the peers. */
   private get isStoreReader(): boolean {
     const { name } = this.options.member;
@@ -331,14 +329,15 @@
   private heartbeatContent(kind: HeartbeatKind): HeartbeatContent {
     const usage = this.limits.usage(kind);
     if (kind === HeartbeatKind.Own) this.limits.recordReport(usage);
+    const held = this.lease.isCurrent ? this.lease.position : undefined;
     return {
       member: this.options.member,
-      operatorOffset: this.storeView.end(StoreTopic.Operator) ?? 0,
-      targetsOffset: this.storeView.end(StoreTopic.Targets) ?? 0,
+      ...packHeartbeatEnds((topic) => this.storeView.end(topic)),
       reachesStore: this.follower?.isReachable ?? false,
       leavingTargets: this.table.selfDeclaredLeaving,
       suspects: repeatedSuspects(this.suspects),
-      leaseOffset: this.lease.isCurrent ? this.lease.offset : -1,
+      leaseOffset: held?.offset ?? -1,
+      leaseEra: held?.era ?? 0,
       isStopping: this.shutdown.hasBegun,
       usage,
     };
--- a/packages/edge/test/peerCatchUp.test.ts
+++ b/packages/edge/test/peerCatchUp.test.ts
@@ -6,7 +6,8 @@
 import PeerCatchUp from '../src/PeerCatchUp';
 import type StoreView from '../src/StoreView';
 
-const SPAN = { from: null, to: 3, records: [], hasEveryRecord: true, settlesInMs: 0 };
+const END = { era: 0, offset: 3 };
+const SPAN = { from: null, to: END, records: [], hasEveryRecord: true, settlesInMs: 0 };
 const SETTLED_AFTER_MS = 400;
 
 test.each([
@@ -20,7 +21,7 @@
   let merged = 0;
   const failures: unknown[] = [];
   const view = {
-    end: () => merged,
+    end: () => ({ era: 0, offset: merged }),
     observeEnd: () => {},
     mergeFromPeer: () => {
       merged += 1;
--- a/packages/fleet/src/Heartbeat.ts
+++ b/packages/fleet/src/Heartbeat.ts
@@ -6,18 +6,24 @@
 interface Heartbeat {
   /** The sender. */
   readonly member: MemberRecord;
-  /** Store offset up to which the sender knows the operator's records. */
+  /** Store offset up to which the sender knows the operator's records. Read it by `heartbeatEnds`. */
   readonly operatorOffset: number;
-  /** Store offset up to which the sender knows the targets' records. */
+  /** Era of the store to which that offset belongs; absent from heartbeats of an earlier build. */
+  readonly operatorEra?: number;
+  /** Store offset up to which the sender knows the targets' records. Read it by `heartbeatEnds`. */
   readonly targetsOffset: number;
+  /** Era of the store to which that offset belongs; absent from heartbeats of an earlier build. */
+  readonly targetsEra?: number;
   /** Whether the store answered the sender's last call. */
   readonly reachesStore: boolean;
   /** Targets that said that they are leaving, by id and start. */
   readonly leavingTargets: readonly (readonly [string, number])[];
   /** What is quarantined as it crashes targets; `null` in most heartbeats. */
   readonly suspects: SuspectMessage | null;
-  /** Offset of the lease record under which the sender gives orders; -1 if it gives none. */
+  /** Offset of the lease record under which the sender gives orders; -1 if it gives none. Read it by `heartbeatLease`. */
   readonly leaseOffset: number;
+  /** Era of the store to which that offset belongs; absent from heartbeats of an earlier build. */
+  readonly leaseEra?: number;
   /** Whether the sender is shutting down. */
   readonly isStopping: boolean;
   /** Sequence number. Increases with each heartbeat of one incarnation. */
