A stop whose log goes to a file does not end by its own SIGKILL while lines go on coming

To whoever watches, an end by itself, and a stop with another code than 0.

Cause: an exit beside a write of the pool ends the process by SIGKILL (PoolOutput), as Node.js would wait for a file that may hang. The log closed when it had no line left; each SIGHUP brings one, so that it went on to the end of its 0.2 s, or began a further write after its end, and met the exit in a write.

Class: what ends a process must first close what can still begin. The log was emptied, not closed.

Fix: once its end has begun, the log takes what is there, at most once, and begins no write after it; called twice (two SIGTERMs end twice), both wait for the same end. A write that hangs still costs the exit code.

Not shown: that this is what the users saw; it needs a log in a file and lines in the last milliseconds.

--- a/packages/edge/src/OutputWriter.ts
+++ b/packages/edge/src/OutputWriter.ts
@@ -24,8 +24,10 @@
 
   private isWriting = false;
 
-  /** How often text has been taken from the source. */
-  private takes = 0;
+  /** How often text may still be taken from the source. */
+  private takesLeft = Infinity;
+
+  private finished: Promise<void> | undefined;
 
   constructor(
     private readonly output: LogOutput,
@@ -44,26 +46,30 @@
 
   /** Tries to write what is left, unless a write is in progress. */
   flush(): void {
-    if (this.isWriting || this.isDone) return;
+    if (this.isWriting) return;
     if (this.unwritten.length === 0) this.take();
+    if (this.unwritten.length === 0) return;
     this.isWriting = true;
     this.writeUnwritten();
   }
 
   /**
-   * Writes all that is there now, before the process exits, but does not wait for text that comes meanwhile. Gives up if it has found
-   * no room for 0.2 s.
+   * Writes all that is there now, before the process exits, and nothing after it, as a process does not exit in order while a write is
+   * in progress. Gives up if it has found no room for 0.2 s. Called again, it waits for the same end.
    */
-  async finish(): Promise<void> {
-    const lastTake = this.source.hasText() ? this.takes + 1 : this.takes;
-    const isWritten = () =>
-      this.takes > lastTake || (this.takes === lastTake && this.unwritten.length === 0);
+  finish(): Promise<void> {
+    this.finished ??= this.finishOnce();
+    return this.finished;
+  }
+
+  private async finishOnce(): Promise<void> {
+    this.takesLeft = this.source.hasText() ? 1 : 0;
     let isOver = false;
     const cancel = afterRunningTime(FINISH_TIMEOUT_MS, () => {
       isOver = true;
     });
     this.flush();
-    while (!isWritten() && !isOver) {
+    while ((this.takesLeft > 0 || this.unwritten.length > 0) && !isOver) {
       await sleep(FINISH_POLL_INTERVAL_MS);
       this.flush();
     }
@@ -71,7 +77,8 @@
   }
 
   private take(): void {
-    this.takes += 1;
+    if (this.takesLeft === 0 || !this.source.hasText()) return;
+    this.takesLeft -= 1;
     this.unwritten = Buffer.from(this.source.take());
   }
 
--- a/packages/edge/test/logOutput.test.ts
+++ b/packages/edge/test/logOutput.test.ts
@@ -24,6 +24,8 @@
 const CHUNK_BYTES = 4_096;
 const POLL_INTERVAL_MS = 20;
 const WRITE_MS = 10;
+/** Number of processes that are ended, as not each of them is met in a write. */
+const ENDS = 6;
 /** Time for which the log tries to write what it has where there is no room. */
 const CLOSE_LIMIT_MS = 200;
 const NO_FOLDER = '/nowhere';
@@ -195,6 +197,20 @@
     expect(readAll().endsWith('the last error')).toBe(true);
   });
 
+  test('that goes to a file lets a process exit in order while lines go on coming', async () => {
+    const script = `
+      process.chdir(${JSON.stringify(COMPILED)});
+      const load = require('node:module').createRequire(process.cwd() + '/main.js');
+      const output = load('./openLogOutput').default(require('node:fs').openSync('${join(folder, 'log')}', 'w'));
+      const log = new (load('./LineLog').default)('one', output);
+      const goOn = () => { log.event('tested', {}); setImmediate(goOn); };
+      goOn();
+      const end = () => log.close().then(() => process.exit(0));
+      setTimeout(() => { end(); end(); }, 120);`;
+    const ends = await Promise.all(Array.from({ length: ENDS }, () => run(script)));
+    expect(ends).toEqual(Array(ENDS).fill({ code: 0, signal: null }));
+  });
+
   test.each([
     ["require('./openLogOutput').default(1)", { code: 0, signal: null }],
     [`require('./openLogOutput').default(1, '${NO_FOLDER}')`, { code: 0, signal: null }],
