--- a/packages/edge/src/OutputWriter.ts
+++ b/packages/edge/src/OutputWriter.ts
@@ -24,8 +24,10 @@
 
   private isWriting = false;
 
-  /** What `finish` writes behind a write that is in progress; undefined before it is called. */
-  private lastText: Buffer | undefined;
+  /** How often text may still be taken from the source. */
+  private takesLeft = Infinity;
+
+  private finished: Promise<void> | undefined;
 
   constructor(
     private readonly output: LogOutput,
@@ -39,42 +41,45 @@
 
   /** Whether there is nothing left to write. */
   get isDone(): boolean {
-    const hasText = this.lastText === undefined ? this.source.hasText() : this.lastText.length > 0;
-    return this.unwritten.length === 0 && !hasText;
+    return this.unwritten.length === 0 && !this.source.hasText();
   }
 
   /** Tries to write what is left, unless a write is in progress. */
   flush(): void {
-    if (this.isWriting || this.isDone) return;
-    if (this.unwritten.length === 0) this.unwritten = this.takeText();
+    if (this.isWriting) return;
+    if (this.unwritten.length === 0) this.take();
+    if (this.unwritten.length === 0) return;
     this.isWriting = true;
     this.writeUnwritten();
   }
 
   /**
-   * Writes all that there is now, before the process exits, and nothing that comes later: a write that is in progress at the exit
-   * may cost its exit code. Gives up if there has been no room for 0.2 s.
+   * Writes all that is there now, before the process exits, and nothing after it, as a process does not exit in order while a write is
+   * in progress. Gives up if it has found no room for 0.2 s. Called again, it waits for the same end.
    */
-  async finish(): Promise<void> {
+  finish(): Promise<void> {
+    this.finished ??= this.finishOnce();
+    return this.finished;
+  }
+
+  private async finishOnce(): Promise<void> {
+    this.takesLeft = this.source.hasText() ? 1 : 0;
     let isOver = false;
     const cancel = afterRunningTime(FINISH_TIMEOUT_MS, () => {
       isOver = true;
     });
-    this.lastText = Buffer.from(this.source.take());
     this.flush();
-    while ((this.isWriting || !this.isDone) && !isOver) {
+    while ((this.takesLeft > 0 || this.unwritten.length > 0) && !isOver) {
       await sleep(FINISH_POLL_INTERVAL_MS);
       this.flush();
     }
     cancel();
   }
 
-  /** Returns the next text: that of the source, or the rest of the last one once `finish` has been called. */
-  private takeText(): Buffer {
-    const { lastText } = this;
-    if (lastText === undefined) return Buffer.from(this.source.take());
-    this.lastText = NO_BYTES;
-    return lastText;
+  private take(): void {
+    if (this.takesLeft === 0 || !this.source.hasText()) return;
+    this.takesLeft -= 1;
+    this.unwritten = Buffer.from(this.source.take());
   }
 
   private writeUnwritten(): void {
