An absurd claim of the lease does not shorten the wait for its holder

A candidate kept the highest position that it had ever heard of, with the time of that, and waited from then. Any record that differs from the one seen last now begins a new wait. A holder that hears such a claim gives up and takes the lease anew after the usual waits: left so, as a claim by a later record is what a superseded holder must heed.

--- a/packages/fleet/src/Lease.ts
+++ b/packages/fleet/src/Lease.ts
@@ -184,8 +184,9 @@
     if (this.tenure?.fence === fence) this.lose(this.tenure, LossReason.Engine);
   }
 
+  /** Notes the newest known record. One that differs in any way begins a new wait, as an earlier claim may be wrong. */
   private observeRecord(position: StorePosition): void {
-    if (this.observed !== undefined && comparePositions(position, this.observed.position) <= 0) {
+    if (this.observed !== undefined && comparePositions(position, this.observed.position) === 0) {
       return;
     }
     this.observed = { position, atMs: this.parts.clock.nowMs() };
--- a/packages/fleet/test/leaseUnknownAppends.test.ts
+++ b/packages/fleet/test/leaseUnknownAppends.test.ts
@@ -57,6 +57,16 @@
   expect(fleet.faults()).toEqual([]);
 });
 
+test('an absurd claim of a peer does not shorten the wait for a holder that falls silent later', async () => {
+  const fleet = await start();
+  fleet.of('two').lease.observeHolder({ era: 9, offset: 1e9 });
+  await fleet.run(6_000);
+  Object.assign(fleet.of('one'), { isUnreachable: true, isSilent: true });
+  await fleet.run(9_000);
+  expect(fleet.holders()).toEqual(['one', 'two']);
+  expect(fleet.faults()).toEqual([]);
+});
+
 test('a holder that is heard again while a candidate waits keeps the lease without the store', async () => {
   const fleet = await start();
   const one = fleet.of('one');
--- a/packages/spec/src/leaseSpec.ts
+++ b/packages/spec/src/leaseSpec.ts
@@ -137,7 +137,7 @@
       return [{ name: `${index} takes the lease (${claim})`, next: take(wait) }];
     }
     const position = { era, offset: record?.offset ?? -1 };
-    if (observed === null || comparePositions(position, observed.position) > 0) {
+    if (observed === null || comparePositions(position, observed.position) !== 0) {
       const next = withMachine(state, index, { observed: { position, age: 0 } });
       return [{ name: `${index} begins to wait`, next }];
     }
