A silent connection is closed also after an empty line behind its last request

A connection on which bytes that are no request (the empty line that some clients send behind a body) came after the last answer was kept for as long as its caller liked, with its descriptor and memory.

Cause: since connections are closed as idle by the server itself, and no longer by the default action of Node.js, the idle timeout asked whether any byte had been read since the last request. The parser skips empty lines, no later timeout follows, and the limit for heads does not apply, as no head has begun.

Fix: the timeout means that nothing was read for all that time, so what counts is that nothing arrives as it is handled, and that no request is under way. Requests that wait to be read still keep the connection open.

--- a/packages/response-ends/src/CallerServer.ts
+++ b/packages/response-ends/src/CallerServer.ts
@@ -41,7 +41,7 @@
     this.on('connection', (socket) => this.trackConnection(socket));
     this.prependListener('request', (request, response) => this.trackRequest(request, response));
     this.on('timeout', (socket) => {
-      void this.closeIfIdle(socket);
+      void this.closeIfSilent(socket);
     });
     this.on('checkExpectation', (request, response) => {
       this.trackRequest(request, response);
@@ -89,11 +89,15 @@
     });
   }
 
-  /** Closes a connection that has been idle for too long, unless a request has arrived on it meanwhile. */
-  private async closeIfIdle(socket: Socket): Promise<void> {
+  /**
+   * Closes a connection that has been silent for too long without a request under way, unless bytes have arrived on it meanwhile.
+   * Those before may have been no request: the parser skips empty lines.
+   */
+  private async closeIfSilent(socket: Socket): Promise<void> {
+    const { bytesRead } = socket;
     await this.handlePendingInput();
     const connection = this.callerConnections.get(socket);
-    if (connection?.isIdle) connection.close();
+    if (connection?.underWay === 0 && socket.bytesRead === bytesRead) connection.close();
   }
 
   private trackConnection(socket: Socket): void {
--- a/packages/response-ends/test/callerServer.test.ts
+++ b/packages/response-ends/test/callerServer.test.ts
@@ -125,3 +125,30 @@
     expect(answers).toBe(2);
   });
 });
+
+describe('a connection that has been silent for longer than the server keeps it', () => {
+  const IDLE_TIMEOUT_MS = 100;
+  /** Node.js keeps an idle connection for 1 s longer than it is told. */
+  const LIMIT_MS = 2_500;
+
+  test.each([
+    { what: 'its last answer', text: '' },
+    { what: 'an empty line, which is no request', text: '\r\n' },
+  ])('is closed after $what', async ({ text }) => {
+    const { server, open } = await start();
+    server.keepAliveTimeout = IDLE_TIMEOUT_MS;
+    const socket = open().resume();
+    try {
+      socket.write(REQUEST.replace('/', '/short'));
+      await once(socket, 'data');
+      await sleep(POLL_INTERVAL_MS);
+      socket.write(text);
+      const closed = once(socket, 'close').then(() => true);
+      expect(await Promise.race([closed, sleep(LIMIT_MS)])).toBe(true);
+    } finally {
+      socket.destroy();
+      server.closeAllConnections();
+      server.close();
+    }
+  });
+});
