A stop closes connections that have become idle while others are still in progress

Since connections are accepted until the last moment of a stop, idle ones stayed open too, also where callers had not been told that their connection closes. A caller who is told early sends its next request elsewhere, and needs no refusal for it.

--- a/packages/edge/src/HttpListener.ts
+++ b/packages/edge/src/HttpListener.ts
@@ -61,6 +61,11 @@
     return new HttpListener(server, address, log);
   }
 
+  /** Closes connections without a request under way, once what has arrived is handled. Call it again, as further ones become idle. */
+  closeIdle(): void {
+    this.server.closeIdleConnections();
+  }
+
   /**
    * Handles what has arrived, then accepts nothing more and closes the connections that carry no request. Resolves once all
    * connections are closed, after `CLOSE_TIMEOUT_MS` or at `limitMs` on the monotonic clock at the latest.
--- a/packages/edge/src/Shutdown.ts
+++ b/packages/edge/src/Shutdown.ts
@@ -75,17 +75,18 @@
     this.finalAtMs = startedMs + graceMs - GRACE_MARGIN_MS;
     await clock.sleep(sendingMs);
     this.cutoffController.abort();
-    await this.finishRequests(this.finalAtMs);
+    await this.finishRequests(listeners, this.finalAtMs);
     this.controller.abort();
     const limitMs = this.finalAtMs + FINAL_ANSWERS_MS;
     await Promise.all(listeners.map((listener) => listener.finish(clock, limitMs)));
-    await this.finishRequests(limitMs);
+    await this.finishRequests([], limitMs);
   }
 
-  /** Waits until no request is in progress, until `endMs` at the latest. */
-  private async finishRequests(endMs: number): Promise<void> {
+  /** Waits until no request is in progress, until `endMs` at the latest. Callers with idle connections are sent elsewhere meanwhile. */
+  private async finishRequests(listeners: readonly HttpListener[], endMs: number): Promise<void> {
     const { clock, activeRequests } = this.parts;
     while (activeRequests() > 0 && clock.nowMs() < endMs) {
+      listeners.forEach((listener) => listener.closeIdle());
       await clock.sleep(Math.min(POLL_INTERVAL_MS, endMs - clock.nowMs()));
     }
   }
