A stop resets no connections of callers that connect again without pause

Callers: with 300 callers that connect anew as soon as they are answered, a stop reset 281 to 299 connections at its very end, 15 to 40 ms after they had sent a whole booking. None of these had run.

Cause: a listener reads what has arrived before it closes, until three turns of the event loop bring nothing, 1,024 turns at most. In each turn it answered, too, and who is refused with Retry-After 0 comes back at once, so that something always waits to be accepted. The 1,024 turns passed, and the close reset the whole queue.

Fix: from when a listener begins to finish until its port is closed, it accepts and reads but answers nothing. Callers that wait for an answer do not come back, so the queue is empty after as many turns as there are callers; then the port is closed, and all are answered. A caller that has left meanwhile is not answered.

Ruled out: to read for longer (the queue does not get empty); to stop to accept without closing (Linux has no such call for a TCP listener; what waits would be reset all the same).

More than 1,024 connections that come without waiting for answers are still reset.

--- a/packages/edge/src/HttpListener.ts
+++ b/packages/edge/src/HttpListener.ts
@@ -2,6 +2,7 @@
 import type { EventLog } from '@wisteriapath/fleet';
 import type { Clock } from '@wisteriapath/model';
 import { CallerServer } from '@wisteriapath/response-ends';
+import HeldAnswers from './HeldAnswers';
 
 /** Answers a request, at once or later. The server may have answered it before: bytes that cannot be read come after its head. */
 type Handle = (request: IncomingMessage, response: ServerResponse) => void | Promise<void>;
@@ -29,6 +30,7 @@
 class HttpListener {
   private constructor(
     readonly server: CallerServer,
+    private readonly answers: HeldAnswers,
     private readonly address: string,
     private readonly log: EventLog,
   ) {}
@@ -41,10 +43,13 @@
     handle: Handle,
   ): Promise<HttpListener> {
     const answer = guard(handle, address, log);
+    const answers = new HeldAnswers();
     const server = new CallerServer(
       options,
       (request, response) => {
-        void answer(request, response);
+        answers.add(request, () => {
+          void answer(request, response);
+        });
       },
       ({ code, underWay, status }) => {
         log.event('caller_unreadable', { address, code, under_way: underWay, status });
@@ -58,19 +63,18 @@
     server.removeAllListeners('error').on('error', (error: NodeJS.ErrnoException) => {
       log.event('listener_error', { address, code: error.code ?? error.message });
     });
-    return new HttpListener(server, address, log);
+    return new HttpListener(server, answers, address, log);
   }
 
   /**
-   * Handles what has arrived, then accepts nothing more and closes the connections that carry no request. Resolves once all
+   * Accepts what has arrived and nothing more, answers it, and closes the connections that carry no request. Resolves once all
    * connections are closed, after `CLOSE_TIMEOUT_MS` or at `limitMs` on the monotonic clock at the latest.
    */
   async finish(clock: Clock, limitMs: number): Promise<void> {
     const { server } = this;
     const endMs = Math.min(limitMs, clock.nowMs() + CLOSE_TIMEOUT_MS);
     const leftMs = () => Math.max(0, endMs - clock.nowMs());
-    await server.handlePendingInput();
-    server.close();
+    await this.stopAccepting();
     await clock.sleep(Math.min(FIRST_REQUEST_MS, leftMs()));
     while (server.connectionCount > 0 && leftMs() > 0) {
       await server.closeUnusedConnections();
@@ -80,6 +84,14 @@
     if (count > 0) this.log.event('connections_left', { address: this.address, count });
   }
 
+  /** Callers that are answered connect again at once: their connections would wait to be accepted as the port is closed. */
+  private async stopAccepting(): Promise<void> {
+    this.answers.hold();
+    await this.server.handlePendingInput();
+    this.server.close();
+    this.answers.release();
+  }
+
   /** Closes the server and all connections. */
   destroy(): void {
     this.server.close();
--- a/packages/edge/test/httpListener.test.ts
+++ b/packages/edge/test/httpListener.test.ts
@@ -14,6 +14,7 @@
 const WHOLE = `${HEAD}0\r\n\r\n`;
 const PAUSE_MS = 50;
 const CALLERS = 10;
+const ETERNAL_CALLERS = 100;
 const STATUS_END = 12;
 const ANSWER_LIMIT_MS = 2_000;
 
@@ -105,4 +106,37 @@
     const statuses = (await Promise.all(answers)).map((answer) => answer.slice(0, STATUS_END));
     expect(new Set(statuses)).toEqual(new Set(['HTTP/1.1 200']));
   });
+
+  test('that finishes resets no connection of callers that connect again once they are answered', async () => {
+    const port = await open((_, response) => {
+      response.writeHead(200, { connection: 'close' }).end('ok');
+    });
+    const cut: string[] = [];
+    /** Sends one request after the other, each on a new connection, until the port is closed. */
+    const call = async (): Promise<void> => {
+      const socket = connect(port, HOST);
+      let answer = '';
+      let isConnected = false;
+      socket.on('connect', () => {
+        isConnected = true;
+        socket.write(WHOLE);
+      });
+      socket.on('data', (chunk) => {
+        answer += chunk.toString('latin1');
+      });
+      socket.on('error', () => {});
+      await new Promise((resolve) => {
+        socket.on('close', resolve);
+      });
+      if (!isConnected) return;
+      if (answer === '') cut.push('no answer');
+      await call();
+    };
+    const calls = Array.from({ length: ETERNAL_CALLERS }, call);
+    await sleep(PAUSE_MS);
+    await listener.finish(systemClock, Infinity);
+    listener.destroy();
+    await Promise.all(calls);
+    expect(cut).toEqual([]);
+  });
 });
