Own protocol: a listener that closes resets no connections of callers that connect again

Callers: of 100 that connect anew as soon as they are answered, 96 had their connection reset without an answer as the listener closed.

Fix: to hold back answers until no more connections are accepted is now a call of CallerServer, by which both listeners close (no change for that of packages/edge).

Evidence: the test failed on the code before with 96 unanswered requests; passes. daemon, response-ends and edge/httpListener: 79 passed, twice.

--- a/packages/daemon/src/HttpListener.ts
+++ b/packages/daemon/src/HttpListener.ts
@@ -42,9 +42,8 @@
    * answered. Closes connections that carry no request in the meantime.
    */
   async close(): Promise<void> {
-    await this.server.handlePendingInput();
     const closed = once(this.server, 'close');
-    this.server.close();
+    await this.server.stopAccepting();
     const sweepTimer = setInterval(() => {
       void this.server.closeUnusedConnections();
     }, IDLE_SWEEP_INTERVAL_MS);
--- a/packages/daemon/test/httpListener.test.ts
+++ b/packages/daemon/test/httpListener.test.ts
@@ -60,6 +60,7 @@
 
 describe('a listener that closes', () => {
   const CALLERS = 10;
+  const ETERNAL_CALLERS = 100;
 
   const openWith = async (text: string) => {
     const listener = await HttpListener.open(
@@ -102,4 +103,38 @@
       listener.destroy();
     }
   });
+
+  test('resets no connection of callers that connect again once they are answered', async () => {
+    const listener = await HttpListener.open(
+      '127.0.0.1:0',
+      (_, response) => response.writeHead(200, { connection: 'close' }).end('done'),
+      () => {},
+    );
+    const port = Number(new URL(listener.url).port);
+    let unanswered = 0;
+    /** Sends one request after the other, each on a new connection, until the port is closed. */
+    const call = async (): Promise<void> => {
+      let isConnected = false;
+      let received = '';
+      const socket = connect(port, '127.0.0.1', () => {
+        isConnected = true;
+        socket.write(REQUEST);
+      });
+      socket.on('error', () => {});
+      socket.on('data', (bytes: Buffer) => {
+        received += bytes.toString();
+      });
+      await new Promise((resolve) => {
+        socket.on('close', resolve);
+      });
+      if (!isConnected) return;
+      unanswered += received === '' ? 1 : 0;
+      await call();
+    };
+    const calls = Array.from({ length: ETERNAL_CALLERS }, call);
+    await sleep(RUN_MS);
+    await listener.close();
+    await Promise.all(calls);
+    expect(unanswered).toBe(0);
+  });
 });
--- a/packages/edge/src/HttpListener.ts
+++ b/packages/edge/src/HttpListener.ts
@@ -2,7 +2,6 @@
 import type { EventLog } from '@wisteriapath/fleet';
 import type { Clock } from '@wisteriapath/model';
 import { CallerServer } from '@wisteriapath/response-ends';
-import HeldAnswers from './HeldAnswers';
 
 /** Answers a request, at once or later. The server may have answered it before: bytes that cannot be read come after its head. */
 type Handle = (request: IncomingMessage, response: ServerResponse) => void | Promise<void>;
@@ -30,7 +29,6 @@
 class HttpListener {
   private constructor(
     readonly server: CallerServer,
-    private readonly answers: HeldAnswers,
     private readonly address: string,
     private readonly log: EventLog,
   ) {}
@@ -43,13 +41,10 @@
     handle: Handle,
   ): Promise<HttpListener> {
     const answer = guard(handle, address, log);
-    const answers = new HeldAnswers();
     const server = new CallerServer(
       options,
       (request, response) => {
-        answers.add(request, () => {
-          void answer(request, response);
-        });
+        void answer(request, response);
       },
       ({ code, underWay, status }) => {
         log.event('caller_unreadable', { address, code, under_way: underWay, status });
@@ -63,7 +58,7 @@
     server.removeAllListeners('error').on('error', (error: NodeJS.ErrnoException) => {
       log.event('listener_error', { address, code: error.code ?? error.message });
     });
-    return new HttpListener(server, answers, address, log);
+    return new HttpListener(server, address, log);
   }
 
   /**
@@ -74,7 +69,7 @@
     const { server } = this;
     const endMs = Math.min(limitMs, clock.nowMs() + CLOSE_TIMEOUT_MS);
     const leftMs = () => Math.max(0, endMs - clock.nowMs());
-    await this.stopAccepting();
+    await server.stopAccepting();
     await clock.sleep(Math.min(FIRST_REQUEST_MS, leftMs()));
     while (server.connectionCount > 0 && leftMs() > 0) {
       await server.closeUnusedConnections();
@@ -84,14 +79,6 @@
     if (count > 0) this.log.event('connections_left', { address: this.address, count });
   }
 
-  /** Callers that are answered connect again at once: their connections would wait to be accepted as the port is closed. */
-  private async stopAccepting(): Promise<void> {
-    this.answers.hold();
-    await this.server.handlePendingInput();
-    this.server.close();
-    this.answers.release();
-  }
-
   /** Closes the server and all connections. */
   destroy(): void {
     this.server.close();
--- a/packages/response-ends/src/CallerServer.ts
+++ b/packages/response-ends/src/CallerServer.ts
@@ -8,6 +8,7 @@
 import type { Socket } from 'node:net';
 import { setImmediate as passTurn } from 'node:timers/promises';
 import CallerConnection from './CallerConnection';
+import HeldAnswers from './HeldAnswers';
 import type UnreadableBytes from './UnreadableBytes';
 import refusalOf from './refusalOf';
 
@@ -29,6 +30,8 @@
 class CallerServer extends Server {
   private readonly callerConnections = new Map<Socket, CallerConnection>();
 
+  private readonly answers = new HeldAnswers();
+
   /** Number of connections and requests so far. */
   private arrivals = 0;
 
@@ -37,9 +40,12 @@
     handle: RequestListener,
     private readonly onUnreadable: (bytes: UnreadableBytes) => void,
   ) {
-    super(options, handle);
+    super(options);
     this.on('connection', (socket) => this.trackConnection(socket));
-    this.prependListener('request', (request, response) => this.trackRequest(request, response));
+    this.on('request', (request, response) => {
+      this.trackRequest(request, response);
+      this.answers.add(request, () => handle(request, response));
+    });
     this.on('timeout', (socket) => {
       void this.closeIfSilent(socket);
     });
@@ -70,6 +76,17 @@
     }
   }
 
+  /**
+   * Accepts the connections that wait, then no more; answers what arrives meanwhile after that. Callers that are answered connect
+   * again at once, so their connections would wait to be accepted as the port is closed.
+   */
+  async stopAccepting(): Promise<void> {
+    this.answers.hold();
+    await this.handlePendingInput();
+    this.close();
+    this.answers.release();
+  }
+
   /** Closes connections without a request under way, soon. Node.js would also close those whose last response is still being sent. */
   override closeIdleConnections(): void {
     void this.closeWithoutRequest((connection) => connection.isIdle);
