Own protocol: a stop is not held up by requests that never arrive in full

A single caller that had sent half a head, half a body or an empty line behind a request kept the listener, and with it the stop, from ending until the process was killed, with the budgets, claims and roles that it would have released.

Cause: a closing listener closes connections that carry no request; one that is being received counts as carried, and from its close on Node.js no longer applies its limits of time for heads and requests.

Fix: what has not been received 2 s after no more connections are accepted is refused with 408, which is true, as it has not run, or closed if no request has begun.

Ruled out: to limit the whole close; requests that run may take as long as they do.

--- a/packages/daemon/src/HttpListener.ts
+++ b/packages/daemon/src/HttpListener.ts
@@ -4,6 +4,8 @@
 import { CallerServer, type UnreadableBytes } from '@wisteriapath/response-ends';
 
 const IDLE_SWEEP_INTERVAL_MS = 50;
+/** Time for requests that are being received as the listener closes. */
+const RECEIVE_TIMEOUT_MS = 2_000;
 
 /** An HTTP server that can be closed without aborting requests in flight. */
 class HttpListener {
@@ -39,7 +41,7 @@
 
   /**
    * Stops accepting connections, once those that wait have been accepted, and resolves when the last request has been
-   * answered. Closes connections that carry no request in the meantime.
+   * answered. Closes connections that carry no request in the meantime, and refuses requests that are not received in time.
    */
   async close(): Promise<void> {
     const closed = once(this.server, 'close');
@@ -47,8 +49,12 @@
     const sweepTimer = setInterval(() => {
       void this.server.closeUnusedConnections();
     }, IDLE_SWEEP_INTERVAL_MS);
+    const refusalTimer = setInterval(() => {
+      void this.server.refuseReceiving();
+    }, RECEIVE_TIMEOUT_MS);
     await closed;
     clearInterval(sweepTimer);
+    clearInterval(refusalTimer);
   }
 
   /** Closes the server and every connection, also those with requests in flight. */
--- a/packages/daemon/test/httpListener.test.ts
+++ b/packages/daemon/test/httpListener.test.ts
@@ -61,6 +61,8 @@
 describe('a listener that closes', () => {
   const CALLERS = 10;
   const ETERNAL_CALLERS = 100;
+  const CLOSE_LIMIT_MS = 4_000;
+  const HALF_BODY = 'POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\n';
 
   const openWith = async (text: string) => {
     const listener = await HttpListener.open(
@@ -137,4 +139,37 @@
     await Promise.all(calls);
     expect(unanswered).toBe(0);
   });
+
+  test.each([
+    { what: 'half a head', text: 'POST / HT', more: '', statuses: ['408'] },
+    { what: 'half a body', text: `${HALF_BODY}ha`, more: '', statuses: ['408'] },
+    { what: 'an empty line behind a request', text: REQUEST, more: '\r\n', statuses: ['200'] },
+  ])('is not held up by a caller that sends no more than $what', async (sent) => {
+    const listener = await HttpListener.open(
+      '127.0.0.1:0',
+      (request, response) => {
+        request.resume().on('end', () => response.end('done'));
+      },
+      () => {},
+    );
+    let received = '';
+    const socket = connect(Number(new URL(listener.url).port), '127.0.0.1');
+    socket.on('error', () => {});
+    socket.on('data', (bytes: Buffer) => {
+      received += bytes.toString();
+    });
+    try {
+      socket.write(sent.text);
+      await sleep(RUN_MS);
+      socket.write(sent.more);
+      await sleep(RUN_MS);
+      const isClosed = listener.close().then(() => true);
+      expect(await Promise.race([isClosed, sleep(CLOSE_LIMIT_MS)])).toBe(true);
+      const statuses = [...received.matchAll(/HTTP\/1\.1 (\d{3})/g)].map(([, status]) => status);
+      expect(statuses).toEqual(sent.statuses);
+    } finally {
+      socket.destroy();
+      listener.destroy();
+    }
+  });
 });
--- a/packages/response-ends/src/CallerConnection.ts
+++ b/packages/response-ends/src/CallerConnection.ts
@@ -47,6 +47,12 @@
     return this.socket.bytesRead === 0;
   }
 
+  /** Whether a request is being received, or bytes have come that are none. */
+  get isReceiving(): boolean {
+    if (this.underWay === 0) return !this.isIdle && !this.isUnused;
+    return [...this.exchanges].some(({ request }) => !request.complete);
+  }
+
   /** Whether nothing more is read from this connection. */
   get hasRefused(): boolean {
     return this.isEnding;
--- a/packages/response-ends/src/CallerServer.ts
+++ b/packages/response-ends/src/CallerServer.ts
@@ -14,6 +14,8 @@
 
 /** Error code for a connection that the caller ends inside a request. */
 const EARLY_END = 'HPE_INVALID_EOF_STATE';
+/** Error code of Node.js for a request that is not received in time. */
+const RECEIVE_TIMEOUT = 'ERR_HTTP_REQUEST_TIMEOUT';
 const EXPECTATION_FAILED = 417;
 /** Turns of the event loop without input after which none waits: one accepts a connection, the next reads its request. */
 const QUIET_TURNS = 3;
@@ -97,6 +99,14 @@
     return this.closeWithoutRequest((connection) => connection.isIdle || connection.isUnused);
   }
 
+  /** Refuses the requests that have not been received in full, and closes their connections. */
+  async refuseReceiving(): Promise<void> {
+    await this.handlePendingInput();
+    [...this.callerConnections.entries()]
+      .filter(([, connection]) => connection.isReceiving)
+      .forEach(([socket]) => this.refuse(socket, RECEIVE_TIMEOUT));
+  }
+
   private async closeWithoutRequest(
     mayClose: (connection: CallerConnection) => boolean,
   ): Promise<void> {
