A request that allows absurdly many tokens does not make long streams look short

Callers: none seen; shown at StopGate. After one answer to a request whose Token-Usage allowed 1e9 tokens, an instance that stops takes a stream of 10 s with 7.5 s left, which is then broken off in the middle.

Cause: times for each token are weighted by the tokens that a request states, which nobody checks. One of the last 32 answers then has nearly all the weight, and a time for each token of almost nothing.

Fix: no answer weighs more than eight times as much as the one of middle length.

Ruled out: a limit on the tokens themselves (some clients allow 100,000 by default); weights by the time that answers took (an answer that was held up would weigh more again).

--- a/packages/edge/src/AnswerTimes.ts
+++ b/packages/edge/src/AnswerTimes.ts
@@ -8,6 +8,9 @@
 
 /** Fraction of recent answers that were no slower than what is expected of the next one of known length. */
 const EXPECTED_FRACTION = 0.75;
+const MIDDLE_FRACTION = 0.5;
+/** How many times the weight of the middle one of the answers a single one may have, as its request may state any length. */
+const MAX_RELATIVE_WEIGHT = 8;
 /** Answers that are kept for each model, pool and route: the newest. */
 const MAX_SAMPLES = 32;
 /** Answers below which nothing is expected from them. */
@@ -30,8 +33,13 @@
   });
   if (stated.length < MIN_SAMPLES) return undefined;
   const starts = stated.map(({ startMs }) => ({ value: startMs, weight: 1 }));
+  const lengths = stated.map(({ tokens }) => ({ value: tokens, weight: 1 }));
+  const maxWeight = MAX_RELATIVE_WEIGHT * weightedQuantile(lengths, MIDDLE_FRACTION)!;
   // A short answer that was held up once must not count as much as a long one.
-  const paces = stated.map(({ msPerToken, tokens }) => ({ value: msPerToken, weight: tokens }));
+  const paces = stated.map(({ msPerToken, tokens }) => ({
+    value: msPerToken,
+    weight: Math.min(tokens, maxWeight),
+  }));
   return {
     startMs: weightedQuantile(starts, EXPECTED_FRACTION)!,
     msPerToken: weightedQuantile(paces, EXPECTED_FRACTION)!,
--- a/packages/edge/test/stopGate.test.ts
+++ b/packages/edge/test/stopGate.test.ts
@@ -133,6 +133,15 @@
   expect(expectedMs).toBeCloseTo((START_MS + 40 * MS_PER_TOKEN) * ALLOWANCE);
 });
 
+test('one answer to a request that allowed absurdly much does not make long streams look short', () => {
+  const { gate } = createGate([...LENGTHS, ...LENGTHS]);
+  gate.recordAnswer(
+    { pool: 'engines', route: 'write', model: 'm', outputTokens: 1e9, estimatedTokens: null },
+    { firstEventMs: START_MS, totalMs: START_MS + 2_000 },
+  );
+  expect(gate.decide(requestOf({ outputTokens: 200 })).isServed).toBe(false);
+});
+
 test.each([
   { what: 'short, though much is allowed', estimatedTokens: 40, isServed: true },
   { what: 'long', estimatedTokens: 200, isServed: false },
