--- a/packages/edge/src/HttpListener.ts
+++ b/packages/edge/src/HttpListener.ts
@@ -67,15 +67,14 @@
   }
 
   /**
-   * Handles what has arrived, then accepts nothing more and closes the connections that carry no request. Resolves once all
+   * Accepts what has arrived and nothing more, answers it, and closes the connections that carry no request. Resolves once all
    * connections are closed, after `CLOSE_TIMEOUT_MS` or at `limitMs` on the monotonic clock at the latest.
    */
   async finish(clock: Clock, limitMs: number): Promise<void> {
     const { server } = this;
     const endMs = Math.min(limitMs, clock.nowMs() + CLOSE_TIMEOUT_MS);
     const leftMs = () => Math.max(0, endMs - clock.nowMs());
-    await server.handlePendingInput();
-    server.close();
+    await server.stopAccepting();
     await clock.sleep(Math.min(FIRST_REQUEST_MS, leftMs()));
     while (server.connectionCount > 0 && leftMs() > 0) {
       await server.closeUnusedConnections();
