A build in a clean checkout installs packages before it tries to bundle

Where there are no packages they are installed first, and a line says so; the second try after packages that do not do stays.

--- a/tools/buildProgram.mjs
+++ b/tools/buildProgram.mjs
@@ -92,15 +92,23 @@
   return files;
 };
 
-/** Installs all packages and tries once more if the program cannot be made from those in place. */
+const installAndBundle = async () => {
+  await installPackages();
+  return bundleAndCheck();
+};
+
+/** Installs all packages where there are none, and where the program cannot be made from those in place. */
 const bundleInstalled = async () => {
+  if (!existsSync(paths.packages)) {
+    console.error('build: installing packages');
+    return installAndBundle();
+  }
   try {
     return await bundleAndCheck();
   } catch (error) {
     if (!INSTALL_MAY_HELP.includes(error.step)) throw error;
-    console.error(`build: packages are installed, as of ${error.message}`);
-    await installPackages();
-    return bundleAndCheck();
+    console.error(`build: installing packages, as those in place do not do: ${error.message}`);
+    return installAndBundle();
   }
 };
 
--- a/tools/paths.mjs
+++ b/tools/paths.mjs
@@ -5,6 +5,8 @@
 const DIGEST_DIGITS = 16;
 
 export default {
+  /** The packages that are installed. */
+  packages: 'node_modules',
   folder,
   /** The first file of the program; names the second. */
   program: `${folder}/wisteriapath.cjs`,
