Requests sent together are all answered in a stop, and none runs behind a last response

Callers: of three bookings sent together on one connection 0.5 s after SIGTERM, all three ran and one was answered; of a request sent while the response before it was under way, the same. Without a stop all three were answered.

Cause: in a stop each response says that it is the connection's last, also where requests behind it have been read and passed on; Node.js closes the connection after it. And what came behind a response that had said so was passed on.

Fix: a response says so only if no request has arrived behind it. A request that arrives behind a response that has said so is not passed on; it crosses the close.

Ruled out: a matter of the closing at the end of a stop (it is the same at its begin). Read only: our own protocol sets the header in the same way (packages/daemon, CallerApi) and is not changed.

--- a/packages/edge/src/CallerListener.ts
+++ b/packages/edge/src/CallerListener.ts
@@ -1,3 +1,4 @@
+import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { CallerLimits } from '@wisteriapath/fleet';
 import CallerExchange from './CallerExchange';
 import type EdgeDependencies from './EdgeDependencies';
@@ -36,7 +37,7 @@
           request,
           response,
           deps.dialect,
-          deps.isStopping,
+          () => deps.isStopping() && this.isLastRequest(request, response),
           deps.memory.reserve(),
         );
         this.active.add(caller);
@@ -65,6 +66,11 @@
     this.applyLimits();
   }
 
+  /** Whether a response may close its connection: the requests behind it would not be answered. */
+  private isLastRequest(request: IncomingMessage, response: ServerResponse): boolean {
+    return this.listener?.server.isLastRequest(request, response) ?? true;
+  }
+
   private applyLimits(): void {
     const { limits, listener } = this;
     if (limits === undefined || listener === undefined) return;
--- a/packages/response-ends/src/CallerConnection.ts
+++ b/packages/response-ends/src/CallerConnection.ts
@@ -47,6 +47,18 @@
     return this.socket.bytesRead === 0;
   }
 
+  /** Whether a response that has begun says that it is the last one of this connection. */
+  get isLastBegun(): boolean {
+    return [...this.exchanges].some(
+      ({ response }) => response.headersSent && !response.shouldKeepAlive,
+    );
+  }
+
+  /** Whether no request has arrived behind that of a response. */
+  isLast(response: ServerResponse): boolean {
+    return [...this.exchanges].at(-1)?.response === response;
+  }
+
   /** Whether a request is being received, or bytes have come that are none. */
   get isReceiving(): boolean {
     if (this.underWay === 0) return !this.isIdle && !this.isUnused;
--- a/packages/response-ends/src/CallerServer.ts
+++ b/packages/response-ends/src/CallerServer.ts
@@ -45,6 +45,8 @@
     super(options);
     this.on('connection', (socket) => this.trackConnection(socket));
     this.on('request', (request, response) => {
+      // Behind the last response of its connection it could not be answered, so that it must not run.
+      if (this.callerConnections.get(request.socket)?.isLastBegun) return;
       this.trackRequest(request, response);
       this.answers.add(request, () => handle(request, response));
     });
@@ -65,6 +67,11 @@
     return this.callerConnections.size;
   }
 
+  /** Whether no request has arrived on the connection of a request behind it: its response may be the connection's last. */
+  isLastRequest(request: IncomingMessage, response: ServerResponse): boolean {
+    return this.callerConnections.get(request.socket)?.isLast(response) ?? true;
+  }
+
   /**
    * Resolves once what had arrived before is handled, in the part of a turn of the event loop that follows the reading of
    * sockets. A timer may come before the reading, and what it closes would be reset beside unread requests.
