A partition is noticed by failure domain, and a silent target stays unreachable

Cause: a target counted as unreachable only while a request to it waited for its first byte. Once the caller had left, the next request was sent there, and lost 2 s later.

Change: a request that ends without a byte of its target is a silence, with the backoff that connections that do not open have. DomainContact: while a target of another failure domain was silent last, and no instance there is heard, none of its targets is reachable, and the placers are told so. Edge.heartbeatContent is a module of its own.

--- a/packages/edge/src/DemandReporter.ts
+++ b/packages/edge/src/DemandReporter.ts
@@ -72,6 +72,7 @@
 
   private report(): void {
     const waiting = this.waiting.demands;
+    const unreachable = this.deps.loads.findUnreachable();
     const nowMs = this.deps.clock.nowMs();
     const ratesIntervalMs = Math.min(
       MAX_RATES_INTERVAL_MS,
@@ -80,7 +81,7 @@
     if (waiting.length === 0 && nowMs - this.reportedAtMs < ratesIntervalMs) return;
     this.reportedAtMs = nowMs;
     const { instance, rates, loads, send } = this.deps;
-    const { running, unreachable } = loads;
+    const { running } = loads;
     send({ instance, waiting, rates: rates.all, running, unreachable });
   }
 }
--- a/packages/edge/src/Edge.ts
+++ b/packages/edge/src/Edge.ts
@@ -4,10 +4,7 @@
   DemandAggregator,
   type DemandReport,
   type EventLog,
-  type HeartbeatContent,
-  HeartbeatKind,
   Lease,
-  packHeartbeatEnds,
   Peers,
   type Placer,
   type StoreFollower,
@@ -18,6 +15,7 @@
 import CallerListener from './CallerListener';
 import ColdTargetLimiter from './ColdTargetLimiter';
 import DemandReporter from './DemandReporter';
+import DomainContact from './DomainContact';
 import type EdgeDependencies from './EdgeDependencies';
 import EdgeListeners from './EdgeListeners';
 import EdgeMetrics from './EdgeMetrics';
@@ -37,6 +35,7 @@
 import TargetSignals from './TargetSignals';
 import WorkspaceLimits from './WorkspaceLimits';
 import candidateRank from './candidateRank';
+import createHeartbeatContent from './createHeartbeatContent';
 import createPeerHandlers from './createPeerHandlers';
 import createPlacer from './createPlacer';
 import createReadinessLog from './createReadinessLog';
@@ -44,7 +43,6 @@
 import createSuspects from './createSuspects';
 import readsStoreForAll from './readsStoreForAll';
 import registerInstanceGauges from './registerInstanceGauges';
-import repeatedSuspects from './repeatedSuspects';
 import stopParts from './stopParts';
 
 const HEARTBEAT_INTERVAL_MS = 200;
@@ -126,7 +124,12 @@
     this.demand = new DemandAggregator(clock);
     const instances = () => this.peers.instanceCount(PEER_SPENDING_TIMEOUT_MS);
     this.rates = new ModelRates(clock);
-    this.loads = new TargetLoads(clock, this.table);
+    const contact = new DomainContact({
+      clock,
+      ownDomain: options.member.failureDomain,
+      isHeard: (domain, withinMs) => this.peers.hasHeard(domain, withinMs),
+    });
+    this.loads = new TargetLoads(clock, this.table, contact);
     this.demandReporter = new DemandReporter({
       clock,
       instance: options.member.host,
@@ -308,7 +311,16 @@
         clock,
         wallClock: this.ports.wallClock,
         log,
-        heartbeatContent: (kind) => this.heartbeatContent(kind),
+        heartbeatContent: createHeartbeatContent({
+          member: options.member,
+          limits: this.limits,
+          storeView: this.storeView,
+          table: this.table,
+          suspects: this.suspects,
+          lease: () => this.lease,
+          reachesStore: () => this.follower?.isReachable ?? false,
+          isStopping: () => this.shutdown.hasBegun,
+        }),
         handlers: createPeerHandlers({
           failureDomain: options.member.failureDomain,
           storeView: this.storeView,
@@ -326,23 +338,6 @@
     );
   }
 
-  private heartbeatContent(kind: HeartbeatKind): HeartbeatContent {
-    const usage = this.limits.usage(kind);
-    if (kind === HeartbeatKind.Own) this.limits.recordReport(usage);
-    const held = this.lease.isCurrent ? this.lease.position : undefined;
-    return {
-      member: this.options.member,
-      ...packHeartbeatEnds((topic) => this.storeView.end(topic)),
-      reachesStore: this.follower?.isReachable ?? false,
-      leavingTargets: this.table.selfDeclaredLeaving,
-      suspects: repeatedSuspects(this.suspects),
-      leaseOffset: held?.offset ?? -1,
-      leaseEra: held?.era ?? 0,
-      isStopping: this.shutdown.hasBegun,
-      usage,
-    };
-  }
-
   /** Returns the rank of this instance among the candidates for the lease of its failure domain; -1 if not ready. */
   private leaseRank(): number {
     return this.listeners.isReady ? candidateRank(this.options.member, this.peers.candidates) : -1;
--- a/packages/edge/src/TargetLoads.ts
+++ b/packages/edge/src/TargetLoads.ts
@@ -1,5 +1,6 @@
 import { type Clock, sum } from '@wisteriapath/model';
 import type { RegisteredTarget, TargetTable } from '@wisteriapath/fleet';
+import type DomainContact from './DomainContact';
 import type TargetReservation from './TargetReservation';
 
 /** The state kept for one life of a target. */
@@ -17,8 +18,8 @@
   lastByteAtMs: number;
   /** Time until which no request is sent, after a connection could not be opened. */
   unreachableUntilMs: number;
-  /** Consecutive failures to open a connection. */
-  connectFailures: number;
+  /** Consecutive requests that found the target silent: no connection was opened, or no byte arrived. */
+  silences: number;
   /** Exponentially weighted fraction of recent requests that failed. */
   failureRate: number;
   failureRateAtMs: number;
@@ -31,9 +32,9 @@
 const FIRST_BYTE_TIMEOUT_MS = 700;
 /** Cost of a target that fails every request, as a multiple of its slots. */
 const FAILURE_COST = 3;
-/** Time without requests after a connection could not be opened; doubles with each further failure. */
-const CONNECT_BACKOFF_MS = 300;
-const MAX_CONNECT_BACKOFF_MS = 1_200;
+/** Time without requests after a request found the target silent; doubles with each further one. */
+const SILENCE_BACKOFF_MS = 300;
+const MAX_SILENCE_BACKOFF_MS = 1_200;
 
 const requestsOf = ({ running }: Load): number => sum([...running.values()]);
 
@@ -44,7 +45,8 @@
   constructor(
     private readonly clock: Clock,
     /** Tells in which life each target is. */
-    private readonly table: Pick<TargetTable, 'get'>,
+    private readonly table: Pick<TargetTable, 'get' | 'allTargets'>,
+    private readonly contact: DomainContact,
   ) {}
 
   /** Reserves a target for a request, which counts as in progress from now on. */
@@ -54,7 +56,15 @@
     const sentMark = { sinceMs: this.clock.nowMs() };
     load.running.set(key, (load.running.get(key) ?? 0) + 1);
     load.unanswered.add(sentMark);
+    const recordByte = () => {
+      load.lastByteAtMs = this.clock.nowMs();
+      this.contact.recordResponse(this.domainOf(id));
+    };
     const end = () => {
+      // The caller may have left first; the target is no less silent for that.
+      if (load.unanswered.has(sentMark) && this.isSilentSince(load, sentMark.sinceMs)) {
+        this.recordSilence(id, load);
+      }
       load.unanswered.delete(sentMark);
       const left = (load.running.get(key) ?? 1) - 1;
       if (left > 0) load.running.set(key, left);
@@ -63,23 +73,17 @@
     return {
       recordResponse: (fields) => {
         load.unanswered.delete(sentMark);
-        load.connectFailures = 0;
-        load.lastByteAtMs = this.clock.nowMs();
+        load.silences = 0;
+        recordByte();
         if (fields.load === null) return;
         const { running, waiting } = fields.load;
         load.othersLoad = Math.max(0, running + waiting - requestsOf(load));
         load.reportedAtMs = this.clock.nowMs();
       },
-      recordData: () => {
-        load.lastByteAtMs = this.clock.nowMs();
-      },
+      recordData: recordByte,
       recordConnectFailure: () => {
-        const waitMs = Math.min(
-          MAX_CONNECT_BACKOFF_MS,
-          CONNECT_BACKOFF_MS * 2 ** load.connectFailures,
-        );
-        load.unreachableUntilMs = this.clock.nowMs() + waitMs;
-        load.connectFailures += 1;
+        load.unanswered.delete(sentMark);
+        this.recordSilence(id, load);
       },
       release: end,
       complete: (isFailure) => {
@@ -109,13 +113,26 @@
 
   /** Whether requests can be sent: connections can be opened, and responses arrive. */
   isReachable(id: string): boolean {
+    if (this.contact.isCutOff(this.domainOf(id))) return false;
     const load = this.currentOf(id);
     return load === undefined || !this.isUnavailable(load);
   }
 
-  /** Ids of the targets that cannot be reached or do not respond. */
-  get unreachable(): readonly string[] {
-    return this.current.filter(([, load]) => this.isUnavailable(load)).map(([id]) => id);
+  /**
+   * Returns the ids of the targets that cannot be reached or do not respond, and notes for their failure domains the silence
+   * of requests that still wait.
+   */
+  findUnreachable(): readonly string[] {
+    const { current } = this;
+    current
+      .filter(([, load]) => this.isUnresponsive(load))
+      .forEach(([id]) => this.contact.recordSilence(this.domainOf(id)));
+    const silent = current.filter(([, load]) => this.isUnavailable(load)).map(([id]) => id);
+    const cutOff = this.table
+      .allTargets()
+      .filter(({ entry }) => this.contact.isCutOff(entry.failureDomain))
+      .map(({ entry }) => entry.id);
+    return cutOff.length === 0 ? silent : [...new Set([...silent, ...cutOff])];
   }
 
   private isUnavailable(load: Load): boolean {
@@ -123,9 +140,28 @@
   }
 
   /** Whether a request has waited too long for its first byte while no byte of any other response arrived. */
-  private isUnresponsive({ unanswered, lastByteAtMs }: Load): boolean {
+  private isUnresponsive(load: Load): boolean {
+    return [...load.unanswered].some(({ sinceMs }) => this.isSilentSince(load, sinceMs));
+  }
+
+  /** Whether a request that was sent at `sinceMs` should have been answered by now, and no byte of any response arrived. */
+  private isSilentSince({ lastByteAtMs }: Load, sinceMs: number): boolean {
     const beforeMs = this.clock.nowMs() - FIRST_BYTE_TIMEOUT_MS;
-    return lastByteAtMs < beforeMs && [...unanswered].some(({ sinceMs }) => sinceMs < beforeMs);
+    return lastByteAtMs < beforeMs && sinceMs < beforeMs;
+  }
+
+  /** Notes that a target did not respond, and sends it nothing for a while. */
+  private recordSilence(id: string, load: Load): void {
+    const backoffMs = Math.min(MAX_SILENCE_BACKOFF_MS, SILENCE_BACKOFF_MS * 2 ** load.silences);
+    Object.assign(load, {
+      unreachableUntilMs: this.clock.nowMs() + backoffMs,
+      silences: load.silences + 1,
+    });
+    this.contact.recordSilence(this.domainOf(id));
+  }
+
+  private domainOf(id: string): string {
+    return this.table.get(id)?.entry.failureDomain ?? '';
   }
 
   /** The requests in progress, as `[target, model, adapter or '', count]`. */
@@ -179,7 +215,7 @@
       reportedAtMs: 0,
       lastByteAtMs: 0,
       unreachableUntilMs: 0,
-      connectFailures: 0,
+      silences: 0,
       failureRate: 0,
       failureRateAtMs: 0,
     };
--- a/packages/edge/test/targetFinder.test.ts
+++ b/packages/edge/test/targetFinder.test.ts
@@ -9,7 +9,7 @@
 import type AdmittedRequest from '../src/AdmittedRequest';
 import type EdgeDependencies from '../src/EdgeDependencies';
 import TargetFinder from '../src/TargetFinder';
-import TargetLoads from '../src/TargetLoads';
+import createTargetLoads from './support/createTargetLoads';
 import targetEntry from './support/targetEntry';
 
 const WAIT_MS = 1_000;
@@ -47,7 +47,7 @@
     table,
     waiting: new WaitingRequests(clock, () => {}),
     sendCutoffAtMs: () => Infinity,
-    loads: new TargetLoads(clock, table),
+    loads: createTargetLoads(clock, table),
     coldTargetLimiter: { tryTake: () => true },
     connectionLimit: (maxConnections: number) => maxConnections,
     failureDomain: 'a',
@@ -86,7 +86,7 @@
       table,
       waiting,
       sendCutoffAtMs: () => Infinity,
-      loads: new TargetLoads(clock, table),
+      loads: createTargetLoads(clock, table),
       coldTargetLimiter: { tryTake: () => true },
       connectionLimit: (maxConnections: number) => maxConnections,
       failureDomain: 'a',
--- a/packages/edge/test/targetLoads.test.ts
+++ b/packages/edge/test/targetLoads.test.ts
@@ -2,7 +2,8 @@
 import VirtualClock from '@wisteriapath/virtual-clock';
 import { type RegisteredTarget, TargetTable } from '@wisteriapath/fleet';
 import type ResponseFields from '../src/ResponseFields';
-import TargetLoads from '../src/TargetLoads';
+import type TargetLoads from '../src/TargetLoads';
+import createTargetLoads from './support/createTargetLoads';
 import targetEntry from './support/targetEntry';
 
 /** Longer than a target may leave all its requests unanswered. */
@@ -19,7 +20,7 @@
     clock = new VirtualClock();
     table = new TargetTable(clock);
     table.applyEntry(first);
-    loads = new TargetLoads(clock, table);
+    loads = createTargetLoads(clock, table);
   });
 
   const reserve = () => loads.reserve(id, 'm', null);
@@ -28,7 +29,7 @@
   const expectNew = () => {
     expect(loads.ownRequests(id)).toBe(0);
     expect(loads.cost(first)).toBe(0);
-    expect([loads.isReachable(id), loads.unreachable]).toEqual([true, []]);
+    expect([loads.isReachable(id), loads.findUnreachable()]).toEqual([true, []]);
     expect(loads.running).toEqual([]);
   };
 
--- a/packages/fleet/src/Peers.ts
+++ b/packages/fleet/src/Peers.ts
@@ -8,6 +8,7 @@
 import HolderContact from './HolderContact';
 import type MemberRecord from './MemberRecord';
 import type Moment from './Moment';
+import type Peer from './Peer';
 import type PeerHandlers from './PeerHandlers';
 import PeerMessageKind from './PeerMessageKind';
 import type DemandReport from './DemandReport';
@@ -16,7 +17,6 @@
 import FULL_MESH_MAX_INSTANCES from './fullMeshMaxInstances';
 import heartbeatRecipients from './heartbeatRecipients';
 import type RecordSpan from './RecordSpan';
-import type StorePosition from './StorePosition';
 import type SuspectMessage from './SuspectMessage';
 import heartbeatLease from './heartbeatLease';
 import leaseClaimants from './leaseClaimants';
@@ -45,25 +45,6 @@
   readonly heartbeatContent: (kind: HeartbeatKind) => HeartbeatContent;
 }
 
-interface Peer {
-  readonly member: MemberRecord;
-  /** When its last heartbeat arrived, on the monotonic clock; -Infinity if none has. */
-  lastHeartbeatMs: number;
-  /** The same as time of day. */
-  lastHeartbeatWallMs: number;
-  /** Number of its newest heartbeat. */
-  newestNumber: number;
-  isStopping: boolean;
-  /** Whether the store answered its last call. */
-  reachesStore: boolean;
-  /** Position of the lease record under which it gives orders; `undefined` if it gives none. */
-  lease: StorePosition | undefined;
-  /** Number of instances whose usage its heartbeats report. */
-  counted: number;
-  /** Number of the newest heartbeat of this instance, sent as lease holder, that the peer acknowledged. */
-  ackedNumber: number;
-}
-
 const PROTOCOL_VERSION = 1;
 /** Size up to which a datagram fits into one packet. */
 const MAX_DATAGRAM_BYTES = 1_200;
@@ -158,6 +139,13 @@
     return [...this.peers.values()].filter(({ lastHeartbeatMs }) => lastHeartbeatMs >= sinceMs);
   }
 
+  /** Whether an instance of a failure domain sent a heartbeat within `withinMs`. */
+  hasHeard(failureDomain: string, withinMs: number): boolean {
+    return this.peersActiveWithin(withinMs).some(
+      ({ member }) => member.failureDomain === failureDomain,
+    );
+  }
+
   /** The peers that claim a lease, by its failure domain; of several claims the newest counts. */
   get placers(): ReadonlyMap<string, MemberRecord> {
     return leaseClaimants(this.livePeers);
