Extract the ranking of targets from TargetFinder

The order in which targets are tried becomes a class of its own, TargetRanking, so that it can change without the search that waits. The behavior is the same.

--- a/packages/edge/src/TargetFinder.ts
+++ b/packages/edge/src/TargetFinder.ts
@@ -1,7 +1,8 @@
-import { type TargetView, timeUntilHeld } from '@wisteriapath/fleet';
+import { timeUntilHeld } from '@wisteriapath/fleet';
 import type AdmittedRequest from './AdmittedRequest';
 import type ChosenTarget from './ChosenTarget';
 import type EdgeDependencies from './EdgeDependencies';
+import TargetRanking from './TargetRanking';
 
 interface Search {
   /** Targets that are not chosen, with the time until which they are excluded. */
@@ -12,8 +13,6 @@
   readonly isOver: () => boolean;
 }
 
-/** Cost of a target in another failure domain, as a fraction of its slots. */
-const CROSS_DOMAIN_COST = 0.12;
 const POLL_INTERVAL_MS = 25;
 /** Time for which a request that was told to come back still counts as waiting for its model. */
 const RETURN_TIMEOUT_MS = 6_000;
@@ -21,7 +20,11 @@
 
 /** Chooses targets for requests, and waits if none is available. */
 class TargetFinder {
-  constructor(private readonly deps: EdgeDependencies) {}
+  private readonly ranking: TargetRanking;
+
+  constructor(private readonly deps: EdgeDependencies) {
+    this.ranking = new TargetRanking(deps);
+  }
 
   /** Returns the best target with a reservation on it; undefined if none became available in time. */
   async find(request: AdmittedRequest, search: Search): Promise<ChosenTarget | undefined> {
@@ -118,39 +121,11 @@
     const { loads, coldTargetLimiter } = this.deps;
     const { pool, fields } = request;
     const { model, adapter, attemptId } = fields;
-    const view = this.ranked(request, excluded).find((candidate) =>
-      coldTargetLimiter.tryTake(candidate, pool.coldPerS, attemptId),
-    );
+    const view = this.ranking
+      .rank(request, excluded)
+      .find((candidate) => coldTargetLimiter.tryTake(candidate, pool.coldPerS, attemptId));
     return view && { view, reservation: loads.reserve(view.entry.id, model, adapter) };
   }
-
-  /** Returns the targets that can take a request, best first. */
-  private ranked(
-    { pool, fields }: AdmittedRequest,
-    excluded: ReadonlyMap<string, number>,
-  ): readonly TargetView[] {
-    const { clock, table, loads, connectionLimit, failureDomain } = this.deps;
-    const nowMs = clock.nowMs();
-    const limit = connectionLimit(pool.maxConnections);
-    const views =
-      pool.engine === null
-        ? table.inService(pool.name)
-        : table.holding(pool.name, fields.model, fields.adapter);
-    const usable = views.filter(
-      ({ entry, pausedUntilMs }) =>
-        (excluded.get(entry.id) ?? 0) <= nowMs &&
-        pausedUntilMs <= nowMs &&
-        loads.isReachable(entry.id) &&
-        loads.ownRequests(entry.id) < limit,
-    );
-    const costs = usable.map((view) => {
-      const domainCost = view.entry.failureDomain === failureDomain ? 0 : CROSS_DOMAIN_COST;
-      const coldCost = view.coldUntilMs > nowMs ? 1 : 0;
-      return { view, cost: loads.cost(view.entry) + domainCost + coldCost + Math.random() * 0.01 };
-    });
-    costs.sort((one, other) => one.cost - other.cost);
-    return costs.map(({ view }) => view);
-  }
 }
 
 export default TargetFinder;
