Read how long work takes on a target's machine from its load

The fourth figure of Instance-Load states the work time in percent of what is usual, where targets share their machines. It becomes ResponseFields.load.workTimeFactor. Nothing uses it yet.

--- a/packages/edge/src/ResponseFields.ts
+++ b/packages/edge/src/ResponseFields.ts
@@ -19,6 +19,8 @@
     readonly running: number;
     readonly waiting: number;
     readonly slots: number;
+    /** How long work takes on the target's machine now, as a multiple of what is usual; `null` if not stated. */
+    readonly workTimeFactor: number | null;
   } | null;
 }
 
