Measure how fast targets work

TargetPace learns, where targets report how long work takes, the time between events relative to what is usual for the model over all targets, the slowness of each target in the long run and its slow spans. EventGaps measures only what the target causes: events of one chunk share the time before it, and nothing is measured after a caller held up the target. Nothing is measured in pools whose targets do not report work times. TargetLoads splits its cost into utilization and failures; its result is the same. No selection uses the pace yet.

--- /dev/null
+++ b/packages/edge/src/EventGaps.ts
@@ -0,0 +1,51 @@
+import type { Clock } from '@wisteriapath/model';
+import EventCounter from './EventCounter';
+
+/** Number of gaps that are measured together, so that the delay of one chunk counts little. */
+const GAPS_PER_SAMPLE = 4;
+
+/** Measures the time between the events of one stream, as far as the target determines it. */
+class EventGaps {
+  private readonly counter = new EventCounter();
+
+  private lastEventAtMs: number | undefined;
+
+  private gaps = 0;
+
+  private totalMs = 0;
+
+  private isHeldUp = false;
+
+  constructor(
+    private readonly clock: Clock,
+    /** Receives the mean of several successive gaps. */
+    private readonly onSample: (gapMs: number) => void,
+  ) {}
+
+  /**
+   * Takes a chunk that was passed on, and whether the caller takes more at once. Events that arrive in one chunk share
+   * the time before it. After the caller held up the target, the rest of the stream is not measured, because the events
+   * that were queued in between arrive in bursts.
+   */
+  push(chunk: Buffer, mayContinue: boolean): void {
+    if (this.isHeldUp) return;
+    const events = this.counter.push(chunk);
+    if (events > 0) this.addEvents(events);
+    this.isHeldUp = !mayContinue;
+  }
+
+  private addEvents(events: number): void {
+    const nowMs = this.clock.nowMs();
+    const sinceMs = this.lastEventAtMs;
+    this.lastEventAtMs = nowMs;
+    if (sinceMs === undefined) return;
+    this.gaps += events;
+    this.totalMs += nowMs - sinceMs;
+    if (this.gaps < GAPS_PER_SAMPLE) return;
+    this.onSample(this.totalMs / this.gaps);
+    this.gaps = 0;
+    this.totalMs = 0;
+  }
+}
+
+export default EventGaps;
--- a/packages/edge/src/TargetAttempt.ts
+++ b/packages/edge/src/TargetAttempt.ts
@@ -5,6 +5,7 @@
 import type CallerExchange from './CallerExchange';
 import type ChosenTarget from './ChosenTarget';
 import type EdgeDependencies from './EdgeDependencies';
+import EventGaps from './EventGaps';
 import type EventFramer from './EventFramer';
 import ExchangeEnd from './ExchangeEnd';
 import type HeaderRecord from './HeaderRecord';
@@ -15,6 +16,7 @@
 import StallWatch from './StallWatch';
 import isTargetFailure from './isTargetFailure';
 import sendResponse from './sendResponse';
+import workUnits from './workUnits';
 
 interface Context {
   readonly chosen: ChosenTarget;
@@ -34,6 +36,7 @@
 
 /** Time beyond the deadline for which the target's own timeout response is awaited. */
 const DEADLINE_GRACE_MS = 40;
+const CLIENT_ERROR = 400;
 const SERVER_ERROR = 500;
 /** Time to wait for the end of a refusal before its connection is closed. */
 const REFUSAL_BODY_TIMEOUT_MS = 150;
@@ -48,6 +51,9 @@
 
   private abort: (() => void) | undefined;
 
+  /** Measures the time between events, where targets report how long work takes. */
+  private gaps: EventGaps | undefined;
+
   private hasTimedOut = false;
 
   private hasStalled = false;
@@ -81,19 +87,23 @@
     const { request, caller } = context;
     const { reservation } = context.chosen;
     const { pool } = request;
+    const sentAtMs = deps.clock.nowMs();
     const exchange = deps.connections.send(this.buildRequest(), {
       onHeaders: (status, headers) => {
         const isValid = this.handleHeaders(status, headers);
         const { fields } = this.head;
         if (fields !== null) {
           reservation.recordResponse(fields);
+          this.startToMeasure();
           deps.signals.record(context.chosen.view.entry, fields);
         }
         return isValid;
       },
       onData: (chunk) => {
         reservation.recordData();
-        return this.body.receive(chunk, () => exchange.resume());
+        const mayContinue = this.body.receive(chunk, () => exchange.resume());
+        this.gaps?.push(chunk, mayContinue);
+        return mayContinue;
       },
     });
     this.exchange = exchange;
@@ -124,6 +134,7 @@
     const outcome = this.outcomeOf(end);
     this.body.release(outcome === AttemptOutcome.Answered, this.keptResponse !== null);
     if (outcome === AttemptOutcome.NotSent) reservation.recordConnectFailure();
+    this.recordTime(outcome, sentAtMs);
     reservation.complete(isTargetFailure(outcome, this.statusCode));
     deps.metrics.exchanges.inc({ pool: pool.name, end });
     return outcome;
@@ -201,6 +212,33 @@
     return isValid;
   }
 
+  private startToMeasure(): void {
+    if (this.head.mode !== ResponseMode.Streamed || !this.statesWorkTime) return;
+    const { reservation } = this.context.chosen;
+    this.gaps = new EventGaps(this.deps.clock, (gapMs) => reservation.recordGap(gapMs));
+  }
+
+  /** Records how long the target took to begin, unless the request may have waited in its queue. */
+  private recordTime(outcome: AttemptOutcome, sentAtMs: number): void {
+    const { chosen, request } = this.context;
+    const { mode, fields } = this.head;
+    if (!this.statesWorkTime || fields?.load?.waiting !== 0) return;
+    const units = workUnits(request.fields, mode === ResponseMode.Streamed);
+    const { firstEventAtMs } = this.body;
+    if (mode === ResponseMode.Streamed && firstEventAtMs !== undefined) {
+      chosen.reservation.recordFirstEvent(firstEventAtMs - sentAtMs, units);
+      return;
+    }
+    const isWhole = mode === ResponseMode.Buffered && outcome === AttemptOutcome.Answered;
+    if (!isWhole || this.statusCode >= CLIENT_ERROR) return;
+    chosen.reservation.recordResponseTime(this.deps.clock.nowMs() - sentAtMs, units);
+  }
+
+  /** Whether the response states how long work takes; where none does, nothing is measured. */
+  private get statesWorkTime(): boolean {
+    return typeof this.head.fields?.load?.workTimeFactor === 'number';
+  }
+
   private startStream(): void {
     const { caller } = this.context;
     if (caller.hasStarted) return;
--- a/packages/edge/src/TargetLoads.ts
+++ b/packages/edge/src/TargetLoads.ts
@@ -1,5 +1,6 @@
 import { type Clock, sum } from '@wisteriapath/model';
 import type { RegisteredTarget, TargetTable } from '@wisteriapath/fleet';
+import TargetPace from './TargetPace';
 import type TargetReservation from './TargetReservation';
 
 /** The state kept for one life of a target. */
@@ -41,11 +42,16 @@
 class TargetLoads {
   private readonly loads = new Map<string, Load>();
 
+  /** How fast the targets work. */
+  readonly pace: TargetPace;
+
   constructor(
     private readonly clock: Clock,
     /** Tells in which life each target is. */
     private readonly table: Pick<TargetTable, 'get'>,
-  ) {}
+  ) {
+    this.pace = new TargetPace(clock, table);
+  }
 
   /** Reserves a target for a request, which counts as in progress from now on. */
   reserve(id: string, model: string, adapter: string | null): TargetReservation {
@@ -60,16 +66,28 @@
       if (left > 0) load.running.set(key, left);
       else load.running.delete(key);
     };
+    /** Records a pace, unless the target has started anew since. */
+    const recordPace = (record: (pace: TargetPace) => void) => {
+      if (this.isCurrent(id, load)) record(this.pace);
+    };
     return {
       recordResponse: (fields) => {
         load.unanswered.delete(sentMark);
         load.connectFailures = 0;
         load.lastByteAtMs = this.clock.nowMs();
         if (fields.load === null) return;
-        const { running, waiting } = fields.load;
+        const { running, waiting, workTimeFactor } = fields.load;
         load.othersLoad = Math.max(0, running + waiting - requestsOf(load));
         load.reportedAtMs = this.clock.nowMs();
+        if (workTimeFactor !== null && workTimeFactor !== undefined) {
+          recordPace((pace) => pace.recordWorkTime(id, workTimeFactor));
+        }
       },
+      recordGap: (gapMs) => recordPace((pace) => pace.recordGap(id, model, gapMs)),
+      recordFirstEvent: (timeMs, units) =>
+        recordPace((pace) => pace.recordFirstEvent(id, { model, timeMs, units })),
+      recordResponseTime: (timeMs, units) =>
+        recordPace((pace) => pace.recordResponse(id, { model, timeMs, units })),
       recordData: () => {
         load.lastByteAtMs = this.clock.nowMs();
       },
@@ -96,15 +114,25 @@
   }
 
   /** Returns the expected fraction of a target's slots in use, plus a penalty for failures; lower is better. */
-  cost({ id, slots }: Pick<RegisteredTarget, 'id' | 'slots'>): number {
+  cost(target: Pick<RegisteredTarget, 'id' | 'slots'>): number {
+    return this.utilization(target) + this.failureCost(target.id);
+  }
+
+  /** Returns the expected fraction of a target's slots in use; above 1 if requests wait there. */
+  utilization({ id, slots }: Pick<RegisteredTarget, 'id' | 'slots'>): number {
     const load = this.currentOf(id);
     if (load === undefined) return 0;
-    const nowMs = this.clock.nowMs();
-    const others = load.othersLoad * 0.5 ** ((nowMs - load.reportedAtMs) / REPORT_HALF_LIFE_MS);
-    const utilization = (requestsOf(load) + others) / Math.max(1, slots);
-    const failureRate =
-      load.failureRate * 0.5 ** ((nowMs - load.failureRateAtMs) / FAILURE_HALF_LIFE_MS);
-    return utilization + failureRate * FAILURE_COST;
+    const ageMs = this.clock.nowMs() - load.reportedAtMs;
+    const others = load.othersLoad * 0.5 ** (ageMs / REPORT_HALF_LIFE_MS);
+    return (requestsOf(load) + others) / Math.max(1, slots);
+  }
+
+  /** Returns the penalty for recent failures of a target, as a multiple of its slots. */
+  failureCost(id: string): number {
+    const load = this.currentOf(id);
+    if (load === undefined) return 0;
+    const ageMs = this.clock.nowMs() - load.failureRateAtMs;
+    return load.failureRate * 0.5 ** (ageMs / FAILURE_HALF_LIFE_MS) * FAILURE_COST;
   }
 
   /** Whether requests can be sent: connections can be opened, and responses arrive. */
@@ -140,6 +168,7 @@
 
   /** Drops the state of all targets except the given ones and those with requests in progress. */
   retain(ids: ReadonlySet<string>): void {
+    this.pace.retain(ids);
     this.loads.forEach((load, id) => {
       if (!ids.has(id) && load.running.size === 0) this.loads.delete(id);
     });
--- /dev/null
+++ b/packages/edge/src/TargetPace.ts
@@ -0,0 +1,244 @@
+import type { Clock } from '@wisteriapath/model';
+import type { TargetTable } from '@wisteriapath/fleet';
+import type Estimate from './Estimate';
+import type ExpectedPace from './ExpectedPace';
+import UsualTimes from './UsualTimes';
+
+/** The pace of one life of a target. All values are natural logarithms of multiples of what is usual. */
+interface Pace {
+  readonly bornMs: number;
+  readonly pool: string;
+  /** Slowness in the long run at a work time of 1, learned from measurements. */
+  readonly slowness: Estimate;
+  slownessAtMs: number;
+  /** Mean of the work times that the target reported lately. */
+  meanWorkTime: number;
+  lastWorkTime: number;
+  workTimeAtMs: number;
+  /** By how much the slowness in slow spans exceeds that in the long run. */
+  peakExcess: number;
+  peakAtMs: number;
+}
+
+/** What is usual in one pool. */
+interface Usual {
+  readonly gaps: UsualTimes;
+  readonly firsts: UsualTimes;
+  reportedAtMs: number;
+}
+
+/** The time of one piece of work at a target. */
+interface TimedWork {
+  readonly model: string;
+  readonly timeMs: number;
+  /** Amount of work, in units that the caller chooses. */
+  readonly units: number;
+}
+
+/** Variance of targets: speeds of 0.6 and 1.6 are usual. */
+const TARGET_VARIANCE = 0.16;
+/** Time in which half of what is known of the speed of a target that is not used is forgotten. */
+const SLOWNESS_HALF_LIFE_MS = 60_000;
+/** Time over which work times are averaged. */
+const WORK_TIME_HALF_LIFE_MS = 3_000;
+/** Least weight of one report, so that frequent reports are averaged too. */
+const MIN_REPORT_WEIGHT = 0.05;
+/** Time in which the last work time loses half of its weight: machines alternate in spans of some 600 ms. */
+const LAST_WORK_TIME_HALF_LIFE_MS = 250;
+/** Time in which a slow span loses half of its weight: a target that alternates has the next one within seconds. */
+const PEAK_HALF_LIFE_MS = 20_000;
+/** Weight of one measurement above the peak, and the most by which it raises the peak: it may be a delay of this process. */
+const PEAK_WEIGHT = 0.5;
+const MAX_PEAK_RISE = 0.4;
+/** Bounds of the work times that are believed without measurement. */
+const MIN_WORK_TIME = 0.5;
+const MAX_WORK_TIME = 20;
+/** Variance of the mean of a few gaps: the work time differs between spans of one stream. */
+const GAP_NOISE = 0.15;
+/** Variance of a time to a first event or response, which depends on what else runs. */
+const FIRST_NOISE = 0.3;
+/** Time after the last report of a work time in which a pool counts as one whose targets report it. */
+const REPORTED_TIMEOUT_MS = 60_000;
+const MIN_TIME_MS = 0.1;
+
+const decay = (ageMs: number, halfLifeMs: number): number => 0.5 ** (ageMs / halfLifeMs);
+
+/**
+ * How fast targets work, as this instance measures it and as they report it: the time between events and to first
+ * events relative to what is usual for the model. Answers loads where some engines are several times slower than
+ * others, all the time or in spans of some hundred milliseconds. A target that started anew begins without history.
+ */
+class TargetPace {
+  private readonly paces = new Map<string, Pace>();
+
+  private readonly pools = new Map<string, Usual>();
+
+  constructor(
+    private readonly clock: Clock,
+    /** Tells in which life each target is. */
+    private readonly table: Pick<TargetTable, 'get'>,
+  ) {}
+
+  /** Whether a response of a pool lately stated how long work takes. */
+  isReported(pool: string): boolean {
+    const reportedAtMs = this.pools.get(pool)?.reportedAtMs ?? -Infinity;
+    return this.clock.nowMs() - reportedAtMs < REPORTED_TIMEOUT_MS;
+  }
+
+  /** Records the work time that a target reported, as a multiple of what is usual. */
+  recordWorkTime(id: string, factor: number): void {
+    const pace = this.paceOf(id);
+    if (pace === undefined) return;
+    const nowMs = this.clock.nowMs();
+    const workTime = Math.log(Math.max(MIN_WORK_TIME, Math.min(MAX_WORK_TIME, factor)));
+    const kept = Math.min(
+      1 - MIN_REPORT_WEIGHT,
+      decay(nowMs - pace.workTimeAtMs, WORK_TIME_HALF_LIFE_MS),
+    );
+    pace.meanWorkTime = workTime + (pace.meanWorkTime - workTime) * kept;
+    pace.lastWorkTime = workTime;
+    pace.workTimeAtMs = nowMs;
+    this.raisePeak(pace, pace.slowness.mean + workTime);
+    this.usualIn(pace.pool).reportedAtMs = nowMs;
+  }
+
+  /** Records the mean time between a few successive events of a stream. */
+  recordGap(id: string, model: string, gapMs: number): void {
+    const pace = this.paceOf(id);
+    if (pace === undefined) return;
+    const { gaps } = this.usualIn(pace.pool);
+    const logGap = Math.log(Math.max(MIN_TIME_MS, gapMs));
+    this.ageSlowness(pace);
+    const before = pace.slowness.mean;
+    const logTime = logGap - pace.meanWorkTime;
+    gaps.learn({ model, logTime, noise: GAP_NOISE }, pace.slowness);
+    // Slow spans are as slow as before, whatever was learned of the long run.
+    const change = pace.slowness.mean - before;
+    if (pace.peakExcess > 0) pace.peakExcess = Math.max(0, pace.peakExcess - change);
+    const knownPeak = this.logPeakNow(pace);
+    const measured = logGap - gaps.logOf(model)!;
+    const rise = Math.min(MAX_PEAK_RISE, (measured - knownPeak) * PEAK_WEIGHT);
+    this.raisePeak(pace, knownPeak + rise);
+  }
+
+  /** Records the time to the first event of a stream that did not wait in a queue of the target. */
+  recordFirstEvent(id: string, { model, timeMs, units }: TimedWork): void {
+    const pace = this.paceOf(id);
+    if (pace === undefined) return;
+    // The gaps of the stream tell the speed of the target better.
+    const known = { mean: this.logSlownessNow(pace), variance: 0 };
+    const logTime = Math.log(Math.max(MIN_TIME_MS, timeMs) / units);
+    this.usualIn(pace.pool).firsts.learn({ model, logTime, noise: FIRST_NOISE }, known);
+  }
+
+  /** Records the time to a response that is no stream and did not wait in a queue of the target. */
+  recordResponse(id: string, { model, timeMs, units }: TimedWork): void {
+    const pace = this.paceOf(id);
+    if (pace === undefined) return;
+    this.ageSlowness(pace);
+    const logTime = Math.log(Math.max(MIN_TIME_MS, timeMs) / units) - pace.meanWorkTime;
+    this.usualIn(pace.pool).firsts.learn({ model, logTime, noise: FIRST_NOISE }, pace.slowness);
+  }
+
+  /** Returns what is expected of a target that runs a model; what is usual, if nothing is known of the target. */
+  expect(id: string, model: string): ExpectedPace {
+    const view = this.table.get(id);
+    const usual = view && this.pools.get(view.entry.pool);
+    const pace = this.currentOf(id);
+    const logSlowness = pace === undefined ? 0 : this.logSlownessNow(pace);
+    const logPeak = pace === undefined ? 0 : Math.max(logSlowness, this.logPeakNow(pace));
+    const logGap = usual?.gaps.logOf(model);
+    const logFirst = usual?.firsts.logOf(model);
+    return {
+      slowness: Math.exp(logSlowness),
+      slowGapMs: logGap === undefined ? undefined : Math.exp(logGap + logPeak),
+      firstMsPerUnit: logFirst === undefined ? undefined : Math.exp(logFirst + logSlowness),
+    };
+  }
+
+  /** Drops the state of all targets except the given ones. */
+  retain(ids: ReadonlySet<string>): void {
+    this.paces.forEach((_, id) => {
+      if (!ids.has(id)) this.paces.delete(id);
+    });
+    const pools = new Set([...this.paces.values()].map(({ pool }) => pool));
+    this.pools.forEach((_, pool) => {
+      if (!pools.has(pool)) this.pools.delete(pool);
+    });
+  }
+
+  /** The slowness at this moment: the last work time counts for a moment, then the mean. */
+  private logSlownessNow(pace: Pace): number {
+    const ageMs = this.clock.nowMs() - pace.workTimeAtMs;
+    const lastWeight = decay(ageMs, LAST_WORK_TIME_HALF_LIFE_MS);
+    const sinceLast = pace.lastWorkTime - pace.meanWorkTime;
+    return this.logSlownessInLongRun(pace) + sinceLast * lastWeight;
+  }
+
+  private logSlownessInLongRun(pace: Pace): number {
+    const nowMs = this.clock.nowMs();
+    const { slowness, slownessAtMs, meanWorkTime, workTimeAtMs } = pace;
+    return (
+      slowness.mean * decay(nowMs - slownessAtMs, SLOWNESS_HALF_LIFE_MS) +
+      meanWorkTime * decay(nowMs - workTimeAtMs, SLOWNESS_HALF_LIFE_MS)
+    );
+  }
+
+  /** The slowness in slow spans; what was seen of these returns to the slowness in the long run. */
+  private logPeakNow(pace: Pace): number {
+    const weight = decay(this.clock.nowMs() - pace.peakAtMs, PEAK_HALF_LIFE_MS);
+    return this.logSlownessInLongRun(pace) + pace.peakExcess * weight;
+  }
+
+  private raisePeak(pace: Pace, logSlowness: number): void {
+    const peak = Math.max(logSlowness, this.logPeakNow(pace));
+    const peakExcess = Math.max(0, peak - this.logSlownessInLongRun(pace));
+    Object.assign(pace, { peakExcess, peakAtMs: this.clock.nowMs() });
+  }
+
+  private ageSlowness(pace: Pace): void {
+    const { slowness, slownessAtMs } = pace;
+    const nowMs = this.clock.nowMs();
+    const kept = decay(nowMs - slownessAtMs, SLOWNESS_HALF_LIFE_MS);
+    slowness.mean *= kept;
+    slowness.variance = TARGET_VARIANCE + (slowness.variance - TARGET_VARIANCE) * kept;
+    Object.assign(pace, { slownessAtMs: nowMs });
+  }
+
+  private usualIn(pool: string): Usual {
+    const known = this.pools.get(pool);
+    if (known !== undefined) return known;
+    const usual = { gaps: new UsualTimes(), firsts: new UsualTimes(), reportedAtMs: -Infinity };
+    this.pools.set(pool, usual);
+    return usual;
+  }
+
+  private currentOf(id: string): Pace | undefined {
+    const pace = this.paces.get(id);
+    return pace?.bornMs === this.table.get(id)?.entry.bornMs ? pace : undefined;
+  }
+
+  /** Returns the state of a target that is registered, created at first use and after each start of the target. */
+  private paceOf(id: string): Pace | undefined {
+    const entry = this.table.get(id)?.entry;
+    if (entry === undefined) return undefined;
+    const known = this.currentOf(id);
+    if (known !== undefined) return known;
+    const nowMs = this.clock.nowMs();
+    const pace: Pace = {
+      bornMs: entry.bornMs,
+      pool: entry.pool,
+      slowness: { mean: 0, variance: TARGET_VARIANCE },
+      slownessAtMs: nowMs,
+      meanWorkTime: 0,
+      lastWorkTime: 0,
+      workTimeAtMs: -Infinity,
+      peakExcess: 0,
+      peakAtMs: nowMs,
+    };
+    this.paces.set(id, pace);
+    return pace;
+  }
+}
+
+export default TargetPace;
