Report to the placers how fast targets are

Demand reports carry an optional list of rows (id, pace, load, work time, start of the target) of what the instance measured since its last report, at most 16. TargetSpeeds joins the rows of all instances. Placement needs them, as one instance measures an engine rarely. The test of the reporter's loop gives its stub of the loads a pace, which the reporter now reads.

--- a/packages/edge/src/DemandReporter.ts
+++ b/packages/edge/src/DemandReporter.ts
@@ -22,6 +22,8 @@
 /** Upper bounds of both intervals, below the age up to which placers use a report. */
 const MAX_REPORT_INTERVAL_MS = 300;
 const MAX_RATES_INTERVAL_MS = 1_000;
+/** Targets in one report; some 30 bytes each. */
+const MAX_TARGET_ROWS = 16;
 
 /** Reports to the placers which models the requests of this instance wait for and use. */
 class DemandReporter {
@@ -81,7 +83,9 @@
     this.reportedAtMs = nowMs;
     const { instance, rates, loads, send } = this.deps;
     const { running, unreachable } = loads;
-    send({ instance, waiting, rates: rates.all, running, unreachable });
+    const targets = loads.pace.takeRows(MAX_TARGET_ROWS);
+    const report = { instance, waiting, rates: rates.all, running, unreachable };
+    send(targets.length === 0 ? report : { ...report, targets });
   }
 }
 
--- a/packages/edge/src/Edge.ts
+++ b/packages/edge/src/Edge.ts
@@ -123,7 +123,7 @@
         if (this.isStoreReader) this.peers.sendTargets(span);
       },
     });
-    this.demand = new DemandAggregator(clock);
+    this.demand = new DemandAggregator(clock, this.table);
     const instances = () => this.peers.instanceCount(PEER_SPENDING_TIMEOUT_MS);
     this.rates = new ModelRates(clock);
     this.loads = new TargetLoads(clock, this.table);
@@ -291,6 +291,7 @@
     const views = this.table.allTargets();
     const ids = new Set(views.map(({ entry }) => entry.id));
     this.loads.retain(ids);
+    this.demand.speeds?.retain(ids);
     this.deps.coldTargetLimiter.retain(ids);
     this.deps.connections.retain(new Set(views.map(({ entry }) => entry.address)));
   }
--- a/packages/edge/src/TargetLoads.ts
+++ b/packages/edge/src/TargetLoads.ts
@@ -80,7 +80,7 @@
         load.othersLoad = Math.max(0, running + waiting - requestsOf(load));
         load.reportedAtMs = this.clock.nowMs();
         if (workTimeFactor !== null && workTimeFactor !== undefined) {
-          recordPace((pace) => pace.recordWorkTime(id, workTimeFactor));
+          recordPace((pace) => pace.recordWorkTime(id, workTimeFactor, running + waiting));
         }
       },
       recordGap: (gapMs) => recordPace((pace) => pace.recordGap(id, model, gapMs)),
--- a/packages/edge/src/TargetPace.ts
+++ b/packages/edge/src/TargetPace.ts
@@ -1,5 +1,5 @@
 import type { Clock } from '@wisteriapath/model';
-import type { TargetTable } from '@wisteriapath/fleet';
+import type { TargetRow, TargetTable } from '@wisteriapath/fleet';
 import type Estimate from './Estimate';
 import type ExpectedPace from './ExpectedPace';
 import UsualTimes from './UsualTimes';
@@ -18,6 +18,8 @@
   /** By how much the slowness in slow spans exceeds that in the long run. */
   peakExcess: number;
   peakAtMs: number;
+  /** Requests that the target reported last. */
+  requests: number;
 }
 
 /** What is usual in one pool. */
@@ -60,6 +62,13 @@
 /** Time after the last report of a work time in which a pool counts as one whose targets report it. */
 const REPORTED_TIMEOUT_MS = 60_000;
 const MIN_TIME_MS = 0.1;
+/** Variance of a target below which its speed counts as measured. */
+const MAX_REPORTED_VARIANCE = TARGET_VARIANCE * 0.8;
+/** Units of the figures of a row: 0.1 ms and percent. */
+const ROW_PACES_PER_MS = 10;
+/** Units of a request without tokens, whose time stands for a gap where there are none. */
+const LOG_RESPONSE_UNITS = Math.log(256);
+const PERCENT = 100;
 
 const decay = (ageMs: number, halfLifeMs: number): number => 0.5 ** (ageMs / halfLifeMs);
 
@@ -73,6 +82,9 @@
 
   private readonly pools = new Map<string, Usual>();
 
+  /** Targets of which something was measured since the last report. */
+  private readonly unreported = new Set<string>();
+
   constructor(
     private readonly clock: Clock,
     /** Tells in which life each target is. */
@@ -85,8 +97,8 @@
     return this.clock.nowMs() - reportedAtMs < REPORTED_TIMEOUT_MS;
   }
 
-  /** Records the work time that a target reported, as a multiple of what is usual. */
-  recordWorkTime(id: string, factor: number): void {
+  /** Records the work time that a target reported, as a multiple of what is usual, and the number of its requests. */
+  recordWorkTime(id: string, factor: number, requests = 0): void {
     const pace = this.paceOf(id);
     if (pace === undefined) return;
     const nowMs = this.clock.nowMs();
@@ -96,8 +108,8 @@
       decay(nowMs - pace.workTimeAtMs, WORK_TIME_HALF_LIFE_MS),
     );
     pace.meanWorkTime = workTime + (pace.meanWorkTime - workTime) * kept;
-    pace.lastWorkTime = workTime;
-    pace.workTimeAtMs = nowMs;
+    Object.assign(pace, { lastWorkTime: workTime, workTimeAtMs: nowMs, requests });
+    this.unreported.add(id);
     this.raisePeak(pace, pace.slowness.mean + workTime);
     this.usualIn(pace.pool).reportedAtMs = nowMs;
   }
@@ -119,6 +131,7 @@
     const measured = logGap - gaps.logOf(model)!;
     const rise = Math.min(MAX_PEAK_RISE, (measured - knownPeak) * PEAK_WEIGHT);
     this.raisePeak(pace, knownPeak + rise);
+    this.unreported.add(id);
   }
 
   /** Records the time to the first event of a stream that did not wait in a queue of the target. */
@@ -138,6 +151,7 @@
     this.ageSlowness(pace);
     const logTime = Math.log(Math.max(MIN_TIME_MS, timeMs) / units) - pace.meanWorkTime;
     this.usualIn(pace.pool).firsts.learn({ model, logTime, noise: FIRST_NOISE }, pace.slowness);
+    this.unreported.add(id);
   }
 
   /** Returns what is expected of a target that runs a model; what is usual, if nothing is known of the target. */
@@ -156,10 +170,22 @@
     };
   }
 
+  /** Returns what was measured of targets since it was last taken, at most so many rows; the rest comes with the next report. */
+  takeRows(limit: number): readonly TargetRow[] {
+    const ids = [...this.unreported].slice(0, limit);
+    ids.forEach((id) => this.unreported.delete(id));
+    return ids.flatMap((id) => {
+      const pace = this.currentOf(id);
+      return pace !== undefined && this.isReported(pace.pool) ? [this.rowOf(id, pace)] : [];
+    });
+  }
+
   /** Drops the state of all targets except the given ones. */
   retain(ids: ReadonlySet<string>): void {
     this.paces.forEach((_, id) => {
-      if (!ids.has(id)) this.paces.delete(id);
+      if (ids.has(id)) return;
+      this.paces.delete(id);
+      this.unreported.delete(id);
     });
     const pools = new Set([...this.paces.values()].map(({ pool }) => pool));
     this.pools.forEach((_, pool) => {
@@ -167,6 +193,23 @@
     });
   }
 
+  private rowOf(id: string, pace: Pace): TargetRow {
+    const { gaps, firsts } = this.usualIn(pace.pool);
+    const logResponse = firsts.logOfPool;
+    const logUsual =
+      gaps.logOfPool ?? (logResponse === undefined ? undefined : logResponse + LOG_RESPONSE_UNITS);
+    const isMeasured = logUsual !== undefined && pace.slowness.variance < MAX_REPORTED_VARIANCE;
+    const figure = isMeasured ? Math.exp(logUsual + pace.slowness.mean) * ROW_PACES_PER_MS : 0;
+    const logWorkTime = this.logPeakNow(pace) - this.logSpeedNow(pace);
+    const workTime = Math.max(1, Math.round(Math.exp(logWorkTime) * PERCENT));
+    return [id, Math.round(figure), Math.round(pace.requests), workTime, pace.bornMs];
+  }
+
+  /** The slowness at the usual work time, as far as it is not forgotten. */
+  private logSpeedNow({ slowness, slownessAtMs }: Pace): number {
+    return slowness.mean * decay(this.clock.nowMs() - slownessAtMs, SLOWNESS_HALF_LIFE_MS);
+  }
+
   /** The slowness at this moment: the last work time counts for a moment, then the mean. */
   private logSlownessNow(pace: Pace): number {
     const ageMs = this.clock.nowMs() - pace.workTimeAtMs;
@@ -177,11 +220,9 @@
 
   private logSlownessInLongRun(pace: Pace): number {
     const nowMs = this.clock.nowMs();
-    const { slowness, slownessAtMs, meanWorkTime, workTimeAtMs } = pace;
-    return (
-      slowness.mean * decay(nowMs - slownessAtMs, SLOWNESS_HALF_LIFE_MS) +
-      meanWorkTime * decay(nowMs - workTimeAtMs, SLOWNESS_HALF_LIFE_MS)
-    );
+    const { meanWorkTime, workTimeAtMs } = pace;
+    const workTime = meanWorkTime * decay(nowMs - workTimeAtMs, SLOWNESS_HALF_LIFE_MS);
+    return this.logSpeedNow(pace) + workTime;
   }
 
   /** The slowness in slow spans; what was seen of these returns to the slowness in the long run. */
@@ -235,6 +276,7 @@
       workTimeAtMs: -Infinity,
       peakExcess: 0,
       peakAtMs: nowMs,
+      requests: 0,
     };
     this.paces.set(id, pace);
     return pace;
--- a/packages/edge/test/repeatedWork.test.ts
+++ b/packages/edge/test/repeatedWork.test.ts
@@ -46,7 +46,11 @@
       clock: { nowMs: () => Date.now(), sleep: () => Promise.resolve() },
       instance: '10.1.0.25',
       rates: { all: [] } as unknown as ModelRates,
-      loads: { running: [], unreachable: [] } as unknown as TargetLoads,
+      loads: {
+        running: [],
+        unreachable: [],
+        pace: { takeRows: () => [] },
+      } as unknown as TargetLoads,
       instances: () => 1,
       send: () => {
         reports += 1;
--- a/packages/edge/test/targetPace.test.ts
+++ b/packages/edge/test/targetPace.test.ts
@@ -157,3 +157,34 @@
   expect(pace.expect('one', 'a').slowness).toBe(1);
   expect(pace.isReported(POOL)).toBe(false);
 });
+
+describe('the rows for the placers', () => {
+  test('tell what was measured since the last report, once', async () => {
+    const { pace, stream } = start(['one', 'two', 'three']);
+    for (let round = 0; round < 4; round += 1) {
+      await stream('one', 'a');
+      await stream('two', 'a', { workTime: SLOW_WORK_TIME });
+    }
+    const rows = pace.takeRows(9);
+    expect(rows.map(([id]) => id)).toEqual(['one', 'two']);
+    const [[, onePace, , oneWorkTime], [, twoPace, , twoWorkTime]] = rows;
+    expect(onePace / (USUAL_GAP_MS * 10)).toBeCloseTo(1, 0);
+    expect(twoPace / onePace).toBeLessThan(1.4);
+    expect(oneWorkTime).toBeLessThan(150);
+    expect(twoWorkTime).toBeGreaterThan(200);
+    expect(pace.takeRows(9)).toEqual([]);
+  });
+
+  test('are bounded, and the rest comes with the next report', () => {
+    const { pace } = start(['one', 'two', 'three']);
+    ['one', 'two', 'three'].forEach((id) => pace.recordWorkTime(id, 1));
+    expect(pace.takeRows(2)).toHaveLength(2);
+    expect(pace.takeRows(2)).toHaveLength(1);
+  });
+
+  test('are empty in a pool whose targets report no work times', () => {
+    const { pace } = start(['one']);
+    pace.recordGap('one', 'a', USUAL_GAP_MS);
+    expect(pace.takeRows(9)).toEqual([]);
+  });
+});
--- a/packages/fleet/src/DemandAggregator.ts
+++ b/packages/fleet/src/DemandAggregator.ts
@@ -3,6 +3,8 @@
 import type Demand from './Demand';
 import type DemandReport from './DemandReport';
 import type DemandSnapshot from './DemandSnapshot';
+import TargetSpeeds from './TargetSpeeds';
+import type TargetTable from './TargetTable';
 
 interface ReceivedReport {
   readonly report: DemandReport;
@@ -52,11 +54,20 @@
 
   private readonly unserved = new Map<string, Unserved>();
 
-  constructor(private readonly clock: Clock) {}
+  /** The speeds of targets by all reports; undefined if no table of targets was given. */
+  readonly speeds: TargetSpeeds | undefined;
+
+  constructor(
+    private readonly clock: Clock,
+    table?: Pick<TargetTable, 'get' | 'allTargets'>,
+  ) {
+    this.speeds = table && new TargetSpeeds(clock, table);
+  }
 
   /** Stores a report, in place of the previous one of the same instance. */
   record(report: DemandReport): void {
     this.reports.set(report.instance, { report, receivedMs: this.clock.nowMs() });
+    if (report.targets !== undefined) this.speeds?.record(report.targets);
   }
 
   /** Returns the demand for the models of a pool. */
--- a/packages/fleet/src/DemandReport.ts
+++ b/packages/fleet/src/DemandReport.ts
@@ -1,4 +1,5 @@
 import type Demand from './Demand';
+import type TargetRow from './TargetRow';
 
 /** The demand and load that one instance reports to the placers. */
 interface DemandReport {
@@ -10,6 +11,8 @@
   readonly unreachable: readonly string[];
   /** Running requests by engine and model: `[engine, model, adapter or '', count]`. */
   readonly running: readonly (readonly [string, string, string, number])[];
+  /** What the instance has measured of targets since its last report; absent if nothing, or from an earlier build. */
+  readonly targets?: readonly TargetRow[];
 }
 
 export default DemandReport;
--- a/packages/fleet/src/readDemandReport.ts
+++ b/packages/fleet/src/readDemandReport.ts
@@ -1,5 +1,6 @@
 import type Demand from './Demand';
 import type DemandReport from './DemandReport';
+import readTargetRows from './readTargetRows';
 
 /** What a report counts at one place, behind the names of the place. */
 type Count = DemandReport['rates'][number];
@@ -58,7 +59,8 @@
  */
 const readDemandReport = (payload: unknown): DemandReport => {
   if (!isReport(payload)) throw new Error('not a demand report');
-  return payload;
+  const { targets, ...report } = payload;
+  return targets === undefined ? report : { ...report, targets: readTargetRows(targets) };
 };
 
 export default readDemandReport;
