Package scheduling: the order of waiting work

The virtual times of the fair queue of packages/admission move to WorkspaceFairness, which both packages use; the order of that queue is unchanged (its tests pass unmodified).

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -5,6 +5,7 @@
   'model',
   'response-ends',
   'suspects',
+  'scheduling',
   'log-client',
   'config',
   'peer',
@@ -18,7 +19,15 @@
 ];
 
 /** Packages of the users' platform, above `model` only. */
-const EDGE_ORDER = ['model', 'response-ends', 'suspects', 'fleet', 'edge', 'platform'];
+const EDGE_ORDER = [
+  'model',
+  'response-ends',
+  'suspects',
+  'scheduling',
+  'fleet',
+  'edge',
+  'platform',
+];
 
 /** Packages that may be imported by each package: only those further down. */
 const dependencyDirection = PACKAGE_ORDER.map((name, position) => ({
--- a/packages/admission/src/ClassQueue.ts
+++ b/packages/admission/src/ClassQueue.ts
@@ -1,45 +1,37 @@
+import { WorkspaceFairness } from '@wisteriapath/scheduling';
 import type QueueItem from './QueueItem';
 
-/** The waiting items of one workspace. */
-interface WorkspaceQueue<T> {
-  readonly items: T[];
-  /** Virtual time at which the workspace's next item starts. */
-  virtualStart: number;
-}
-
 const withEarliestDeadline = <T extends QueueItem>(items: readonly T[]): T =>
   items.reduce((first, item) => (item.deadlineAtMs < first.deadlineAtMs ? item : first));
 
 /** Start-time fair queueing between workspaces, and earliest deadline first within each. */
 class ClassQueue<T extends QueueItem> {
-  private readonly workspaceQueues = new Map<string, WorkspaceQueue<T>>();
+  private readonly waiting = new Map<string, T[]>();
 
-  private virtualTime = 0;
+  private readonly fairness = new WorkspaceFairness();
 
   /** Number of waiting items. */
   size = 0;
 
   push(item: T): void {
-    const queue = this.workspaceQueues.get(item.workspace) ?? {
-      items: [],
-      virtualStart: this.virtualTime,
-    };
-    this.workspaceQueues.set(item.workspace, queue);
-    queue.items.push(item);
+    const items = this.waiting.get(item.workspace);
+    if (items === undefined) this.waiting.set(item.workspace, [item]);
+    else items.push(item);
+    this.fairness.join(item.workspace);
     this.size += 1;
   }
 
   /** Removes and returns the next item that `accepts` allows; undefined if there is none. */
   pop(accepts: (item: T) => boolean): T | undefined {
-    const order = [...this.workspaceQueues.values()].sort(
-      (a, b) => a.virtualStart - b.virtualStart,
+    const { fairness } = this;
+    const order = [...this.waiting].sort(
+      ([a], [b]) => fairness.virtualStart(a) - fairness.virtualStart(b),
     );
-    for (const queue of order) {
-      const candidates = queue.items.filter(accepts);
+    for (const [workspace, items] of order) {
+      const candidates = items.filter(accepts);
       if (candidates.length > 0) {
         const item = withEarliestDeadline(candidates);
-        this.virtualTime = Math.max(this.virtualTime, queue.virtualStart);
-        queue.virtualStart = this.virtualTime + item.cost / item.weight;
+        fairness.charge(workspace, item.cost, item.weight);
         this.remove(item);
         return item;
       }
@@ -49,21 +41,14 @@
 
   /** Removes an item, if it is queued. */
   remove(item: T): void {
-    const queue = this.workspaceQueues.get(item.workspace);
-    const position = queue?.items.indexOf(item) ?? -1;
-    if (queue === undefined || position < 0) return;
-    queue.items.splice(position, 1);
+    const items = this.waiting.get(item.workspace);
+    const position = items?.indexOf(item) ?? -1;
+    if (items === undefined || position < 0) return;
+    items.splice(position, 1);
     this.size -= 1;
-    this.removeIdleQueues();
-  }
-
-  /** Removes empty queues of workspaces that used no more than their share. */
-  private removeIdleQueues(): void {
-    this.workspaceQueues.forEach((queue, workspace) => {
-      const isCaughtUp = queue.virtualStart <= this.virtualTime;
-      if (queue.items.length === 0 && isCaughtUp) this.workspaceQueues.delete(workspace);
-    });
-    if (this.size === 0) this.workspaceQueues.clear();
+    if (items.length === 0) this.waiting.delete(item.workspace);
+    if (this.size === 0) this.fairness.clear();
+    else this.fairness.retain((workspace) => this.waiting.has(workspace));
   }
 }
 
--- a/tools/bundle.mjs
+++ b/tools/bundle.mjs
@@ -37,6 +37,7 @@
       '@wisteriapath/process-signals': './packages/process-signals/src/index.ts',
       '@wisteriapath/response-ends': './packages/response-ends/src/index.ts',
       '@wisteriapath/suspects': './packages/suspects/src/index.ts',
+      '@wisteriapath/scheduling': './packages/scheduling/src/index.ts',
       '@wisteriapath/fleet': './packages/fleet/src/index.ts',
       '@wisteriapath/edge': './packages/edge/src/index.ts',
     },
