Placer: rank waiting models of deferring pools by one order

Cause: a draft (objective 5 s) that waits 0.8 s for a load from a copy counted as in time and so outranked an urgent request (objective 0.5 s) that cannot be in time any more but whose caller leaves after 2 s.

In pools that serve a route with an objective of 3 s or more beside a more urgent one, rankWaitingModels uses compareWaiting. Demand carries the most urgent priority and the least slack; DemandReport carries the part of the rates that is due to requests that can wait. A load that can wait evicts no model that urgent requests used in the last 3 s, and models that only such requests use are cheaper to evict. All fields are optional and are sent for deferring pools only. load_put_off has priority and slack_ms there.

The stub of rates in repeatedWork.test.ts has the new field; fixtures of desired states have routes.

--- a/packages/edge/src/AdmittedRequest.ts
+++ b/packages/edge/src/AdmittedRequest.ts
@@ -1,5 +1,6 @@
 import type { DesiredState, PathRoute, PoolSpec, WorkspaceSpec } from '@wisteriapath/fleet';
 import type RequestFields from './RequestFields';
+import type WaitOrder from './WaitOrder';
 
 /** A request that has passed authorization and limits. */
 interface AdmittedRequest {
@@ -17,6 +18,8 @@
   readonly deadlineAtMs: number;
   /** Time at which the caller gives up if no event of a stream has arrived, on the monotonic clock. */
   readonly firstEventDeadlineAtMs: number;
+  /** How it ranks among the requests that wait; undefined in pools that are not deferring. */
+  readonly waitOrder: WaitOrder | undefined;
 }
 
 export default AdmittedRequest;
--- a/packages/edge/src/DemandReporter.ts
+++ b/packages/edge/src/DemandReporter.ts
@@ -81,7 +81,9 @@
     this.reportedAtMs = nowMs;
     const { instance, rates, loads, send } = this.deps;
     const { running, unreachable } = loads;
-    send({ instance, waiting, rates: rates.all, running, unreachable });
+    const { deferrable: deferrableRates } = rates;
+    const deferrable = deferrableRates.length > 0 ? { deferrableRates } : {};
+    send({ instance, waiting, rates: rates.all, ...deferrable, running, unreachable });
   }
 }
 
--- a/packages/edge/src/RequestExecution.ts
+++ b/packages/edge/src/RequestExecution.ts
@@ -88,9 +88,12 @@
 
   /** Runs the request until it is answered, fails or is no longer allowed. */
   async run(): Promise<RequestResult> {
-    const { pool, fields } = this.request;
+    const { pool, fields, waitOrder } = this.request;
     this.deps.retryBudgets.recordRequest(pool.name);
-    if (pool.engine !== null) this.deps.rates.record(pool.name, fields.model, fields.adapter);
+    if (pool.engine !== null) {
+      const { model, adapter } = fields;
+      this.deps.rates.record(pool.name, model, adapter, waitOrder?.isDeferrable);
+    }
     for (;;) {
       await this.waitForProbe();
       const chosen = await this.findTarget();
--- a/packages/edge/src/TargetFinder.ts
+++ b/packages/edge/src/TargetFinder.ts
@@ -1,4 +1,9 @@
-import { type TargetView, timeUntilHeld } from '@wisteriapath/fleet';
+import {
+  shortestLoad,
+  type TargetView,
+  timeUntilHeld,
+  type WaitingRequests,
+} from '@wisteriapath/fleet';
 import type AdmittedRequest from './AdmittedRequest';
 import type ChosenTarget from './ChosenTarget';
 import type EdgeDependencies from './EdgeDependencies';
@@ -40,7 +45,11 @@
         if (isAbsent) {
           stopWaiting ??= waiting.add(
             { pool: pool.name, model: fields.model, adapter: fields.adapter },
-            { latencyTargetMs: route.latencyTargetMs, deadlineAtMs: request.deadlineAtMs },
+            {
+              latencyTargetMs: route.latencyTargetMs,
+              deadlineAtMs: request.deadlineAtMs,
+              ...this.demandOrder(request),
+            },
           );
           if (this.heldInMs(request) > leftMs) {
             void this.awaitReturn(request, stopWaiting);
@@ -77,6 +86,25 @@
     return !holding.some(({ entry }) => loads.isReachable(entry.id));
   }
 
+  /** Returns what the placers are told of how urgent a request is; nothing in pools that are not deferring. */
+  private demandOrder(
+    request: AdmittedRequest,
+  ): Pick<Parameters<WaitingRequests['add']>[1], 'order'> {
+    const { waitOrder, firstEventDeadlineAtMs: leavesAtMs } = request;
+    if (waitOrder === undefined) return {};
+    return {
+      order: { priority: waitOrder.priority, leavesAtMs, loadMs: () => this.loadMs(request) },
+    };
+  }
+
+  /** Returns the shortest time of a load of the model of a request; 0 if an engine holds it, as adapters load within milliseconds. */
+  private loadMs({ pool, fields }: AdmittedRequest): number {
+    const { clock, table } = this.deps;
+    const spec = pool.engine?.models.get(fields.model);
+    if (spec === undefined || table.holding(pool.name, fields.model, null).length > 0) return 0;
+    return shortestLoad(table.inService(pool.name), spec, clock.nowMs()).ms;
+  }
+
   /** Returns the shortest time until an engine can hold the model of a request; 0 if one may at any moment. */
   private heldInMs({ pool, fields }: AdmittedRequest): number {
     const { clock, table } = this.deps;
--- a/packages/edge/src/admit.ts
+++ b/packages/edge/src/admit.ts
@@ -11,6 +11,7 @@
 import readBody from './readBody';
 import suspectError from './suspectError';
 import traitsOf from './traitsOf';
+import waitOrderOf from './waitOrderOf';
 
 /** Minimum time for which callers of streams wait for an event. */
 const MIN_FIRST_EVENT_WAIT_MS = 2_000;
@@ -79,6 +80,7 @@
     traits,
     deadlineAtMs,
     firstEventDeadlineAtMs,
+    waitOrder: waitOrderOf(state, { pool: pool.name, route, workspace }),
   });
 };
 
--- a/packages/edge/test/repeatedWork.test.ts
+++ b/packages/edge/test/repeatedWork.test.ts
@@ -45,7 +45,7 @@
     const reporter = new DemandReporter({
       clock: { nowMs: () => Date.now(), sleep: () => Promise.resolve() },
       instance: '10.1.0.25',
-      rates: { all: [] } as unknown as ModelRates,
+      rates: { all: [], deferrable: [] } as unknown as ModelRates,
       loads: { running: [], unreachable: [] } as unknown as TargetLoads,
       instances: () => 1,
       send: () => {
--- a/packages/fleet/src/DeferredLoadLog.ts
+++ b/packages/fleet/src/DeferredLoadLog.ts
@@ -4,6 +4,7 @@
 import type EventLog from './EventLog';
 import type PlannedLoad from './PlannedLoad';
 import type TargetView from './TargetView';
+import type WaitingModel from './WaitingModel';
 import hasCopy from './hasCopy';
 
 interface Parts {
@@ -22,6 +23,7 @@
   readonly pass: { readonly pool: string; readonly demand: DemandSnapshot };
   readonly model: string;
   readonly waitedMs: number;
+  readonly order: WaitingModel['order'];
   /** The best plan over the engines of all active placers. */
   readonly bestPlan: PlannedLoad | undefined;
   /** The best plan over the engines that the placer controls. */
@@ -52,6 +54,7 @@
     pass: { pool, demand },
     model,
     waitedMs,
+    order,
     bestPlan,
     ownPlan,
     context,
@@ -78,6 +81,7 @@
       copy_is_soon: context.hasCopySoon(model),
       left_to: bestPlan === undefined ? '' : bestPlan.view.entry.failureDomain,
       own_plan: ownPlan !== undefined,
+      ...(order === null ? {} : { priority: order.priority, slack_ms: Math.round(order.slackMs) }),
     });
   }
 }
--- a/packages/fleet/src/DemandAggregator.ts
+++ b/packages/fleet/src/DemandAggregator.ts
@@ -3,13 +3,15 @@
 import type Demand from './Demand';
 import type DemandReport from './DemandReport';
 import type DemandSnapshot from './DemandSnapshot';
+import hasOrder from './hasOrder';
+import leastSlackMs from './leastSlackMs';
 
 interface ReceivedReport {
   readonly report: DemandReport;
   readonly receivedMs: number;
 }
 
-type Totals = Pick<DemandSnapshot, 'modelRates' | 'assetRates' | 'running'>;
+type Totals = Pick<DemandSnapshot, 'modelRates' | 'deferrableRates' | 'assetRates' | 'running'>;
 
 /** Age up to which the waiting requests and unreachable engines in a report count. */
 const WAITING_MAX_AGE_MS = 700;
@@ -30,6 +32,15 @@
   counts.set(key, (counts.get(key) ?? 0) + count);
 };
 
+/** Returns the order of two demands together; none if one of them has none, so that it is ranked by its other fields. */
+const mergeOrder = (one: Demand, other: Demand): Pick<Demand, 'priority' | 'slackMs'> => {
+  if (!hasOrder(one) || !hasOrder(other)) return { priority: undefined, slackMs: undefined };
+  return {
+    priority: Math.min(one.priority, other.priority),
+    slackMs: leastSlackMs([one.slackMs, other.slackMs]),
+  };
+};
+
 const mergeDemand = (one: Demand, other: Demand | undefined): Demand =>
   other === undefined
     ? one
@@ -39,6 +50,7 @@
         waitedMs: Math.max(one.waitedMs, other.waitedMs),
         latencyTargetMs: Math.min(one.latencyTargetMs, other.latencyTargetMs),
         leftMs: Math.max(one.leftMs ?? Infinity, other.leftMs ?? Infinity),
+        ...mergeOrder(one, other),
       };
 
 /** Aggregates the demand reports of all instances for the placer. */
@@ -63,9 +75,13 @@
   snapshot(pool: string): DemandSnapshot {
     const merged = new Map<string, Demand>();
     const waitingInstances = new Map<string, string[]>();
-    this.recentReports(WAITING_MAX_AGE_MS).forEach(({ instance, waiting }) => {
-      waiting.forEach((demand) => {
-        if (demand.pool !== pool) return;
+    this.recent(WAITING_MAX_AGE_MS).forEach(({ report: { instance, waiting }, receivedMs }) => {
+      const ageMs = this.clock.nowMs() - receivedMs;
+      waiting.forEach((reported) => {
+        if (reported.pool !== pool) return;
+        const demand = hasOrder(reported)
+          ? { ...reported, slackMs: reported.slackMs - ageMs }
+          : reported;
         const asset = assetId(demand.model, demand.adapter);
         merged.set(asset, mergeDemand(demand, merged.get(asset)));
         waitingInstances.set(asset, [...(waitingInstances.get(asset) ?? []), instance]);
@@ -110,17 +126,22 @@
     return value;
   }
 
-  private sumRates(pool: string): Pick<DemandSnapshot, 'modelRates' | 'assetRates'> {
+  private sumRates(pool: string): Omit<Totals, 'running'> {
     const modelRates = new Map<string, number>();
+    const deferrableRates = new Map<string, number>();
     const assetRates = new Map<string, number>();
-    this.recentReports(RATES_MAX_AGE_MS).forEach(({ rates }) => {
+    this.recentReports(RATES_MAX_AGE_MS).forEach((report) => {
+      (report.deferrableRates ?? []).forEach(([ofPool, model, , rate]) => {
+        if (ofPool === pool) addCount(deferrableRates, model, rate);
+      });
+      const { rates } = report;
       rates.forEach(([ofPool, model, adapter, rate]) => {
         if (ofPool !== pool) return;
         addCount(modelRates, model, rate);
         addCount(assetRates, assetId(model, adapter === '' ? null : adapter), rate);
       });
     });
-    return { modelRates, assetRates };
+    return { modelRates, deferrableRates, assetRates };
   }
 
   private sumRunning(): DemandSnapshot['running'] {
@@ -137,10 +158,12 @@
   }
 
   private recentReports(withinMs: number): readonly DemandReport[] {
+    return this.recent(withinMs).map(({ report }) => report);
+  }
+
+  private recent(withinMs: number): readonly ReceivedReport[] {
     const sinceMs = this.clock.nowMs() - withinMs;
-    return [...this.reports.values()]
-      .filter(({ receivedMs }) => receivedMs >= sinceMs)
-      .map(({ report }) => report);
+    return [...this.reports.values()].filter(({ receivedMs }) => receivedMs >= sinceMs);
   }
 }
 
--- a/packages/fleet/src/DemandReport.ts
+++ b/packages/fleet/src/DemandReport.ts
@@ -6,6 +6,8 @@
   readonly waiting: readonly Demand[];
   /** Requests per second by pool, model and adapter: `[pool, model, adapter or '', rate]`. */
   readonly rates: readonly (readonly [string, string, string, number])[];
+  /** The part of `rates` that is due to requests that can wait; only for deferring pools. */
+  readonly deferrableRates?: DemandReport['rates'];
   /** Ids of engines that this instance cannot reach, or that do not answer it. */
   readonly unreachable: readonly string[];
   /** Running requests by engine and model: `[engine, model, adapter or '', count]`. */
--- a/packages/fleet/src/DemandSnapshot.ts
+++ b/packages/fleet/src/DemandSnapshot.ts
@@ -6,6 +6,8 @@
   readonly waiting: readonly Demand[];
   /** Rate by model, including requests for its adapters. */
   readonly modelRates: ReadonlyMap<string, number>;
+  /** The part of `modelRates` that is due to requests that can wait. */
+  readonly deferrableRates: ReadonlyMap<string, number>;
   /** Rate by `model` for requests without an adapter, or by `model/adapter`. */
   readonly assetRates: ReadonlyMap<string, number>;
   /** Number of running requests by engine, then by `model` or `model/adapter`. */
--- a/packages/fleet/src/EvictionOptions.ts
+++ b/packages/fleet/src/EvictionOptions.ts
@@ -9,7 +9,7 @@
   readonly replicaCounts: ReadonlyMap<string, number>;
   /** Requests per second by model. */
   readonly rates: ReadonlyMap<string, number>;
-  /** Models that requests wait for. */
+  /** Models that requests wait for, and others that must stay. */
   readonly requested: ReadonlySet<string>;
   /** Returns the number of requests that run with a model on an engine. */
   readonly running: (engine: string, model: string) => number;
--- a/packages/fleet/src/Placer.ts
+++ b/packages/fleet/src/Placer.ts
@@ -1,7 +1,6 @@
 import { rendezvousOrder } from '@wisteriapath/model';
 import assetId from './assetId';
 import DeferredLoadLog from './DeferredLoadLog';
-import type DemandSnapshot from './DemandSnapshot';
 import EngineRegistry from './EngineRegistry';
 import type EngineSpec from './EngineSpec';
 import LeftLoads from './LeftLoads';
@@ -13,11 +12,13 @@
 import StoreLoadMonitor from './StoreLoadMonitor';
 import type TargetView from './TargetView';
 import type WaitingModel from './WaitingModel';
+import createAdapterContext from './createAdapterContext';
 import createModelContext from './createModelContext';
+import deferringPools from './deferringPools';
 import isWorthReplicating from './isWorthReplicating';
-import modelsWithoutCopy from './modelsWithoutCopy';
 import planAdapter from './planAdapter';
 import planModel from './planModel';
+import planPrefetch from './planPrefetch';
 import rankWaitingModels from './rankWaitingModels';
 import runLoop from './runLoop';
 import storeLoadShare from './storeLoadShare';
@@ -30,14 +31,9 @@
 const MIN_PLANNING_INTERVAL_MS = 8;
 /** Time before the authority begins at which engines are asked what they hold. */
 const SYNC_LEAD_MS = 1_200;
-const MAX_LOADING_ADAPTERS_PER_ENGINE = 4;
 /** Request rate from which a model gets a second replica. */
 const SECOND_REPLICA_RATE_PER_S = 6;
 const MAX_BUSY_MODEL_REPLICAS = 2;
-/** Share of the engines that may load from the weight store ahead of demand while there is none. */
-const IDLE_PREFETCH_SHARE = 0.5;
-/** The same once there are requests: an engine cannot make any other change during a long load. */
-const BUSY_PREFETCH_SHARE = 0.13;
 
 /** Decides which model or adapter is loaded on which engine while this instance holds the authority. */
 class Placer {
@@ -134,10 +130,13 @@
   private planPool(pool: string, engine: EngineSpec): void {
     const { demand: aggregator } = this.parts;
     const demand = aggregator.snapshot(pool);
-    const ranked = this.rankWaiting(pool, engine, demand);
+    const desired = this.parts.desired();
+    const isDeferring = desired !== undefined && deferringPools(desired).has(pool);
+    const ranked = this.rankWaiting({ pool, engine, demand, isDeferring });
     const copyWorths = ranked.filter(({ isFromStore }) => !isFromStore).map(({ worth }) => worth);
     const pass: PlanningPass = {
       pool,
+      isDeferring,
       engine,
       demand,
       bestCopyWorth: Math.max(0, ...copyWorths),
@@ -162,17 +161,19 @@
     this.prefetch(pass);
   }
 
-  private rankWaiting(
-    pool: string,
-    engine: EngineSpec,
-    demand: DemandSnapshot,
-  ): readonly WaitingModel[] {
+  private rankWaiting({
+    pool,
+    engine,
+    demand,
+    isDeferring,
+  }: Pick<PlanningPass, 'pool' | 'engine' | 'demand' | 'isDeferring'>): readonly WaitingModel[] {
     return rankWaitingModels(demand, {
       nowMs: this.parts.clock.nowMs(),
       views: this.parts.table.inService(pool),
       models: engine.models,
       unservedMs: (model) => this.parts.demand.recordUnserved(pool, model),
       isHeld: (model) => this.reachableHolding({ pool, demand }, model).length > 0,
+      isDeferring,
     });
   }
 
@@ -199,14 +200,16 @@
   }
 
   /** Loads a model, or leaves it to the placer of a better engine, or puts it off. */
-  private loadWaitingModel(pass: PlanningPass, { model, waitedMs, worth }: WaitingModel): void {
+  private loadWaitingModel(pass: PlanningPass, waiting: WaitingModel): void {
+    const { model, waitedMs, worth, order, canWait } = waiting;
     const base = this.contextFor(pass);
     // A load from the store goes ahead of short ones if it is worth more for the time that it takes.
     const isStoreFree =
       pass.storeSlots > 0 &&
       this.storeLimiter.hasCapacity &&
       (base.isStoreFree || worth >= pass.bestCopyWorth);
-    const context = { ...base, isStoreFree };
+    const evictions = canWait ? base.deferrableEvictions : base.evictions;
+    const context = { ...base, isStoreFree, evictions };
     const spec = pass.engine.models.get(model)!;
     const contextOfAll = {
       ...context,
@@ -220,7 +223,7 @@
       return;
     }
     if (bestPlan === undefined) this.leftLoads.clear(model);
-    this.deferredLoadLog.record({ pass, model, waitedMs, bestPlan, ownPlan, context });
+    this.deferredLoadLog.record({ pass, model, waitedMs, order, bestPlan, ownPlan, context });
     if (bestPlan === undefined) return;
     pass.taken.add(bestPlan.view.entry.id);
     if (bestPlan.fromStore) Object.assign(pass, { storeSlots: pass.storeSlots - 1 });
@@ -279,21 +282,12 @@
       .map(({ entry }) => entry.failureDomain)
       .filter((one) => active.has(one));
     if (isLoading || (!isUrgent && !this.isResponsible(asset, domains))) return;
-    const plan = planAdapter(model, adapter, {
-      engine,
-      holding: this.filterOwn(holding)
-        .filter((view) => {
-          const own = this.engines.engineOf(view);
-          return !own.isBusy && own.executor.isStateKnown;
-        })
-        .map((view) => this.withOwnState(view)),
-      ratesByAsset: demand.assetRates,
-      requested: new Set(demand.waiting.map((one) => assetId(one.model, one.adapter))),
-      running: (id, ofModel, ofAdapter) =>
-        demand.running.get(id)?.get(assetId(ofModel, ofAdapter)) ?? 0,
-      loadingCount: (id) => this.engines.get(id)?.loadingAdapters.size ?? 0,
-      maxLoading: MAX_LOADING_ADAPTERS_PER_ENGINE,
+    const usable = this.filterOwn(holding).filter((view) => {
+      const own = this.engines.engineOf(view);
+      return !own.isBusy && own.executor.isStateKnown;
     });
+    const input = { engine, demand, holding: usable.map((view) => this.withOwnState(view)) };
+    const plan = planAdapter(model, adapter, createAdapterContext(input, this.engines));
     if (plan !== undefined) this.execute(plan);
   }
 
@@ -319,25 +313,23 @@
       });
   }
 
-  /** Loads models of which no engine has a copy, so that a later load is short. */
+  /** Loads a model of which no engine has a copy, so that a later load is short. */
   private prefetch(pass: PlanningPass): void {
-    const { pool, engine, demand } = pass;
-    const views = this.parts.table.inService(pool);
-    const ownViews = this.filterOwn(views);
-    const busyCount = ownViews.filter((view) => this.engines.engineOf(view).isBusy).length;
-    const share = demand.modelRates.size === 0 ? IDLE_PREFETCH_SHARE : BUSY_PREFETCH_SHARE;
-    if (busyCount >= ownViews.length * share || !this.storeLimiter.hasCapacity) return;
+    if (!this.storeLimiter.hasCapacity) return;
+    const { pool } = pass;
+    const ownViews = this.ownViews(pool);
     const active = this.parts.activeDomains();
-    const requested = new Set(demand.waiting.map(({ model }) => model));
-    const missing = modelsWithoutCopy(engine, views).filter(
-      ({ name }) => !requested.has(name) && !this.isModelLoading(pool, name),
-    );
-    // Placers with the same knowledge share out the free slots alike.
-    const own = missing
-      .slice(0, pass.storeSlots)
-      .find(({ name }) => this.isResponsible(name, active));
-    if (own === undefined) return;
-    const plan = planModel(own, this.contextFor(pass), 'ahead');
+    const spec = planPrefetch({
+      ...pass,
+      views: this.parts.table.inService(pool),
+      own: {
+        count: ownViews.length,
+        busy: ownViews.filter((view) => this.engines.engineOf(view).isBusy).length,
+      },
+      isLoading: (model) => this.isModelLoading(pool, model),
+      isResponsible: (model) => this.isResponsible(model, active),
+    });
+    const plan = spec && planModel(spec, this.contextFor(pass), 'ahead');
     if (plan !== undefined) this.executeInPass(pass, plan);
   }
 
@@ -354,10 +346,10 @@
     return this.cachedContext.context;
   }
 
-  private modelContext({ pool, engine, demand }: PlanningPass) {
+  private modelContext({ pool, engine, demand, isDeferring }: PlanningPass) {
     const views = this.parts.table.inService(pool).map((view) => this.withOwnState(view));
     return createModelContext(
-      { views, own: this.filterOwn(views), engine, demand },
+      { views, own: this.filterOwn(views), engine, demand, isDeferring },
       this.engines,
       this.parts.clock.nowMs(),
     );
--- a/packages/fleet/src/PlanningPass.ts
+++ b/packages/fleet/src/PlanningPass.ts
@@ -4,6 +4,8 @@
 /** The input of one planning pass over one pool. */
 interface PlanningPass {
   readonly pool: string;
+  /** Whether models are loaded in the order of `compareWaiting`. */
+  readonly isDeferring: boolean;
   readonly engine: EngineSpec;
   readonly demand: DemandSnapshot;
   /** What the best load is worth that needs only a copy, one that is under way included. */
--- a/packages/fleet/src/createModelContext.ts
+++ b/packages/fleet/src/createModelContext.ts
@@ -14,16 +14,46 @@
   readonly own: readonly TargetView[];
   readonly engine: EngineSpec;
   readonly demand: DemandSnapshot;
+  readonly isDeferring: boolean;
 }
 
+/** Rate of a model 3 s after its only request, see `ModelRates` of `packages/edge`: one that has been used since counts as in use. */
+const IN_USE_RATE_PER_S = 0.12;
+/** Cost of evicting a model that only requests that can wait use, relative to one that urgent requests use at the same rate. */
+const DEFERRABLE_COST_SHARE = 0.2;
+
+/** Returns the rate of urgent requests for each model. */
+const urgentRates = ({
+  modelRates,
+  deferrableRates,
+}: DemandSnapshot): ReadonlyMap<string, number> =>
+  new Map(
+    [...modelRates].map(([model, rate]) => [
+      model,
+      Math.max(0, rate - (deferrableRates.get(model) ?? 0)),
+    ]),
+  );
+
+/** Returns rates in which requests that can wait count less, as a load delays them without making them late. */
+const weightedRates = (
+  demand: DemandSnapshot,
+  urgent: ReadonlyMap<string, number>,
+): ReadonlyMap<string, number> =>
+  new Map(
+    [...demand.modelRates].map(([model, rate]) => {
+      const urgentRate = urgent.get(model) ?? 0;
+      return [model, urgentRate + (rate - urgentRate) * DEFERRABLE_COST_SHARE];
+    }),
+  );
+
 /**
  * Creates the context in which loads of models are planned, from what a placer knows at one moment.
  *
  * @example
- * const context = createModelContext({ views, own, engine, demand }, registry, clock.nowMs());
+ * const context = createModelContext({ views, own, engine, demand, isDeferring }, registry, clock.nowMs());
  */
 const createModelContext = (
-  { views, own, engine, demand }: Input,
+  { views, own, engine, demand, isDeferring }: Input,
   registry: EngineRegistry,
   nowMs: number,
 ) => {
@@ -39,11 +69,13 @@
   views.forEach(({ models }) =>
     models.forEach((_, model) => replicaCounts.set(model, (replicaCounts.get(model) ?? 0) + 1)),
   );
-  const evictions = new EvictionOptions({
+  const urgent = isDeferring ? urgentRates(demand) : new Map<string, number>();
+  const requested = new Set(demand.waiting.map(({ model }) => model));
+  const evictionContext = {
     engine,
     replicaCounts,
-    rates: demand.modelRates,
-    requested: new Set(demand.waiting.map(({ model }) => model)),
+    rates: isDeferring ? weightedRates(demand, urgent) : demand.modelRates,
+    requested,
     running: (id: string, model: string) => demand.running.get(id)?.get(model) ?? 0,
     hasCopyElsewhere: (id: string, model: string) =>
       views.some(
@@ -51,10 +83,20 @@
       ),
     residentMs: (id: string, model: string) =>
       nowMs - (registry.get(id)?.loadedMs.get(model) ?? -Infinity),
-  });
+  };
+  const evictions = new EvictionOptions(evictionContext);
+  const inUse = [...urgent].filter(([, rate]) => rate >= IN_USE_RATE_PER_S);
+  const deferrableEvictions = isDeferring
+    ? new EvictionOptions({
+        ...evictionContext,
+        requested: new Set([...requested, ...inUse.map(([model]) => model)]),
+      })
+    : evictions;
   return {
     free,
     evictions,
+    /** What a load that can wait may evict: no model that urgent requests used in the last seconds. */
+    deferrableEvictions,
     isStoreFree: canLoadFromStore(engines, demand.waiting, snapshot),
     hasCopySoon: (model: string) => hasCopySoon(views, engine.models.get(model), snapshot),
   };
--- a/packages/fleet/src/readDemandReport.ts
+++ b/packages/fleet/src/readDemandReport.ts
@@ -15,6 +15,10 @@
 const isTime = (value: unknown): value is number =>
   typeof value === 'number' && !Number.isNaN(value);
 
+/** A field that is absent arrives as null if its sender wrote it as undefined. */
+const isAbsentOr = (isValue: (value: unknown) => boolean) => (value: unknown) =>
+  value === undefined || value === null || isValue(value);
+
 const isListOf =
   <T>(isItem: (value: unknown) => value is T) =>
   (value: unknown): value is readonly T[] =>
@@ -22,13 +26,15 @@
 
 const isDemand = (value: unknown): value is Demand => {
   const demand = value as Demand | null | undefined;
-  const { pool, model, adapter, leftMs } = demand ?? {};
+  const { pool, model, adapter, leftMs, priority, slackMs } = demand ?? {};
   return (
     isText(pool) &&
     isText(model) &&
     (adapter === null || isText(adapter)) &&
     DEMAND_COUNTS.every((key) => isCount(demand?.[key])) &&
-    (leftMs === undefined || leftMs === null || isTime(leftMs))
+    isAbsentOr(isTime)(leftMs) &&
+    isAbsentOr(isCount)(priority) &&
+    isAbsentOr(isTime)(slackMs)
   );
 };
 
@@ -45,6 +51,7 @@
     isListOf(isDemand)(report.waiting) &&
     isListOf(isText)(report.unreachable) &&
     isListOf(isNamedCount)(report.rates) &&
+    isAbsentOr(isListOf(isNamedCount))(report.deferrableRates) &&
     isListOf(isNamedCount)(report.running)
   );
 };
--- a/packages/fleet/test/placer.test.ts
+++ b/packages/fleet/test/placer.test.ts
@@ -37,7 +37,11 @@
   const engine = builders.engineSpec(...MODELS);
   const pool = { name: 'guides', maxConnections: 100, coldPerS: 0, engine };
   let isHeld = true;
-  const desired = { version: 1, pools: new Map([['guides', pool]]) } as unknown as DesiredState;
+  const desired = {
+    version: 1,
+    routes: [],
+    pools: new Map([['guides', pool]]),
+  } as unknown as DesiredState;
   const placer = new Placer(
     { failureDomain: 'a', maxConcurrentStoreLoads: 4, weightStoreWindowMs: 5_000 },
     {
--- a/packages/fleet/test/support/startPlacers.ts
+++ b/packages/fleet/test/support/startPlacers.ts
@@ -79,7 +79,11 @@
     models: new Map(specs.map((spec) => [spec.name, spec])),
   };
   const pool = { name: 'guides', maxConnections: 100, coldPerS: 0, engine };
-  const desired = { version: 1, pools: new Map([['guides', pool]]) } as unknown as DesiredState;
+  const desired = {
+    version: 1,
+    routes: [],
+    pools: new Map([['guides', pool]]),
+  } as unknown as DesiredState;
   const tables = domains.map(() => new TargetTable(clock));
   tables.forEach((table) => entries.forEach((entry) => table.applyEntry(entry)));
   const aggregators = domains.map(() => new DemandAggregator(clock));
