--- a/packages/fleet/test/support/FakeEngine.ts
+++ b/packages/fleet/test/support/FakeEngine.ts
@@ -30,6 +30,9 @@
   /** Duration of a load. */
   loadMs = 500;
 
+  /** Duration of an unload. */
+  unloadMs = 20;
+
   /** Delay of loads in ms. Above 0, a load gets no answer and is carried out late if its expected count still matches. */
   loadDelayMs = 0;
 
@@ -72,7 +75,7 @@
     if (order.expectedCount !== this.count) return OrderAnswer.Conflict;
     if (this.models.has(model) === (kind === OrderKind.Load)) return OrderAnswer.AlreadyApplied;
     this.count += 1;
-    const durationMs = kind === OrderKind.Load ? this.loadMs : 20;
+    const durationMs = kind === OrderKind.Load ? this.loadMs : this.unloadMs;
     this.work = { order, untilMs: this.clock.nowMs() + durationMs };
     const loadingCount = kind === OrderKind.Load ? 1 : 0;
     this.maxModels = Math.max(this.maxModels, this.models.size + loadingCount);
