--- a/packages/edge/src/DemandReporter.ts
+++ b/packages/edge/src/DemandReporter.ts
@@ -84,9 +84,17 @@
     this.reportedAtMs = nowMs;
     const { instance, rates, loads, send } = this.deps;
     const { running } = loads;
+    const { deferrable: deferrableRates } = rates;
     const targets = loads.pace.takeRows(MAX_TARGET_ROWS);
-    const report = { instance, waiting, rates: rates.all, running, unreachable };
-    send(targets.length === 0 ? report : { ...report, targets });
+    send({
+      instance,
+      waiting,
+      rates: rates.all,
+      ...(deferrableRates.length > 0 && { deferrableRates }),
+      running,
+      unreachable,
+      ...(targets.length > 0 && { targets }),
+    });
   }
 }
 
