Placers are told only of targets that an instance found out of reach by itself

Cause: placers take the word of any one instance for a target that is out of reach. Change: the report is as before; the backoff and the cut domain count only for the choice of this instance.

--- a/packages/edge/src/TargetLoads.ts
+++ b/packages/edge/src/TargetLoads.ts
@@ -19,6 +19,8 @@
   lastByteAtMs: number;
   /** Time until which no request is sent, after a connection could not be opened. */
   unreachableUntilMs: number;
+  /** Time until which no request is sent, after one ended without a byte of the target. */
+  silentUntilMs: number;
   /** Consecutive requests that found the target silent: no connection was opened, or no byte arrived. */
   silences: number;
   /** Exponentially weighted fraction of recent requests that failed. */
@@ -49,7 +51,7 @@
   constructor(
     private readonly clock: Clock,
     /** Tells in which life each target is. */
-    private readonly table: Pick<TargetTable, 'get' | 'allTargets'>,
+    private readonly table: Pick<TargetTable, 'get'>,
     private readonly contact: DomainContact,
   ) {
     this.pace = new TargetPace(clock, table);
@@ -69,7 +71,7 @@
     const end = () => {
       // The caller may have left first; the target is no less silent for that.
       if (load.unanswered.has(sentMark) && this.isSilentSince(load, sentMark.sinceMs)) {
-        this.recordSilence(id, load);
+        load.silentUntilMs = this.clock.nowMs() + this.recordSilence(id, load);
       }
       load.unanswered.delete(sentMark);
       const left = (load.running.get(key) ?? 1) - 1;
@@ -101,7 +103,7 @@
         recordPace((pace) => pace.recordResponse(id, { model, timeMs, units })),
       recordConnectFailure: () => {
         load.unanswered.delete(sentMark);
-        this.recordSilence(id, load);
+        load.unreachableUntilMs = this.clock.nowMs() + this.recordSilence(id, load);
       },
       release: end,
       complete: (isFailure) => {
@@ -147,26 +149,25 @@
   }
 
   /**
-   * Returns the ids of the targets that cannot be reached or do not respond, and notes for their failure domains the silence
-   * of requests that still wait.
+   * Returns the ids of the targets that this instance found out of reach by itself: a connection does not open, or a request
+   * waits for its first byte. Placers take the word of any instance, so what it only infers is left out.
    */
   findUnreachable(): readonly string[] {
     const { current } = this;
     current
       .filter(([, load]) => this.isUnresponsive(load))
       .forEach(([id]) => this.contact.recordSilence(this.domainOf(id)));
-    const silent = current.filter(([, load]) => this.isUnavailable(load)).map(([id]) => id);
-    const cutOff = this.table
-      .allTargets()
-      .filter(({ entry }) => this.contact.isCutOff(entry.failureDomain))
-      .map(({ entry }) => entry.id);
-    return cutOff.length === 0 ? silent : [...new Set([...silent, ...cutOff])];
+    return current.filter(([, load]) => this.isFoundUnreachable(load)).map(([id]) => id);
   }
 
-  private isUnavailable(load: Load): boolean {
+  private isFoundUnreachable(load: Load): boolean {
     return load.unreachableUntilMs > this.clock.nowMs() || this.isUnresponsive(load);
   }
 
+  private isUnavailable(load: Load): boolean {
+    return load.silentUntilMs > this.clock.nowMs() || this.isFoundUnreachable(load);
+  }
+
   /** Whether a request has waited too long for its first byte while no byte of any other response arrived. */
   private isUnresponsive(load: Load): boolean {
     return [...load.unanswered].some(({ sinceMs }) => this.isSilentSince(load, sinceMs));
@@ -178,14 +179,12 @@
     return lastByteAtMs < beforeMs && sinceMs < beforeMs;
   }
 
-  /** Notes that a target did not respond, and sends it nothing for a while. */
-  private recordSilence(id: string, load: Load): void {
-    const backoffMs = Math.min(MAX_SILENCE_BACKOFF_MS, SILENCE_BACKOFF_MS * 2 ** load.silences);
-    Object.assign(load, {
-      unreachableUntilMs: this.clock.nowMs() + backoffMs,
-      silences: load.silences + 1,
-    });
+  /** Notes that a target did not respond; returns the time for which to send it nothing. */
+  private recordSilence(id: string, load: Load): number {
+    const { silences } = load;
+    Object.assign(load, { silences: silences + 1 });
     this.contact.recordSilence(this.domainOf(id));
+    return Math.min(MAX_SILENCE_BACKOFF_MS, SILENCE_BACKOFF_MS * 2 ** silences);
   }
 
   private domainOf(id: string): string {
@@ -244,6 +243,7 @@
       reportedAtMs: 0,
       lastByteAtMs: 0,
       unreachableUntilMs: 0,
+      silentUntilMs: 0,
       silences: 0,
       failureRate: 0,
       failureRateAtMs: 0,
