--- a/packages/fleet/src/Placer.ts
+++ b/packages/fleet/src/Placer.ts
@@ -3,6 +3,7 @@
 import DeferredLoadLog from './DeferredLoadLog';
 import type DemandSnapshot from './DemandSnapshot';
 import EngineRegistry from './EngineRegistry';
+import EngineSpeedSource from './EngineSpeedSource';
 import type EngineSpec from './EngineSpec';
 import LeftLoads from './LeftLoads';
 import type PlacerOptions from './PlacerOptions';
@@ -14,11 +15,11 @@
 import type TargetView from './TargetView';
 import type WaitingModel from './WaitingModel';
 import createModelContext from './createModelContext';
-import isWorthReplicating from './isWorthReplicating';
 import modelsWithoutCopy from './modelsWithoutCopy';
 import planAdapter from './planAdapter';
 import planModel from './planModel';
 import rankWaitingModels from './rankWaitingModels';
+import replicateBusyModels from './replicateBusyModels';
 import runLoop from './runLoop';
 import storeLoadShare from './storeLoadShare';
 
@@ -31,9 +32,6 @@
 /** Time before the authority begins at which engines are asked what they hold. */
 const SYNC_LEAD_MS = 1_200;
 const MAX_LOADING_ADAPTERS_PER_ENGINE = 4;
-/** Request rate from which a model gets a second replica. */
-const SECOND_REPLICA_RATE_PER_S = 6;
-const MAX_BUSY_MODEL_REPLICAS = 2;
 /** Share of the engines that may load from the weight store ahead of demand while there is none. */
 const IDLE_PREFETCH_SHARE = 0.5;
 /** The same once there are requests: an engine cannot make any other change during a long load. */
@@ -43,6 +41,8 @@
 class Placer {
   private readonly engines: EngineRegistry;
 
+  private readonly engineSpeeds: EngineSpeedSource;
+
   private readonly storeLimiter: StoreLoadLimiter;
 
   private readonly storeLoads: StoreLoadMonitor;
@@ -65,6 +65,7 @@
     private readonly options: PlacerOptions,
     private readonly parts: PlacerParts,
   ) {
+    this.engineSpeeds = new EngineSpeedSource(parts);
     this.storeLimiter = new StoreLoadLimiter(parts.clock, () => ({
       maxPerS: Math.max(0, ...this.pools.map(([, engine]) => engine.maxStoreLoadsPerS)),
       windowMs: options.weightStoreWindowMs,
@@ -140,6 +141,7 @@
       pool,
       engine,
       demand,
+      speeds: this.engineSpeeds.of(pool),
       bestCopyWorth: Math.max(0, ...copyWorths),
       storeSlots: this.storeLoads.freeSlots,
       taken: new Set(),
@@ -297,26 +299,19 @@
     if (plan !== undefined) this.execute(plan);
   }
 
-  /** Loads a further replica of busy models. */
+  /** Loads further replicas of busy models, and of models whose engines are too slow. */
   private replicateBusyModels(pass: PlanningPass): void {
-    const { pool, engine, demand } = pass;
-    [...demand.modelRates]
-      .filter(([model, rate]) => rate >= SECOND_REPLICA_RATE_PER_S && engine.models.has(model))
-      .sort(([, one], [, other]) => other - one)
-      .forEach(([model, rate]) => {
-        const present = this.parts.table.holding(pool, model, null);
-        if (present.length >= MAX_BUSY_MODEL_REPLICAS || this.isModelLoading(pool, model)) return;
-        const domains = new Set(present.map(({ entry }) => entry.failureDomain));
-        const active = this.parts.activeDomains();
-        const others = active.filter((domain) => !domains.has(domain));
-        if (!this.isResponsible(model, others.length > 0 ? others : active)) return;
-        const context = this.contextFor(pass);
-        const spec = engine.models.get(model)!;
-        const plan = planModel(spec, { ...context, isStoreFree: false }, 'busy');
-        if (plan !== undefined && isWorthReplicating(plan, rate, demand.modelRates)) {
-          this.execute(plan);
-        }
-      });
+    const { pool } = pass;
+    replicateBusyModels(pass, {
+      holders: (model) => this.parts.table.holding(pool, model, null),
+      isLoading: (model) => this.isModelLoading(pool, model),
+      isOwn: (view) => this.filterOwn([view]).length > 0,
+      activeDomains: () => this.parts.activeDomains(),
+      isResponsible: (model, domains) => this.isResponsible(model, domains),
+      context: () => this.contextFor(pass),
+      freeElsewhere: () => this.freeEnginesElsewhere(pass),
+      execute: (plan) => this.execute(plan),
+    });
   }
 
   /** Loads models of which no engine has a copy, so that a later load is short. */
@@ -354,10 +349,10 @@
     return this.cachedContext.context;
   }
 
-  private modelContext({ pool, engine, demand }: PlanningPass) {
+  private modelContext({ pool, engine, demand, speeds }: PlanningPass) {
     const views = this.parts.table.inService(pool).map((view) => this.withOwnState(view));
     return createModelContext(
-      { views, own: this.filterOwn(views), engine, demand },
+      { views, own: this.filterOwn(views), engine, demand, speeds },
       this.engines,
       this.parts.clock.nowMs(),
     );
--- a/packages/fleet/src/PlanningPass.ts
+++ b/packages/fleet/src/PlanningPass.ts
@@ -1,11 +1,14 @@
 import type DemandSnapshot from './DemandSnapshot';
 import type EngineSpec from './EngineSpec';
+import type EngineSpeeds from './EngineSpeeds';
 
 /** The input of one planning pass over one pool. */
 interface PlanningPass {
   readonly pool: string;
   readonly engine: EngineSpec;
   readonly demand: DemandSnapshot;
+  /** The speeds of the engines; undefined if none was reported. */
+  readonly speeds: EngineSpeeds | undefined;
   /** What the best load is worth that needs only a copy, one that is under way included. */
   readonly bestCopyWorth: number;
   /** Loads from the weight store that may still start, at engines of any placer. */
--- a/packages/fleet/src/createModelContext.ts
+++ b/packages/fleet/src/createModelContext.ts
@@ -1,6 +1,7 @@
 import type DemandSnapshot from './DemandSnapshot';
 import type EngineRegistry from './EngineRegistry';
 import type EngineSpec from './EngineSpec';
+import type EngineSpeeds from './EngineSpeeds';
 import EvictionOptions from './EvictionOptions';
 import type TargetView from './TargetView';
 import canLoadFromStore from './canLoadFromStore';
@@ -14,16 +15,17 @@
   readonly own: readonly TargetView[];
   readonly engine: EngineSpec;
   readonly demand: DemandSnapshot;
+  readonly speeds: EngineSpeeds | undefined;
 }
 
 /**
  * Creates the context in which loads of models are planned, from what a placer knows at one moment.
  *
  * @example
- * const context = createModelContext({ views, own, engine, demand }, registry, clock.nowMs());
+ * const context = createModelContext({ views, own, engine, demand, speeds }, registry, clock.nowMs());
  */
 const createModelContext = (
-  { views, own, engine, demand }: Input,
+  { views, own, engine, demand, speeds }: Input,
   registry: EngineRegistry,
   nowMs: number,
 ) => {
@@ -55,6 +57,7 @@
   return {
     free,
     evictions,
+    speeds,
     isStoreFree: canLoadFromStore(engines, demand.waiting, snapshot),
     hasCopySoon: (model: string) => hasCopySoon(views, engine.models.get(model), snapshot),
   };
--- a/packages/fleet/src/planModel.ts
+++ b/packages/fleet/src/planModel.ts
@@ -1,3 +1,4 @@
+import type EngineSpeeds from './EngineSpeeds';
 import type EvictionOptions from './EvictionOptions';
 import type ModelSpec from './ModelSpec';
 import type PlannedLoad from './PlannedLoad';
@@ -12,11 +13,18 @@
   /** Whether a busy engine with a copy will be free before a load from the weight store would end. */
   readonly hasCopySoon: (model: string) => boolean;
   readonly evictions: EvictionOptions;
+  /** The speeds of the engines; absent if all count as equally fast. */
+  readonly speeds?: EngineSpeeds | undefined;
 }
 
 const LOAD_OVERHEAD_MS = 10;
 /** Ratio of two costs that count as different. */
 const COST_STEP_FACTOR = 1.3;
+/**
+ * Cost of an engine on which streams break their gap target: more than a load from a copy elsewhere, as every stream there is late,
+ * and less than one from the weight store, for which requests wait much longer.
+ */
+const BROKEN_GAP_COST_MS = 3_000;
 
 interface Candidate {
   readonly plan: PlannedLoad;
@@ -50,7 +58,8 @@
   const expectedMs = load.ms + LOAD_OVERHEAD_MS;
   const { fromStore } = load;
   const plan = { view, model: spec.name, adapter: null, evictions, expectedMs, fromStore, reason };
-  return { plan, costMs: costMs + load.ms };
+  const gapCostMs = context.speeds?.breaksGap(view.entry.id) ? BROKEN_GAP_COST_MS : 0;
+  return { plan, costMs: costMs + load.ms + gapCostMs };
 };
 
 /** Orders candidates by their cost, in steps within which placers may differ in what they know of each other's engines. */
@@ -59,7 +68,7 @@
 
 /**
  * Plans where to load a model: on the engine with the lowest cost of the load and its evictions. Of engines that cost
- * about the same, all placers choose the same one. Returns `undefined` if no engine can take it.
+ * about the same, the faster ones are taken, and all placers choose the same one of these. Returns `undefined` if no engine can take it.
  *
  * @example
  * const plan = planModel(spec, context, 'waiting');
@@ -71,7 +80,11 @@
     .filter((candidate) => candidate !== undefined);
   const lowest = Math.min(...candidates.map(costStep));
   const best = candidates.filter((candidate) => costStep(candidate) === lowest);
-  const plans = new Map(best.map(({ plan }) => [plan.view.entry.id, plan]));
+  const speedStep = ({ plan }: Candidate): number =>
+    context.speeds?.stepOf(plan.view.entry.id) ?? 0;
+  const fastest = Math.min(...best.map(speedStep));
+  const equal = best.filter((candidate) => speedStep(candidate) === fastest);
+  const plans = new Map(equal.map(({ plan }) => [plan.view.entry.id, plan]));
   return plans.get(chooseAlike(spec.name, [...plans.keys()]) ?? '');
 };
 
