--- a/packages/edge/src/DemandReporter.ts
+++ b/packages/edge/src/DemandReporter.ts
@@ -74,6 +74,7 @@
 
   private report(): void {
     const waiting = this.waiting.demands;
+    const unreachable = this.deps.loads.findUnreachable();
     const nowMs = this.deps.clock.nowMs();
     const ratesIntervalMs = Math.min(
       MAX_RATES_INTERVAL_MS,
@@ -82,7 +83,7 @@
     if (waiting.length === 0 && nowMs - this.reportedAtMs < ratesIntervalMs) return;
     this.reportedAtMs = nowMs;
     const { instance, rates, loads, send } = this.deps;
-    const { running, unreachable } = loads;
+    const { running } = loads;
     const targets = loads.pace.takeRows(MAX_TARGET_ROWS);
     const report = { instance, waiting, rates: rates.all, running, unreachable };
     send(targets.length === 0 ? report : { ...report, targets });
--- a/packages/edge/test/repeatedWork.test.ts
+++ b/packages/edge/test/repeatedWork.test.ts
@@ -48,7 +48,7 @@
       rates: { all: [] } as unknown as ModelRates,
       loads: {
         running: [],
-        unreachable: [],
+        findUnreachable: () => [],
         pace: { takeRows: () => [] },
       } as unknown as TargetLoads,
       instances: () => 1,
--- a/packages/edge/test/targetRanking.test.ts
+++ b/packages/edge/test/targetRanking.test.ts
@@ -12,8 +12,9 @@
 } from '@wisteriapath/fleet';
 import type AdmittedRequest from '../src/AdmittedRequest';
 import type ResponseFields from '../src/ResponseFields';
-import TargetLoads from '../src/TargetLoads';
+
 import TargetRanking from '../src/TargetRanking';
+import createTargetLoads from './support/createTargetLoads';
 import targetEntry from './support/targetEntry';
 
 const USUAL_GAP_MS = 52;
@@ -42,7 +43,7 @@
   Object.entries(targets).forEach(([id, more]) =>
     table.applyEntry(targetEntry({ id, slots: SLOTS, ...more })),
   );
-  const loads = new TargetLoads(clock, table);
+  const loads = createTargetLoads(clock, table);
   const ranking = new TargetRanking({
     clock,
     table,
