Share what instances measure of targets

One instance measures an engine rarely. Each placer now joins the reports of all instances and sends its failure domain a digest of the targets that deviate most from what is usual: at most one datagram of 1,200 bytes every 500 ms, none if there is nothing to tell. Instances give each row a random weight, halve it every second for load and every 10 s for speed, and drop it after 3 s; own measurements count for more. Where no target reports its work time, nothing is sent.

--- a/packages/edge/src/Edge.ts
+++ b/packages/edge/src/Edge.ts
@@ -331,6 +331,7 @@
           table: this.table,
           suspects: this.suspects,
           signals: this.signals,
+          loads: this.loads,
           lease: () => this.lease,
           placer: () => this.placer,
           peers: () => this.peers,
--- a/packages/edge/src/TargetPace.ts
+++ b/packages/edge/src/TargetPace.ts
@@ -1,7 +1,8 @@
 import type { Clock } from '@wisteriapath/model';
-import type { TargetRow, TargetTable } from '@wisteriapath/fleet';
+import type { DigestRow, TargetRow, TargetTable } from '@wisteriapath/fleet';
 import type Estimate from './Estimate';
 import type ExpectedPace from './ExpectedPace';
+import type SharedPace from './SharedPace';
 import UsualTimes from './UsualTimes';
 
 /** The pace of one life of a target. All values are natural logarithms of multiples of what is usual. */
@@ -37,6 +38,11 @@
   readonly units: number;
 }
 
+interface Blended {
+  readonly value: number;
+  readonly weight: number;
+}
+
 /** Variance of targets: speeds of 0.6 and 1.6 are usual. */
 const TARGET_VARIANCE = 0.16;
 /** Time in which half of what is known of the speed of a target that is not used is forgotten. */
@@ -61,6 +67,10 @@
 const FIRST_NOISE = 0.3;
 /** Time after the last report of a work time in which a pool counts as one whose targets report it. */
 const REPORTED_TIMEOUT_MS = 60_000;
+/** Age beyond which what a placer told counts for nothing, and times in which it loses half of its weight before. */
+const SHARED_MAX_AGE_MS = 3_000;
+const SHARED_LOAD_HALF_LIFE_MS = 1_000;
+const SHARED_SLOWNESS_HALF_LIFE_MS = 10_000;
 const MIN_TIME_MS = 0.1;
 /** Variance of a target below which its speed counts as measured. */
 const MAX_REPORTED_VARIANCE = TARGET_VARIANCE * 0.8;
@@ -72,6 +82,9 @@
 
 const decay = (ageMs: number, halfLifeMs: number): number => 0.5 ** (ageMs / halfLifeMs);
 
+const blend = (own: number, other: Blended | undefined): number =>
+  other === undefined ? own : own + (other.value - own) * other.weight;
+
 /**
  * How fast targets work, as this instance measures it and as they report it: the time between events and to first
  * events relative to what is usual for the model. Answers loads where some engines are several times slower than
@@ -82,6 +95,9 @@
 
   private readonly pools = new Map<string, Usual>();
 
+  /** What the placer told of targets. */
+  private readonly shared = new Map<string, SharedPace>();
+
   /** Targets of which something was measured since the last report. */
   private readonly unreported = new Set<string>();
 
@@ -89,6 +105,7 @@
     private readonly clock: Clock,
     /** Tells in which life each target is. */
     private readonly table: Pick<TargetTable, 'get'>,
+    private readonly random: () => number = Math.random,
   ) {}
 
   /** Whether a response of a pool lately stated how long work takes. */
@@ -159,8 +176,10 @@
     const view = this.table.get(id);
     const usual = view && this.pools.get(view.entry.pool);
     const pace = this.currentOf(id);
-    const logSlowness = pace === undefined ? 0 : this.logSlownessNow(pace);
-    const logPeak = pace === undefined ? 0 : Math.max(logSlowness, this.logPeakNow(pace));
+    const shared = this.sharedSlowness(id, pace);
+    const logSlowness = blend(pace === undefined ? 0 : this.logSlownessNow(pace), shared);
+    const ownPeak = pace === undefined ? 0 : this.logPeakNow(pace);
+    const logPeak = Math.max(logSlowness, blend(ownPeak, shared));
     const logGap = usual?.gaps.logOf(model);
     const logFirst = usual?.firsts.logOf(model);
     return {
@@ -170,6 +189,30 @@
     };
   }
 
+  /** Takes what the placer tells of targets that deviate from what is usual. */
+  recordShared(rows: readonly DigestRow[]): void {
+    const atMs = this.clock.nowMs();
+    rows.forEach(([id, slowness, load, workTime, bornMs]) => {
+      if (slowness <= 0 || this.table.get(id)?.entry.bornMs !== bornMs) return;
+      this.shared.set(id, {
+        bornMs,
+        logSlowness: Math.log(slowness / PERCENT),
+        logWorkTime: Math.log(workTime / PERCENT),
+        load,
+        atMs,
+        weight: this.random(),
+      });
+    });
+  }
+
+  /** Returns the requests at a target, as far as what the placer told of them counts. */
+  sharedLoad(id: string): number {
+    const shared = this.sharedOf(id);
+    if (shared === undefined) return 0;
+    const ageMs = this.clock.nowMs() - shared.atMs;
+    return shared.load * shared.weight * decay(ageMs, SHARED_LOAD_HALF_LIFE_MS);
+  }
+
   /** Returns what was measured of targets since it was last taken, at most so many rows; the rest comes with the next report. */
   takeRows(limit: number): readonly TargetRow[] {
     const ids = [...this.unreported].slice(0, limit);
@@ -187,12 +230,35 @@
       this.paces.delete(id);
       this.unreported.delete(id);
     });
+    this.shared.forEach((_, id) => {
+      if (!ids.has(id)) this.shared.delete(id);
+    });
     const pools = new Set([...this.paces.values()].map(({ pool }) => pool));
     this.pools.forEach((_, pool) => {
       if (!pools.has(pool)) this.pools.delete(pool);
     });
   }
 
+  /** Returns what the placer told of the slowness of a target; it counts for less the better this instance knows it. */
+  private sharedSlowness(id: string, pace: Pace | undefined): Blended | undefined {
+    const shared = this.sharedOf(id);
+    if (shared === undefined) return undefined;
+    const ageMs = this.clock.nowMs() - shared.atMs;
+    const unknown = pace === undefined ? 1 : this.varianceNow(pace) / TARGET_VARIANCE;
+    return {
+      value: shared.logSlowness + shared.logWorkTime,
+      weight: shared.weight * decay(ageMs, SHARED_SLOWNESS_HALF_LIFE_MS) * unknown,
+    };
+  }
+
+  private sharedOf(id: string): SharedPace | undefined {
+    const shared = this.shared.get(id);
+    if (shared?.bornMs !== this.table.get(id)?.entry.bornMs || shared === undefined) {
+      return undefined;
+    }
+    return this.clock.nowMs() - shared.atMs <= SHARED_MAX_AGE_MS ? shared : undefined;
+  }
+
   private rowOf(id: string, pace: Pace): TargetRow {
     const { gaps, firsts } = this.usualIn(pace.pool);
     const logResponse = firsts.logOfPool;
@@ -240,12 +306,16 @@
   private ageSlowness(pace: Pace): void {
     const { slowness, slownessAtMs } = pace;
     const nowMs = this.clock.nowMs();
-    const kept = decay(nowMs - slownessAtMs, SLOWNESS_HALF_LIFE_MS);
-    slowness.mean *= kept;
-    slowness.variance = TARGET_VARIANCE + (slowness.variance - TARGET_VARIANCE) * kept;
+    slowness.variance = this.varianceNow(pace);
+    slowness.mean *= decay(nowMs - slownessAtMs, SLOWNESS_HALF_LIFE_MS);
     Object.assign(pace, { slownessAtMs: nowMs });
   }
 
+  private varianceNow({ slowness, slownessAtMs }: Pace): number {
+    const kept = decay(this.clock.nowMs() - slownessAtMs, SLOWNESS_HALF_LIFE_MS);
+    return TARGET_VARIANCE + (slowness.variance - TARGET_VARIANCE) * kept;
+  }
+
   private usualIn(pool: string): Usual {
     const known = this.pools.get(pool);
     if (known !== undefined) return known;
--- a/packages/edge/src/TargetRanking.ts
+++ b/packages/edge/src/TargetRanking.ts
@@ -78,17 +78,20 @@
   private timed(view: TargetView, request: AdmittedRequest): Candidate {
     const { clock, loads, failureDomain } = this.deps;
     const { entry, coldUntilMs } = view;
-    const { utilization } = this.counted(view);
+    const known = this.counted(view);
+    const ownUtilization = loads.utilization(entry);
+    const sharedUtilization = loads.pace.sharedLoad(entry.id) / Math.max(1, entry.slots);
+    const unknownUtilization = Math.max(0, sharedUtilization - ownUtilization);
     const cost = expectedCostMs(request, {
       pace: loads.pace.expect(entry.id, request.fields.model),
       slots: entry.slots,
-      utilization: loads.utilization(entry),
+      utilization: ownUtilization + unknownUtilization,
       failureCost: loads.failureCost(entry.id),
       isCold: coldUntilMs > clock.nowMs(),
       isOtherDomain: entry.failureDomain !== failureDomain,
       leftMs: request.deadlineAtMs - clock.nowMs(),
     });
-    return { view, cost, utilization };
+    return { view, cost, utilization: known.utilization + unknownUtilization };
   }
 }
 
--- a/packages/edge/src/createPeerHandlers.ts
+++ b/packages/edge/src/createPeerHandlers.ts
@@ -12,6 +12,7 @@
 import type { SuspectRegistry } from '@wisteriapath/suspects';
 import type PeerCatchUp from './PeerCatchUp';
 import type StoreView from './StoreView';
+import type TargetLoads from './TargetLoads';
 import type TargetSignals from './TargetSignals';
 import type WorkspaceLimits from './WorkspaceLimits';
 
@@ -24,6 +25,7 @@
   readonly table: TargetTable;
   readonly suspects: SuspectRegistry;
   readonly signals: TargetSignals;
+  readonly loads: TargetLoads;
   readonly lease: () => Lease;
   readonly placer: () => Placer;
   readonly peers: () => Peers;
@@ -63,6 +65,7 @@
   suspects: (message) => {
     deps.suspects.merge(suspectUpdateCodec.decode(message));
   },
+  targetDigest: (rows) => deps.loads.pace.recordShared(rows),
 });
 
 export default createPeerHandlers;
--- a/packages/edge/src/createPlacer.ts
+++ b/packages/edge/src/createPlacer.ts
@@ -44,6 +44,7 @@
       authority: lease,
       control: ports.engineControl,
       activeDomains: () => [...new Set([failureDomain, ...peers.placers.keys()])],
+      sendDigest: (rows) => peers.sendTargetDigest(rows),
       publish: (updates, instance) => {
         if (instance !== host) peers.sendPlacement(updates, instance);
       },
--- a/packages/fleet/src/PeerHandlers.ts
+++ b/packages/fleet/src/PeerHandlers.ts
@@ -1,3 +1,4 @@
+import type DigestRow from './DigestRow';
 import type Heartbeat from './Heartbeat';
 import type DemandReport from './DemandReport';
 import type PlacementUpdate from './PlacementUpdate';
@@ -15,6 +16,8 @@
   leavingTargets(targets: readonly (readonly [string, number])[]): void;
   /** Receives what a peer knows of requests that crash targets. */
   suspects(message: SuspectMessage): void;
+  /** Receives what all instances together know of targets. */
+  targetDigest(rows: readonly DigestRow[]): void;
 }
 
 export default PeerHandlers;
--- a/packages/fleet/src/PeerMessageKind.ts
+++ b/packages/fleet/src/PeerMessageKind.ts
@@ -11,6 +11,8 @@
   Targets = 6,
   /** Crashes of targets, and clearances of what is suspected of them. Kind 4 had another format. */
   Suspects = 8,
+  /** Targets that deviate from what is usual, sent by a placer to its failure domain. */
+  TargetDigest = 10,
 }
 
 export default PeerMessageKind;
--- a/packages/fleet/src/Peers.ts
+++ b/packages/fleet/src/Peers.ts
@@ -12,17 +12,21 @@
 import type PeerHandlers from './PeerHandlers';
 import PeerMessageKind from './PeerMessageKind';
 import type DemandReport from './DemandReport';
+import type DigestRow from './DigestRow';
 import type PlacementUpdate from './PlacementUpdate';
 import type WallClock from './WallClock';
 import FULL_MESH_MAX_INSTANCES from './fullMeshMaxInstances';
 import heartbeatRecipients from './heartbeatRecipients';
 import type RecordSpan from './RecordSpan';
 import type SuspectMessage from './SuspectMessage';
+import batchPlacements from './batchPlacements';
+import fitRows from './fitRows';
 import heartbeatLease from './heartbeatLease';
 import leaseClaimants from './leaseClaimants';
 import readDemandReport from './readDemandReport';
 import readHeartbeat from './readHeartbeat';
 import readRelayedTargets from './readRelayedTargets';
+import readTargetRows from './readTargetRows';
 import recordSpanCodec from './recordSpanCodec';
 
 interface Options {
@@ -50,8 +54,6 @@
 const MAX_DATAGRAM_BYTES = 1_200;
 /** Size limit of relayed records, whose datagram may be sent in fragments. */
 const MAX_TARGETS_BYTES = 48_000;
-const APPROXIMATE_PLACEMENT_BYTES = 60;
-const APPROXIMATE_MODEL_BYTES = 40;
 /** Time without a heartbeat after which a peer no longer counts as live. */
 const LIVE_PEER_TIMEOUT_MS = 1_000;
 /** Time without a heartbeat after which a peer is removed. */
@@ -250,23 +252,23 @@
 
   /** Sends placement updates to `host`, or to all peers, in as many datagrams as needed. */
   sendPlacement(updates: readonly PlacementUpdate[], host?: string): void {
-    let batch: PlacementUpdate[] = [];
-    let bytes = 0;
-    const flush = () => {
-      if (batch.length === 0) return;
+    batchPlacements(updates, MAX_DATAGRAM_BYTES).forEach((batch) => {
       if (host === undefined) this.broadcast(PeerMessageKind.Placement, batch);
       else this.send(host, PeerMessageKind.Placement, batch);
-      batch = [];
-      bytes = 0;
-    };
-    updates.forEach((update) => {
-      batch.push(update);
-      const adapterCount = update.models.flatMap(([, adapters]) => adapters).length;
-      bytes += APPROXIMATE_PLACEMENT_BYTES + APPROXIMATE_MODEL_BYTES * update.models.length;
-      bytes += adapterCount * 4;
-      if (bytes >= MAX_DATAGRAM_BYTES) flush();
     });
-    flush();
+  }
+
+  /**
+   * Sends the first rows of a digest to the live instances of this failure domain, as many as fit into one datagram,
+   * and passes them to this instance.
+   */
+  sendTargetDigest(rows: readonly DigestRow[]): void {
+    const sent = fitRows(rows, MAX_DATAGRAM_BYTES);
+    const bytes = encode([PROTOCOL_VERSION, PeerMessageKind.TargetDigest, sent]);
+    this.livePeers
+      .filter(({ member }) => member.failureDomain === this.options.failureDomain)
+      .forEach(({ member }) => this.sendBytes(member.host, bytes));
+    this.parts.handlers.targetDigest(sent);
   }
 
   private encodeHeartbeat(kind: HeartbeatKind): Uint8Array {
@@ -337,6 +339,7 @@
       [PeerMessageKind.Placement]: () => handlers.placement(payload as PlacementUpdate[]),
       [PeerMessageKind.Targets]: () => handlers.targets(...readRelayedTargets(payload)),
       [PeerMessageKind.Suspects]: () => handlers.suspects(payload),
+      [PeerMessageKind.TargetDigest]: () => handlers.targetDigest(readTargetRows(payload)),
       [PeerMessageKind.LeavingTargets]: () => handlers.leavingTargets(payload),
     };
     table[kind]?.();
--- a/packages/fleet/src/Placer.ts
+++ b/packages/fleet/src/Placer.ts
@@ -2,6 +2,7 @@
 import assetId from './assetId';
 import DeferredLoadLog from './DeferredLoadLog';
 import type DemandSnapshot from './DemandSnapshot';
+import DigestSender from './DigestSender';
 import EngineRegistry from './EngineRegistry';
 import EngineSpeedSource from './EngineSpeedSource';
 import type EngineSpec from './EngineSpec';
@@ -43,6 +44,8 @@
 
   private readonly engineSpeeds: EngineSpeedSource;
 
+  private readonly digestSender: DigestSender;
+
   private readonly storeLimiter: StoreLoadLimiter;
 
   private readonly storeLoads: StoreLoadMonitor;
@@ -66,6 +69,7 @@
     private readonly parts: PlacerParts,
   ) {
     this.engineSpeeds = new EngineSpeedSource(parts);
+    this.digestSender = new DigestSender(parts);
     this.storeLimiter = new StoreLoadLimiter(parts.clock, () => ({
       maxPerS: Math.max(0, ...this.pools.map(([, engine]) => engine.maxStoreLoadsPerS)),
       windowMs: options.weightStoreWindowMs,
@@ -89,8 +93,10 @@
 
   private async tick(): Promise<void> {
     const { authority, clock } = this.parts;
-    if (authority.isHeld()) this.schedulePlanning();
-    else if (authority.isHeldWithin(SYNC_LEAD_MS)) this.syncEngines();
+    if (authority.isHeld()) {
+      this.schedulePlanning();
+      this.digestSender.sendIfDue();
+    } else if (authority.isHeldWithin(SYNC_LEAD_MS)) this.syncEngines();
     else this.engines.clear();
     await clock.sleep(TICK_INTERVAL_MS);
   }
--- a/packages/fleet/src/PlacerParts.ts
+++ b/packages/fleet/src/PlacerParts.ts
@@ -2,6 +2,7 @@
 import type Authority from './Authority';
 import type DemandAggregator from './DemandAggregator';
 import type DesiredState from './DesiredState';
+import type DigestRow from './DigestRow';
 import type EngineControl from './EngineControl';
 import type EventLog from './EventLog';
 import type PlacementUpdate from './PlacementUpdate';
@@ -20,6 +21,8 @@
   readonly activeDomains: () => readonly string[];
   /** Sends placement updates to one instance, or to all if none is given. */
   readonly publish: (updates: readonly PlacementUpdate[], instance?: string) => void;
+  /** Sends what is known of targets to the instances of the failure domain; absent where none is sent. */
+  readonly sendDigest?: (rows: readonly DigestRow[]) => void;
 }
 
 export default PlacerParts;
--- a/packages/fleet/test/peers.test.ts
+++ b/packages/fleet/test/peers.test.ts
@@ -4,6 +4,7 @@
 import { systemClock } from '@wisteriapath/model';
 import {
   DemandAggregator,
+  type DigestRow,
   type Heartbeat,
   type HeartbeatContent,
   HeartbeatKind,
@@ -91,6 +92,7 @@
         targets: () => {},
         suspects: () => {},
         leavingTargets: () => {},
+        targetDigest: () => {},
         ...handlers,
       },
     },
@@ -229,3 +231,41 @@
   expect(last.instanceCount(2_000)).toBeGreaterThan(INSTANCES_PER_DOMAIN);
   [...all, last].forEach((peers) => peers.stop());
 });
+
+test('a digest goes to the live instances of its failure domain only, as many rows as one datagram holds', async () => {
+  const port = await freePort();
+  const [self, peer] = MEMBERS;
+  const foreign = MEMBERS[INSTANCES_PER_DOMAIN];
+  const heard: Record<string, (readonly DigestRow[])[]> = {};
+  const all = await Promise.all(
+    [self, peer, foreign].map((member) => {
+      heard[member.name] = [];
+      return startPeers(member, port, {
+        targetDigest: (rows) => heard[member.name].push(rows),
+      });
+    }),
+  );
+  try {
+    all.forEach((peers) => peers.addMembers([self, peer, foreign]));
+    const deadlineMs = Date.now() + 5_000;
+    while (all[0].livePeers.length < 2 && Date.now() < deadlineMs) await systemClock.sleep(20);
+    const rows = Array.from({ length: 500 }, (_, index): DigestRow => [
+      `engine-${index}`,
+      250,
+      3,
+      250,
+      1_764_000_000_000,
+    ]);
+    all[0].sendTargetDigest(rows);
+    while (heard[peer.name].length === 0 && Date.now() < deadlineMs) await systemClock.sleep(20);
+    await systemClock.sleep(100);
+    const [received] = heard[peer.name];
+    expect(received).toEqual(rows.slice(0, received.length));
+    expect(received.length).toBeGreaterThan(20);
+    expect(encode([1, PeerMessageKind.TargetDigest, received]).length).toBeLessThanOrEqual(1_200);
+    expect(heard[self.name]).toEqual([received]);
+    expect(heard[foreign.name]).toEqual([]);
+  } finally {
+    all.forEach((peers) => peers.stop());
+  }
+});
