--- a/packages/edge/test/targetRanking.test.ts
+++ b/packages/edge/test/targetRanking.test.ts
@@ -12,8 +12,8 @@
 } from '@wisteriapath/fleet';
 import type AdmittedRequest from '../src/AdmittedRequest';
 import type ResponseFields from '../src/ResponseFields';
-import createTargetLoads from './support/createTargetLoads';
 import TargetRanking from '../src/TargetRanking';
+import createTargetLoads from './support/createTargetLoads';
 import targetEntry from './support/targetEntry';
 
 const USUAL_GAP_MS = 52;
--- a/packages/fleet/src/Placer.ts
+++ b/packages/fleet/src/Placer.ts
@@ -1,7 +1,9 @@
 import { rendezvousOrder } from '@wisteriapath/model';
 import assetId from './assetId';
 import DeferredLoadLog from './DeferredLoadLog';
+import DigestSender from './DigestSender';
 import EngineRegistry from './EngineRegistry';
+import EngineSpeedSource from './EngineSpeedSource';
 import type EngineSpec from './EngineSpec';
 import LeftLoads from './LeftLoads';
 import type PlacerOptions from './PlacerOptions';
@@ -15,11 +17,11 @@
 import createAdapterContext from './createAdapterContext';
 import createModelContext from './createModelContext';
 import deferringPools from './deferringPools';
-import isWorthReplicating from './isWorthReplicating';
 import planAdapter from './planAdapter';
 import planModel from './planModel';
 import planPrefetch from './planPrefetch';
 import rankWaitingModels from './rankWaitingModels';
+import replicateBusyModels from './replicateBusyModels';
 import runLoop from './runLoop';
 import storeLoadShare from './storeLoadShare';
 
@@ -31,14 +33,15 @@
 const MIN_PLANNING_INTERVAL_MS = 8;
 /** Time before the authority begins at which engines are asked what they hold. */
 const SYNC_LEAD_MS = 1_200;
-/** Request rate from which a model gets a second replica. */
-const SECOND_REPLICA_RATE_PER_S = 6;
-const MAX_BUSY_MODEL_REPLICAS = 2;
 
 /** Decides which model or adapter is loaded on which engine while this instance holds the authority. */
 class Placer {
   private readonly engines: EngineRegistry;
 
+  private readonly engineSpeeds: EngineSpeedSource;
+
+  private readonly digestSender: DigestSender;
+
   private readonly storeLimiter: StoreLoadLimiter;
 
   private readonly storeLoads: StoreLoadMonitor;
@@ -61,6 +64,8 @@
     private readonly options: PlacerOptions,
     private readonly parts: PlacerParts,
   ) {
+    this.engineSpeeds = new EngineSpeedSource(parts);
+    this.digestSender = new DigestSender(parts);
     this.storeLimiter = new StoreLoadLimiter(parts.clock, () => ({
       maxPerS: Math.max(0, ...this.pools.map(([, engine]) => engine.maxStoreLoadsPerS)),
       windowMs: options.weightStoreWindowMs,
@@ -84,8 +89,10 @@
 
   private async tick(): Promise<void> {
     const { authority, clock } = this.parts;
-    if (authority.isHeld()) this.schedulePlanning();
-    else if (authority.isHeldWithin(SYNC_LEAD_MS)) this.syncEngines();
+    if (authority.isHeld()) {
+      this.schedulePlanning();
+      this.digestSender.sendIfDue();
+    } else if (authority.isHeldWithin(SYNC_LEAD_MS)) this.syncEngines();
     else this.engines.clear();
     await clock.sleep(TICK_INTERVAL_MS);
   }
@@ -139,6 +146,7 @@
       isDeferring,
       engine,
       demand,
+      speeds: this.engineSpeeds.of(pool),
       bestCopyWorth: Math.max(0, ...copyWorths),
       storeSlots: this.storeLoads.freeSlots,
       taken: new Set(),
@@ -291,26 +299,19 @@
     if (plan !== undefined) this.execute(plan);
   }
 
-  /** Loads a further replica of busy models. */
+  /** Loads further replicas of busy models, and of models whose engines are too slow. */
   private replicateBusyModels(pass: PlanningPass): void {
-    const { pool, engine, demand } = pass;
-    [...demand.modelRates]
-      .filter(([model, rate]) => rate >= SECOND_REPLICA_RATE_PER_S && engine.models.has(model))
-      .sort(([, one], [, other]) => other - one)
-      .forEach(([model, rate]) => {
-        const present = this.parts.table.holding(pool, model, null);
-        if (present.length >= MAX_BUSY_MODEL_REPLICAS || this.isModelLoading(pool, model)) return;
-        const domains = new Set(present.map(({ entry }) => entry.failureDomain));
-        const active = this.parts.activeDomains();
-        const others = active.filter((domain) => !domains.has(domain));
-        if (!this.isResponsible(model, others.length > 0 ? others : active)) return;
-        const context = this.contextFor(pass);
-        const spec = engine.models.get(model)!;
-        const plan = planModel(spec, { ...context, isStoreFree: false }, 'busy');
-        if (plan !== undefined && isWorthReplicating(plan, rate, demand.modelRates)) {
-          this.execute(plan);
-        }
-      });
+    const { pool } = pass;
+    replicateBusyModels(pass, {
+      holders: (model) => this.parts.table.holding(pool, model, null),
+      isLoading: (model) => this.isModelLoading(pool, model),
+      isOwn: (view) => this.filterOwn([view]).length > 0,
+      activeDomains: () => this.parts.activeDomains(),
+      isResponsible: (model, domains) => this.isResponsible(model, domains),
+      context: () => this.contextFor(pass),
+      freeElsewhere: () => this.freeEnginesElsewhere(pass),
+      execute: (plan) => this.execute(plan),
+    });
   }
 
   /** Loads a model of which no engine has a copy, so that a later load is short. */
@@ -346,10 +347,10 @@
     return this.cachedContext.context;
   }
 
-  private modelContext({ pool, engine, demand, isDeferring }: PlanningPass) {
+  private modelContext({ pool, engine, demand, isDeferring, speeds }: PlanningPass) {
     const views = this.parts.table.inService(pool).map((view) => this.withOwnState(view));
     return createModelContext(
-      { views, own: this.filterOwn(views), engine, demand, isDeferring },
+      { views, own: this.filterOwn(views), engine, demand, isDeferring, speeds },
       this.engines,
       this.parts.clock.nowMs(),
     );
--- a/packages/fleet/src/createModelContext.ts
+++ b/packages/fleet/src/createModelContext.ts
@@ -1,6 +1,7 @@
 import type DemandSnapshot from './DemandSnapshot';
 import type EngineRegistry from './EngineRegistry';
 import type EngineSpec from './EngineSpec';
+import type EngineSpeeds from './EngineSpeeds';
 import EvictionOptions from './EvictionOptions';
 import type TargetView from './TargetView';
 import canLoadFromStore from './canLoadFromStore';
@@ -15,6 +16,7 @@
   readonly engine: EngineSpec;
   readonly demand: DemandSnapshot;
   readonly isDeferring: boolean;
+  readonly speeds: EngineSpeeds | undefined;
 }
 
 /** Rate of a model 3 s after its only request, see `ModelRates` of `packages/edge`: one that has been used since counts as in use. */
@@ -50,10 +52,10 @@
  * Creates the context in which loads of models are planned, from what a placer knows at one moment.
  *
  * @example
- * const context = createModelContext({ views, own, engine, demand, isDeferring }, registry, clock.nowMs());
+ * const context = createModelContext({ views, own, engine, demand, isDeferring, speeds }, registry, clock.nowMs());
  */
 const createModelContext = (
-  { views, own, engine, demand, isDeferring }: Input,
+  { views, own, engine, demand, isDeferring, speeds }: Input,
   registry: EngineRegistry,
   nowMs: number,
 ) => {
@@ -97,6 +99,7 @@
     evictions,
     /** What a load that can wait may evict: no model that urgent requests used in the last seconds. */
     deferrableEvictions,
+    speeds,
     isStoreFree: canLoadFromStore(engines, demand.waiting, snapshot),
     hasCopySoon: (model: string) => hasCopySoon(views, engine.models.get(model), snapshot),
   };
--- a/packages/fleet/test/evictionsOfDeferrableLoads.test.ts
+++ b/packages/fleet/test/evictionsOfDeferrableLoads.test.ts
@@ -29,7 +29,7 @@
   };
   const registry = { get: () => engine, engineOf: () => engine } as unknown as EngineRegistry;
   const input = { views: [view], own: [view], engine: builders.engineSpec(...MODELS), demand };
-  const context = createModelContext({ ...input, isDeferring }, registry, 0);
+  const context = createModelContext({ ...input, isDeferring, speeds: undefined }, registry, 0);
   const names = (options: typeof context.evictions) => options.on(view).map(({ model }) => model);
   return { all: names(context.evictions), deferrable: names(context.deferrableEvictions) };
 };
