Dispatch requests of deferring pools in order instead of polling

Cause: each request that waited for a target looked for one by itself every 25 ms or at a change of the table, so that whoever looked first went first.

In deferring pools the requests of an instance wait in one DispatchQueue: work that loses something soon first, by priority, then fairly between workspaces by tokens (WorkspaceFairness), then in the order of compareWaiting. A change of the table or the end of a reservation makes the queue look for places at once; one recheck per instance every 25 ms finds the ends of pauses, exclusions and back-offs. Requests that need the same are tried once per look.

Only pools of engines are deferring. In all other pools TargetFinder.find runs the same code as before.

--- a/packages/edge/src/Edge.ts
+++ b/packages/edge/src/Edge.ts
@@ -27,6 +27,7 @@
 import ModelRates from './ModelRates';
 import PeerCatchUp from './PeerCatchUp';
 import PoolRetryBudgets from './PoolRetryBudgets';
+import RequestDispatcher from './RequestDispatcher';
 import Shutdown from './Shutdown';
 import StopGate from './StopGate';
 import StoreView from './StoreView';
@@ -186,10 +187,9 @@
       desired: () => this.storeView.desired,
       peers: this.peers,
     });
+    const common = { clock, log, metrics: this.metrics, table: this.table };
     this.deps = {
-      clock,
-      log,
-      metrics: this.metrics,
+      ...common,
       dialect: ports.dialect,
       failureDomain: options.member.failureDomain,
       desired: () => this.storeView.desired,
@@ -198,14 +198,12 @@
       sendCutoffSignal: this.shutdown.sendCutoffSignal,
       stopGate: new StopGate({ clock, log, shutdown: this.shutdown }),
       stopSignal: this.shutdown.finalSignal,
-      table: this.table,
       waiting: this.demandReporter.waiting,
+      dispatcher: new RequestDispatcher(common),
       rates: this.rates,
       loads: this.loads,
       coldTargetLimiter: new ColdTargetLimiter({
-        clock,
-        log,
-        metrics: this.metrics,
+        ...common,
         limits: options.sharedLimits,
         random: Math.random,
         instances,
--- a/packages/edge/src/EdgeDependencies.ts
+++ b/packages/edge/src/EdgeDependencies.ts
@@ -7,6 +7,7 @@
 import type MemoryBudget from './MemoryBudget';
 import type ModelRates from './ModelRates';
 import type PoolRetryBudgets from './PoolRetryBudgets';
+import type RequestDispatcher from './RequestDispatcher';
 import type StopGate from './StopGate';
 import type TargetConnections from './TargetConnections';
 import type TargetLoads from './TargetLoads';
@@ -33,6 +34,8 @@
   readonly stopSignal: AbortSignal;
   readonly table: TargetTable;
   readonly waiting: WaitingRequests;
+  /** The requests of deferring pools that wait for a target. */
+  readonly dispatcher: RequestDispatcher;
   readonly rates: ModelRates;
   readonly loads: TargetLoads;
   readonly coldTargetLimiter: ColdTargetLimiter;
--- a/packages/edge/src/EdgeMetrics.ts
+++ b/packages/edge/src/EdgeMetrics.ts
@@ -26,6 +26,13 @@
     registers: [this.registry],
   });
 
+  readonly dispatched = new Counter({
+    name: 'wisteriapath_edge_dispatched_total',
+    help: 'Requests of deferring pools that were given a target, by priority (0 is the highest)',
+    labelNames: ['pool', 'priority'],
+    registers: [this.registry],
+  });
+
   readonly exchanges = new Counter({
     name: 'wisteriapath_edge_exchanges_total',
     help: 'Exchanges with targets by outcome',
--- a/packages/edge/src/TargetFinder.ts
+++ b/packages/edge/src/TargetFinder.ts
@@ -20,6 +20,8 @@
 /** Cost of a target in another failure domain, as a fraction of its slots. */
 const CROSS_DOMAIN_COST = 0.12;
 const POLL_INTERVAL_MS = 25;
+/** Interval at which a request in the queue looks whether its caller still waits and its model can still be held in time. */
+const QUEUED_CHECK_INTERVAL_MS = 100;
 /** Time for which a request that was told to come back still counts as waiting for its model. */
 const RETURN_TIMEOUT_MS = 6_000;
 const RETURN_POLL_INTERVAL_MS = 200;
@@ -34,10 +36,13 @@
     const { pool, route, fields } = request;
     // Registered once per wait, so that the placers learn how long the request has waited.
     let stopWaiting: (() => void) | undefined;
+    const ticket = this.enterQueue(request, search);
     try {
       for (;;) {
+        if (ticket?.target !== undefined) return ticket.target;
         if (search.isOver()) return undefined;
-        const chosen = this.reserveBest(request, search.excluded);
+        const chosen =
+          ticket === undefined ? this.reserveBest(request, search.excluded) : undefined;
         if (chosen !== undefined) return chosen;
         const leftMs = Math.min(search.untilMs, sendCutoffAtMs()) - clock.nowMs();
         if (leftMs <= 0 || (this.pauseMs(pool.name) ?? 0) >= leftMs) return undefined;
@@ -60,16 +65,30 @@
           stopWaiting?.();
           stopWaiting = undefined;
         }
-        await Promise.race([
-          table.changes.next(),
-          clock.sleep(Math.min(leftMs, isAbsent ? POLL_INTERVAL_MS * 4 : POLL_INTERVAL_MS)),
-        ]);
+        await (ticket === undefined
+          ? Promise.race([
+              table.changes.next(),
+              clock.sleep(Math.min(leftMs, isAbsent ? POLL_INTERVAL_MS * 4 : POLL_INTERVAL_MS)),
+            ])
+          : Promise.race([ticket.chosen, clock.sleep(Math.min(leftMs, QUEUED_CHECK_INTERVAL_MS))]));
       }
     } finally {
+      ticket?.leave();
       stopWaiting?.();
     }
   }
 
+  /** Puts a request of a deferring pool into the queue of this instance; the others look for a target by themselves. */
+  private enterQueue(request: AdmittedRequest, search: Search) {
+    const { clock, dispatcher, sendCutoffAtMs } = this.deps;
+    if (request.waitOrder === undefined) return undefined;
+    return dispatcher.enter(request, request.waitOrder, {
+      isSpecial: search.excluded.size > 0,
+      isOver: () => search.isOver() || clock.nowMs() >= Math.min(search.untilMs, sendCutoffAtMs()),
+      reserve: () => this.reserveBest(request, search.excluded),
+    });
+  }
+
   /** Returns the time after which an unserved request is best sent again; undefined if nothing tells. */
   retryAfterMs(request: AdmittedRequest): number | undefined {
     const pauseMs = this.pauseMs(request.pool.name);
--- a/packages/fleet/src/deferringPools.ts
+++ b/packages/fleet/src/deferringPools.ts
@@ -13,7 +13,8 @@
 
 const findDeferringPools = ({ routes, pools }: DesiredState): DeferringPools => {
   const deferring = new Map<string, number>();
-  pools.forEach((_, name) => {
+  pools.forEach(({ engine }, name) => {
+    if (engine === null) return;
     const ofPool = routes.filter((route) => route.pools.some((pool) => pool.name === name));
     const priority = mostUrgentPriority(ofPool);
     const isDeferrable = (route: PathRoute) =>
@@ -24,7 +25,7 @@
 };
 
 /**
- * Returns the pools that serve a route whose requests can wait beside a more urgent one, each with the priority of its most urgent
+ * Returns the pools of engines that serve a route whose requests can wait beside a more urgent one, each with the priority of its most urgent
  * route. Only in these pools work waits in the order of `compareWaiting`.
  *
  * @example
--- a/packages/fleet/test/deferringPools.test.ts
+++ b/packages/fleet/test/deferringPools.test.ts
@@ -25,6 +25,12 @@
   expect([...deferringPools(stateOf(...routes)).keys()]).toEqual(expected);
 });
 
+test('a pool of services is never deferring', () => {
+  const { routes } = stateOf(route(502, 0), route(5_002, 2));
+  const pools = new Map([['guides', { engine: null }]]);
+  expect(deferringPools({ routes, pools } as unknown as DesiredState).size).toBe(0);
+});
+
 test('the priority of the most urgent route of a pool is known', () => {
   expect(deferringPools(stateOf(route(502, 1), route(5_002, 2))).get('guides')).toBe(1);
 });
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -3,6 +3,8 @@
 export { default as compareWaiting } from './compareWaiting';
 export { default as deferrableLatencyTargetMs } from './deferrableLatencyTargetMs';
 export type { default as RankedWork } from './RankedWork';
+export { default as DispatchQueue } from './DispatchQueue';
+export type { default as DispatchRequest } from './DispatchRequest';
 export { default as rankWork } from './rankWork';
 export { default as slackMs } from './slackMs';
 export { default as Urgency } from './Urgency';
