Requests from the queue keep the measurements of their target

The reservation of a dispatched request passed on only some of its records, so that the speed of targets was not learned in deferring pools (found by the compiler where the branches met).

--- a/packages/edge/src/RequestDispatcher.ts
+++ b/packages/edge/src/RequestDispatcher.ts
@@ -129,9 +129,7 @@
     return {
       view,
       reservation: {
-        recordResponse: (fields) => reservation.recordResponse(fields),
-        recordData: () => reservation.recordData(),
-        recordConnectFailure: () => reservation.recordConnectFailure(),
+        ...reservation,
         release: () => {
           reservation.release();
           this.scheduleDispatch();
--- a/packages/edge/test/requestDispatcher.test.ts
+++ b/packages/edge/test/requestDispatcher.test.ts
@@ -7,7 +7,7 @@
 import EdgeMetrics from '../src/EdgeMetrics';
 import RequestDispatcher from '../src/RequestDispatcher';
 import TargetFinder from '../src/TargetFinder';
-import TargetLoads from '../src/TargetLoads';
+import createTargetLoads from './support/createTargetLoads';
 import targetEntry from './support/targetEntry';
 
 interface Kind {
@@ -26,7 +26,7 @@
   const log = { event: (name: string, fields: unknown) => lines.push({ name, fields }) };
   const metrics = new EdgeMetrics();
   const dispatcher = new RequestDispatcher({ clock, log, metrics, table });
-  const loads = new TargetLoads(clock, table);
+  const loads = createTargetLoads(clock, table);
   const deps = {
     clock,
     table,
