Tell of slow targets reliably, and measure slow spans apart

What is told of a slow target now has a weight of 0.75 at least; at the placer a load counts for 3 s and a speed loses half of its weight in 10 s; samples take 180 ms; a report of a slow span counts for more than one that met none.

--- a/packages/edge/src/EventGaps.ts
+++ b/packages/edge/src/EventGaps.ts
@@ -1,8 +1,11 @@
 import type { Clock } from '@wisteriapath/model';
 import EventCounter from './EventCounter';
 
-/** Number of gaps that are measured together, so that the delay of one chunk counts little. */
-const GAPS_PER_SAMPLE = 4;
+/**
+ * Time over which gaps are measured together: several gaps at the usual speed, so that the delay of one chunk counts little, and less
+ * than a slow span of some 600 ms.
+ */
+const SAMPLE_MS = 180;
 
 /** Measures the time between the events of one stream, as far as the target determines it. */
 class EventGaps {
@@ -41,7 +44,7 @@
     if (sinceMs === undefined) return;
     this.gaps += events;
     this.totalMs += nowMs - sinceMs;
-    if (this.gaps < GAPS_PER_SAMPLE) return;
+    if (this.totalMs < SAMPLE_MS) return;
     this.onSample(this.totalMs / this.gaps);
     this.gaps = 0;
     this.totalMs = 0;
--- a/packages/edge/src/TargetPace.ts
+++ b/packages/edge/src/TargetPace.ts
@@ -71,6 +71,8 @@
 const SHARED_MAX_AGE_MS = 3_000;
 const SHARED_LOAD_HALF_LIFE_MS = 1_000;
 const SHARED_SLOWNESS_HALF_LIFE_MS = 10_000;
+/** Least weight of what was told of a slow target: to avoid it sends requests to all others, not to a single one. */
+const MIN_SLOW_WEIGHT = 0.75;
 const MIN_TIME_MS = 0.1;
 /** Variance of a target below which its speed counts as measured. */
 const MAX_REPORTED_VARIANCE = TARGET_VARIANCE * 0.8;
@@ -245,10 +247,10 @@
     if (shared === undefined) return undefined;
     const ageMs = this.clock.nowMs() - shared.atMs;
     const unknown = pace === undefined ? 1 : this.varianceNow(pace) / TARGET_VARIANCE;
-    return {
-      value: shared.logSlowness + shared.logWorkTime,
-      weight: shared.weight * decay(ageMs, SHARED_SLOWNESS_HALF_LIFE_MS) * unknown,
-    };
+    const value = shared.logSlowness + shared.logWorkTime;
+    const least = value > 0 ? MIN_SLOW_WEIGHT : 0;
+    const weight = least + (1 - least) * shared.weight;
+    return { value, weight: weight * decay(ageMs, SHARED_SLOWNESS_HALF_LIFE_MS) * unknown };
   }
 
   private sharedOf(id: string): SharedPace | undefined {
--- a/packages/edge/test/eventGaps.test.ts
+++ b/packages/edge/test/eventGaps.test.ts
@@ -28,6 +28,14 @@
   expect(samples).toEqual([50, 50]);
 });
 
+test('a slow span is not averaged with the fast one after it', async () => {
+  const { samples, push } = start();
+  await push(0, EVENT);
+  await repeat(3, () => push(200, EVENT));
+  await repeat(8, () => push(50, EVENT));
+  expect(samples).toEqual([200, 200, 200, 50, 50]);
+});
+
 test('events that arrive in one chunk share the time before it', async () => {
   const { samples, push } = start();
   await push(900, EVENT.repeat(3));
--- a/packages/fleet/src/TargetSpeeds.ts
+++ b/packages/fleet/src/TargetSpeeds.ts
@@ -9,7 +9,7 @@
   /** Weighted mean of the logarithms of the paces, in 0.1 ms. */
   logPace: number;
   paceWeight: number;
-  /** Weighted mean of the logarithms of the work times, as multiples of what is usual. */
+  /** Logarithm of the work time in slow spans, as a multiple of what is usual. */
   logWorkTime: number;
   workTimeWeight: number;
   load: number;
@@ -26,8 +26,9 @@
 
 /** Time in which reports of the speed lose half of their weight. */
 const SPEED_HALF_LIFE_MS = 10_000;
-/** Age beyond which what instances reported counts for nothing in a digest. */
-const DIGEST_MAX_AGE_MS = 3_000;
+/** Time in which a reported load loses half of its weight, and age beyond which it counts for nothing. */
+const LOAD_HALF_LIFE_MS = 1_000;
+const LOAD_MAX_AGE_MS = 3_000;
 /** Weight of the assumption that a target is as fast as usual, in reports. */
 const PRIOR_WEIGHT = 0.5;
 /** Weight of the reports below which a target counts as not measured. */
@@ -37,6 +38,8 @@
 /** Deviations from what is usual in the pool from which a target is worth telling of: a quarter slower, or of the slots in use. */
 const TOLD_LOG_DEVIATION = Math.log(1.25);
 const TOLD_UTILIZATION_DEVIATION = 0.25;
+const HIGHER_WORK_TIME_WEIGHT = 0.5;
+const LOWER_WORK_TIME_WEIGHT = 0.1;
 const PACES_PER_MS = 10;
 const PERCENT = 100;
 
@@ -54,6 +57,14 @@
   return measured.length === 0 ? undefined : medianOf(measured.map(({ logPace }) => logPace));
 };
 
+/**
+ * Joins the work time of slow spans with that of one more report. An instance whose stream met no slow span reports less, so that a
+ * lower value counts for less than a higher one.
+ */
+const joinWorkTimes = (known: number, reported: number): number =>
+  known +
+  (reported - known) * (reported > known ? HIGHER_WORK_TIME_WEIGHT : LOWER_WORK_TIME_WEIGHT);
+
 /** Joins what all instances report of the speed and load of targets, at a placer. */
 class TargetSpeeds {
   private readonly speeds = new Map<string, Speed>();
@@ -80,7 +91,8 @@
         bornMs,
         logPace: paceWeight === 0 ? 0 : ((known?.logPace ?? 0) * paceKept + logPace) / paceWeight,
         paceWeight,
-        logWorkTime: ((known?.logWorkTime ?? 0) * workTimeKept + logWorkTime) / (workTimeKept + 1),
+        logWorkTime:
+          known === undefined ? logWorkTime : joinWorkTimes(known.logWorkTime, logWorkTime),
         workTimeWeight: workTimeKept + 1,
         load,
         atMs: nowMs,
@@ -111,29 +123,28 @@
     );
   }
 
-  /** Returns the targets of all pools that were reported within seconds and deviate from what is usual, the largest deviation first. */
+  /** The targets of all pools that deviate from what is usual, as far as reports still count, the largest deviation first. */
   get digest(): readonly DigestRow[] {
-    const sinceMs = this.clock.nowMs() - DIGEST_MAX_AGE_MS;
     const pools = new Set(this.table.allTargets().map(({ entry }) => entry.pool));
     const deviations = [...pools].flatMap((pool) => {
       const rated = this.rate(pool);
-      const usualUtilization = medianOf(rated.map(({ speed, slots }) => speed.load / slots));
-      return rated
-        .filter(({ speed }) => speed.atMs >= sinceMs)
-        .map(({ id, slots, speed, logSlowness }) => {
-          const ofSpeed = Math.abs(logSlowness + speed.logWorkTime) / TOLD_LOG_DEVIATION;
-          const ofLoad =
-            Math.abs(speed.load / slots - usualUtilization) / TOLD_UTILIZATION_DEVIATION;
-          const { load, bornMs, logWorkTime } = speed;
-          const row: DigestRow = [
-            id,
-            percentOf(logSlowness),
-            Math.round(load),
-            percentOf(logWorkTime),
-            bornMs,
-          ];
-          return { row, deviation: Math.max(ofSpeed, ofLoad) };
-        });
+      const utilizations = rated.map(({ speed, slots }) => this.loadNow(speed) / slots);
+      const usualUtilization = medianOf(utilizations);
+      return rated.map(({ id, speed, logSlowness }, index) => {
+        const logWorkTime = this.shrunkWorkTime(speed);
+        const ofSpeed = Math.abs(logSlowness + logWorkTime) / TOLD_LOG_DEVIATION;
+        const ofLoad =
+          Math.abs(utilizations[index] - usualUtilization) / TOLD_UTILIZATION_DEVIATION;
+        const load = Math.round(this.loadNow(speed));
+        const row: DigestRow = [
+          id,
+          percentOf(logSlowness),
+          load,
+          percentOf(logWorkTime),
+          speed.bornMs,
+        ];
+        return { row, deviation: Math.max(ofSpeed, ofLoad) };
+      });
     });
     return deviations
       .filter(({ deviation }) => deviation >= 1)
@@ -172,6 +183,11 @@
     return (speed.logWorkTime * weight) / (weight + PRIOR_WEIGHT);
   }
 
+  private loadNow({ load, atMs }: Speed): number {
+    const ageMs = this.clock.nowMs() - atMs;
+    return ageMs > LOAD_MAX_AGE_MS ? 0 : load * 0.5 ** (ageMs / LOAD_HALF_LIFE_MS);
+  }
+
   private weightLeft({ atMs }: Speed): number {
     return 0.5 ** ((this.clock.nowMs() - atMs) / SPEED_HALF_LIFE_MS);
   }
