Show operators which targets are slow

New log lines: gap_target_missed for each stream with a pause beyond the gap target, with what was expected; target_pace when an instance begins or ceases to take a target for slow; target_digest for what a placer tells. New metrics count the streams and the slow targets.

--- a/packages/edge/src/Edge.ts
+++ b/packages/edge/src/Edge.ts
@@ -129,7 +129,7 @@
       ownDomain: options.member.failureDomain,
       isHeard: (domain, withinMs) => this.peers.hasHeard(domain, withinMs),
     });
-    this.loads = new TargetLoads(clock, this.table, contact);
+    this.loads = new TargetLoads(clock, this.table, contact, log);
     this.demandReporter = new DemandReporter({
       clock,
       instance: options.member.host,
@@ -242,6 +242,7 @@
       isLeaseHeld: () => this.lease.isHeld(),
       instances: () => this.peers.instanceCount(PEER_SPENDING_TIMEOUT_MS),
       quarantinedTraits: () => this.suspects.quarantinedCount,
+      slowTargets: () => this.loads.pace.slowCount,
     });
     this.follower = this.ports.followStore(this.storeView, () => this.isStoreReader);
     const { listeners, storeView: view, follower } = this;
--- a/packages/edge/src/EdgeMetrics.ts
+++ b/packages/edge/src/EdgeMetrics.ts
@@ -33,6 +33,13 @@
     registers: [this.registry],
   });
 
+  readonly gapMisses = new Counter({
+    name: 'wisteriapath_edge_gap_misses_total',
+    help: 'Streams of which a pause between two events exceeded the gap target of the route, where targets report how long work takes',
+    labelNames: ['pool'],
+    registers: [this.registry],
+  });
+
   readonly coldSends = new Counter({
     name: 'wisteriapath_edge_cold_sends_total',
     help: 'Requests sent to targets that were known to be cold',
--- a/packages/edge/src/EventGaps.ts
+++ b/packages/edge/src/EventGaps.ts
@@ -19,6 +19,9 @@
 
   private isHeldUp = false;
 
+  /** The longest time between two events that was measured. */
+  longestMs = 0;
+
   constructor(
     private readonly clock: Clock,
     /** Receives the mean of several successive gaps. */
@@ -42,6 +45,7 @@
     const sinceMs = this.lastEventAtMs;
     this.lastEventAtMs = nowMs;
     if (sinceMs === undefined) return;
+    this.longestMs = Math.max(this.longestMs, nowMs - sinceMs);
     this.gaps += events;
     this.totalMs += nowMs - sinceMs;
     if (this.totalMs < SAMPLE_MS) return;
--- a/packages/edge/src/TargetAttempt.ts
+++ b/packages/edge/src/TargetAttempt.ts
@@ -54,6 +54,9 @@
   /** Measures the time between events, where targets report how long work takes. */
   private gaps: EventGaps | undefined;
 
+  /** Longest time between events that was expected of the target when the response began; 0 if none was. */
+  private expectedGapMs = 0;
+
   private hasTimedOut = false;
 
   private hasStalled = false;
@@ -135,6 +138,7 @@
     this.body.release(outcome === AttemptOutcome.Answered, this.keptResponse !== null);
     if (outcome === AttemptOutcome.NotSent) reservation.recordConnectFailure();
     this.recordTime(outcome, sentAtMs);
+    this.recordGapMiss();
     reservation.complete(isTargetFailure(outcome, this.statusCode));
     deps.metrics.exchanges.inc({ pool: pool.name, end });
     return outcome;
@@ -214,7 +218,10 @@
 
   private startToMeasure(): void {
     if (this.head.mode !== ResponseMode.Streamed || !this.statesWorkTime) return;
-    const { reservation } = this.context.chosen;
+    const { chosen, request } = this.context;
+    const { reservation, view } = chosen;
+    const expected = this.deps.loads.pace.expect(view.entry.id, request.fields.model);
+    this.expectedGapMs = expected.slowGapMs ?? 0;
     this.gaps = new EventGaps(this.deps.clock, (gapMs) => reservation.recordGap(gapMs));
   }
 
@@ -234,6 +241,24 @@
     chosen.reservation.recordResponseTime(this.deps.clock.nowMs() - sentAtMs, units);
   }
 
+  /** Logs a stream with a pause that exceeds the gap target of its route. */
+  private recordGapMiss(): void {
+    const { deps, gaps, expectedGapMs } = this;
+    const { chosen, request } = this.context;
+    const { route, pool, fields } = request;
+    if (gaps === undefined || route.gapTargetMs <= 0 || gaps.longestMs <= route.gapTargetMs) return;
+    deps.metrics.gapMisses.inc({ pool: pool.name });
+    deps.log.event('gap_target_missed', {
+      request: fields.attemptId,
+      route: route.name,
+      model: fields.model,
+      target: chosen.view.entry.id,
+      longest_ms: Math.round(gaps.longestMs),
+      expected_ms: Math.round(expectedGapMs),
+      gap_target_ms: route.gapTargetMs,
+    });
+  }
+
   /** Whether the response states how long work takes; where none does, nothing is measured. */
   private get statesWorkTime(): boolean {
     return typeof this.head.fields?.load?.workTimeFactor === 'number';
--- a/packages/edge/src/TargetLoads.ts
+++ b/packages/edge/src/TargetLoads.ts
@@ -1,5 +1,5 @@
 import { type Clock, sum } from '@wisteriapath/model';
-import type { RegisteredTarget, TargetTable } from '@wisteriapath/fleet';
+import type { EventLog, RegisteredTarget, TargetTable } from '@wisteriapath/fleet';
 import type DomainContact from './DomainContact';
 import TargetPace from './TargetPace';
 import type TargetReservation from './TargetReservation';
@@ -51,8 +51,9 @@
     /** Tells in which life each target is. */
     private readonly table: Pick<TargetTable, 'get' | 'allTargets'>,
     private readonly contact: DomainContact,
+    log?: EventLog,
   ) {
-    this.pace = new TargetPace(clock, table);
+    this.pace = new TargetPace(clock, table, Math.random, log);
   }
 
   /** Reserves a target for a request, which counts as in progress from now on. */
--- a/packages/edge/src/TargetPace.ts
+++ b/packages/edge/src/TargetPace.ts
@@ -1,8 +1,9 @@
 import type { Clock } from '@wisteriapath/model';
-import type { DigestRow, TargetRow, TargetTable } from '@wisteriapath/fleet';
+import type { DigestRow, EventLog, TargetRow, TargetTable } from '@wisteriapath/fleet';
 import type Estimate from './Estimate';
 import type ExpectedPace from './ExpectedPace';
 import type SharedPace from './SharedPace';
+import SlowTargetLog from './SlowTargetLog';
 import UsualTimes from './UsualTimes';
 
 /** The pace of one life of a target. All values are natural logarithms of multiples of what is usual. */
@@ -74,6 +75,9 @@
 /** Least weight of what was told of a slow target: to avoid it sends requests to all others, not to a single one. */
 const MIN_SLOW_WEIGHT = 0.75;
 const MIN_TIME_MS = 0.1;
+/** Stands for a usual model where none is asked about. */
+const ANY_MODEL = '';
+const NO_LOG: EventLog = { event: () => {} };
 /** Variance of a target below which its speed counts as measured. */
 const MAX_REPORTED_VARIANCE = TARGET_VARIANCE * 0.8;
 /** Units of the figures of a row: 0.1 ms and percent. */
@@ -97,6 +101,8 @@
 
   private readonly pools = new Map<string, Usual>();
 
+  private readonly slowTargets: SlowTargetLog;
+
   /** What the placer told of targets. */
   private readonly shared = new Map<string, SharedPace>();
 
@@ -108,7 +114,10 @@
     /** Tells in which life each target is. */
     private readonly table: Pick<TargetTable, 'get'>,
     private readonly random: () => number = Math.random,
-  ) {}
+    log: EventLog = NO_LOG,
+  ) {
+    this.slowTargets = new SlowTargetLog(clock, log);
+  }
 
   /** Whether a response of a pool lately stated how long work takes. */
   isReported(pool: string): boolean {
@@ -131,6 +140,7 @@
     this.unreported.add(id);
     this.raisePeak(pace, pace.slowness.mean + workTime);
     this.usualIn(pace.pool).reportedAtMs = nowMs;
+    this.logBelief(id);
   }
 
   /** Records the mean time between a few successive events of a stream. */
@@ -151,6 +161,7 @@
     const rise = Math.min(MAX_PEAK_RISE, (measured - knownPeak) * PEAK_WEIGHT);
     this.raisePeak(pace, knownPeak + rise);
     this.unreported.add(id);
+    this.logBelief(id);
   }
 
   /** Records the time to the first event of a stream that did not wait in a queue of the target. */
@@ -186,6 +197,8 @@
     const logFirst = usual?.firsts.logOf(model);
     return {
       slowness: Math.exp(logSlowness),
+      peakSlowness: Math.exp(logPeak),
+      isMeasured: pace !== undefined && this.isMeasured(pace),
       slowGapMs: logGap === undefined ? undefined : Math.exp(logGap + logPeak),
       firstMsPerUnit: logFirst === undefined ? undefined : Math.exp(logFirst + logSlowness),
     };
@@ -204,6 +217,7 @@
         atMs,
         weight: this.random(),
       });
+      this.logBelief(id);
     });
   }
 
@@ -225,8 +239,14 @@
     });
   }
 
+  /** The number of targets that were last taken for slow. */
+  get slowCount(): number {
+    return this.slowTargets.slowCount;
+  }
+
   /** Drops the state of all targets except the given ones. */
   retain(ids: ReadonlySet<string>): void {
+    this.slowTargets.retain(ids);
     this.paces.forEach((_, id) => {
       if (ids.has(id)) return;
       this.paces.delete(id);
@@ -241,6 +261,10 @@
     });
   }
 
+  private logBelief(id: string): void {
+    this.slowTargets.observe(id, this.expect(id, ANY_MODEL));
+  }
+
   /** Returns what the placer told of the slowness of a target; it counts for less the better this instance knows it. */
   private sharedSlowness(id: string, pace: Pace | undefined): Blended | undefined {
     const shared = this.sharedOf(id);
@@ -266,13 +290,17 @@
     const logResponse = firsts.logOfPool;
     const logUsual =
       gaps.logOfPool ?? (logResponse === undefined ? undefined : logResponse + LOG_RESPONSE_UNITS);
-    const isMeasured = logUsual !== undefined && pace.slowness.variance < MAX_REPORTED_VARIANCE;
+    const isMeasured = logUsual !== undefined && this.isMeasured(pace);
     const figure = isMeasured ? Math.exp(logUsual + pace.slowness.mean) * ROW_PACES_PER_MS : 0;
     const logWorkTime = this.logPeakNow(pace) - this.logSpeedNow(pace);
     const workTime = Math.max(1, Math.round(Math.exp(logWorkTime) * PERCENT));
     return [id, Math.round(figure), Math.round(pace.requests), workTime, pace.bornMs];
   }
 
+  private isMeasured(pace: Pace): boolean {
+    return this.varianceNow(pace) < MAX_REPORTED_VARIANCE;
+  }
+
   /** The slowness at the usual work time, as far as it is not forgotten. */
   private logSpeedNow({ slowness, slownessAtMs }: Pace): number {
     return slowness.mean * decay(this.clock.nowMs() - slownessAtMs, SLOWNESS_HALF_LIFE_MS);
--- a/packages/edge/src/registerInstanceGauges.ts
+++ b/packages/edge/src/registerInstanceGauges.ts
@@ -11,6 +11,8 @@
   readonly storeEra: () => number;
   readonly isLeaseHeld: () => boolean;
   readonly instances: () => number;
+  /** Number of targets that are taken for slow. */
+  readonly slowTargets: () => number;
   /** Number of parts and requests that are kept from targets. */
   readonly quarantinedTraits: () => number;
 }
@@ -19,7 +21,7 @@
  * Registers gauges for the state of an instance.
  *
  * @example
- * registerInstanceGauges(metrics, { version: () => 3, targets, targetsAgeMs, storeEra, isLeaseHeld, instances, quarantinedTraits });
+ * registerInstanceGauges(metrics, { version: () => 3, targets, targetsAgeMs, storeEra, isLeaseHeld, instances, quarantinedTraits, slowTargets });
  */
 const registerInstanceGauges = (metrics: EdgeMetrics, state: InstanceState): void => {
   metrics.gauge('desired_version', 'Version of the desired state in force', state.version);
@@ -42,6 +44,11 @@
     'Number of prompt parts and requests that are kept from targets since these crashed',
     state.quarantinedTraits,
   );
+  metrics.gauge(
+    'slow_targets',
+    'Number of targets that this instance last took for slow, where targets report how long work takes',
+    state.slowTargets,
+  );
   metrics.gauge('instances', 'Number of active instances, including this one', state.instances);
 };
 
--- a/packages/fleet/test/digestSender.test.ts
+++ b/packages/fleet/test/digestSender.test.ts
@@ -10,9 +10,11 @@
 const sendsWith = async (speeds: Pick<TargetSpeeds, 'digest'> | undefined): Promise<number> => {
   const clock = new VirtualClock();
   let sends = 0;
+  const lines: string[] = [];
   const sender = new DigestSender({
     clock,
     demand: { speeds: speeds as TargetSpeeds | undefined },
+    log: { event: (name) => lines.push(name) },
     sendDigest: () => {
       sends += 1;
     },
@@ -21,6 +23,7 @@
     sender.sendIfDue();
     await clock.advance(40);
   }
+  expect(lines.length).toBeLessThanOrEqual(RUN_MS / 5_000);
   return sends;
 };
 
