--- a/packages/edge/src/EventGaps.ts
+++ b/packages/edge/src/EventGaps.ts
@@ -1,8 +1,11 @@
 import type { Clock } from '@wisteriapath/model';
 import EventCounter from './EventCounter';
 
-/** Number of gaps that are measured together, so that the delay of one chunk counts little. */
-const GAPS_PER_SAMPLE = 4;
+/**
+ * Time over which gaps are measured together: several gaps at the usual speed, so that the delay of one chunk counts little, and less
+ * than a slow span of some 600 ms.
+ */
+const SAMPLE_MS = 180;
 
 /** Measures the time between the events of one stream, as far as the target determines it. */
 class EventGaps {
@@ -16,6 +19,9 @@
 
   private isHeldUp = false;
 
+  /** The longest time between two events that was measured. */
+  longestMs = 0;
+
   constructor(
     private readonly clock: Clock,
     /** Receives the mean of several successive gaps. */
@@ -39,9 +45,10 @@
     const sinceMs = this.lastEventAtMs;
     this.lastEventAtMs = nowMs;
     if (sinceMs === undefined) return;
+    this.longestMs = Math.max(this.longestMs, nowMs - sinceMs);
     this.gaps += events;
     this.totalMs += nowMs - sinceMs;
-    if (this.gaps < GAPS_PER_SAMPLE) return;
+    if (this.totalMs < SAMPLE_MS) return;
     this.onSample(this.totalMs / this.gaps);
     this.gaps = 0;
     this.totalMs = 0;
