Streams and loads leave a target that has announced its end

Cause: a draining entry may say after which time its target is gone (remaining_ms). It was ignored: streams broke off with their target, and a load under way there kept its model from being loaded elsewhere.

Change: the time is decoded, counted from when the entry was written, and kept as goneAtMs of the target. It is moved only if another reachable engine holds the model and the route and the retry budget allow another attempt. The placer sends such an engine no order, and loads elsewhere what is being loaded there. A time that is not usable is ignored and logged.

Entries without remaining_ms are handled as before.

--- a/packages/edge/src/AttemptOutcome.ts
+++ b/packages/edge/src/AttemptOutcome.ts
@@ -16,6 +16,8 @@
   Failed = 'failed',
   /** The stream of the target stalled, and the attempt was aborted. */
   Stalled = 'silent',
+  /** The target is about to end, and the attempt was aborted so that its stream is resumed elsewhere. */
+  Moved = 'moved',
   CallerDisconnected = 'caller_left',
   DeadlineExceeded = 'time_over',
   /** This instance had to stop before the target had answered. */
--- a/packages/edge/src/EdgeMetrics.ts
+++ b/packages/edge/src/EdgeMetrics.ts
@@ -33,6 +33,13 @@
     registers: [this.registry],
   });
 
+  readonly streamsMoved = new Counter({
+    name: 'wisteriapath_edge_streams_moved_total',
+    help: 'Streams that were moved since their target had announced its end',
+    labelNames: ['pool'],
+    registers: [this.registry],
+  });
+
   readonly coldSends = new Counter({
     name: 'wisteriapath_edge_cold_sends_total',
     help: 'Requests sent to targets that were known to be cold',
--- a/packages/edge/src/RequestExecution.ts
+++ b/packages/edge/src/RequestExecution.ts
@@ -32,13 +32,20 @@
 const POSSIBLY_EXECUTED = new Set([
   AttemptOutcome.Broken,
   AttemptOutcome.Failed,
+  AttemptOutcome.Moved,
   AttemptOutcome.Stalled,
   AttemptOutcome.UnconfirmedRefusal,
 ]);
 /** Outcomes that tell how long answers take: one that its deadline ended took at least as long. */
 const TIMED = new Set([AttemptOutcome.Answered, AttemptOutcome.DeadlineExceeded]);
-/** Outcomes after which no target got the request, so that another attempt is no repeat. */
-const UNSENT = new Set([AttemptOutcome.NotSent, AttemptOutcome.Withheld]);
+/** Outcomes after which an engine that can be reached may still work on a resumable stream. */
+const CUT_OFF = new Set([AttemptOutcome.Broken, AttemptOutcome.Moved]);
+/** Outcomes after which another attempt takes no retry: no target got the request, or it was taken before. */
+const WITHOUT_RETRY = new Set([
+  AttemptOutcome.NotSent,
+  AttemptOutcome.Withheld,
+  AttemptOutcome.Moved,
+]);
 /** Fraction of the latency target for which a request waits for a target of a pool of services. */
 const SERVICE_WAIT_FRACTION = 0.5;
 
@@ -118,6 +125,7 @@
         mayRunAgain: () => this.authorization.isRetryable,
         keepsFailure:
           this.authorization.isRetryable && this.executions + 1 < this.request.route.attempts,
+        tryReserveRetry: () => this.tryReserveRetry(),
         onBegun: () => this.probe.recordBegun(),
       });
       const sentAtMs = this.deps.clock.nowMs();
@@ -269,8 +277,8 @@
     outcome: AttemptOutcome,
   ): Promise<boolean> {
     const { pool, fields } = this.request;
-    const isBrokenStream = outcome === AttemptOutcome.Broken && this.framer !== null;
-    if (!isBrokenStream || pool.engine === null) return true;
+    const isCutOffStream = CUT_OFF.has(outcome) && this.framer !== null;
+    if (!isCutOffStream || pool.engine === null) return true;
     return awaitRunEnd(this.deps, {
       attemptId: fields.attemptId,
       target,
@@ -289,7 +297,15 @@
     }
     if (deadlineAtMs - clock.nowMs() < MIN_RUN_MS || this.sends >= MAX_SENDS) return false;
     if (this.probe.refusal !== undefined) return false;
-    return UNSENT.has(outcome) || retryBudgets.tryTake(pool.name);
+    return WITHOUT_RETRY.has(outcome) || retryBudgets.tryTake(pool.name);
+  }
+
+  /** Takes a retry for a stream that still runs; returns false if it could not be resumed elsewhere. */
+  private tryReserveRetry(): boolean {
+    const { isStopping } = this.deps;
+    const { route } = this.request;
+    if (isStopping() || this.isOver || !this.authorization.isRetryable) return false;
+    return this.executions + 1 < route.attempts && this.canRetry(AttemptOutcome.Broken);
   }
 
   /** Ends the request after its last attempt, with the kept response of a failed attempt if there is one. */
--- a/packages/edge/src/StallWatch.ts
+++ b/packages/edge/src/StallWatch.ts
@@ -1,9 +1,13 @@
 import type { RegisteredTarget } from '@wisteriapath/fleet';
 import type AdmittedRequest from './AdmittedRequest';
 import type EdgeDependencies from './EdgeDependencies';
+import isMoveDue from './isMoveDue';
 import mayStillRun from './mayStillRun';
 
-type Dependencies = Pick<EdgeDependencies, 'clock' | 'log' | 'table' | 'loads' | 'probe'>;
+type Dependencies = Pick<
+  EdgeDependencies,
+  'clock' | 'log' | 'table' | 'loads' | 'probe' | 'metrics'
+>;
 
 interface Attempt {
   readonly request: AdmittedRequest;
@@ -14,6 +18,10 @@
   readonly hasBegun: () => boolean;
   /** Ends the attempt, so that the stream is resumed at another target. */
   readonly giveUp: () => void;
+  /** Returns when the stream is expected to end, as a time on the clock. */
+  readonly expectedEndMs: () => number;
+  /** Ends the attempt and returns true if the stream may be resumed at another target. */
+  readonly tryMove: () => boolean;
 }
 
 const CHECK_INTERVAL_MS = 250;
@@ -32,6 +40,8 @@
 /**
  * Watches a resumable stream for a pause that is too long. An engine that can be reached is asked whether it still works on the
  * request, and is left only if it does not: otherwise the request would run at two engines.
+ *
+ * Also watches for a target that announced its end, and moves the stream if it would not end before.
  */
 class StallWatch {
   private timer: NodeJS.Timeout | undefined;
@@ -60,6 +70,7 @@
 
   private async check(): Promise<void> {
     const { attempt } = this;
+    if (this.isMoveDue && this.tryMove()) return;
     if (attempt.request.pool.engine === null) {
       if (attempt.silentMs() >= this.limitMs && this.hasAlternative()) attempt.giveUp();
       return;
@@ -82,6 +93,37 @@
     }
   }
 
+  private get isMoveDue(): boolean {
+    const { attempt, deps } = this;
+    const { goneAtMs = Infinity } = deps.table.get(attempt.target.id) ?? {};
+    if (goneAtMs === Infinity) return false;
+    return isMoveDue({ goneAtMs, expectedEndMs: attempt.expectedEndMs() }, deps.clock.nowMs());
+  }
+
+  private tryMove(): boolean {
+    const { attempt, deps } = this;
+    const { request, target } = attempt;
+    const { model, adapter, attemptId } = request.fields;
+    const views =
+      request.pool.engine === null
+        ? deps.table.inService(request.pool.name)
+        : deps.table.holding(request.pool.name, model, adapter);
+    const isServedElsewhere = views.some(
+      ({ entry }) => entry.id !== target.id && deps.loads.isReachable(entry.id),
+    );
+    if (!isServedElsewhere || !attempt.tryMove()) return false;
+    const nowMs = deps.clock.nowMs();
+    deps.metrics.streamsMoved.inc({ pool: request.pool.name });
+    deps.log.event('stream_moved', {
+      request: attemptId,
+      target: target.id,
+      left_ms: Math.round(deps.table.get(target.id)!.goneAtMs - nowMs),
+      expected_ms: Math.round(attempt.expectedEndMs() - nowMs),
+      began: attempt.hasBegun(),
+    });
+    return true;
+  }
+
   /** Asks the engine; resolves to whether the attempt is to be given up. */
   private async askWhetherOver(): Promise<boolean> {
     const { attempt, deps } = this;
--- a/packages/edge/src/StopGate.ts
+++ b/packages/edge/src/StopGate.ts
@@ -33,6 +33,11 @@
     this.times.record(request, time);
   }
 
+  /** Returns how long a request was expected to take when it was sent. */
+  expectedMs(request: TimedRequest, sentAtMs: number): number {
+    return expectDuration(request, this.times, sentAtMs).durationMs;
+  }
+
   /** Returns whether a request that is sent now is served. `begunAtMs` is when a stream was first sent that has begun already. */
   decide(request: TimedRequest, begunAtMs?: number): StopDecision {
     const { clock, shutdown } = this.parts;
--- a/packages/edge/src/StoreView.ts
+++ b/packages/edge/src/StoreView.ts
@@ -15,6 +15,7 @@
 } from '@wisteriapath/fleet';
 import DrainedDomains from './DrainedDomains';
 import StoreReturn from './StoreReturn';
+import subtractAge from './subtractAge';
 
 interface Dependencies {
   readonly clock: Clock;
@@ -271,9 +272,7 @@
 
   private decodeTarget({ key, value, ageMs }: KeyedRecord): Either<string, RegisteredTarget> {
     if (value.length === 0) return DELETED;
-    return this.deps.decoder
-      .target(key, value)
-      .map((entry) => ({ ...entry, coldLeftMs: Math.max(0, entry.coldLeftMs - ageMs) }));
+    return this.deps.decoder.target(key, value).map((entry) => subtractAge(entry, ageMs));
   }
 
   private applyTarget(
@@ -303,7 +302,9 @@
     }
     this.ignoredKeys.delete(entry.id);
     this.pendingRemovals.delete(entry.id);
-    if (known?.isLeaving !== entry.isLeaving) this.logTarget(entry, record, source);
+    const isNewState =
+      known?.isLeaving !== entry.isLeaving || typeof known.remainingMs !== typeof entry.remainingMs;
+    if (isNewState) this.logTarget(entry, record, source);
     if (isColder) this.logCold(entry);
   }
 
@@ -317,7 +318,7 @@
   }
 
   private logTarget(
-    { id, pool, address, isLeaving, coldLeftMs, entryNumber }: RegisteredTarget,
+    { id, pool, address, isLeaving, remainingMs, coldLeftMs, entryNumber }: RegisteredTarget,
     { position: { offset }, ageMs }: KeyedRecord,
     source: string,
   ): void {
@@ -326,6 +327,7 @@
       pool,
       address,
       leaving: isLeaving,
+      ...(remainingMs !== undefined && { remaining_ms: remainingMs ?? 'unusable' }),
       cold_ms: coldLeftMs,
       entry: entryNumber,
       source,
--- a/packages/edge/src/TargetAttempt.ts
+++ b/packages/edge/src/TargetAttempt.ts
@@ -28,6 +28,8 @@
   readonly mayRunAgain: () => boolean;
   /** Whether an error response of the target is kept instead of passed on, because another attempt may follow. */
   readonly keepsFailure: boolean;
+  /** Takes what another attempt needs, while this one runs; returns false if there may be none. */
+  readonly tryReserveRetry: () => boolean;
   /** Called when the target has begun to answer: with a complete event of a stream, or with a whole response. */
   readonly onBegun: () => void;
 }
@@ -52,6 +54,10 @@
 
   private hasStalled = false;
 
+  private isMoved = false;
+
+  private sentAtMs = 0;
+
   private exchange: ReturnType<EdgeDependencies['connections']['send']> | undefined;
 
   /** How the exchange ended; null until then. */
@@ -81,6 +87,7 @@
     const { request, caller } = context;
     const { reservation } = context.chosen;
     const { pool } = request;
+    this.sentAtMs = deps.clock.nowMs();
     const exchange = deps.connections.send(this.buildRequest(), {
       onHeaders: (status, headers) => {
         const isValid = this.handleHeaders(status, headers);
@@ -188,6 +195,12 @@
         this.hasStalled = true;
         this.abort?.();
       },
+      expectedEndMs: () => this.sentAtMs + deps.stopGate.expectedMs(context.request, this.sentAtMs),
+      tryMove: () => {
+        this.isMoved = context.tryReserveRetry();
+        if (this.isMoved) this.abort?.();
+        return this.isMoved;
+      },
     });
   }
 
@@ -224,6 +237,7 @@
     }
     framer?.reset();
     if (this.deps.stopSignal.aborted) return AttemptOutcome.Stopped;
+    if (this.isMoved) return AttemptOutcome.Moved;
     if (this.hasStalled) return AttemptOutcome.Stalled;
     if (this.hasTimedOut) return AttemptOutcome.DeadlineExceeded;
     return end === ExchangeEnd.NotSent ? AttemptOutcome.NotSent : AttemptOutcome.Broken;
--- a/packages/edge/test/storeView.test.ts
+++ b/packages/edge/test/storeView.test.ts
@@ -39,14 +39,14 @@
       relayed.push(...records.map(({ value }) => entries[value[0]]).filter(Boolean)),
   });
   let end = 0;
-  const readValue = (key: string, value: Uint8Array) => {
+  const readValue = (key: string, value: Uint8Array, ageMs = 0) => {
     const from = end === 0 ? null : { era: 1, offset: end };
     const position = { era: 1, offset: end };
     end += 1;
     view.mergeFromStore(StoreTopic.Targets, {
       from,
       to: { era: 1, offset: end },
-      records: [{ key, position, value, ageMs: 0, settlesInMs: 0 }],
+      records: [{ key, position, value, ageMs, settlesInMs: 0 }],
       hasEveryRecord: true,
       settlesInMs: 0,
     });
@@ -58,8 +58,8 @@
     lines,
     readUnreadable: (id: string) => readValue(id, new Uint8Array([UNREADABLE])),
     readDeletion: (id: string) => readValue(id, new Uint8Array()),
-    read: (target: RegisteredTarget) =>
-      readValue(target.id, new Uint8Array([entries.push(target) - 1])),
+    read: (target: RegisteredTarget, ageMs?: number) =>
+      readValue(target.id, new Uint8Array([entries.push(target) - 1]), ageMs),
   };
 };
 
@@ -102,3 +102,11 @@
   expect(relayed.map(({ entryNumber }) => entryNumber)).toEqual([1, 2]);
   expect(table.get('target-0')).toBeDefined();
 });
+
+test('the end that a target announced is counted from when its entry was written, and logged', () => {
+  const { clock, table, lines, read } = start();
+  read(targetEntry({ isLeaving: true }));
+  read(targetEntry({ entryNumber: 2, isLeaving: true, remainingMs: 5_000 }), 1_200);
+  expect(table.get(targetEntry().id)!.goneAtMs).toBe(clock.nowMs() + 3_800);
+  expect(lines.filter((name) => name === 'target_seen')).toHaveLength(2);
+});
--- a/packages/fleet/src/EngineOrderExecutor.ts
+++ b/packages/fleet/src/EngineOrderExecutor.ts
@@ -9,6 +9,7 @@
 import type RegisteredTarget from './RegisteredTarget';
 import type TargetTable from './TargetTable';
 import type TargetView from './TargetView';
+import isEnding from './isEnding';
 
 interface Parts {
   readonly clock: Clock;
@@ -177,6 +178,8 @@
     const { authority, control } = this.parts;
     const { orderCount } = this;
     if (!authority.isHeld() || !this.isSameIncarnation) return OrderAnswer.Refused;
+    // What is loaded on an engine that is about to end would be lost with it.
+    if (isEnding(this.parts.table.get(this.entry.id))) return OrderAnswer.Refused;
     if (orderCount === undefined) return OrderAnswer.Conflict;
     const { holder, fence } = authority;
     const answer = await control.order(this.entry, {
--- a/packages/fleet/src/EngineRegistry.ts
+++ b/packages/fleet/src/EngineRegistry.ts
@@ -1,6 +1,7 @@
 import type { Clock } from '@wisteriapath/model';
 import type Authority from './Authority';
 import assetId from './assetId';
+import isEnding from './isEnding';
 import type EngineControl from './EngineControl';
 import EngineOrderExecutor from './EngineOrderExecutor';
 import type EventLog from './EventLog';
@@ -72,6 +73,13 @@
     return this.engines.get(id);
   }
 
+  /** Whether a model is being loaded on an engine that will go on; what is loaded on the others is lost with them. */
+  isLoading(model: string): boolean {
+    return [...this.engines].some(
+      ([id, { loading }]) => loading === model && !isEnding(this.parts.table.get(id)),
+    );
+  }
+
   /** Removes every engine, because the authority has ended. */
   clear(): void {
     this.engines.clear();
--- a/packages/fleet/src/Placer.ts
+++ b/packages/fleet/src/Placer.ts
@@ -235,7 +235,7 @@
 
   private isModelLoading(pool: string, model: string): boolean {
     const nowMs = this.parts.clock.nowMs();
-    const isOwn = this.engines.all.some(({ loading }) => loading === model);
+    const isOwn = this.engines.isLoading(model);
     const views = this.parts.table.inService(pool);
     return isOwn || views.some((view) => view.loading === model && view.busyUntilMs > nowMs);
   }
--- a/packages/fleet/src/RegisteredTarget.ts
+++ b/packages/fleet/src/RegisteredTarget.ts
@@ -11,6 +11,11 @@
   readonly slots: number;
   /** Whether the target is draining and takes no new requests. */
   readonly isLeaving: boolean;
+  /**
+   * Time after which a draining target is gone, whatever it runs, counted from when the entry was written. `undefined`
+   * if the entry does not say, `null` if what it says is not usable.
+   */
+  readonly remainingMs?: number | null;
   /** Time that the target stays cold, counted from when the entry was written. */
   readonly coldLeftMs: number;
   /** Increases with each entry that the target writes. */
--- a/packages/fleet/src/TargetTable.ts
+++ b/packages/fleet/src/TargetTable.ts
@@ -13,8 +13,12 @@
 /** Time for which an engine's own refusal takes precedence over its entry. */
 const ABSENT_MARK_MS = 1_000;
 
+/** Least difference by which a target ends earlier than known; records take some time to arrive. */
+const MIN_EARLIER_END_MS = 250;
+
 interface Row {
   entry: RegisteredTarget;
+  goneAtMs: number;
   models: ReadonlyMap<string, ReadonlySet<string>>;
   coldUntilMs: number;
   loading: string | null;
@@ -65,7 +69,11 @@
 
   /** Whether an entry has content that is new here and has to be sent to the other instances. */
   hasNewContent(entry: RegisteredTarget): boolean {
-    return !isSameEntry(entry, this.rows.get(entry.id)?.entry) || this.hasLongerColdTime(entry);
+    return (
+      !isSameEntry(entry, this.rows.get(entry.id)?.entry) ||
+      this.hasLongerColdTime(entry) ||
+      this.hasEarlierEnd(entry)
+    );
   }
 
   /** Whether a known target stays cold for longer by this entry than known so far. */
@@ -76,6 +84,18 @@
     return this.clock.nowMs() + entry.coldLeftMs > known.coldUntilMs;
   }
 
+  /** Whether a known target is gone earlier by this entry than known so far. */
+  private hasEarlierEnd(entry: RegisteredTarget): boolean {
+    const known = this.rows.get(entry.id);
+    if (known === undefined || isDoubtful(entry, known.entry)) return false;
+    return this.goneAtMs(entry) < known.goneAtMs - MIN_EARLIER_END_MS;
+  }
+
+  private goneAtMs({ isLeaving, remainingMs }: RegisteredTarget): number {
+    const isKnown = isLeaving && typeof remainingMs === 'number';
+    return isKnown ? this.clock.nowMs() + remainingMs : Infinity;
+  }
+
   /**
    * Applies an entry; returns false if it was ignored. That is one that is older than the known entry, or contradicts it,
    * but for the third in a row.
@@ -104,6 +124,7 @@
     this.inServiceByPool.clear();
     this.rows.set(entry.id, {
       entry,
+      goneAtMs: this.goneAtMs(entry),
       models: entry.models,
       coldUntilMs: this.clock.nowMs() + entry.coldLeftMs,
       loading: null,
@@ -123,7 +144,8 @@
   private updateRow(row: Row, entry: RegisteredTarget): void {
     const isSame = isSameEntry(entry, row.entry);
     const coldUntilMs = this.clock.nowMs() + entry.coldLeftMs;
-    Object.assign(row, { entry, coldUntilMs, ignoredEntries: [] });
+    const goneAtMs = this.goneAtMs(entry);
+    Object.assign(row, { entry, coldUntilMs, goneAtMs, ignoredEntries: [] });
     if (!isSame) this.inServiceByPool.clear();
     if (this.clock.nowMs() >= row.placementPrecedenceUntilMs) this.setModels(row, entry.models);
     // A change other than of its models can also make the engine usable again.
--- a/packages/fleet/src/TargetView.ts
+++ b/packages/fleet/src/TargetView.ts
@@ -7,6 +7,8 @@
   readonly models: ReadonlyMap<string, ReadonlySet<string>>;
   /** When the target stops being cold. */
   readonly coldUntilMs: number;
+  /** When a draining target is gone, whatever it runs; `Infinity` if that is not known. */
+  readonly goneAtMs: number;
   /** Until when the target wants no requests from this instance. */
   readonly pausedUntilMs: number;
   /** Model that is being loaded, as announced by the placer. */
--- a/packages/fleet/test/placer.test.ts
+++ b/packages/fleet/test/placer.test.ts
@@ -114,6 +114,22 @@
     expect(engines.get('engine-0')!.maxModels).toBe(3);
   });
 
+  test('loads a model elsewhere if the engine that is loading it announces its end', async () => {
+    const { table, engines, run, waitingFor } = start(2, 9_000, ['a', 'b', 'c', 'e', 'f']);
+    await run(1_500, { waiting: [waitingFor('d', 2_500)] });
+    const [first, second] = ['engine-0', 'engine-1'].filter((id) => engines.get(id)!.isLoading);
+    expect([first, second]).toEqual([expect.any(String), undefined]);
+    const { entry } = table.get(first)!;
+    table.applyEntry({ ...entry, entryNumber: 2, isLeaving: true, remainingMs: 8_000 });
+    const other = first === 'engine-0' ? 'engine-1' : 'engine-0';
+    const ordersBefore = engines.get(first)!.orders.length;
+    await run(1_500, { waiting: [waitingFor('d', 2_500)] });
+    expect(engines.get(other)!.isLoading).toBe(true);
+    expect(engines.get(first)!.orders.length).toBe(ordersBefore);
+    await run(9_000, {});
+    expect(engines.get(first)!.orders.length).toBe(ordersBefore);
+  });
+
   test('keeps engines free for waiting models with copies, and loads one model from the weight store', async () => {
     const { engines, run, waitingFor } = start(3, 9_000, ['a', 'b', 'c', 'd']);
     const waiting = [waitingFor('d', 1_000), waitingFor('e', 2_500), waitingFor('f', 2_500)];
--- a/packages/fleet/test/targetTable.test.ts
+++ b/packages/fleet/test/targetTable.test.ts
@@ -1,6 +1,7 @@
 /** Guards what an instance knows of targets, from entries that lag behind orders and from placement updates. */
 import VirtualClock from '@wisteriapath/virtual-clock';
 import { type PlacementUpdate, TargetTable } from '../src';
+import isEnding from '../src/isEnding';
 import builders from './support/builders';
 
 const update = (more: Pick<PlacementUpdate, 'stamp' | 'models'>): PlacementUpdate => ({
@@ -102,6 +103,50 @@
     expect(ids('a')).toEqual([]);
   });
 
+  describe('a draining target that announced its end', () => {
+    const ending = (entryNumber: number, remainingMs?: number | null) =>
+      builders.target('one', ['a'], { isLeaving: true, entryNumber, remainingMs });
+
+    test('is gone at that time, whatever its later entries repeat of it', async () => {
+      const { clock, table, ids } = start();
+      table.applyEntry(ending(1, 5_000));
+      expect(ids('a')).toEqual([]);
+      const { goneAtMs } = table.get('one')!;
+      expect(goneAtMs).toBe(clock.nowMs() + 5_000);
+      await clock.advance(2_000);
+      table.applyEntry(ending(2, 3_000));
+      expect(table.get('one')!.goneAtMs).toBe(goneAtMs);
+    });
+
+    test('is told to the peers again only if it is gone earlier than they know', async () => {
+      const { clock, table } = start();
+      table.applyEntry(ending(1));
+      expect(table.hasNewContent(ending(2, 5_000))).toBe(true);
+      table.applyEntry(ending(2, 5_000));
+      await clock.advance(1_000);
+      expect(table.hasNewContent(ending(3, 3_990))).toBe(false);
+      expect(table.hasNewContent(ending(3, 1_000))).toBe(true);
+    });
+
+    test.each([
+      ['no time', builders.target('one', ['a'], { isLeaving: true, entryNumber: 2 })],
+      ['an unusable time', ending(2, null)],
+      ['a time though it does not drain', { ...ending(2, 10), isLeaving: false }],
+    ])('has no known end if its entry states %s', (_, entry) => {
+      const { table } = start();
+      table.applyEntry(ending(1, 5_000));
+      table.applyEntry(entry);
+      expect(isEnding(table.get('one'))).toBe(false);
+    });
+
+    test('goes on if it starts anew', () => {
+      const { table, ids } = start();
+      table.applyEntry(ending(1, 5_000));
+      table.applyEntry(builders.target('one', ['a'], { bornMs: 2 }));
+      expect([isEnding(table.get('one')), ids('a')]).toEqual([false, ['one']]);
+    });
+  });
+
   test('a model that an engine refused counts as absent there for a while', async () => {
     const { clock, table, ids } = start();
     table.applyEntry(builders.target('one', ['a']));
