A service's limits for its number of engines are decoded

scaling of a service in the desired state ({min, max, boot_s}) becomes PoolSpec.scaling. Limits that contradict each other or are out of range are not corrected but marked as not usable: a wrong number could end engines that are needed. Nothing uses them yet.

--- a/packages/fleet/src/PoolSpec.ts
+++ b/packages/fleet/src/PoolSpec.ts
@@ -1,4 +1,5 @@
 import type EngineSpec from './EngineSpec';
+import type ScalingSpec from './ScalingSpec';
 
 /** A pool of targets, which register themselves. */
 interface PoolSpec {
@@ -9,6 +10,8 @@
   readonly coldPerS: number;
   /** Properties of the engines; `null` if the targets do not run models. */
   readonly engine: EngineSpec | null;
+  /** Limits for the number of engines; `undefined` if it is not ours to change, `null` if what is stated is not usable. */
+  readonly scaling?: ScalingSpec | null;
 }
 
 export default PoolSpec;
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -47,6 +47,7 @@
 export type { default as DemandReport } from './DemandReport';
 export type { default as PlacementUpdate } from './PlacementUpdate';
 export type { default as PoolSpec } from './PoolSpec';
+export type { default as ScalingSpec } from './ScalingSpec';
 export { default as LeavingSource } from './LeavingSource';
 export type { default as KeyedRecord } from './KeyedRecord';
 export type { default as RecordDecoder } from './RecordDecoder';
