--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -18,7 +18,7 @@
 ];
 
 /** Packages of the users' platform, above `model` only. */
-const EDGE_ORDER = ['model', 'response-ends', 'suspects', 'fleet', 'edge', 'platform'];
+const EDGE_ORDER = ['model', 'response-ends', 'suspects', 'scaling', 'fleet', 'edge', 'platform'];
 
 /** Packages that may be imported by each package: only those further down. */
 const dependencyDirection = PACKAGE_ORDER.map((name, position) => ({
