--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -18,7 +18,7 @@
 ];
 
 /** Packages of the users' platform, above `model` only. */
-const EDGE_ORDER = ['model', 'response-ends', 'suspects', 'fleet', 'edge', 'platform'];
+const EDGE_ORDER = ['model', 'response-ends', 'suspects', 'fleet', 'duties', 'edge', 'platform'];
 
 /** Packages that may be imported by each package: only those further down. */
 const dependencyDirection = PACKAGE_ORDER.map((name, position) => ({
@@ -53,7 +53,7 @@
 
 /** Names of the users' wire, which only `platform/` may know. */
 const WIRE_NAMES =
-  '^(attempt-id|deadline-ms|server-stamp|expect-instance|instance-load|instance-id|not-executed|x-api-key|token-usage|prompt-prefix|request-priority|weight-versions|kv-from|kv-backup|path_prefix|slo_ms|timeout_ms|api_keys|rate_per_s|cold_left_ms|weights_mb|adapter_slots|precondition|keyed\\.op|keyed\\.servers|/v1/.*)$';
+  '^(attempt-id|deadline-ms|server-stamp|expect-instance|instance-load|instance-id|not-executed|x-api-key|token-usage|prompt-prefix|request-priority|weight-versions|kv-from|kv-backup|path_prefix|slo_ms|timeout_ms|api_keys|rate_per_s|cold_left_ms|weights_mb|adapter_slots|precondition|lease-holder|fencing-token|window_id|remaining_ms|boot_s|/usage|/scale|keyed\\.op|keyed\\.servers|/v1/.*)$';
 
 export default tseslint.config(
   {
@@ -106,7 +106,7 @@
   ...dependencyDirection,
   ...edgeDirection,
   {
-    files: ['packages/{fleet,edge,model}/src/**/*.ts'],
+    files: ['packages/{fleet,edge,model,duties,scaling}/src/**/*.ts'],
     rules: {
       'no-restricted-syntax': [
         'error',
--- a/packages/edge/src/EdgeOptions.ts
+++ b/packages/edge/src/EdgeOptions.ts
@@ -1,4 +1,4 @@
-import type { MemberRecord } from '@wisteriapath/fleet';
+import type { DutyOptions, MemberRecord } from '@wisteriapath/fleet';
 import type SharedLimits from './SharedLimits';
 
 /** The addresses and limits of one instance. */
@@ -19,6 +19,8 @@
   /** Window in which loads from the weight store are counted. */
   readonly weightStoreWindowMs: number;
   readonly sharedLimits: SharedLimits;
+  /** Absent where the deployment has no duties. */
+  readonly duties?: DutyOptions;
   /** Memory of the process, beyond which it is killed. */
   readonly memoryLimitBytes: number;
 }
--- a/packages/edge/src/EdgePorts.ts
+++ b/packages/edge/src/EdgePorts.ts
@@ -1,4 +1,5 @@
 import type {
+  DutyApi,
   EngineControl,
   LeaseStore,
   MemberStore,
@@ -15,6 +16,8 @@
   readonly engineControl: EngineControl;
   readonly leaseStore: LeaseStore;
   readonly memberStore: MemberStore;
+  /** Absent where the deployment has no duties. */
+  readonly dutyApi?: DutyApi;
   readonly wallClock: WallClock;
   readonly decoder: RecordDecoder;
   /**
