--- a/packages/fleet/src/DemandAggregator.ts
+++ b/packages/fleet/src/DemandAggregator.ts
@@ -59,6 +59,11 @@
     this.reports.set(report.instance, { report, receivedMs: this.clock.nowMs() });
   }
 
+  /** Number of instances whose rates and running requests are known. */
+  get reportingInstances(): number {
+    return this.recentReports(RATES_MAX_AGE_MS).length;
+  }
+
   /** Returns the demand for the models of a pool. */
   snapshot(pool: string): DemandSnapshot {
     const merged = new Map<string, Demand>();
--- a/packages/scaling/src/findDoubt.ts
+++ b/packages/scaling/src/findDoubt.ts
@@ -1,12 +1,11 @@
 import ScalingReason from './ScalingReason';
 import type ScalingView from './ScalingView';
+import hasEnoughReports from './hasEnoughReports';
 import maxGapMs from './maxGapMs';
 import windowMs from './windowMs';
 
 /** Age of the list of engines up to which it is used; an engine that starts or drains writes its entry within a second. */
 const MAX_VIEW_AGE_MS = 3_000;
-/** Reports are lost one by one on a bad network. More that are missing show that this instance is cut off. */
-const MIN_REPORTING_FRACTION = 0.9;
 
 const coversWindow = (view: ScalingView): boolean => {
   const { observations, nowMs } = view;
@@ -26,7 +25,7 @@
 const findDoubt = (view: ScalingView): ScalingReason | undefined => {
   if (!view.isStoreReachable) return ScalingReason.StoreAway;
   if (!(view.viewAgeMs <= MAX_VIEW_AGE_MS)) return ScalingReason.ViewOld;
-  if (!(view.reportingFraction >= MIN_REPORTING_FRACTION)) return ScalingReason.ReportsMissing;
+  if (!hasEnoughReports(view.reportingFraction)) return ScalingReason.ReportsMissing;
   if (view.isOutOfService) return ScalingReason.OutOfService;
   if (!coversWindow(view)) return ScalingReason.Observing;
   const { ready, places } = view.observations.at(-1)!;
--- a/packages/scaling/src/index.ts
+++ b/packages/scaling/src/index.ts
@@ -1,6 +1,7 @@
 /** Decisions on how many engines a service has in a failure domain. */
 export { default as decideScale } from './decideScale';
 export { default as findDoubt } from './findDoubt';
+export { default as hasEnoughReports } from './hasEnoughReports';
 export type { default as ModelMemory } from './ModelMemory';
 export type { default as Observation } from './Observation';
 export { default as ObservationWindow } from './ObservationWindow';
