--- a/packages/edge/src/TargetAttempt.ts
+++ b/packages/edge/src/TargetAttempt.ts
@@ -30,6 +30,8 @@
   readonly mayRunAgain: () => boolean;
   /** Whether an error response of the target is kept instead of passed on, because another attempt may follow. */
   readonly keepsFailure: boolean;
+  /** Takes what another attempt needs, while this one runs; returns false if there may be none. */
+  readonly tryReserveRetry: () => boolean;
   /** Called when the target has begun to answer: with a complete event of a stream, or with a whole response. */
   readonly onBegun: () => void;
 }
@@ -61,6 +63,10 @@
 
   private hasStalled = false;
 
+  private isMoved = false;
+
+  private sentAtMs = 0;
+
   private exchange: ReturnType<EdgeDependencies['connections']['send']> | undefined;
 
   /** How the exchange ended; null until then. */
@@ -90,7 +96,7 @@
     const { request, caller } = context;
     const { reservation } = context.chosen;
     const { pool } = request;
-    const sentAtMs = deps.clock.nowMs();
+    this.sentAtMs = deps.clock.nowMs();
     const exchange = deps.connections.send(this.buildRequest(), {
       onHeaders: (status, headers) => {
         const isValid = this.handleHeaders(status, headers);
@@ -137,7 +143,7 @@
     const outcome = this.outcomeOf(end);
     this.body.release(outcome === AttemptOutcome.Answered, this.keptResponse !== null);
     if (outcome === AttemptOutcome.NotSent) reservation.recordConnectFailure();
-    this.recordTime(outcome, sentAtMs);
+    this.recordTime(outcome);
     this.recordGapMiss();
     reservation.complete(isTargetFailure(outcome, this.statusCode));
     deps.metrics.exchanges.inc({ pool: pool.name, end });
@@ -203,6 +209,12 @@
         this.hasStalled = true;
         this.abort?.();
       },
+      expectedEndMs: () => this.sentAtMs + deps.stopGate.expectedMs(context.request, this.sentAtMs),
+      tryMove: () => {
+        this.isMoved = context.tryReserveRetry();
+        if (this.isMoved) this.abort?.();
+        return this.isMoved;
+      },
     });
   }
 
@@ -226,19 +238,19 @@
   }
 
   /** Records how long the target took to begin, unless the request may have waited in its queue. */
-  private recordTime(outcome: AttemptOutcome, sentAtMs: number): void {
+  private recordTime(outcome: AttemptOutcome): void {
     const { chosen, request } = this.context;
     const { mode, fields } = this.head;
     if (!this.statesWorkTime || fields?.load?.waiting !== 0) return;
     const units = workUnits(request.fields, mode === ResponseMode.Streamed);
     const { firstEventAtMs } = this.body;
     if (mode === ResponseMode.Streamed && firstEventAtMs !== undefined) {
-      chosen.reservation.recordFirstEvent(firstEventAtMs - sentAtMs, units);
+      chosen.reservation.recordFirstEvent(firstEventAtMs - this.sentAtMs, units);
       return;
     }
     const isWhole = mode === ResponseMode.Buffered && outcome === AttemptOutcome.Answered;
     if (!isWhole || this.statusCode >= CLIENT_ERROR) return;
-    chosen.reservation.recordResponseTime(this.deps.clock.nowMs() - sentAtMs, units);
+    chosen.reservation.recordResponseTime(this.deps.clock.nowMs() - this.sentAtMs, units);
   }
 
   /** Logs a stream with a pause that exceeds the gap target of its route. */
@@ -287,6 +299,7 @@
     }
     framer?.reset();
     if (this.deps.stopSignal.aborted) return AttemptOutcome.Stopped;
+    if (this.isMoved) return AttemptOutcome.Moved;
     if (this.hasStalled) return AttemptOutcome.Stalled;
     if (this.hasTimedOut) return AttemptOutcome.DeadlineExceeded;
     return end === ExchangeEnd.NotSent ? AttemptOutcome.NotSent : AttemptOutcome.Broken;
--- a/packages/fleet/src/DemandAggregator.ts
+++ b/packages/fleet/src/DemandAggregator.ts
@@ -82,6 +82,11 @@
     if (report.targets !== undefined) this.speeds?.record(report.targets);
   }
 
+  /** Number of instances whose rates and running requests are known. */
+  get reportingInstances(): number {
+    return this.recentReports(RATES_MAX_AGE_MS).length;
+  }
+
   /** Returns the demand for the models of a pool. */
   snapshot(pool: string): DemandSnapshot {
     const merged = new Map<string, Demand>();
