Measure short streams at their end, and responses apart from first events

A test over real connections found that a fast target whose streams last less than 180 ms was never measured, so that the slow one beside it counted as usual. The gaps since the last sample are now measured at the end of a stream. Pools that serve both streams and responses keep their usual times apart.

--- a/packages/edge/src/EventGaps.ts
+++ b/packages/edge/src/EventGaps.ts
@@ -6,6 +6,7 @@
  * than a slow span of some 600 ms.
  */
 const SAMPLE_MS = 180;
+const MIN_GAPS_AT_END = 2;
 
 /** Measures the time between the events of one stream, as far as the target determines it. */
 class EventGaps {
@@ -40,6 +41,13 @@
     this.isHeldUp = !mayContinue;
   }
 
+  /** Ends the measurement with the gaps since the last sample: a short stream of a fast target has no other. */
+  end(): void {
+    if (this.gaps >= MIN_GAPS_AT_END) this.emit();
+    this.gaps = 0;
+    this.isHeldUp = true;
+  }
+
   private addEvents(events: number): void {
     const nowMs = this.clock.nowMs();
     const sinceMs = this.lastEventAtMs;
@@ -48,7 +56,10 @@
     this.longestMs = Math.max(this.longestMs, nowMs - sinceMs);
     this.gaps += events;
     this.totalMs += nowMs - sinceMs;
-    if (this.totalMs < SAMPLE_MS) return;
+    if (this.totalMs >= SAMPLE_MS) this.emit();
+  }
+
+  private emit(): void {
     this.onSample(this.totalMs / this.gaps);
     this.gaps = 0;
     this.totalMs = 0;
--- a/packages/edge/src/TargetAttempt.ts
+++ b/packages/edge/src/TargetAttempt.ts
@@ -137,6 +137,7 @@
     const outcome = this.outcomeOf(end);
     this.body.release(outcome === AttemptOutcome.Answered, this.keptResponse !== null);
     if (outcome === AttemptOutcome.NotSent) reservation.recordConnectFailure();
+    this.gaps?.end();
     this.recordTime(outcome, sentAtMs);
     this.recordGapMiss();
     reservation.complete(isTargetFailure(outcome, this.statusCode));
--- a/packages/edge/src/TargetPace.ts
+++ b/packages/edge/src/TargetPace.ts
@@ -27,7 +27,8 @@
 /** What is usual in one pool. */
 interface Usual {
   readonly gaps: UsualTimes;
-  readonly firsts: UsualTimes;
+  readonly firstEvents: UsualTimes;
+  readonly responses: UsualTimes;
   reportedAtMs: number;
 }
 
@@ -171,7 +172,8 @@
     // The gaps of the stream tell the speed of the target better.
     const known = { mean: this.logSlownessNow(pace), variance: 0 };
     const logTime = Math.log(Math.max(MIN_TIME_MS, timeMs) / units);
-    this.usualIn(pace.pool).firsts.learn({ model, logTime, noise: FIRST_NOISE }, known);
+    const { firstEvents } = this.usualIn(pace.pool);
+    firstEvents.learn({ model, logTime, noise: FIRST_NOISE }, known);
   }
 
   /** Records the time to a response that is no stream and did not wait in a queue of the target. */
@@ -180,12 +182,13 @@
     if (pace === undefined) return;
     this.ageSlowness(pace);
     const logTime = Math.log(Math.max(MIN_TIME_MS, timeMs) / units) - pace.meanWorkTime;
-    this.usualIn(pace.pool).firsts.learn({ model, logTime, noise: FIRST_NOISE }, pace.slowness);
+    const { responses } = this.usualIn(pace.pool);
+    responses.learn({ model, logTime, noise: FIRST_NOISE }, pace.slowness);
     this.unreported.add(id);
   }
 
   /** Returns what is expected of a target that runs a model; what is usual, if nothing is known of the target. */
-  expect(id: string, model: string): ExpectedPace {
+  expect(id: string, model: string, isStreamed = true): ExpectedPace {
     const view = this.table.get(id);
     const usual = view && this.pools.get(view.entry.pool);
     const pace = this.currentOf(id);
@@ -194,7 +197,8 @@
     const ownPeak = pace === undefined ? 0 : this.logPeakNow(pace);
     const logPeak = Math.max(logSlowness, blend(ownPeak, shared));
     const logGap = usual?.gaps.logOf(model);
-    const logFirst = usual?.firsts.logOf(model);
+    const firsts = isStreamed ? usual?.firstEvents : usual?.responses;
+    const logFirst = firsts?.logOf(model);
     return {
       slowness: Math.exp(logSlowness),
       peakSlowness: Math.exp(logPeak),
@@ -286,8 +290,8 @@
   }
 
   private rowOf(id: string, pace: Pace): TargetRow {
-    const { gaps, firsts } = this.usualIn(pace.pool);
-    const logResponse = firsts.logOfPool;
+    const { gaps, responses } = this.usualIn(pace.pool);
+    const logResponse = responses.logOfPool;
     const logUsual =
       gaps.logOfPool ?? (logResponse === undefined ? undefined : logResponse + LOG_RESPONSE_UNITS);
     const isMeasured = logUsual !== undefined && this.isMeasured(pace);
@@ -349,7 +353,12 @@
   private usualIn(pool: string): Usual {
     const known = this.pools.get(pool);
     if (known !== undefined) return known;
-    const usual = { gaps: new UsualTimes(), firsts: new UsualTimes(), reportedAtMs: -Infinity };
+    const usual = {
+      gaps: new UsualTimes(),
+      firstEvents: new UsualTimes(),
+      responses: new UsualTimes(),
+      reportedAtMs: -Infinity,
+    };
     this.pools.set(pool, usual);
     return usual;
   }
--- a/packages/edge/src/TargetRanking.ts
+++ b/packages/edge/src/TargetRanking.ts
@@ -1,4 +1,4 @@
-import type { TargetView } from '@wisteriapath/fleet';
+import { RouteSemantics, type TargetView } from '@wisteriapath/fleet';
 import type AdmittedRequest from './AdmittedRequest';
 import type EdgeDependencies from './EdgeDependencies';
 import expectedCostMs from './expectedCostMs';
@@ -79,11 +79,12 @@
     const { clock, loads, failureDomain } = this.deps;
     const { entry, coldUntilMs } = view;
     const known = this.counted(view);
+    const isStreamed = request.route.semantics === RouteSemantics.Stream;
     const ownUtilization = loads.utilization(entry);
     const sharedUtilization = loads.pace.sharedLoad(entry.id) / Math.max(1, entry.slots);
     const unknownUtilization = Math.max(0, sharedUtilization - ownUtilization);
     const cost = expectedCostMs(request, {
-      pace: loads.pace.expect(entry.id, request.fields.model),
+      pace: loads.pace.expect(entry.id, request.fields.model, isStreamed),
       slots: entry.slots,
       utilization: ownUtilization + unknownUtilization,
       failureCost: loads.failureCost(entry.id),
--- a/packages/edge/test/eventGaps.test.ts
+++ b/packages/edge/test/eventGaps.test.ts
@@ -15,7 +15,7 @@
     await clock.advance(afterMs);
     gaps.push(Buffer.from(text), mayContinue);
   };
-  return { samples, push };
+  return { samples, push, end: () => gaps.end() };
 };
 
 const repeat = async (times: number, action: () => Promise<void>) => {
@@ -28,6 +28,23 @@
   expect(samples).toEqual([50, 50]);
 });
 
+test('the gaps of a short stream of a fast target are measured at its end, once', async () => {
+  const { samples, push, end } = start();
+  await repeat(6, () => push(5, EVENT));
+  expect(samples).toEqual([]);
+  end();
+  end();
+  await push(5, EVENT);
+  expect(samples).toEqual([5]);
+});
+
+test('a stream with a single gap after its last sample adds none at its end', async () => {
+  const { samples, push, end } = start();
+  await repeat(6, () => push(50, EVENT));
+  end();
+  expect(samples).toEqual([50]);
+});
+
 test('a slow span is not averaged with the fast one after it', async () => {
   const { samples, push } = start();
   await push(0, EVENT);
