--- a/packages/edge/src/TargetFinder.ts
+++ b/packages/edge/src/TargetFinder.ts
@@ -1,4 +1,4 @@
-import { timeUntilHeld } from '@wisteriapath/fleet';
+import { shortestLoad, timeUntilHeld, type WaitingRequests } from '@wisteriapath/fleet';
 import type AdmittedRequest from './AdmittedRequest';
 import type ChosenTarget from './ChosenTarget';
 import type EdgeDependencies from './EdgeDependencies';
@@ -14,6 +14,8 @@
 }
 
 const POLL_INTERVAL_MS = 25;
+/** Interval at which a request in the queue looks whether its caller still waits and its model can still be held in time. */
+const QUEUED_CHECK_INTERVAL_MS = 100;
 /** Time for which a request that was told to come back still counts as waiting for its model. */
 const RETURN_TIMEOUT_MS = 6_000;
 const RETURN_POLL_INTERVAL_MS = 200;
@@ -32,10 +34,13 @@
     const { pool, route, fields } = request;
     // Registered once per wait, so that the placers learn how long the request has waited.
     let stopWaiting: (() => void) | undefined;
+    const ticket = this.enterQueue(request, search);
     try {
       for (;;) {
+        if (ticket?.target !== undefined) return ticket.target;
         if (search.isOver()) return undefined;
-        const chosen = this.reserveBest(request, search.excluded);
+        const chosen =
+          ticket === undefined ? this.reserveBest(request, search.excluded) : undefined;
         if (chosen !== undefined) return chosen;
         const leftMs = Math.min(search.untilMs, sendCutoffAtMs()) - clock.nowMs();
         if (leftMs <= 0 || (this.pauseMs(pool.name) ?? 0) >= leftMs) return undefined;
@@ -43,7 +48,11 @@
         if (isAbsent) {
           stopWaiting ??= waiting.add(
             { pool: pool.name, model: fields.model, adapter: fields.adapter },
-            { latencyTargetMs: route.latencyTargetMs, deadlineAtMs: request.deadlineAtMs },
+            {
+              latencyTargetMs: route.latencyTargetMs,
+              deadlineAtMs: request.deadlineAtMs,
+              ...this.demandOrder(request),
+            },
           );
           if (this.heldInMs(request) > leftMs) {
             void this.awaitReturn(request, stopWaiting);
@@ -54,16 +63,30 @@
           stopWaiting?.();
           stopWaiting = undefined;
         }
-        await Promise.race([
-          table.changes.next(),
-          clock.sleep(Math.min(leftMs, isAbsent ? POLL_INTERVAL_MS * 4 : POLL_INTERVAL_MS)),
-        ]);
+        await (ticket === undefined
+          ? Promise.race([
+              table.changes.next(),
+              clock.sleep(Math.min(leftMs, isAbsent ? POLL_INTERVAL_MS * 4 : POLL_INTERVAL_MS)),
+            ])
+          : Promise.race([ticket.chosen, clock.sleep(Math.min(leftMs, QUEUED_CHECK_INTERVAL_MS))]));
       }
     } finally {
+      ticket?.leave();
       stopWaiting?.();
     }
   }
 
+  /** Puts a request of a deferring pool into the queue of this instance; the others look for a target by themselves. */
+  private enterQueue(request: AdmittedRequest, search: Search) {
+    const { clock, dispatcher, sendCutoffAtMs } = this.deps;
+    if (request.waitOrder === undefined) return undefined;
+    return dispatcher.enter(request, request.waitOrder, {
+      isSpecial: search.excluded.size > 0,
+      isOver: () => search.isOver() || clock.nowMs() >= Math.min(search.untilMs, sendCutoffAtMs()),
+      reserve: () => this.reserveBest(request, search.excluded),
+    });
+  }
+
   /** Returns the time after which an unserved request is best sent again; undefined if nothing tells. */
   retryAfterMs(request: AdmittedRequest): number | undefined {
     const pauseMs = this.pauseMs(request.pool.name);
@@ -80,6 +103,25 @@
     return !holding.some(({ entry }) => loads.isReachable(entry.id));
   }
 
+  /** Returns what the placers are told of how urgent a request is; nothing in pools that are not deferring. */
+  private demandOrder(
+    request: AdmittedRequest,
+  ): Pick<Parameters<WaitingRequests['add']>[1], 'order'> {
+    const { waitOrder, firstEventDeadlineAtMs: leavesAtMs } = request;
+    if (waitOrder === undefined) return {};
+    return {
+      order: { priority: waitOrder.priority, leavesAtMs, loadMs: () => this.loadMs(request) },
+    };
+  }
+
+  /** Returns the shortest time of a load of the model of a request; 0 if an engine holds it, as adapters load within milliseconds. */
+  private loadMs({ pool, fields }: AdmittedRequest): number {
+    const { clock, table } = this.deps;
+    const spec = pool.engine?.models.get(fields.model);
+    if (spec === undefined || table.holding(pool.name, fields.model, null).length > 0) return 0;
+    return shortestLoad(table.inService(pool.name), spec, clock.nowMs()).ms;
+  }
+
   /** Returns the shortest time until an engine can hold the model of a request; 0 if one may at any moment. */
   private heldInMs({ pool, fields }: AdmittedRequest): number {
     const { clock, table } = this.deps;
--- a/packages/edge/test/targetRanking.test.ts
+++ b/packages/edge/test/targetRanking.test.ts
@@ -12,7 +12,6 @@
 } from '@wisteriapath/fleet';
 import type AdmittedRequest from '../src/AdmittedRequest';
 import type ResponseFields from '../src/ResponseFields';
-
 import TargetRanking from '../src/TargetRanking';
 import createTargetLoads from './support/createTargetLoads';
 import targetEntry from './support/targetEntry';
--- a/packages/fleet/src/PlanningPass.ts
+++ b/packages/fleet/src/PlanningPass.ts
@@ -5,6 +5,8 @@
 /** The input of one planning pass over one pool. */
 interface PlanningPass {
   readonly pool: string;
+  /** Whether models are loaded in the order of `compareWaiting`. */
+  readonly isDeferring: boolean;
   readonly engine: EngineSpec;
   readonly demand: DemandSnapshot;
   /** The speeds of the engines; undefined if none was reported. */
