Bound the rate of the rows of targets in demand reports

Requests that begin to wait trigger reports at once; rows of targets are now added as often as rates at most, so that the bytes stay within the bound for control at 360 nodes.

--- a/packages/edge/src/DemandReporter.ts
+++ b/packages/edge/src/DemandReporter.ts
@@ -22,7 +22,7 @@
 /** Upper bounds of both intervals, below the age up to which placers use a report. */
 const MAX_REPORT_INTERVAL_MS = 300;
 const MAX_RATES_INTERVAL_MS = 1_000;
-/** Targets in one report; some 30 bytes each. */
+/** Targets in one report, of some 30 bytes each. They are reported as often as rates, however often requests begin to wait. */
 const MAX_TARGET_ROWS = 16;
 
 /** Reports to the placers which models the requests of this instance wait for and use. */
@@ -34,6 +34,8 @@
 
   private reportedAtMs = 0;
 
+  private targetsReportedAtMs = -Infinity;
+
   private isReportScheduled = false;
 
   private isStopped = false;
@@ -85,7 +87,9 @@
     const { instance, rates, loads, send } = this.deps;
     const { running } = loads;
     const { deferrable: deferrableRates } = rates;
-    const targets = loads.pace.takeRows(MAX_TARGET_ROWS);
+    const areTargetsDue = nowMs - this.targetsReportedAtMs >= ratesIntervalMs;
+    const targets = areTargetsDue ? loads.pace.takeRows(MAX_TARGET_ROWS) : [];
+    if (areTargetsDue) this.targetsReportedAtMs = nowMs;
     send({
       instance,
       waiting,
