--- a/packages/edge/src/TargetAttempt.ts
+++ b/packages/edge/src/TargetAttempt.ts
@@ -143,6 +143,7 @@
     const outcome = this.outcomeOf(end);
     this.body.release(outcome === AttemptOutcome.Answered, this.keptResponse !== null);
     if (outcome === AttemptOutcome.NotSent) reservation.recordConnectFailure();
+    this.gaps?.end();
     this.recordTime(outcome);
     this.recordGapMiss();
     reservation.complete(isTargetFailure(outcome, this.statusCode));
