The placer orders numbers of engines where settings and desired state call for it

createPlacer gives the placer an EngineScaler if the settings name the duty scaling and there is an interface for it; it runs and stops with the placer. Orders are counted by pool and answer.

Test: engineScaling, a whole instance with store, engine and interface on loopback addresses; the first answer of the interface is lost.

--- a/packages/edge/src/Edge.ts
+++ b/packages/edge/src/Edge.ts
@@ -45,6 +45,7 @@
 import readsStoreForAll from './readsStoreForAll';
 import registerInstanceGauges from './registerInstanceGauges';
 import repeatedSuspects from './repeatedSuspects';
+import retainKnownTargets from './retainKnownTargets';
 import stopParts from './stopParts';
 
 const HEARTBEAT_INTERVAL_MS = 200;
@@ -117,7 +118,7 @@
       settlingMs: () => this.follower?.settlingMs ?? 0,
       recoveryMs: () => this.follower?.recoveryMs ?? 0,
       onDesiredState: ({ limits }) => this.callers.setLimits(limits),
-      onTargetsRemoved: () => this.dropRemovedTargets(),
+      onTargetsRemoved: () => retainKnownTargets(this.table, this.deps),
       onStoreReturned: (era) => this.records.writeAgain(era),
       relayTargets: (span) => {
         if (this.isStoreReader) this.peers.sendTargets(span);
@@ -183,7 +184,9 @@
       lease: this.lease,
       table: this.table,
       demand: this.demand,
-      desired: () => this.storeView.desired,
+      metrics: this.metrics,
+      storeView: this.storeView,
+      isStoreReachable: () => this.follower?.isReachable ?? false,
       peers: this.peers,
     });
     this.deps = {
@@ -287,14 +290,6 @@
     return readsStoreForAll({ name, reachesStore, isPlacer: this.lease.isCurrent }, this.peers);
   }
 
-  private dropRemovedTargets(): void {
-    const views = this.table.allTargets();
-    const ids = new Set(views.map(({ entry }) => entry.id));
-    this.loads.retain(ids);
-    this.deps.coldTargetLimiter.retain(ids);
-    this.deps.connections.retain(new Set(views.map(({ entry }) => entry.address)));
-  }
-
   private createPeers(): Peers {
     const { options, clock, log } = this;
     return new Peers(
--- a/packages/edge/src/EdgeMetrics.ts
+++ b/packages/edge/src/EdgeMetrics.ts
@@ -40,6 +40,13 @@
     registers: [this.registry],
   });
 
+  readonly scaleOrders = new Counter({
+    name: 'wisteriapath_edge_scale_orders_total',
+    help: 'Calls that ordered a number of engines, by answer of the platform',
+    labelNames: ['pool', 'answer'],
+    registers: [this.registry],
+  });
+
   readonly coldSends = new Counter({
     name: 'wisteriapath_edge_cold_sends_total',
     help: 'Requests sent to targets that were known to be cold',
--- a/packages/edge/src/StoreView.ts
+++ b/packages/edge/src/StoreView.ts
@@ -327,7 +327,7 @@
       pool,
       address,
       leaving: isLeaving,
-      ...(remainingMs !== undefined && { remaining_ms: remainingMs ?? 'unusable' }),
+      ...(remainingMs !== undefined && { gone_in_ms: remainingMs ?? 'unusable' }),
       cold_ms: coldLeftMs,
       entry: entryNumber,
       source,
--- a/packages/edge/src/createPlacer.ts
+++ b/packages/edge/src/createPlacer.ts
@@ -1,15 +1,17 @@
 import type { Clock } from '@wisteriapath/model';
 import {
   type DemandAggregator,
-  type DesiredState,
   type EventLog,
   type Lease,
   type Peers,
   Placer,
   type TargetTable,
 } from '@wisteriapath/fleet';
+import type EdgeMetrics from './EdgeMetrics';
 import type EdgeOptions from './EdgeOptions';
 import type EdgePorts from './EdgePorts';
+import type StoreView from './StoreView';
+import createScaler from './createScaler';
 
 interface Dependencies {
   readonly options: EdgeOptions;
@@ -19,7 +21,9 @@
   readonly lease: Lease;
   readonly table: TargetTable;
   readonly demand: DemandAggregator;
-  readonly desired: () => DesiredState | undefined;
+  readonly metrics: EdgeMetrics;
+  readonly storeView: StoreView;
+  readonly isStoreReachable: () => boolean;
   readonly peers: Peers;
 }
 
@@ -29,10 +33,12 @@
  * Creates the placer of an instance, which gives orders while the instance holds the lease of its failure domain.
  *
  * @example
- * const placer = createPlacer({ options, ports, clock, log, lease, table, demand, desired, peers });
+ * const placer = createPlacer({ options, ports, lease, storeView, isStoreReachable, peers, ...deps });
  */
-const createPlacer = ({ options, ports, lease, peers, ...deps }: Dependencies): Placer => {
+const createPlacer = (dependencies: Dependencies): Placer => {
+  const { options, ports, lease, peers, storeView, ...deps } = dependencies;
   const { failureDomain, host } = options.member;
+  const activeDomains = () => [...new Set([failureDomain, ...peers.placers.keys()])];
   return new Placer(
     {
       failureDomain,
@@ -43,7 +49,9 @@
       ...deps,
       authority: lease,
       control: ports.engineControl,
-      activeDomains: () => [...new Set([failureDomain, ...peers.placers.keys()])],
+      desired: () => storeView.desired,
+      activeDomains,
+      scaler: createScaler({ ...dependencies, authority: lease, activeDomains }),
       publish: (updates, instance) => {
         if (instance !== host) peers.sendPlacement(updates, instance);
       },
--- a/packages/fleet/src/Placer.ts
+++ b/packages/fleet/src/Placer.ts
@@ -83,6 +83,7 @@
   async run(): Promise<void> {
     const { clock, log } = this.parts;
     const isOver = () => this.isStopped;
+    void this.parts.scaler?.run();
     await runLoop({ name: 'placer', clock, log, isOver, step: () => this.tick() });
   }
 
@@ -103,6 +104,7 @@
 
   stop(): void {
     this.isStopped = true;
+    this.parts.scaler?.stop();
   }
 
   /** Schedules a planning pass. Called when a request starts to wait or an engine becomes free. */
--- a/packages/fleet/src/PlacerParts.ts
+++ b/packages/fleet/src/PlacerParts.ts
@@ -2,6 +2,7 @@
 import type Authority from './Authority';
 import type DemandAggregator from './DemandAggregator';
 import type DesiredState from './DesiredState';
+import type EngineScaler from './EngineScaler';
 import type EngineControl from './EngineControl';
 import type EventLog from './EventLog';
 import type PlacementUpdate from './PlacementUpdate';
@@ -20,6 +21,8 @@
   readonly activeDomains: () => readonly string[];
   /** Sends placement updates to one instance, or to all if none is given. */
   readonly publish: (updates: readonly PlacementUpdate[], instance?: string) => void;
+  /** Orders the numbers of engines; absent where the settings do not call for it. */
+  readonly scaler?: Pick<EngineScaler, 'run' | 'stop'> | undefined;
 }
 
 export default PlacerParts;
