--- a/packages/fleet/src/PlacerParts.ts
+++ b/packages/fleet/src/PlacerParts.ts
@@ -3,6 +3,7 @@
 import type DemandAggregator from './DemandAggregator';
 import type DesiredState from './DesiredState';
 import type DigestRow from './DigestRow';
+import type EngineScaler from './EngineScaler';
 import type EngineControl from './EngineControl';
 import type EventLog from './EventLog';
 import type PlacementUpdate from './PlacementUpdate';
@@ -23,6 +24,8 @@
   readonly publish: (updates: readonly PlacementUpdate[], instance?: string) => void;
   /** Sends what is known of targets to the instances of the failure domain; absent where none is sent. */
   readonly sendDigest?: (rows: readonly DigestRow[]) => void;
+  /** Orders the numbers of engines; absent where the settings do not call for it. */
+  readonly scaler?: Pick<EngineScaler, 'run' | 'stop'> | undefined;
 }
 
 export default PlacerParts;
