Keep replicas that were made for their speed

With a slow and a fast holder, both counted as spares, so that a replica on an engine that keeps the gap target was as cheap to evict as the one that breaks it, and would have been loaded again. A holder that breaks the gap target is now no spare of one that keeps it. Without reported speeds, costs are as before. Rows of services tell the time to a response also where the pool streams, so that all instances report the same figure.

--- a/packages/edge/src/TargetPace.ts
+++ b/packages/edge/src/TargetPace.ts
@@ -291,9 +291,10 @@
 
   private rowOf(id: string, pace: Pace): TargetRow {
     const { gaps, responses } = this.usualIn(pace.pool);
-    const logResponse = responses.logOfPool;
-    const logUsual =
-      gaps.logOfPool ?? (logResponse === undefined ? undefined : logResponse + LOG_RESPONSE_UNITS);
+    // All instances have to report the same figure of a pool: gaps of engines, responses of services.
+    const isEngine = (this.table.get(id)?.entry.models.size ?? 0) > 0;
+    const logResponse = responses.logOfPool && responses.logOfPool + LOG_RESPONSE_UNITS;
+    const logUsual = isEngine ? gaps.logOfPool : logResponse;
     const isMeasured = logUsual !== undefined && this.isMeasured(pace);
     const figure = isMeasured ? Math.exp(logUsual + pace.slowness.mean) * ROW_PACES_PER_MS : 0;
     const logWorkTime = this.logPeakNow(pace) - this.logSpeedNow(pace);
--- a/packages/edge/test/targetPace.test.ts
+++ b/packages/edge/test/targetPace.test.ts
@@ -175,6 +175,20 @@
     expect(pace.takeRows(9)).toEqual([]);
   });
 
+  test('tell the time to a response of a service, though it also streams', async () => {
+    const { clock, table, pace } = start([]);
+    ['one', 'two'].forEach((id) => table.applyEntry(targetEntry({ id, models: new Map() })));
+    for (let count = 0; count < 20; count += 1) {
+      pace.recordWorkTime('one', 1);
+      pace.recordResponse('one', { model: '', timeMs: 21, units: 256 });
+      pace.recordGap('one', '', USUAL_GAP_MS);
+      await clock.advance(50);
+    }
+    const [[, figure]] = pace.takeRows(9);
+    expect(figure / 10).toBeGreaterThan(15);
+    expect(figure / 10).toBeLessThan(30);
+  });
+
   test('are bounded, and the rest comes with the next report', () => {
     const { pace } = start(['one', 'two', 'three']);
     ['one', 'two', 'three'].forEach((id) => pace.recordWorkTime(id, 1));
--- a/packages/fleet/src/EvictionOptions.ts
+++ b/packages/fleet/src/EvictionOptions.ts
@@ -5,8 +5,8 @@
 
 interface Context {
   readonly engine: EngineSpec;
-  /** Replicas of each model on the engines in service. */
-  readonly replicaCounts: ReadonlyMap<string, number>;
+  /** Whether a replica on another engine can take the place of a model on `engine`. */
+  readonly isSpare: (engine: string, model: string) => boolean;
   /** Requests per second by model. */
   readonly rates: ReadonlyMap<string, number>;
   /** Models that requests wait for, and others that must stay. */
@@ -78,10 +78,10 @@
 
   /** Returns the cost of evicting a model from an engine, in request-milliseconds. */
   private costMs(id: string, model: string): number {
-    const { engine, rates, replicaCounts, hasCopyElsewhere } = this.context;
+    const { engine, rates, isSpare, hasCopyElsewhere } = this.context;
     const spec = engine.models.get(model);
     const rate = (rates.get(model) ?? 0) + BASE_RATE_PER_S;
-    const share = (replicaCounts.get(model) ?? 1) > 1 ? SPARE_REPLICA_COST_SHARE : 1;
+    const share = isSpare(id, model) ? SPARE_REPLICA_COST_SHARE : 1;
     const reloadMs = hasCopyElsewhere(id, model) ? spec?.diskLoadMs : spec?.storeLoadMs;
     return rate * (reloadMs ?? 0) * share;
   }
--- a/packages/fleet/src/createModelContext.ts
+++ b/packages/fleet/src/createModelContext.ts
@@ -5,6 +5,7 @@
 import EvictionOptions from './EvictionOptions';
 import type TargetView from './TargetView';
 import canLoadFromStore from './canLoadFromStore';
+import findSpareReplicas from './findSpareReplicas';
 import hasCopy from './hasCopy';
 import hasCopySoon from './hasCopySoon';
 
@@ -67,15 +68,11 @@
   });
   const snapshot = { nowMs, engineOf: (id: string) => registry.get(id) };
   const engines = { all: views, own: own.length, free: free.length };
-  const replicaCounts = new Map<string, number>();
-  views.forEach(({ models }) =>
-    models.forEach((_, model) => replicaCounts.set(model, (replicaCounts.get(model) ?? 0) + 1)),
-  );
   const urgent = isDeferring ? urgentRates(demand) : new Map<string, number>();
   const requested = new Set(demand.waiting.map(({ model }) => model));
   const evictionContext = {
     engine,
-    replicaCounts,
+    isSpare: findSpareReplicas(views, speeds),
     rates: isDeferring ? weightedRates(demand, urgent) : demand.modelRates,
     requested,
     running: (id: string, model: string) => demand.running.get(id)?.get(model) ?? 0,
--- a/packages/fleet/test/engineSpeeds.test.ts
+++ b/packages/fleet/test/engineSpeeds.test.ts
@@ -13,6 +13,7 @@
 } from '../src';
 import EngineSpeeds from '../src/EngineSpeeds';
 import type EvictionOptions from '../src/EvictionOptions';
+import findSpareReplicas from '../src/findSpareReplicas';
 import gapTargetOf from '../src/gapTargetOf';
 import planModel from '../src/planModel';
 import FakeEngine from './support/FakeEngine';
@@ -86,6 +87,33 @@
   });
 });
 
+describe('a replica that can take the place of a model', () => {
+  const spareOn = (holders: readonly string[], speeds: EngineSpeeds | undefined) => {
+    const table = new TargetTable(new VirtualClock());
+    holders.forEach((id) => table.applyEntry(builders.target(id, ['a'])));
+    const isSpare = findSpareReplicas(table.inService('guides'), speeds);
+    return holders.filter((id) => isSpare(id, 'a'));
+  };
+  const speeds = speedsOf({ slow: 230, slower: 300, usual: 50, fast: 31 });
+
+  test('is none on an engine that breaks the gap target', () => {
+    expect(spareOn(['slow', 'usual'], speeds)).toEqual(['slow']);
+  });
+
+  test('is any on an engine that keeps it', () => {
+    expect(spareOn(['slow', 'usual', 'fast'], speeds)).toEqual(['slow', 'usual', 'fast']);
+  });
+
+  test('is one that breaks it, if all do', () => {
+    expect(spareOn(['slow', 'slower'], speeds)).toEqual(['slow', 'slower']);
+  });
+
+  test('is any other, without speeds', () => {
+    expect(spareOn(['slow', 'usual'], undefined)).toEqual(['slow', 'usual']);
+    expect(spareOn(['slow'], undefined)).toEqual([]);
+  });
+});
+
 test.each([
   [GAP_TARGET_MS, RouteSemantics.Stream, 1],
   [0, RouteSemantics.Idempotent, 1],
