--- a/packages/edge/src/createPlacer.ts
+++ b/packages/edge/src/createPlacer.ts
@@ -56,6 +56,10 @@
       publish: (updates, instance) => {
         if (instance !== host) peers.sendPlacement(updates, instance);
       },
+      publishForecast: (forecast, instance) => {
+        if (instance === host) deps.table.forecasts.record(forecast);
+        else peers.sendForecast(forecast, instance);
+      },
     },
   );
 };
--- a/packages/fleet/src/Peers.ts
+++ b/packages/fleet/src/Peers.ts
@@ -7,6 +7,7 @@
 import type EventLog from './EventLog';
 import HolderContact from './HolderContact';
 import type MemberRecord from './MemberRecord';
+import type LoadForecast from './LoadForecast';
 import type Moment from './Moment';
 import type Peer from './Peer';
 import type PeerHandlers from './PeerHandlers';
@@ -15,6 +16,7 @@
 import type DigestRow from './DigestRow';
 import type PlacementUpdate from './PlacementUpdate';
 import type WallClock from './WallClock';
+import createMessageReaders from './createMessageReaders';
 import FULL_MESH_MAX_INSTANCES from './fullMeshMaxInstances';
 import heartbeatRecipients from './heartbeatRecipients';
 import type RecordSpan from './RecordSpan';
@@ -23,10 +25,6 @@
 import fitRows from './fitRows';
 import heartbeatLease from './heartbeatLease';
 import leaseClaimants from './leaseClaimants';
-import readDemandReport from './readDemandReport';
-import readHeartbeat from './readHeartbeat';
-import readRelayedTargets from './readRelayedTargets';
-import readTargetRows from './readTargetRows';
 import recordSpanCodec from './recordSpanCodec';
 
 interface Options {
@@ -84,6 +82,8 @@
 
   private readonly contact: HolderContact;
 
+  private readonly readers: ReturnType<typeof createMessageReaders>;
+
   private heartbeatNumber = 0;
 
   /** Name of the last lease holder that sent a heartbeat, and the number of that heartbeat. */
@@ -94,6 +94,9 @@
     private readonly parts: Parts,
   ) {
     this.contact = new HolderContact(parts.clock, options.failureDomain);
+    this.readers = createMessageReaders(parts.handlers, (heartbeat) =>
+      this.receiveHeartbeat(heartbeat),
+    );
   }
 
   /** Opens the socket and starts to send heartbeats; rejects, and may be called again, if the port cannot be bound. */
@@ -250,6 +253,11 @@
     if (bytes.length <= MAX_TARGETS_BYTES) this.broadcastBytes(bytes);
   }
 
+  /** Sends a forecast of loads to `host`. */
+  sendForecast(forecast: LoadForecast, host: string): void {
+    this.send(host, PeerMessageKind.Forecast, forecast);
+  }
+
   /** Sends placement updates to `host`, or to all peers, in as many datagrams as needed. */
   sendPlacement(updates: readonly PlacementUpdate[], host?: string): void {
     batchPlacements(updates, MAX_DATAGRAM_BYTES).forEach((batch) => {
@@ -325,26 +333,13 @@
   private receive(bytes: Uint8Array): void {
     try {
       const [version, kind, payload] = decode(bytes) as [number, PeerMessageKind, never];
-      if (version === PROTOCOL_VERSION) this.dispatch(kind, payload);
+      // Kinds of later builds are ignored.
+      if (version === PROTOCOL_VERSION) this.readers[kind]?.(payload);
     } catch (error) {
       this.parts.log.event('peer_datagram_unreadable', { error: (error as Error).message });
     }
   }
 
-  private dispatch(kind: PeerMessageKind, payload: never): void {
-    const { handlers } = this.parts;
-    const table: Record<PeerMessageKind, () => void> = {
-      [PeerMessageKind.Heartbeat]: () => this.receiveHeartbeat(readHeartbeat(payload)),
-      [PeerMessageKind.Demand]: () => handlers.demand(readDemandReport(payload)),
-      [PeerMessageKind.Placement]: () => handlers.placement(payload as PlacementUpdate[]),
-      [PeerMessageKind.Targets]: () => handlers.targets(...readRelayedTargets(payload)),
-      [PeerMessageKind.Suspects]: () => handlers.suspects(payload),
-      [PeerMessageKind.TargetDigest]: () => handlers.targetDigest(readTargetRows(payload)),
-      [PeerMessageKind.LeavingTargets]: () => handlers.leavingTargets(payload),
-    };
-    table[kind]?.();
-  }
-
   private receiveHeartbeat(heartbeat: Heartbeat): void {
     const { member } = heartbeat;
     const known = this.peers.get(member.name);
--- a/packages/fleet/src/PlacerParts.ts
+++ b/packages/fleet/src/PlacerParts.ts
@@ -6,6 +6,7 @@
 import type EngineScaler from './EngineScaler';
 import type EngineControl from './EngineControl';
 import type EventLog from './EventLog';
+import type LoadForecast from './LoadForecast';
 import type PlacementUpdate from './PlacementUpdate';
 import type TargetTable from './TargetTable';
 
@@ -26,6 +27,8 @@
   readonly sendDigest?: (rows: readonly DigestRow[]) => void;
   /** Orders the numbers of engines; absent where the settings do not call for it. */
   readonly scaler?: Pick<EngineScaler, 'run' | 'stop'> | undefined;
+  /** Sends a forecast to an instance; only for deferring pools. */
+  readonly publishForecast: (forecast: LoadForecast, instance: string) => void;
 }
 
 export default PlacerParts;
--- a/packages/fleet/test/peers.test.ts
+++ b/packages/fleet/test/peers.test.ts
@@ -89,6 +89,7 @@
         heartbeat: () => {},
         demand: () => {},
         placement: () => {},
+        forecast: () => {},
         targets: () => {},
         suspects: () => {},
         leavingTargets: () => {},
