--- a/packages/edge/test/targetFinder.test.ts
+++ b/packages/edge/test/targetFinder.test.ts
@@ -180,7 +180,7 @@
       metrics,
       dispatcher: new RequestDispatcher({ clock, log, metrics, table }),
       sendCutoffAtMs: () => Infinity,
-      loads: new TargetLoads(clock, table),
+      loads: createTargetLoads(clock, table),
       coldTargetLimiter: { tryTake: () => true },
       connectionLimit: (maxConnections: number) => maxConnections,
       failureDomain: 'a',
--- a/packages/fleet/src/Placer.ts
+++ b/packages/fleet/src/Placer.ts
@@ -135,9 +135,7 @@
 
   private get pools(): readonly (readonly [string, EngineSpec])[] {
     const pools = [...(this.parts.desired()?.pools.values() ?? [])];
-    return pools.flatMap((pool) =>
-      pool.engine === null ? [] : [[pool.name, pool.engine] as const],
-    );
+    return pools.flatMap(({ name, engine }) => (engine === null ? [] : [[name, engine] as const]));
   }
 
   private planPool(pool: string, engine: EngineSpec): void {
--- a/packages/fleet/test/engineSpeeds.test.ts
+++ b/packages/fleet/test/engineSpeeds.test.ts
@@ -172,6 +172,7 @@
           report: (target) => engines.get(target.id)!.report(),
           runs: () => Promise.resolve({ contact: EngineContact.Answered, unlisted: 0 }),
         },
+        publishForecast: () => {},
         table,
         demand,
         log: { event: () => {} },
