Busy models on engines that break the gap target get a replica from the weight store

Change: while the weight store is free and nothing that waits needs it, such a model is loaded from it on an engine that keeps the gap target, from one request a second on.

--- a/packages/edge/src/RequestDispatcher.ts
+++ b/packages/edge/src/RequestDispatcher.ts
@@ -36,6 +36,8 @@
  * cold targets. One for all requests, as short as each had for itself before.
  */
 const RECHECK_INTERVAL_MS = 25;
+/** Shorter waits are no decision of the queue: a place was free. */
+const MIN_LOGGED_WAIT_MS = 1;
 /** Tokens that each request counts at least, also where neither it nor its workspace says how many it has. */
 const MIN_TOKENS = 1;
 
@@ -77,7 +79,7 @@
     const recordStart = (target: string) => {
       const waitedMs = clock.nowMs() - sinceMs;
       metrics.dispatched.inc({ pool: pool.name, priority: order.priority });
-      if (waitedMs === 0) return;
+      if (waitedMs < MIN_LOGGED_WAIT_MS) return;
       log.event('request_dispatched', {
         request: fields.attemptId,
         route: route.name,
--- a/packages/fleet/src/Placer.ts
+++ b/packages/fleet/src/Placer.ts
@@ -318,6 +318,7 @@
       isResponsible: (model, domains) => this.isResponsible(model, domains),
       context: () => this.contextFor(pass),
       freeElsewhere: () => this.freeEnginesElsewhere(pass),
+      hasStoreCapacity: () => this.storeLimiter.hasCapacity,
       execute: (plan) => this.execute(plan),
     });
   }
--- a/packages/fleet/src/ReplicaEngines.ts
+++ b/packages/fleet/src/ReplicaEngines.ts
@@ -17,6 +17,8 @@
   readonly context: () => ReturnType<typeof createModelContext>;
   /** Returns the engines of other placers that have no change in progress. */
   readonly freeElsewhere: () => readonly TargetView[];
+  /** Whether a load from the weight store may start without passing its rate. */
+  readonly hasStoreCapacity: () => boolean;
   readonly execute: (plan: PlannedLoad) => void;
 }
 
--- a/packages/fleet/src/replicateBusyModels.ts
+++ b/packages/fleet/src/replicateBusyModels.ts
@@ -9,8 +9,8 @@
 const MAX_BUSY_MODEL_REPLICAS = 2;
 
 /**
- * Loads a further replica of each busy model, and one of a model whose holders are too slow for the gap target of the pool. Only from
- * copies.
+ * Loads a further replica of each busy model, and one of a model whose holders are too slow for the gap target of the pool. Busy
+ * models only from copies.
  *
  * @example
  * replicateBusyModels(pass, engines);
@@ -34,7 +34,9 @@
       }
     });
   const plan = planGapReplica(pass, engines);
-  if (plan !== undefined && engines.isOwn(plan.view)) engines.execute(plan);
+  if (plan === undefined) return;
+  if (plan.fromStore) Object.assign(pass, { storeSlots: pass.storeSlots - 1 });
+  if (engines.isOwn(plan.view)) engines.execute(plan);
 };
 
 export default replicateBusyModels;
