--- a/packages/fleet/src/rankWaitingModels.ts
+++ b/packages/fleet/src/rankWaitingModels.ts
@@ -71,12 +71,12 @@
  */
 const rankedWork = (
   { priority, slackMs: knownSlackMs }: NonNullable<WaitingModel['order']>,
-  waitedMs: number,
+  { waitedMs, unservedMs }: { readonly waitedMs: number; readonly unservedMs: number },
   worth: number,
 ): RankedWork => ({
   priority,
-  slackMs: knownSlackMs >= 0 ? knownSlackMs : Math.max(0, UNSERVED_URGENT_MS - waitedMs),
-  waitedMs,
+  slackMs: knownSlackMs >= 0 ? knownSlackMs : Math.max(0, UNSERVED_URGENT_MS - unservedMs),
+  waitedMs: Math.max(waitedMs, unservedMs * UNSERVED_AGING_SHARE),
   valuePerMs: worth,
 });
 
@@ -105,8 +105,7 @@
     const worth = loadWorth({ ...merged, unservedMs: unserved, ratePerS, loadMs: load.ms });
     const { waitedMs, latencyTargetMs, leftMs } = merged;
     const order = isDeferring ? orderOf(demands, load.ms) : null;
-    const work =
-      order && rankedWork(order, Math.max(waitedMs, unserved * UNSERVED_AGING_SHARE), worth);
+    const work = order && rankedWork(order, { waitedMs, unservedMs: unserved }, worth);
     const canWait = work !== null && urgencyOf(work.slackMs) !== Urgency.Urgent;
     const { isFromStore } = load;
     const needs = { waitedMs, latencyTargetMs, leftMs };
