--- a/jest.config.js
+++ b/jest.config.js
@@ -1,5 +1,4 @@
-module.exports = {
-  testMatch: ['<rootDir>/{packages/*,platform}/test/**/*.test.ts'],
+const shared = {
   transform: {
     '^.+\\.ts$': [
       '@swc/jest',
@@ -9,3 +8,19 @@
   moduleNameMapper: { '^@wisteriapath/([^/]+)$': '<rootDir>/packages/$1/src' },
   testTimeout: 60_000,
 };
+
+module.exports = {
+  projects: [
+    {
+      ...shared,
+      testMatch: ['<rootDir>/{packages/*,platform}/test/**/*.test.ts'],
+      testPathIgnorePatterns: ['/node_modules/', '<rootDir>/platform/test/crowds/'],
+    },
+    // Crowds of clients would disturb other tests and be disturbed by them.
+    {
+      ...shared,
+      testMatch: ['<rootDir>/platform/test/crowds/*.test.ts'],
+      runner: '<rootDir>/tools/serialJestRunner.cjs',
+    },
+  ],
+};
