Set the timeout of tests for all Jest projects

Jest ignores testTimeout in the entry of a project, so tests had 5 s in place of 60 s since the entries were added: 4 tests of platform/test/edge and packages/edge/test/callOwnPort failed at 5 s. Set beside the projects, it counts again.

--- a/jest.config.js
+++ b/jest.config.js
@@ -6,10 +6,10 @@
     ],
   },
   moduleNameMapper: { '^@wisteriapath/([^/]+)$': '<rootDir>/packages/$1/src' },
-  testTimeout: 60_000,
 };
 
 module.exports = {
+  testTimeout: 60_000,
   projects: [
     {
       ...shared,
