Keep pieces of bodies, events and reports in ByteAccumulator

Request bodies, responses of targets, incomplete events, bytes that a caller has not read, reports of engines, reads of the store and of peers, and the bodies of the library's own protocol were kept as one Buffer for each chunk. CallerExchange keeps one write under way for each response and joins what follows, as Node.js keeps several Buffers and a callback for each waiting write.

--- a/packages/daemon/src/readBody.ts
+++ b/packages/daemon/src/readBody.ts
@@ -1,6 +1,6 @@
 import type { Context } from 'koa';
 import { type Either, Left, Right } from 'purify-ts';
-import rawBody from 'raw-body';
+import { ByteLimitError, readBytes } from '@wisteriapath/byte-accumulator';
 import { ErrorKind, ServeError } from '@wisteriapath/model';
 
 /**
@@ -14,9 +14,11 @@
   maxBytes: number,
 ): Promise<Either<ServeError, Buffer>> => {
   try {
-    return Right(await rawBody(context.req, { limit: maxBytes }));
+    // What is announced as too long is not read.
+    if ((context.request.length ?? 0) > maxBytes) throw new ByteLimitError(maxBytes);
+    return Right(await readBytes(context.req, maxBytes));
   } catch (error) {
-    const isTooLarge = (error as { type?: string }).type === 'entity.too.large';
+    const isTooLarge = error instanceof ByteLimitError;
     const kind = isTooLarge ? ErrorKind.BodyTooLarge : ErrorKind.BadRequest;
     const message = isTooLarge
       ? `the body is over ${maxBytes} bytes`
--- a/packages/edge/src/CallerExchange.ts
+++ b/packages/edge/src/CallerExchange.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
+import { ByteAccumulator } from '@wisteriapath/byte-accumulator';
 import { responseTo, type ServeError } from '@wisteriapath/model';
 import type Dialect from './Dialect';
 import type MemoryReservation from './MemoryReservation';
@@ -8,6 +9,17 @@
 class CallerExchange {
   private readonly disconnected = new AbortController();
 
+  /**
+   * What is to be written once the connection has taken what was written before. Node.js keeps several Buffers and a callback for
+   * each write that waits, so that events of a few bytes would take hundreds of times their size.
+   */
+  private readonly unwritten = new ByteAccumulator();
+
+  private isWriting = false;
+
+  /** Called once the caller can take more. */
+  private onDrain: (() => void) | null = null;
+
   private mediaType = '';
 
   /** Whether only the end of the connection shows the caller where the response ends. */
@@ -43,9 +55,9 @@
     return this.mediaType;
   }
 
-  /** Bytes that the caller has not taken yet. */
+  /** Memory for bytes that the caller has not taken yet. */
   get unsentBytes(): number {
-    return this.response.writableLength;
+    return this.response.writableLength + this.unwritten.heldBytes;
   }
 
   /** Sends status and headers. Without a length, the body is sent in chunks, which callers of HTTP/1.0 cannot read. */
@@ -61,15 +73,18 @@
   /** Writes a part of the body; returns false if the caller cannot take more before `onDrain` is called. */
   write(bytes: Buffer, onDrain: () => void): boolean {
     if (bytes.length === 0) return true;
-    if (this.response.write(bytes)) return true;
-    this.response.once('drain', onDrain);
+    if (this.isWriting) this.unwritten.append(bytes);
+    else this.writeOut(bytes);
+    if (this.unsentBytes < this.response.writableHighWaterMark) return true;
+    this.onDrain = onDrain;
     return false;
   }
 
   /** Completes the response with the rest of its body. */
-  end(chunks: readonly Buffer[] = []): void {
+  end(rest?: Buffer): void {
     this.response.cork();
-    chunks.forEach((chunk) => this.response.write(chunk));
+    if (this.unwritten.sizeBytes > 0) this.response.write(this.unwritten.take());
+    if (rest !== undefined && rest.length > 0) this.response.write(rest);
     this.response.end();
   }
 
@@ -108,7 +123,22 @@
     };
     this.start(status, headers);
     if (isReadOn && !this.request.complete) this.endOnceRead(body);
-    else this.end([body]);
+    else this.end(body);
+  }
+
+  private writeOut(bytes: Buffer): void {
+    this.isWriting = true;
+    this.response.write(bytes, () => this.onWritten());
+  }
+
+  private onWritten(): void {
+    this.isWriting = false;
+    if (this.response.destroyed || this.response.writableEnded) return;
+    if (this.unwritten.sizeBytes > 0) this.writeOut(this.unwritten.take());
+    if (this.unsentBytes >= this.response.writableHighWaterMark) return;
+    const { onDrain } = this;
+    this.onDrain = null;
+    onDrain?.();
   }
 
   /** Sends the whole body, and ends the exchange once the request has been read: a close before would reset the connection. */
--- a/packages/edge/src/KeptResponse.ts
+++ b/packages/edge/src/KeptResponse.ts
@@ -2,7 +2,7 @@
 interface KeptResponse {
   readonly status: number;
   readonly headers: Record<string, string | string[]>;
-  readonly body: readonly Buffer[];
+  readonly body: Buffer;
 }
 
 export default KeptResponse;
--- a/packages/edge/src/PeerCatchUp.ts
+++ b/packages/edge/src/PeerCatchUp.ts
@@ -1,4 +1,5 @@
 import { request } from 'undici';
+import { readBytes } from '@wisteriapath/byte-accumulator';
 import type { Clock } from '@wisteriapath/model';
 import {
   comparePositions,
@@ -97,7 +98,7 @@
       reset: true,
       signal: AbortSignal.timeout(READ_TIMEOUT_MS),
     });
-    const bytes = new Uint8Array(await body.arrayBuffer());
+    const bytes = await readBytes(body, MAX_RESPONSE_BYTES);
     if (statusCode !== OK) throw new Error(`the peer answered ${statusCode}`);
     return recordSpanCodec.decode(bytes);
   }
--- a/packages/edge/src/ResponseBody.ts
+++ b/packages/edge/src/ResponseBody.ts
@@ -1,3 +1,4 @@
+import { ByteAccumulator } from '@wisteriapath/byte-accumulator';
 import type AdmittedRequest from './AdmittedRequest';
 import type CallerExchange from './CallerExchange';
 import type ChosenTarget from './ChosenTarget';
@@ -27,9 +28,8 @@
 
 /** The body of the response to one attempt: what is kept of it, and what has been passed on to the caller. */
 class ResponseBody {
-  private chunks: Buffer[] = [];
-
-  private receivedBytes = 0;
+  /** What has come of a body that is not passed on as it comes. */
+  private readonly content = new ByteAccumulator();
 
   /** What the response holds here, until the caller has taken it. */
   private readonly memory: MemoryReservation;
@@ -61,11 +61,6 @@
     return this.memory.hasGivenWay;
   }
 
-  /** The whole body, if it was not passed on as it came. */
-  get kept(): { readonly chunks: readonly Buffer[]; readonly sizeBytes: number } {
-    return { chunks: this.chunks, sizeBytes: this.receivedBytes };
-  }
-
   /** Whether a stream has ended inside an event. */
   get isInsideEvent(): boolean {
     return this.context.framer?.hasPartialEvent ?? this.boundaries.isInsideEvent;
@@ -76,13 +71,21 @@
     return (this.context.framer ?? this.boundaries).hasEvent;
   }
 
+  /** Returns the whole body, if it was not passed on as it came. Its memory stays reserved until `release`. */
+  take(): Buffer {
+    return this.content.take();
+  }
+
   /** Takes a chunk; returns false if no further one should come until `resume` is called. */
   receive(chunk: Buffer, resume: () => void): boolean {
     this.lastByteAtMs = this.deps.clock.nowMs();
     if (this.context.mode() === ResponseMode.Streamed) return this.passOn(chunk, resume);
-    this.receivedBytes += chunk.length;
-    if (this.isOversized(this.receivedBytes)) this.abortOversized();
-    else if (this.memory.hold(this.receivedBytes)) this.chunks.push(chunk);
+    if (this.isOversized(this.content.sizeBytes + chunk.length)) {
+      this.abortOversized();
+      return true;
+    }
+    this.content.append(chunk);
+    if (!this.memory.hold(this.content.heldBytes)) this.content.clear();
     return true;
   }
 
@@ -111,7 +114,7 @@
     const mayContinue = caller.write(bytes, resume);
     const { unsentBytes } = caller;
     if (unsentBytes > MAX_UNSENT_BYTES) this.abortUnread();
-    this.memory.hold(unsentBytes + (framer?.partialBytes ?? 0));
+    this.memory.hold(unsentBytes + (framer?.heldBytes ?? 0));
     return mayContinue;
   }
 
@@ -142,7 +145,7 @@
     const { chosen, request, mode, abort } = this.context;
     const fields = { request: request.fields.attemptId, target: chosen.view.entry.id };
     this.deps.log.event('answer_too_long', { ...fields, mode: mode() });
-    this.chunks = [];
+    this.content.clear();
     abort();
   }
 }
--- a/packages/edge/src/TargetAttempt.ts
+++ b/packages/edge/src/TargetAttempt.ts
@@ -254,8 +254,8 @@
 
   private bufferedResponse(): KeptResponse {
     const { status, callerHeaders: headers } = this.head;
-    const { chunks: body, sizeBytes } = this.body.kept;
-    if (hasBody(this.method, status)) headers['content-length'] = String(sizeBytes);
+    const body = this.body.take();
+    if (hasBody(this.method, status)) headers['content-length'] = String(body.length);
     return { status, headers, body };
   }
 
--- a/packages/edge/src/readBody.ts
+++ b/packages/edge/src/readBody.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage } from 'node:http';
 import { type Either, Left, Right } from 'purify-ts';
+import { ByteAccumulator } from '@wisteriapath/byte-accumulator';
 import { ErrorKind, ServeError } from '@wisteriapath/model';
 import type MemoryReservation from './MemoryReservation';
 
@@ -23,10 +24,17 @@
   { limitBytes, memory, stopSignal }: Options,
 ): Promise<Either<ServeError, Buffer>> =>
   new Promise((settle) => {
-    const chunks: Buffer[] = [];
+    const content = new ByteAccumulator();
     let size = 0;
+    let isRefused = false;
+    /** Keeps nothing of the body from now on. */
+    const drop = () => {
+      isRefused = true;
+      content.clear();
+    };
     const onStop = () => {
       const message = 'this instance stopped before the end of the body';
+      drop();
       settle(Left(ServeError.notExecuted(ErrorKind.Stopping, message, 0)));
     };
     stopSignal.addEventListener('abort', onStop);
@@ -37,7 +45,7 @@
       settle(result);
     };
     const refuse = (kind: ErrorKind, message: string) => {
-      chunks.length = 0;
+      drop();
       resolve(Left(ServeError.notExecuted(kind, message)));
     };
     const refuseTooLarge = () => {
@@ -56,11 +64,20 @@
       size += chunk.length;
       if (size > limitBytes) refuseTooLarge();
       // A body that has given way is read on, so that its caller can take the answer.
-      else if (memory.hold(size)) chunks.push(chunk);
+      else if (!isRefused) {
+        content.append(chunk);
+        memory.hold(content.heldBytes);
+      }
+    });
+    request.on('end', () => {
+      if (isRefused) return;
+      const body = content.take();
+      memory.hold(body.length);
+      resolve(Right(body));
     });
-    request.on('end', () => resolve(Right(Buffer.concat(chunks))));
     const onDisconnect = () => {
       const message = 'the caller disconnected before the end of the body';
+      drop();
       resolve(Left(ServeError.notExecuted(ErrorKind.BadRequest, message)));
     };
     request.on('error', onDisconnect);
--- a/packages/log-client/src/HttpLog.ts
+++ b/packages/log-client/src/HttpLog.ts
@@ -1,5 +1,6 @@
 import { Just, type Maybe, Nothing } from 'purify-ts';
 import { request } from 'undici';
+import { readBytes } from '@wisteriapath/byte-accumulator';
 import { ConnectionUse, createTrackedAgent } from '@wisteriapath/response-ends';
 import AppendResult from './AppendResult';
 import type LogBatch from './LogBatch';
@@ -9,6 +10,8 @@
 /** Time that a read may take beyond the wait for a first record. */
 const READ_TIMEOUT_MARGIN_MS = 2_000;
 const CONNECT_TIMEOUT_MS = 1_000;
+/** Far beyond a batch of the log, whose size the log decides. */
+const MAX_BATCH_BYTES = 64 * 1_024 * 1_024;
 
 const OK = 200;
 /** Statuses with which the log refuses an append without writing it. */
@@ -73,7 +76,8 @@
         await response.body.dump();
         return Nothing;
       }
-      return Just((await response.body.json()) as LogBatch);
+      const batch = await readBytes(response.body, MAX_BATCH_BYTES);
+      return Just(JSON.parse(batch.toString()) as LogBatch);
     } catch {
       return Nothing;
     }
--- a/packages/placement/src/HttpTargetControl.ts
+++ b/packages/placement/src/HttpTargetControl.ts
@@ -1,5 +1,6 @@
 import { Just, type Maybe, Nothing } from 'purify-ts';
 import { request } from 'undici';
+import { readBytes } from '@wisteriapath/byte-accumulator';
 import { ConnectionUse, createTrackedAgent } from '@wisteriapath/response-ends';
 import type LoadReport from './LoadReport';
 import OrderResult from './OrderResult';
@@ -9,6 +10,8 @@
 const RESPONSE_TIMEOUT_MS = 2_000;
 const CONNECT_TIMEOUT_MS = 1_000;
 const HTTP_OK = 200;
+/** As for the reports of engines on the users' platform. */
+const MAX_REPORT_BYTES = 1_024 * 1_024;
 /** Status of a target that refuses an order because of a stale fencing token. */
 const HTTP_PRECONDITION_FAILED = 412;
 
@@ -29,7 +32,10 @@
     try {
       const options = { connectionUse, dispatcher: this.agent };
       const response = await request(`${url}/load`, options);
-      if (response.statusCode === HTTP_OK) return Just((await response.body.json()) as LoadReport);
+      if (response.statusCode === HTTP_OK) {
+        const report = await readBytes(response.body, MAX_REPORT_BYTES);
+        return Just(JSON.parse(report.toString()) as LoadReport);
+      }
       connectionUse.retireConnection();
       await response.body.dump();
       return Nothing;
--- a/packages/routing/src/readBounded.ts
+++ b/packages/routing/src/readBounded.ts
@@ -1,4 +1,5 @@
 import type { Readable } from 'node:stream';
+import { readBytes } from '@wisteriapath/byte-accumulator';
 
 /**
  * Reads a body to its end; rejects, and closes its connection, if it is longer than `limitBytes`.
@@ -7,15 +8,12 @@
  * const body = await readBounded(response.data.body, 8_388_608);
  */
 const readBounded = async (body: Readable, limitBytes: number): Promise<Buffer> => {
-  const chunks: Buffer[] = [];
-  let bytes = 0;
-  for await (const chunk of body as AsyncIterable<Buffer>) {
-    bytes += chunk.length;
-    // Leaving the loop destroys the body.
-    if (bytes > limitBytes) throw new Error(`the body is longer than ${limitBytes} bytes`);
-    chunks.push(chunk);
+  try {
+    return await readBytes(body, limitBytes);
+  } catch (error) {
+    body.destroy();
+    throw error;
   }
-  return Buffer.concat(chunks);
 };
 
 export default readBounded;
