Limit connections of callers and pipelined requests; put max_header_bytes in force

Cause: silent connections, half heads and unfinished bodies up to the descriptor limit kept new callers out, and pipelined requests had no limit: one read of 64 kB makes 2,000 requests of some kB each, and ten such clients ended the process by SIGABRT.

- Beyond its limit of connections (by memory and descriptors) a process closes the oldest that loses least for a new one: without a request, idle, body not arrived (503).
Requests that arrived are not lost.
- A connection with more than 64 requests at once is closed, and one with more than one while all carry too many.
- A head over max_header_bytes is refused (431); the limit was 65,536 whatever the desired state said.
- Each is counted by reason and logged, at most one line a second for each reason.

--- a/packages/edge/src/CallerListener.ts
+++ b/packages/edge/src/CallerListener.ts
@@ -3,8 +3,11 @@
 import CallerExchange from './CallerExchange';
 import type EdgeDependencies from './EdgeDependencies';
 import HttpListener from './HttpListener';
+import ClosedCallers from './ClosedCallers';
+import callerConnectionLimits from './callerConnectionLimits';
 import callerServerOptions from './callerServerOptions';
 import handleRequest from './handleRequest';
+import readDescriptorLimit from './readDescriptorLimit';
 
 /** Margin beyond the longest idle time after which callers reuse a connection. */
 const IDLE_MARGIN_MS = 2_000;
@@ -17,7 +20,14 @@
 
   private limits: CallerLimits | undefined;
 
-  constructor(private readonly deps: EdgeDependencies) {}
+  private readonly closed: ClosedCallers;
+
+  constructor(
+    private readonly deps: EdgeDependencies,
+    private readonly memoryLimitBytes: number,
+  ) {
+    this.closed = new ClosedCallers(deps.log, deps.metrics);
+  }
 
   /** Number of requests in progress. */
   get activeRequests(): number {
@@ -39,6 +49,7 @@
           deps.dialect,
           () => deps.isStopping() && this.isLastRequest(request, response),
           deps.memory.reserve(),
+          () => this.recordUnfinished(request),
         );
         this.active.add(caller);
         response.on('close', () => {
@@ -50,6 +61,10 @@
         });
       },
     );
+    listener.server.limitUse(
+      callerConnectionLimits(this.memoryLimitBytes, readDescriptorLimit()),
+      (closed) => this.closed.record(closed),
+    );
     this.listener = listener;
     this.applyLimits();
     return listener;
@@ -66,6 +81,13 @@
     this.applyLimits();
   }
 
+  /** Takes note of a caller whose connection is closed, as it did not end its body after the refusal. */
+  private recordUnfinished({ headers }: IncomingMessage): void {
+    const { dialect, log, metrics } = this.deps;
+    metrics.closedConnections.inc({ reason: 'refused_body_unfinished' });
+    log.event('refused_body_unfinished', { request: dialect.parseRequest(headers).attemptId });
+  }
+
   /** Whether a response may close its connection: the requests behind it would not be answered. */
   private isLastRequest(request: IncomingMessage, response: ServerResponse): boolean {
     return this.listener?.server.isLastRequest(request, response) ?? true;
@@ -74,6 +96,7 @@
   private applyLimits(): void {
     const { limits, listener } = this;
     if (limits === undefined || listener === undefined) return;
+    listener.server.limitHeads(Math.max(1, limits.maxHeaderBytes));
     listener.server.headersTimeout = limits.headerTimeoutMs;
     listener.server.keepAliveTimeout = limits.idleTimeoutMs + IDLE_MARGIN_MS;
   }
--- a/packages/edge/src/Edge.ts
+++ b/packages/edge/src/Edge.ts
@@ -23,7 +23,6 @@
 import EdgeMetrics from './EdgeMetrics';
 import type EdgeOptions from './EdgeOptions';
 import type EdgePorts from './EdgePorts';
-import MemoryBudget from './MemoryBudget';
 import ModelRates from './ModelRates';
 import PeerCatchUp from './PeerCatchUp';
 import PoolRetryBudgets from './PoolRetryBudgets';
@@ -37,6 +36,7 @@
 import TargetSignals from './TargetSignals';
 import WorkspaceLimits from './WorkspaceLimits';
 import candidateRank from './candidateRank';
+import createMemoryBudget from './createMemoryBudget';
 import createPeerHandlers from './createPeerHandlers';
 import createPlacer from './createPlacer';
 import createReadinessLog from './createReadinessLog';
@@ -48,8 +48,6 @@
 import stopParts from './stopParts';
 
 const HEARTBEAT_INTERVAL_MS = 200;
-/** Fraction of the process's memory for the bodies that it holds. */
-const BODY_MEMORY_FRACTION = 0.2;
 /** Silence after which a peer is assumed to spend nothing more of the shared limits. */
 const PEER_SPENDING_TIMEOUT_MS = 12_000;
 
@@ -212,14 +210,14 @@
       }),
       limits: this.limits,
       retryBudgets: new PoolRetryBudgets(options.sharedLimits, instances),
-      memory: new MemoryBudget(options.memoryLimitBytes * BODY_MEMORY_FRACTION, log),
+      memory: createMemoryBudget(options.memoryLimitBytes, log),
       suspects: this.suspects,
       probe: new TargetProbe(ports.engineControl, clock),
       connections,
       signals: this.signals,
       connectionLimit: (maxConnections) => connectionShare(maxConnections, instances()),
     };
-    this.callers = new CallerListener(this.deps);
+    this.callers = new CallerListener(this.deps, options.memoryLimitBytes);
     this.listeners = new EdgeListeners(options, {
       deps: this.deps,
       view: this.storeView,
--- a/packages/edge/src/EdgeMetrics.ts
+++ b/packages/edge/src/EdgeMetrics.ts
@@ -54,6 +54,13 @@
     registers: [this.registry],
   });
 
+  readonly closedConnections = new Counter({
+    name: 'wisteriapath_edge_closed_connections_total',
+    help: 'Connections of callers that were closed because of a limit, by reason',
+    labelNames: ['reason'],
+    registers: [this.registry],
+  });
+
   /** Registers a gauge whose value is read when the metrics are collected. */
   gauge(name: string, help: string, read: () => number): void {
     const gauge: Gauge = new Gauge({
--- /dev/null
+++ b/packages/edge/src/callerConnectionLimits.ts
@@ -0,0 +1,40 @@
+import type { ConnectionLimits } from '@wisteriapath/response-ends';
+
+/** Fraction of the process's memory for connections of callers and the heads of their requests. */
+const CONNECTION_MEMORY_FRACTION = 0.25;
+/** A connection with a head of 8 kB in many small lines takes about 60 kB of the heap. */
+const CONNECTION_BYTES = 65_536;
+/** Fraction of the process's descriptors for connections of callers; the others are for targets, peers, the store and files. */
+const CONNECTION_DESCRIPTOR_FRACTION = 0.7;
+/** Descriptors for the others at least. A process without work has about 30 open. */
+const OWN_DESCRIPTORS = 48;
+/** Clients that pipeline send a few requests ahead. One read of 64 kB can hold 2,000 short ones, each of several kB once parsed. */
+const REQUESTS_IN_CONNECTION = 64;
+/** Requests under way for each connection, on average, before none may pipeline. */
+const REQUESTS_PER_CONNECTION = 2;
+
+/**
+ * Returns what callers may use of a process. It answers the load of clients that open connections without end or pipeline requests
+ * without end; a client that sends one request on one connection does not come near.
+ *
+ * @example
+ * callerConnectionLimits(367_001_600, 20_000); // { connections: 1400, requestsInConnection: 64, requests: 2800 }
+ */
+const callerConnectionLimits = (
+  memoryLimitBytes: number,
+  descriptorLimit: number,
+): ConnectionLimits => {
+  const byMemory = (memoryLimitBytes * CONNECTION_MEMORY_FRACTION) / CONNECTION_BYTES;
+  const byDescriptors = Math.min(
+    descriptorLimit * CONNECTION_DESCRIPTOR_FRACTION,
+    descriptorLimit - OWN_DESCRIPTORS,
+  );
+  const connections = Math.max(1, Math.floor(Math.min(byMemory, byDescriptors)));
+  return {
+    connections,
+    requestsInConnection: REQUESTS_IN_CONNECTION,
+    requests: REQUESTS_PER_CONNECTION * connections,
+  };
+};
+
+export default callerConnectionLimits;
--- a/packages/response-ends/src/CallerConnection.ts
+++ b/packages/response-ends/src/CallerConnection.ts
@@ -1,8 +1,11 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
+import ConnectionState from './ConnectionState';
 
 /** Time for which a caller may take what it is sent last, and go on sending, before its connection is destroyed. */
 const LINGER_MS = 2_000;
+/** Status for a request that is given up for others before its body has arrived. */
+const SERVICE_UNAVAILABLE = 503;
 /** Bytes that are read and discarded meanwhile. */
 const LINGER_BYTES = 1_048_576;
 
@@ -27,7 +30,7 @@
   /** Bytes that had been read when the last whole request had arrived; undefined if none has. */
   private requestBytes: number | undefined;
 
-  constructor(private readonly socket: Socket) {}
+  constructor(readonly socket: Socket) {}
 
   /** Number of requests whose responses the caller has not been sent in full. */
   get underWay(): number {
@@ -65,6 +68,17 @@
     return [...this.exchanges].some(({ request }) => !request.complete);
   }
 
+  /** How far the connection has come. */
+  get state(): ConnectionState {
+    if (this.underWay === 0) {
+      return this.requestBytes === undefined ? ConnectionState.Unused : ConnectionState.Idle;
+    }
+    const [only] = this.exchanges;
+    return this.underWay === 1 && !only.request.complete
+      ? ConnectionState.Receiving
+      : ConnectionState.Answering;
+  }
+
   /** Whether nothing more is read from this connection. */
   get hasRefused(): boolean {
     return this.isEnding;
@@ -112,6 +126,19 @@
     this.end();
   }
 
+  /** Closes the connection at once, to free its descriptor. A request whose body has not arrived is refused if it can be. */
+  evict(): void {
+    const { socket } = this;
+    const [only] = this.exchanges;
+    if (this.state !== ConnectionState.Receiving || only.response.headersSent) {
+      socket.destroy();
+      return;
+    }
+    const headers = { connection: 'close', 'content-length': '0' };
+    only.response.writeHead(SERVICE_UNAVAILABLE, headers).end();
+    socket.destroySoon();
+  }
+
   /** Tells responses that their connection has closed. Node.js tells only the first one, not those that wait behind it. */
   closeResponses(): void {
     this.exchanges.forEach(({ response }) => response.emit('close'));
--- a/packages/response-ends/src/CallerServer.ts
+++ b/packages/response-ends/src/CallerServer.ts
@@ -8,8 +8,12 @@
 import type { Socket } from 'node:net';
 import { setImmediate as passTurn } from 'node:timers/promises';
 import CallerConnection from './CallerConnection';
+import CloseReason from './CloseReason';
+import type ClosedConnection from './ClosedConnection';
+import type ConnectionLimits from './ConnectionLimits';
 import HeldAnswers from './HeldAnswers';
 import type UnreadableBytes from './UnreadableBytes';
+import chooseEvicted from './chooseEvicted';
 import refusalOf from './refusalOf';
 
 /** Error code for a connection that the caller ends inside a request. */
@@ -17,6 +21,11 @@
 /** Error code of Node.js for a request that is not received in time. */
 const RECEIVE_TIMEOUT = 'ERR_HTTP_REQUEST_TIMEOUT';
 const EXPECTATION_FAILED = 417;
+const NO_LIMITS: ConnectionLimits = {
+  connections: Infinity,
+  requestsInConnection: Infinity,
+  requests: Infinity,
+};
 /** Turns of the event loop without input after which none waits: one accepts a connection, the next reads its request. */
 const QUIET_TURNS = 3;
 /** Each turn accepts one connection, so these empty a full backlog. */
@@ -34,6 +43,13 @@
 
   private readonly answers = new HeldAnswers();
 
+  private limits = NO_LIMITS;
+
+  private onClosed: ((closed: ClosedConnection) => void) | null = null;
+
+  /** Number of requests that are under way. */
+  private requestCount = 0;
+
   /** Number of connections and requests so far. */
   private arrivals = 0;
 
@@ -47,14 +63,14 @@
     this.on('request', (request, response) => {
       // Behind the last response of its connection it could not be answered, so that it must not run.
       if (this.callerConnections.get(request.socket)?.isLastBegun) return;
-      this.trackRequest(request, response);
+      if (!this.trackRequest(request, response)) return;
       this.answers.add(request, () => handle(request, response));
     });
     this.on('timeout', (socket) => {
       void this.closeIfSilent(socket);
     });
     this.on('checkExpectation', (request, response) => {
-      this.trackRequest(request, response);
+      if (!this.trackRequest(request, response)) return;
       response.writeHead(EXPECTATION_FAILED).end();
     });
     this.on('clientError', (error: NodeJS.ErrnoException, socket) => {
@@ -67,6 +83,18 @@
     return this.callerConnections.size;
   }
 
+  /** Sets what callers may use from now on; `onClosed` is told what is closed for it. */
+  limitUse(limits: ConnectionLimits, onClosed: (closed: ClosedConnection) => void): void {
+    this.limits = limits;
+    this.onClosed = onClosed;
+  }
+
+  /** Sets the size of heads above which requests on new connections are refused (431). */
+  limitHeads(bytes: number): void {
+    // Node.js reads the property of its option for each new connection; the types do not name it.
+    Object.assign(this, { maxHeaderSize: bytes });
+  }
+
   /** Whether no request has arrived on the connection of a request behind it: its response may be the connection's last. */
   isLastRequest(request: IncomingMessage, response: ServerResponse): boolean {
     return this.callerConnections.get(request.socket)?.isLast(response) ?? true;
@@ -143,11 +171,41 @@
       // After the listeners of Node.js for the same event.
       process.nextTick(() => connection.closeResponses());
     });
+    if (this.callerConnections.size > this.limits.connections) this.evictConnection();
+  }
+
+  /** Closes the connection that loses least by it. It counts until its descriptor is free. */
+  private evictConnection(): void {
+    const evicted = chooseEvicted(this.callerConnections.values());
+    if (evicted === undefined) return;
+    this.tellClosed(CloseReason.TooManyConnections, this.limits.connections);
+    this.callerConnections.delete(evicted.socket);
+    evicted.evict();
   }
 
-  private trackRequest(request: IncomingMessage, response: ServerResponse): void {
+  /** Counts a request as under way; returns false if its connection is closed, as it carries too many. */
+  private trackRequest(request: IncomingMessage, response: ServerResponse): boolean {
     this.arrivals += 1;
-    this.callerConnections.get(request.socket)?.track(request, response);
+    const connection = this.callerConnections.get(request.socket);
+    // The parser reads on to the end of the bytes that it was given, also once their connection was closed.
+    if (request.socket.destroyed || connection === undefined) return false;
+    connection.track(request, response);
+    this.requestCount += 1;
+    response.once('close', () => {
+      this.requestCount -= 1;
+    });
+    const { requestsInConnection, requests } = this.limits;
+    const isLong = connection.underWay > requestsInConnection;
+    const isOneOfTooMany = this.requestCount > requests && connection.underWay > 1;
+    if (!isLong && !isOneOfTooMany) return true;
+    if (isLong) this.tellClosed(CloseReason.TooManyPipelined, requestsInConnection);
+    else this.tellClosed(CloseReason.TooManyRequests, requests);
+    request.socket.destroy();
+    return false;
+  }
+
+  private tellClosed(reason: CloseReason, limit: number): void {
+    this.onClosed?.({ reason, connections: this.connectionCount, limit });
   }
 
   private refuse(socket: Socket, code: string): void {
--- /dev/null
+++ b/packages/response-ends/src/ConnectionState.ts
@@ -0,0 +1,13 @@
+/** How far a connection of a caller has come. */
+enum ConnectionState {
+  /** No request has arrived on it with its whole head. */
+  Unused = 'unused',
+  /** All its requests have been answered. */
+  Idle = 'idle',
+  /** Its only request has not arrived with its whole body. */
+  Receiving = 'receiving',
+  /** A request that has arrived is being answered. */
+  Answering = 'answering',
+}
+
+export default ConnectionState;
--- a/packages/response-ends/src/index.ts
+++ b/packages/response-ends/src/index.ts
@@ -1,4 +1,7 @@
 export { default as CallerServer } from './CallerServer';
+export { default as CloseReason } from './CloseReason';
+export type { default as ClosedConnection } from './ClosedConnection';
+export type { default as ConnectionLimits } from './ConnectionLimits';
 export { default as ConnectionUse } from './ConnectionUse';
 export { default as ImpossibleStatusError } from './ImpossibleStatusError';
 export { default as ResponseFraming } from './ResponseFraming';
