--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -3,6 +3,7 @@
 
 const PACKAGE_ORDER = [
   'model',
+  'byte-accumulator',
   'response-ends',
   'suspects',
   'log-client',
@@ -18,7 +19,15 @@
 ];
 
 /** Packages of the users' platform, above `model` only. */
-const EDGE_ORDER = ['model', 'response-ends', 'suspects', 'fleet', 'edge', 'platform'];
+const EDGE_ORDER = [
+  'model',
+  'byte-accumulator',
+  'response-ends',
+  'suspects',
+  'fleet',
+  'edge',
+  'platform',
+];
 
 /** Packages that may be imported by each package: only those further down. */
 const dependencyDirection = PACKAGE_ORDER.map((name, position) => ({
--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -1,5 +1,6 @@
 /** `npm run bench -- KIND`: takes one measurement and prints its figures. */
 import cac from 'cac';
+import measureBodies from './measureBodies';
 import measureClaims from './measureClaims';
 import measureColdStarts from './measureColdStarts';
 import measureControl from './measureControl';
@@ -19,6 +20,7 @@
   overhead: measureOverhead,
   fairness: measureFairness,
   zones: measureZones,
+  bodies: measureBodies,
   'cold-starts': measureColdStarts,
 };
 const EXIT_USAGE = 2;
