--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -3,6 +3,7 @@
 
 const PACKAGE_ORDER = [
   'model',
+  'byte-accumulator',
   'response-ends',
   'suspects',
   'scheduling',
@@ -21,6 +22,7 @@
 /** Packages of the users' platform, above `model` only. */
 const EDGE_ORDER = [
   'model',
+  'byte-accumulator',
   'response-ends',
   'suspects',
   'scheduling',
--- a/jest.config.js
+++ b/jest.config.js
@@ -1,5 +1,4 @@
-module.exports = {
-  testMatch: ['<rootDir>/{packages/*,platform}/test/**/*.test.ts'],
+const shared = {
   transform: {
     '^.+\\.ts$': [
       '@swc/jest',
@@ -7,5 +6,21 @@
     ],
   },
   moduleNameMapper: { '^@wisteriapath/([^/]+)$': '<rootDir>/packages/$1/src' },
+};
+
+module.exports = {
   testTimeout: 60_000,
+  projects: [
+    {
+      ...shared,
+      testMatch: ['<rootDir>/{packages/*,platform}/test/**/*.test.ts'],
+      testPathIgnorePatterns: ['/node_modules/', '<rootDir>/platform/test/crowds/'],
+    },
+    // Crowds of clients would disturb other tests and be disturbed by them.
+    {
+      ...shared,
+      testMatch: ['<rootDir>/platform/test/crowds/*.test.ts'],
+      runner: '<rootDir>/tools/serialJestRunner.cjs',
+    },
+  ],
 };
--- a/packages/edge/src/CallerExchange.ts
+++ b/packages/edge/src/CallerExchange.ts
@@ -1,13 +1,31 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
+import { ByteAccumulator } from '@wisteriapath/byte-accumulator';
 import { responseTo, type ServeError } from '@wisteriapath/model';
 import type Dialect from './Dialect';
 import type MemoryReservation from './MemoryReservation';
 import mediaTypeOf from './mediaTypeOf';
 
+/**
+ * Time for a caller to send the rest of a body that was refused, so that it can take the refusal. A body of 4 MB takes 6.4 s at
+ * 5 Mbit/s.
+ */
+const REFUSED_BODY_TIMEOUT_MS = 10_000;
+
 /** One caller's request together with its response, which is started once and ended once. */
 class CallerExchange {
   private readonly disconnected = new AbortController();
 
+  /**
+   * What is to be written once the connection has taken what was written before. Node.js keeps several Buffers and a callback for
+   * each write that waits, so that events of a few bytes would take hundreds of times their size.
+   */
+  private readonly unwritten = new ByteAccumulator();
+
+  private isWriting = false;
+
+  /** Called once the caller can take more. */
+  private onDrain: (() => void) | null = null;
+
   private mediaType = '';
 
   /** Whether only the end of the connection shows the caller where the response ends. */
@@ -21,6 +39,8 @@
     private readonly shouldCloseConnection: () => boolean,
     /** What the body of the request holds, until the exchange has ended. */
     readonly bodyMemory: MemoryReservation,
+    /** Called when the connection is closed, as the caller did not end its body in time after the refusal. */
+    private readonly onUnfinished: () => void = () => {},
   ) {
     response.on('close', () => {
       this.bodyMemory.release();
@@ -43,9 +63,9 @@
     return this.mediaType;
   }
 
-  /** Bytes that the caller has not taken yet. */
+  /** Memory for bytes that the caller has not taken yet. */
   get unsentBytes(): number {
-    return this.response.writableLength;
+    return this.response.writableLength + this.unwritten.heldBytes;
   }
 
   /** Sends status and headers. Without a length, the body is sent in chunks, which callers of HTTP/1.0 cannot read. */
@@ -61,16 +81,20 @@
   /** Writes a part of the body; returns false if the caller cannot take more before `onDrain` is called. */
   write(bytes: Buffer, onDrain: () => void): boolean {
     if (bytes.length === 0) return true;
-    if (this.response.write(bytes)) return true;
-    this.response.once('drain', onDrain);
+    if (this.isWriting) this.unwritten.append(bytes);
+    else this.writeOut(bytes);
+    if (this.unsentBytes < this.response.writableHighWaterMark) return true;
+    this.onDrain = onDrain;
     return false;
   }
 
-  /** Completes the response with the rest of its body. */
-  end(chunks: readonly Buffer[] = []): void {
+  /** Completes the response with the rest of its body, whose memory is free once it has been sent. */
+  end(rest = new ByteAccumulator()): void {
     this.response.cork();
-    chunks.forEach((chunk) => this.response.write(chunk));
+    if (this.unwritten.sizeBytes > 0) this.response.write(this.unwritten.take());
+    rest.pieces.forEach((piece) => this.response.write(piece));
     this.response.end();
+    this.onClosed(() => rest.clear());
   }
 
   /** Calls back once the caller has taken the whole response, or its connection has ended. */
@@ -108,13 +132,33 @@
     };
     this.start(status, headers);
     if (isReadOn && !this.request.complete) this.endOnceRead(body);
-    else this.end([body]);
+    else this.response.end(body);
+  }
+
+  private writeOut(bytes: Buffer): void {
+    this.isWriting = true;
+    this.response.write(bytes, () => this.onWritten());
+  }
+
+  private onWritten(): void {
+    this.isWriting = false;
+    if (this.response.destroyed || this.response.writableEnded) return;
+    if (this.unwritten.sizeBytes > 0) this.writeOut(this.unwritten.take());
+    if (this.unsentBytes >= this.response.writableHighWaterMark) return;
+    const { onDrain } = this;
+    this.onDrain = null;
+    onDrain?.();
   }
 
   /** Sends the whole body, and ends the exchange once the request has been read: a close before would reset the connection. */
   private endOnceRead(body: Buffer): void {
     this.response.write(body);
+    const timer = setTimeout(() => {
+      this.onUnfinished();
+      this.response.destroy();
+    }, REFUSED_BODY_TIMEOUT_MS);
     this.request.once('end', () => this.response.end());
+    this.response.once('close', () => clearTimeout(timer));
   }
 }
 
