--- a/packages/fleet/src/Lease.ts
+++ b/packages/fleet/src/Lease.ts
@@ -3,10 +3,13 @@
 import type EventLog from './EventLog';
 import LeaseClaim from './LeaseClaim';
 import type LeaseContent from './LeaseContent';
+import type LeaseEntry from './LeaseEntry';
+import LeaseLoss from './LeaseLoss';
 import type LeaseState from './LeaseState';
 import type LeaseStore from './LeaseStore';
 import type Moment from './Moment';
 import type StorePosition from './StorePosition';
+import type Tenure from './Tenure';
 import type WallClock from './WallClock';
 import comparePositions from './comparePositions';
 import fenceOf from './fenceOf';
@@ -34,21 +37,6 @@
   readonly rank: () => number;
 }
 
-/** The period in which this machine holds the lease. */
-interface Tenure {
-  /** Fencing token. */
-  readonly fence: number;
-  /** Where the next renewal must be appended, in the era of the store in which the lease was last seen to be held. */
-  next: StorePosition;
-  /** When an append at `next` whose outcome is not known was first sent. */
-  unknownSince: Moment | undefined;
-  /** Send time of the renewal in force, on the monotonic clock and as time of day. */
-  sentMs: number;
-  sentWallMs: number;
-  /** Time from which orders may be given. */
-  readonly ordersFromMs: number;
-}
-
 /** Time for which a renewal gives authority, counted from when it was sent. */
 const LEASE_DURATION_MS = 1_600;
 const RENEWAL_INTERVAL_MS = 600;
@@ -67,17 +55,6 @@
 const STORE_RETRY_INTERVAL_MS = 300;
 /** A greater difference between both clocks shows a suspension or a jump of the time of day. */
 const MAX_CLOCK_SKEW_MS = 250;
-/** Why a holder gives up its tenure. */
-enum LossReason {
-  /** The store has a record of another holder. */
-  Record = 'record',
-  /** A peer holds the lease by a later record. */
-  Peer = 'peer',
-  /** An engine has seen a higher fencing token. */
-  Engine = 'engine',
-  /** The store came back from an older copy after the authority of the tenure had ended. */
-  StoreReturned = 'store_returned',
-}
 /** Longest time that an order sent in the last moment of a lease takes to reach its engine. */
 const MAX_ORDER_TRANSIT_MS = 150;
 
@@ -117,6 +94,9 @@
 
   private stopped = false;
 
+  /** Waits for its turn between two renewals. */
+  private entry: LeaseEntry | undefined;
+
   constructor(
     private readonly options: Options,
     private readonly parts: Parts,
@@ -176,12 +156,12 @@
     this.observeRecord(position);
     const { tenure } = this;
     if (tenure === undefined || comparePositions(position, tenure.next) < 0) return;
-    this.lose(tenure, LossReason.Peer);
+    this.lose(tenure, LeaseLoss.Peer);
   }
 
   /** Records that an engine refused a fencing token as it has seen a higher one. The tenure of that token has ended. */
   observeFenced(fence: number): void {
-    if (this.tenure?.fence === fence) this.lose(this.tenure, LossReason.Engine);
+    if (this.tenure?.fence === fence) this.lose(this.tenure, LeaseLoss.Engine);
   }
 
   /** Notes the newest known record. One that differs in any way begins a new wait, as an earlier claim may be wrong. */
@@ -207,19 +187,75 @@
 
   private async renewOrTakeOver(): Promise<void> {
     if (this.tenure !== undefined) {
-      await this.renew(this.tenure);
+      if (this.entry === undefined || this.isRenewalDue(this.tenure)) {
+        await this.renew(this.tenure);
+      }
+      await this.endEntry(this.tenure);
       await this.sleepUntilRenewal();
       return;
     }
+    await this.endEntry(undefined);
     await this.tryTakeover();
     await this.parts.clock.sleep(POLL_INTERVAL_MS);
   }
 
+  /**
+   * Appends a further record at the next position of the tenure, between two renewals. Resolves to whether it is known to
+   * be stored, which proves that the lease was held then. It does not renew the lease: candidates watch the newest record
+   * of the lease itself, and authority counted from another one would outlast their wait. One that is not known to be
+   * stored may be stored later, so that the caller appends no other one in its place. One entry may wait at a time.
+   */
+  async appendEntry(append: LeaseEntry['append']): Promise<boolean> {
+    if (this.entry !== undefined || this.tenure === undefined || this.stopped) return false;
+    return new Promise((onEnd) => {
+      this.entry = { append, onEnd };
+    });
+  }
+
+  private async endEntry(tenure: Tenure | undefined): Promise<void> {
+    const { entry } = this;
+    if (entry === undefined) return;
+    const isStored = tenure !== undefined && (await this.storeEntry(tenure, entry));
+    this.entry = undefined;
+    entry.onEnd(isStored);
+  }
+
+  private async storeEntry(tenure: Tenure, { append }: LeaseEntry): Promise<boolean> {
+    const { next } = tenure;
+    const answer = await append(next);
+    if (this.tenure !== tenure) return false;
+    if (answer?.isAppended === true) {
+      if (answer.era !== next.era && !this.outlasts(tenure, answer.era)) return false;
+      Object.assign(tenure, { next: { era: answer.era, offset: next.offset + 1 } });
+      return true;
+    }
+    const newest = await this.parts.store.newest();
+    if (this.tenure !== tenure || newest === undefined) return false;
+    // Passes the renewal in force, so that nothing extends the authority.
+    this.applyNewest(tenure, newest, tenure);
+    const { era, record, nextOffset } = newest;
+    const isBehindRecord = (record?.offset ?? Infinity) < next.offset;
+    return this.tenure === tenure && era === next.era && nextOffset > next.offset && isBehindRecord;
+  }
+
+  /** Gives the lease up, so that another candidate takes it; this machine may take it again later. */
+  async resign(): Promise<void> {
+    const { tenure } = this;
+    this.hasLostTenure = true;
+    this.tenure = undefined;
+    await this.release(tenure);
+  }
+
   /** Releases the lease, so that a successor need not wait until it expires. */
   async stop(): Promise<void> {
     const { tenure } = this;
     this.stopped = true;
     this.tenure = undefined;
+    this.entry?.onEnd(false);
+    await this.release(tenure);
+  }
+
+  private async release(tenure: Tenure | undefined): Promise<void> {
     if (tenure === undefined) return;
     const answer = await this.parts.store.append(tenure.next, this.content(tenure, true));
     const stored = String(answer?.isAppended);
@@ -236,17 +272,21 @@
   }
 
   private async sleepUntilRenewal(): Promise<void> {
-    const { clock, wallClock } = this.parts;
+    const { clock } = this.parts;
     const { tenure } = this;
     if (tenure === undefined) return;
-    while (!this.stopped) {
+    while (!this.stopped && this.entry === undefined && !this.isRenewalDue(tenure)) {
       const monotonicMs = clock.nowMs() - tenure.sentMs;
-      const skewMs = Math.abs(wallClock() - tenure.sentWallMs - monotonicMs);
-      if (monotonicMs >= RENEWAL_INTERVAL_MS || skewMs >= MAX_CLOCK_SKEW_MS) return;
       await clock.sleep(Math.min(POLL_INTERVAL_MS, RENEWAL_INTERVAL_MS - monotonicMs));
     }
   }
 
+  private isRenewalDue({ sentMs, sentWallMs }: Tenure): boolean {
+    const monotonicMs = this.parts.clock.nowMs() - sentMs;
+    const skewMs = Math.abs(this.parts.wallClock() - sentWallMs - monotonicMs);
+    return monotonicMs >= RENEWAL_INTERVAL_MS || skewMs >= MAX_CLOCK_SKEW_MS;
+  }
+
   private async renew(tenure: Tenure): Promise<void> {
     const { clock, store, log } = this.parts;
     const sent = this.now();
@@ -291,12 +331,12 @@
       }
     }
     if (!isOwn) {
-      this.lose(tenure, LossReason.Record, record?.holder);
+      this.lose(tenure, LeaseLoss.Record, record?.holder);
       return;
     }
     // If the append was stored, authority counts from when it was sent. Otherwise the renewal
-    // before it stays in force.
-    const isStored = nextOffset > tenure.next.offset;
+    // before it stays in force, also if a further record was stored instead.
+    const isStored = record.offset >= tenure.next.offset;
     Object.assign(tenure, isStored ? { ...firstSent, next, unknownSince: undefined } : { next });
   }
 
@@ -306,7 +346,7 @@
    */
   private outlasts(tenure: Tenure, era: number): boolean {
     if (!this.isCurrent) {
-      this.lose(tenure, LossReason.StoreReturned);
+      this.lose(tenure, LeaseLoss.StoreReturned);
       return false;
     }
     const { fence } = tenure;
@@ -315,7 +355,7 @@
   }
 
   /** Ends a tenure. This machine takes the lease again only as after an unresponsive holder. */
-  private lose(tenure: Tenure, reason: LossReason, holder = ''): void {
+  private lose(tenure: Tenure, reason: LeaseLoss, holder = ''): void {
     this.parts.log.event('lease_lost', { fence: tenure.fence, holder, reason });
     this.tenure = undefined;
     this.hasLostTenure = true;
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -21,6 +21,7 @@
 export type { default as DutyAuthority } from './DutyAuthority';
 export { default as DutyKind } from './DutyKind';
 export type { default as DutyOptions } from './DutyOptions';
+export type { default as UsageMessage } from './UsageMessage';
 export type { default as UsageReport } from './UsageReport';
 export { default as EngineContact } from './EngineContact';
 export type { default as EngineControl } from './EngineControl';
