Usage reports: the lease, the messages and the instances

Heartbeats of placers say who holds the duty, what is decided and the true time.

Without the duty in the settings none of this is created, and heartbeats are as before.

--- a/packages/duties/src/UsageCounter.ts
+++ b/packages/duties/src/UsageCounter.ts
@@ -33,6 +33,14 @@
     });
   }
 
+  /** Returns the counts of all windows that are kept, the one under way included; for an instance that counts no more. */
+  get allWindows(): readonly {
+    readonly window: number;
+    readonly counts: ReadonlyMap<string, number>;
+  }[] {
+    return [...this.windows].map(([window, counts]) => ({ window, counts }));
+  }
+
   /** Returns the counts of the complete windows from `firstWindow` on that are still kept, those without requests included. */
   completeWindows(
     firstWindow: number,
--- a/packages/duties/src/UsageReporter.ts
+++ b/packages/duties/src/UsageReporter.ts
@@ -199,11 +199,17 @@
     if (!(await lease.appendEntry((at) => journal.appendDecision(at, decision)))) return false;
     Object.assign(state, { proposed: undefined, nextWindow: window + 1 });
     state.decisions.set(window, { ...decision, triedAtMs: -Infinity, isDone: false });
+    // What they counted since is lost if they died.
+    const lost = [...collector.reportedBy(window - 1)].filter(
+      (instance) => !reported.has(instance) && !live.includes(instance),
+    );
     log.event('usage_decided', {
       window,
       fence: state.fence,
       instances: reported.size,
       missing: missing.length,
+      lost: lost.length,
+      lost_names: lost.slice(0, MAX_LOGGED_INSTANCES).join(','),
       missing_names: missing.slice(0, MAX_LOGGED_INSTANCES).join(','),
       requests: Object.values(decision.counts).reduce((sum, count) => sum + count, 0),
     });
--- a/packages/edge/src/Edge.ts
+++ b/packages/edge/src/Edge.ts
@@ -4,10 +4,7 @@
   DemandAggregator,
   type DemandReport,
   type EventLog,
-  type HeartbeatContent,
-  HeartbeatKind,
   Lease,
-  packHeartbeatEnds,
   Peers,
   type Placer,
   type StoreFollower,
@@ -35,16 +32,18 @@
 import TargetLoads from './TargetLoads';
 import TargetProbe from './TargetProbe';
 import TargetSignals from './TargetSignals';
+import type UsageDuty from './UsageDuty';
 import WorkspaceLimits from './WorkspaceLimits';
 import candidateRank from './candidateRank';
+import createHeartbeatContent from './createHeartbeatContent';
 import createPeerHandlers from './createPeerHandlers';
 import createPlacer from './createPlacer';
 import createReadinessLog from './createReadinessLog';
 import connectionShare from './connectionShare';
 import createSuspects from './createSuspects';
+import createUsageDuty from './createUsageDuty';
 import readsStoreForAll from './readsStoreForAll';
 import registerInstanceGauges from './registerInstanceGauges';
-import repeatedSuspects from './repeatedSuspects';
 import stopParts from './stopParts';
 
 const HEARTBEAT_INTERVAL_MS = 200;
@@ -93,6 +92,8 @@
 
   private readonly placer: Placer;
 
+  private readonly usage: UsageDuty | undefined;
+
   private readonly deps: EdgeDependencies;
 
   private readonly callers: CallerListener;
@@ -175,6 +176,13 @@
         rank: () => this.leaseRank(),
       },
     );
+    this.usage = createUsageDuty(options, ports, {
+      clock,
+      log,
+      metrics: this.metrics,
+      peers: this.peers,
+      isPlacer: () => this.lease.isCurrent && !this.shutdown.hasBegun,
+    });
     this.placer = createPlacer({
       options,
       ports,
@@ -202,6 +210,7 @@
       waiting: this.demandReporter.waiting,
       rates: this.rates,
       loads: this.loads,
+      ...(this.usage && { recordUsage: (workspace: string) => this.usage?.record(workspace) }),
       coldTargetLimiter: new ColdTargetLimiter({
         clock,
         log,
@@ -248,6 +257,7 @@
     void this.lease.run();
     void this.placer.run();
     this.demandReporter.start();
+    this.usage?.start();
     void this.records.learn();
     this.log.event('started', { callers: callersAddress, domain: member.failureDomain });
   }
@@ -265,10 +275,12 @@
     void stopParts(this.log, {
       heartbeat: () => this.peers.sendHeartbeat(),
       lease: () => this.lease.stop(),
+      usage: () => this.usage?.release(),
     });
     await stopParts(this.log, {
       requests: () => finished,
       placer: () => this.placer.stop(),
+      usage: () => this.usage?.stop(),
       demand: () => this.demandReporter.stop(),
       store: () => this.follower?.stop(),
       peers: () => this.peers.stop(),
@@ -308,7 +320,7 @@
         clock,
         wallClock: this.ports.wallClock,
         log,
-        heartbeatContent: (kind) => this.heartbeatContent(kind),
+        heartbeatContent: (kind) => createHeartbeatContent(kind, this.heartbeatParts),
         handlers: createPeerHandlers({
           failureDomain: options.member.failureDomain,
           storeView: this.storeView,
@@ -320,27 +332,17 @@
           signals: this.signals,
           lease: () => this.lease,
           placer: () => this.placer,
+          usage: () => this.usage,
           peers: () => this.peers,
         }),
       },
     );
   }
 
-  private heartbeatContent(kind: HeartbeatKind): HeartbeatContent {
-    const usage = this.limits.usage(kind);
-    if (kind === HeartbeatKind.Own) this.limits.recordReport(usage);
-    const held = this.lease.isCurrent ? this.lease.position : undefined;
-    return {
-      member: this.options.member,
-      ...packHeartbeatEnds((topic) => this.storeView.end(topic)),
-      reachesStore: this.follower?.isReachable ?? false,
-      leavingTargets: this.table.selfDeclaredLeaving,
-      suspects: repeatedSuspects(this.suspects),
-      leaseOffset: held?.offset ?? -1,
-      leaseEra: held?.era ?? 0,
-      isStopping: this.shutdown.hasBegun,
-      usage,
-    };
+  private get heartbeatParts(): Parameters<typeof createHeartbeatContent>[1] {
+    const { limits, lease, storeView, follower, table, suspects, shutdown, usage } = this;
+    const { member } = this.options;
+    return { member, limits, lease, storeView, follower, table, suspects, shutdown, usage };
   }
 
   /** Returns the rank of this instance among the candidates for the lease of its failure domain; -1 if not ready. */
--- a/packages/edge/src/EdgeDependencies.ts
+++ b/packages/edge/src/EdgeDependencies.ts
@@ -35,6 +35,8 @@
   readonly waiting: WaitingRequests;
   readonly rates: ModelRates;
   readonly loads: TargetLoads;
+  /** Counts a request that an engine has begun to answer; absent where the deployment does not report usage. */
+  readonly recordUsage?: (workspace: string) => void;
   readonly coldTargetLimiter: ColdTargetLimiter;
   readonly limits: WorkspaceLimits;
   readonly retryBudgets: PoolRetryBudgets;
--- a/packages/edge/src/EdgePorts.ts
+++ b/packages/edge/src/EdgePorts.ts
@@ -8,6 +8,7 @@
   StoreFollower,
   WallClock,
 } from '@wisteriapath/fleet';
+import type { UsagePorts } from '@wisteriapath/duties';
 import type Dialect from './Dialect';
 
 /** The interfaces to its surroundings that the platform provides to an instance. */
@@ -16,6 +17,8 @@
   readonly engineControl: EngineControl;
   readonly leaseStore: LeaseStore;
   readonly memberStore: MemberStore;
+  /** Absent where the deployment does not report usage. */
+  readonly usage?: UsagePorts;
   /** Absent where the deployment has no duties. */
   readonly dutyApi?: DutyApi;
   readonly wallClock: WallClock;
--- a/packages/edge/src/RequestExecution.ts
+++ b/packages/edge/src/RequestExecution.ts
@@ -118,7 +118,7 @@
         mayRunAgain: () => this.authorization.isRetryable,
         keepsFailure:
           this.authorization.isRetryable && this.executions + 1 < this.request.route.attempts,
-        onBegun: () => this.probe.recordBegun(),
+        onBegun: () => this.recordBegun(attempt),
       });
       const sentAtMs = this.deps.clock.nowMs();
       this.firstSentAtMs ??= sentAtMs;
@@ -136,6 +136,14 @@
     }
   }
 
+  /** Notes that a target has begun to answer; counts the usage of an engine once for each request. */
+  private recordBegun({ statusCode }: TargetAttempt): void {
+    const { pool, workspace } = this.request;
+    const isUsage = !this.probe.hasBegun && pool.engine !== null && statusCode < CLIENT_ERROR;
+    if (isUsage && workspace !== null) this.deps.recordUsage?.(workspace.name);
+    this.probe.recordBegun();
+  }
+
   /** Whether the request must not be sent any more: too late, caller disconnected, or no longer authorized. */
   private get isOver(): boolean {
     const isLate = this.deps.clock.nowMs() > this.lastSendMs;
--- /dev/null
+++ b/packages/edge/src/createHeartbeatContent.ts
@@ -0,0 +1,57 @@
+import {
+  type HeartbeatContent,
+  HeartbeatKind,
+  type Lease,
+  type MemberRecord,
+  packHeartbeatEnds,
+  type StoreFollower,
+  type TargetTable,
+} from '@wisteriapath/fleet';
+import type { SuspectRegistry } from '@wisteriapath/suspects';
+import type Shutdown from './Shutdown';
+import type StoreView from './StoreView';
+import type UsageDuty from './UsageDuty';
+import type WorkspaceLimits from './WorkspaceLimits';
+import repeatedSuspects from './repeatedSuspects';
+
+interface Parts {
+  readonly member: MemberRecord;
+  readonly limits: WorkspaceLimits;
+  readonly lease: Lease;
+  readonly storeView: StoreView;
+  readonly follower: StoreFollower | undefined;
+  readonly table: TargetTable;
+  readonly suspects: SuspectRegistry;
+  readonly shutdown: Shutdown;
+  readonly usage: UsageDuty | undefined;
+}
+
+/**
+ * Returns what the next heartbeat of this instance says.
+ *
+ * @example
+ * createHeartbeatContent(HeartbeatKind.Own, parts);
+ */
+const createHeartbeatContent = (
+  kind: HeartbeatKind,
+  { member, limits, lease, storeView, follower, table, suspects, shutdown, usage: duty }: Parts,
+): HeartbeatContent => {
+  const usage = limits.usage(kind);
+  if (kind === HeartbeatKind.Own) limits.recordReport(usage);
+  const held = lease.isCurrent ? lease.position : undefined;
+  const usageDuty = duty?.content;
+  return {
+    member,
+    ...packHeartbeatEnds((topic) => storeView.end(topic)),
+    reachesStore: follower?.isReachable ?? false,
+    leavingTargets: table.selfDeclaredLeaving,
+    suspects: repeatedSuspects(suspects),
+    leaseOffset: held?.offset ?? -1,
+    leaseEra: held?.era ?? 0,
+    isStopping: shutdown.hasBegun,
+    ...(usageDuty && { usageDuty }),
+    usage,
+  };
+};
+
+export default createHeartbeatContent;
--- a/packages/edge/src/createPeerHandlers.ts
+++ b/packages/edge/src/createPeerHandlers.ts
@@ -13,6 +13,7 @@
 import type PeerCatchUp from './PeerCatchUp';
 import type StoreView from './StoreView';
 import type TargetSignals from './TargetSignals';
+import type UsageDuty from './UsageDuty';
 import type WorkspaceLimits from './WorkspaceLimits';
 
 interface Dependencies {
@@ -25,6 +26,8 @@
   readonly suspects: SuspectRegistry;
   readonly signals: TargetSignals;
   readonly lease: () => Lease;
+  /** Absent where the deployment does not report usage. */
+  readonly usage: () => UsageDuty | undefined;
   readonly placer: () => Placer;
   readonly peers: () => Peers;
 }
@@ -43,6 +46,7 @@
     const isSameDomain = heartbeat.member.failureDomain === deps.failureDomain;
     const claimed = isSameDomain ? heartbeatLease(heartbeat) : undefined;
     if (claimed !== undefined) lease.observeHolder(claimed);
+    deps.usage()?.observeHeartbeat(heartbeat);
     deps.catchUp.observe(heartbeat);
     // Instances of an earlier build do not say.
     deps.signals.recordFromPeer(heartbeat.leavingTargets ?? []);
@@ -60,6 +64,7 @@
   targets: (span, sender) => deps.storeView.mergeFromPeer(StoreTopic.Targets, span, sender),
   leavingTargets: (targets) => deps.signals.recordFromPeer(targets),
   placement: (updates) => updates.forEach((update) => deps.table.applyPlacement(update)),
+  usage: (message) => deps.usage()?.receive(message),
   suspects: (message) => {
     deps.suspects.merge(suspectUpdateCodec.decode(message));
   },
--- a/packages/fleet/src/Heartbeat.ts
+++ b/packages/fleet/src/Heartbeat.ts
@@ -1,6 +1,7 @@
 import type HeartbeatKind from './HeartbeatKind';
 import type MemberRecord from './MemberRecord';
 import type SuspectMessage from './SuspectMessage';
+import type UsageDutyContent from './UsageDutyContent';
 
 /** A message that each instance sends to its peers several times a second. */
 interface Heartbeat {
@@ -24,6 +25,8 @@
   readonly leaseOffset: number;
   /** Era of the store to which that offset belongs; absent from heartbeats of an earlier build. */
   readonly leaseEra?: number;
+  /** What the sender knows of the usage duty; absent if it is no candidate. Read it by `readUsageDutyContent`. */
+  readonly usageDuty?: UsageDutyContent;
   /** Whether the sender is shutting down. */
   readonly isStopping: boolean;
   /** Sequence number. Increases with each heartbeat of one incarnation. */
--- a/packages/fleet/src/PeerHandlers.ts
+++ b/packages/fleet/src/PeerHandlers.ts
@@ -3,6 +3,7 @@
 import type PlacementUpdate from './PlacementUpdate';
 import type RecordSpan from './RecordSpan';
 import type SuspectMessage from './SuspectMessage';
+import type UsageMessage from './UsageMessage';
 
 /** Handlers of the datagrams that peers send. */
 interface PeerHandlers {
@@ -15,6 +16,8 @@
   leavingTargets(targets: readonly (readonly [string, number])[]): void;
   /** Receives what a peer knows of requests that crash targets. */
   suspects(message: SuspectMessage): void;
+  /** Receives what an instance counted; absent where the deployment has no such duty. */
+  usage?(message: UsageMessage): void;
 }
 
 export default PeerHandlers;
--- a/packages/fleet/src/PeerMessageKind.ts
+++ b/packages/fleet/src/PeerMessageKind.ts
@@ -11,6 +11,8 @@
   Targets = 6,
   /** Crashes of targets, and clearances of what is suspected of them. Kind 4 had another format. */
   Suspects = 8,
+  /** Counts of requests by workspace and window, sent to the holder of the usage duty. */
+  Usage = 9,
 }
 
 export default PeerMessageKind;
--- a/packages/fleet/src/Peers.ts
+++ b/packages/fleet/src/Peers.ts
@@ -8,21 +8,23 @@
 import HolderContact from './HolderContact';
 import type MemberRecord from './MemberRecord';
 import type Moment from './Moment';
+import type Peer from './Peer';
 import type PeerHandlers from './PeerHandlers';
 import PeerMessageKind from './PeerMessageKind';
 import type DemandReport from './DemandReport';
 import type PlacementUpdate from './PlacementUpdate';
+import type UsageMessage from './UsageMessage';
 import type WallClock from './WallClock';
 import FULL_MESH_MAX_INSTANCES from './fullMeshMaxInstances';
 import heartbeatRecipients from './heartbeatRecipients';
 import type RecordSpan from './RecordSpan';
-import type StorePosition from './StorePosition';
 import type SuspectMessage from './SuspectMessage';
 import heartbeatLease from './heartbeatLease';
 import leaseClaimants from './leaseClaimants';
 import readDemandReport from './readDemandReport';
 import readHeartbeat from './readHeartbeat';
 import readRelayedTargets from './readRelayedTargets';
+import readUsageMessage from './readUsageMessage';
 import recordSpanCodec from './recordSpanCodec';
 
 interface Options {
@@ -45,25 +47,6 @@
   readonly heartbeatContent: (kind: HeartbeatKind) => HeartbeatContent;
 }
 
-interface Peer {
-  readonly member: MemberRecord;
-  /** When its last heartbeat arrived, on the monotonic clock; -Infinity if none has. */
-  lastHeartbeatMs: number;
-  /** The same as time of day. */
-  lastHeartbeatWallMs: number;
-  /** Number of its newest heartbeat. */
-  newestNumber: number;
-  isStopping: boolean;
-  /** Whether the store answered its last call. */
-  reachesStore: boolean;
-  /** Position of the lease record under which it gives orders; `undefined` if it gives none. */
-  lease: StorePosition | undefined;
-  /** Number of instances whose usage its heartbeats report. */
-  counted: number;
-  /** Number of the newest heartbeat of this instance, sent as lease holder, that the peer acknowledged. */
-  ackedNumber: number;
-}
-
 const PROTOCOL_VERSION = 1;
 /** Size up to which a datagram fits into one packet. */
 const MAX_DATAGRAM_BYTES = 1_200;
@@ -240,6 +223,10 @@
     this.send(host, PeerMessageKind.Demand, report);
   }
 
+  sendUsage(host: string, message: UsageMessage): void {
+    this.send(host, PeerMessageKind.Usage, message);
+  }
+
   sendLeavingTargets(targets: readonly (readonly [string, number])[]): void {
     this.broadcast(PeerMessageKind.LeavingTargets, targets);
   }
@@ -350,6 +337,7 @@
       [PeerMessageKind.Targets]: () => handlers.targets(...readRelayedTargets(payload)),
       [PeerMessageKind.Suspects]: () => handlers.suspects(payload),
       [PeerMessageKind.LeavingTargets]: () => handlers.leavingTargets(payload),
+      [PeerMessageKind.Usage]: () => handlers.usage?.(readUsageMessage(payload)),
     };
     table[kind]?.();
   }
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -21,6 +21,8 @@
 export type { default as DutyAuthority } from './DutyAuthority';
 export { default as DutyKind } from './DutyKind';
 export type { default as DutyOptions } from './DutyOptions';
+export { default as readUsageDutyContent } from './readUsageDutyContent';
+export type { default as UsageDutyContent } from './UsageDutyContent';
 export type { default as UsageMessage } from './UsageMessage';
 export type { default as UsageReport } from './UsageReport';
 export { default as EngineContact } from './EngineContact';
