Tests of the usage duty: real processes, entries of the lease, lost answers

Entries of a lease are tested not to prolong it, and a decision stored without an answer to keep its counts.

--- a/packages/duties/test/support/startDuty.ts
+++ b/packages/duties/test/support/startDuty.ts
@@ -31,6 +31,8 @@
   isPeerCut: boolean;
   /** Whether the duty interface does not get its calls. */
   isApiCut: boolean;
+  /** Whether it is frozen while it opens the connection of its next call to the interface. */
+  isFrozenInCall: boolean;
   /** Called when a decision was stored, before its writer learns of it. */
   onDecision: () => void;
 }
@@ -64,6 +66,7 @@
       losesAnswers: false,
       isPeerCut: false,
       isApiCut: false,
+      isFrozenInCall: false,
       onDecision: () => {},
     };
     /** Resolves when the process runs; never once it is killed. */
@@ -146,6 +149,7 @@
       lease,
       journal,
       api: api.port(async () => {
+        if (faults.isFrozenInCall) Object.assign(faults, { isFrozen: true, isFrozenInCall: false });
         await running();
         await clock.sleep(5);
         await running();
--- a/packages/duties/test/usageReporter.test.ts
+++ b/packages/duties/test/usageReporter.test.ts
@@ -203,3 +203,41 @@
   expect(duty.api.broken).toEqual([]);
   expect(duty.receivedWindows().slice(0, 6)).toEqual(range(0, 5));
 });
+
+// The interface checks no token: what a frozen holder has not written must not be written later.
+test('a holder frozen while it opens the connection of a report does not write it', async () => {
+  const duty = await started();
+  const [one] = duty.machines;
+  one.faults.isFrozenInCall = true;
+  await duty.run(15_000);
+  expect(one.faults.isFrozen).toBe(true);
+  expect(duty.api.received.at(-1)!.holder).toBe('two');
+  one.faults.isFrozen = false;
+  await duty.run(5_000);
+  expect(duty.api.broken).toEqual([]);
+});
+
+// The first append is stored, so the second one of other counts is refused, and must not be taken for the first.
+test.each([50, 150, 250, 350, 450, 550])(
+  'a decision stored without an answer keeps its counts when the store is back %i ms later',
+  async (cutMs) => {
+    const duty = await started();
+    const [one] = duty.machines;
+    let decisions = 0;
+    one.faults.onDecision = () => {
+      decisions += 1;
+      if (decisions > 1) return;
+      Object.assign(one.faults, { losesAnswers: true, isStoreCut: true });
+      duty.instances.counting = ['i-1', 'i-2', 'i-3'];
+    };
+    while (decisions === 0) await duty.run(50);
+    await duty.run(cutMs);
+    Object.assign(one.faults, { losesAnswers: false, isStoreCut: false });
+    const isSent = () => duty.receivedWindows().includes(2);
+    while (!isSent()) await duty.run(50);
+    one.faults.isKilled = true;
+    await duty.run(15_000);
+    expect(duty.api.received.filter(({ window }) => window === FIRST_WINDOW + 2)).toHaveLength(2);
+    expect(duty.api.broken).toEqual([]);
+  },
+);
