--- a/packages/duties/src/UsageReporter.ts
+++ b/packages/duties/src/UsageReporter.ts
@@ -79,21 +79,29 @@
 
   /** Reports until stopped. */
   async run(): Promise<void> {
+    // A slow interface must not delay decisions.
+    await Promise.all([
+      this.repeat('usage_decisions', () => this.step()),
+      this.repeat('usage_sends', () => this.send()),
+    ]);
+  }
+
+  private async repeat(name: string, doOnce: () => Promise<void>): Promise<void> {
     const { clock, log } = this.deps;
     const isOver = () => this.isStopped;
     const step = async () => {
-      await this.step();
+      await doOnce();
       await clock.sleep(STEP_INTERVAL_MS);
     };
-    await runLoop({ name: 'usage', clock, log, isOver, step });
+    await runLoop({ name, clock, log, isOver, step });
   }
 
   stop(): void {
     this.isStopped = true;
   }
 
-  /** Does what is due. */
-  async step(): Promise<void> {
+  /** Takes notice of the lease and the era, and decides what is due. */
+  private async step(): Promise<void> {
     const { lease, time } = this.deps;
     if (!lease.isHeld()) {
       this.state = undefined;
@@ -108,7 +116,6 @@
     const { state } = this;
     if (state === undefined || !(await this.followEra(state))) return;
     await this.decide(state);
-    await this.send(state);
   }
 
   private windowOf(timeMs: number): number {
@@ -217,7 +224,9 @@
   }
 
   /** Sends the report that was not sent for the longest time. */
-  private async send(state: TenureState): Promise<void> {
+  private async send(): Promise<void> {
+    const { state } = this;
+    if (state === undefined || this.deps.time.bounds === undefined) return;
     const { clock, lease, api, options, log, onOutcome } = this.deps;
     this.dropOutdated(state);
     if (clock.nowMs() < this.nextCallMs) return;
