--- a/packages/edge/src/Edge.ts
+++ b/packages/edge/src/Edge.ts
@@ -33,6 +33,7 @@
 import TargetLoads from './TargetLoads';
 import TargetProbe from './TargetProbe';
 import TargetSignals from './TargetSignals';
+import type UsageDuty from './UsageDuty';
 import WorkspaceLimits from './WorkspaceLimits';
 import candidateRank from './candidateRank';
 import createHeartbeatContent from './createHeartbeatContent';
@@ -42,6 +43,7 @@
 import createReadinessLog from './createReadinessLog';
 import connectionShare from './connectionShare';
 import createSuspects from './createSuspects';
+import createUsageDuty from './createUsageDuty';
 import readsStoreForAll from './readsStoreForAll';
 import registerInstanceGauges from './registerInstanceGauges';
 import retainKnownTargets from './retainKnownTargets';
@@ -91,6 +93,8 @@
 
   private readonly placer: Placer;
 
+  private readonly usage: UsageDuty | undefined;
+
   private readonly deps: EdgeDependencies;
 
   private readonly callers: CallerListener;
@@ -178,6 +182,13 @@
         rank: () => this.leaseRank(),
       },
     );
+    this.usage = createUsageDuty(options, ports, {
+      clock,
+      log,
+      metrics: this.metrics,
+      peers: this.peers,
+      isPlacer: () => this.lease.isCurrent && !this.shutdown.hasBegun,
+    });
     this.placer = createPlacer({
       options,
       ports,
@@ -206,6 +217,7 @@
       dispatcher: new RequestDispatcher(common),
       rates: this.rates,
       loads: this.loads,
+      ...(this.usage && { recordUsage: (workspace: string) => this.usage?.record(workspace) }),
       coldTargetLimiter: new ColdTargetLimiter({
         ...common,
         limits: options.sharedLimits,
@@ -232,7 +244,6 @@
 
   /** Starts to serve. The instance reports ready once its ports are open and the store has been read. */
   async start(): Promise<void> {
-    const { callersAddress, member } = this.options;
     registerInstanceGauges(this.metrics, {
       version: () => this.storeView.desired?.version ?? 0,
       targets: () => this.table.size,
@@ -246,13 +257,15 @@
     this.follower = this.ports.followStore(this.storeView, () => this.isStoreReader);
     const { listeners, storeView: view, follower } = this;
     void createReadinessLog(this.deps, { listeners, view, follower }).run();
-    await this.listeners.open();
+    await listeners.open();
     if (this.shutdown.hasBegun) return;
     void this.lease.run();
     void this.placer.run();
     this.demandReporter.start();
+    this.usage?.start();
     void this.records.learn();
-    this.log.event('started', { callers: callersAddress, domain: member.failureDomain });
+    const { callersAddress: callers, member } = this.options;
+    this.log.event('started', { callers, domain: member.failureDomain });
   }
 
   /** Finishes the requests in progress and stops within the grace period. Called again, it waits for the same stop. */
@@ -268,10 +281,12 @@
     void stopParts(this.log, {
       heartbeat: () => this.peers.sendHeartbeat(),
       lease: () => this.lease.stop(),
+      usage: () => this.usage?.release(),
     });
     await stopParts(this.log, {
       requests: () => finished,
       placer: () => this.placer.stop(),
+      usage: () => this.usage?.stop(),
       demand: () => this.demandReporter.stop(),
       store: () => this.follower?.stop(),
       peers: () => this.peers.stop(),
@@ -303,16 +318,7 @@
         clock,
         wallClock: this.ports.wallClock,
         log,
-        heartbeatContent: createHeartbeatContent({
-          member: options.member,
-          limits: this.limits,
-          storeView: this.storeView,
-          table: this.table,
-          suspects: this.suspects,
-          lease: () => this.lease,
-          reachesStore: () => this.follower?.isReachable ?? false,
-          isStopping: () => this.shutdown.hasBegun,
-        }),
+        heartbeatContent: (kind) => createHeartbeatContent(kind, this.heartbeatParts),
         handlers: createPeerHandlers({
           failureDomain: options.member.failureDomain,
           storeView: this.storeView,
@@ -325,12 +331,28 @@
           loads: this.loads,
           lease: () => this.lease,
           placer: () => this.placer,
+          usage: () => this.usage,
           peers: () => this.peers,
         }),
       },
     );
   }
 
+  private get heartbeatParts(): Parameters<typeof createHeartbeatContent>[1] {
+    const { limits, lease, storeView, follower, table, suspects, shutdown, usage } = this;
+    return {
+      member: this.options.member,
+      limits,
+      lease,
+      storeView,
+      follower,
+      table,
+      suspects,
+      shutdown,
+      usage,
+    };
+  }
+
   /** Returns the rank of this instance among the candidates for the lease of its failure domain; -1 if not ready. */
   private leaseRank(): number {
     return this.listeners.isReady ? candidateRank(this.options.member, this.peers.candidates) : -1;
--- a/packages/edge/src/createHeartbeatContent.ts
+++ b/packages/edge/src/createHeartbeatContent.ts
@@ -4,49 +4,54 @@
   type Lease,
   type MemberRecord,
   packHeartbeatEnds,
+  type StoreFollower,
   type TargetTable,
 } from '@wisteriapath/fleet';
 import type { SuspectRegistry } from '@wisteriapath/suspects';
+import type Shutdown from './Shutdown';
 import type StoreView from './StoreView';
+import type UsageDuty from './UsageDuty';
 import type WorkspaceLimits from './WorkspaceLimits';
 import repeatedSuspects from './repeatedSuspects';
 
-interface Dependencies {
+interface Parts {
   readonly member: MemberRecord;
   readonly limits: WorkspaceLimits;
+  readonly lease: Lease;
   readonly storeView: StoreView;
+  readonly follower: StoreFollower | undefined;
   readonly table: TargetTable;
   readonly suspects: SuspectRegistry;
-  readonly lease: () => Lease;
-  readonly reachesStore: () => boolean;
-  readonly isStopping: () => boolean;
+  readonly shutdown: Shutdown;
+  readonly usage: UsageDuty | undefined;
 }
 
 /**
- * Returns the function that tells what an instance says in its next heartbeat of a kind.
+ * Returns what the next heartbeat of this instance says.
  *
  * @example
- * new Peers(options, { ...parts, heartbeatContent: createHeartbeatContent(deps) });
+ * createHeartbeatContent(HeartbeatKind.Own, parts);
  */
-const createHeartbeatContent =
-  (deps: Dependencies) =>
-  (kind: HeartbeatKind): HeartbeatContent => {
-    const { limits, storeView } = deps;
-    const lease = deps.lease();
-    const usage = limits.usage(kind);
-    if (kind === HeartbeatKind.Own) limits.recordReport(usage);
-    const held = lease.isCurrent ? lease.position : undefined;
-    return {
-      member: deps.member,
-      ...packHeartbeatEnds((topic) => storeView.end(topic)),
-      reachesStore: deps.reachesStore(),
-      leavingTargets: deps.table.selfDeclaredLeaving,
-      suspects: repeatedSuspects(deps.suspects),
-      leaseOffset: held?.offset ?? -1,
-      leaseEra: held?.era ?? 0,
-      isStopping: deps.isStopping(),
-      usage,
-    };
+const createHeartbeatContent = (
+  kind: HeartbeatKind,
+  { member, limits, lease, storeView, follower, table, suspects, shutdown, usage: duty }: Parts,
+): HeartbeatContent => {
+  const usage = limits.usage(kind);
+  if (kind === HeartbeatKind.Own) limits.recordReport(usage);
+  const held = lease.isCurrent ? lease.position : undefined;
+  const usageDuty = duty?.content;
+  return {
+    member,
+    ...packHeartbeatEnds((topic) => storeView.end(topic)),
+    reachesStore: follower?.isReachable ?? false,
+    leavingTargets: table.selfDeclaredLeaving,
+    suspects: repeatedSuspects(suspects),
+    leaseOffset: held?.offset ?? -1,
+    leaseEra: held?.era ?? 0,
+    isStopping: shutdown.hasBegun,
+    ...(usageDuty && { usageDuty }),
+    usage,
   };
+};
 
 export default createHeartbeatContent;
--- a/packages/edge/src/createPeerHandlers.ts
+++ b/packages/edge/src/createPeerHandlers.ts
@@ -14,6 +14,7 @@
 import type StoreView from './StoreView';
 import type TargetLoads from './TargetLoads';
 import type TargetSignals from './TargetSignals';
+import type UsageDuty from './UsageDuty';
 import type WorkspaceLimits from './WorkspaceLimits';
 
 interface Dependencies {
@@ -27,6 +28,8 @@
   readonly signals: TargetSignals;
   readonly loads: TargetLoads;
   readonly lease: () => Lease;
+  /** Absent where the deployment does not report usage. */
+  readonly usage: () => UsageDuty | undefined;
   readonly placer: () => Placer;
   readonly peers: () => Peers;
 }
@@ -45,6 +48,7 @@
     const isSameDomain = heartbeat.member.failureDomain === deps.failureDomain;
     const claimed = isSameDomain ? heartbeatLease(heartbeat) : undefined;
     if (claimed !== undefined) lease.observeHolder(claimed);
+    deps.usage()?.observeHeartbeat(heartbeat);
     deps.catchUp.observe(heartbeat);
     // Instances of an earlier build do not say.
     deps.signals.recordFromPeer(heartbeat.leavingTargets ?? []);
@@ -63,6 +67,7 @@
   leavingTargets: (targets) => deps.signals.recordFromPeer(targets),
   forecast: (forecast) => deps.table.forecasts.record(forecast),
   placement: (updates) => updates.forEach((update) => deps.table.applyPlacement(update)),
+  usage: (message) => deps.usage()?.receive(message),
   suspects: (message) => {
     deps.suspects.merge(suspectUpdateCodec.decode(message));
   },
--- a/packages/fleet/src/PeerHandlers.ts
+++ b/packages/fleet/src/PeerHandlers.ts
@@ -5,6 +5,7 @@
 import type PlacementUpdate from './PlacementUpdate';
 import type RecordSpan from './RecordSpan';
 import type SuspectMessage from './SuspectMessage';
+import type UsageMessage from './UsageMessage';
 
 /** Handlers of the datagrams that peers send. */
 interface PeerHandlers {
@@ -20,6 +21,8 @@
   suspects(message: SuspectMessage): void;
   /** Receives what all instances together know of targets. */
   targetDigest(rows: readonly DigestRow[]): void;
+  /** Receives what an instance counted; absent where the deployment has no such duty. */
+  usage?(message: UsageMessage): void;
 }
 
 export default PeerHandlers;
--- a/packages/fleet/src/PeerMessageKind.ts
+++ b/packages/fleet/src/PeerMessageKind.ts
@@ -15,6 +15,8 @@
   Forecast = 9,
   /** Targets that deviate from what is usual, sent by a placer to its failure domain. */
   TargetDigest = 10,
+  /** Counts of requests by workspace and window, sent to the holder of the usage duty. */
+  Usage = 11,
 }
 
 export default PeerMessageKind;
--- a/packages/fleet/src/Peers.ts
+++ b/packages/fleet/src/Peers.ts
@@ -15,6 +15,7 @@
 import type DemandReport from './DemandReport';
 import type DigestRow from './DigestRow';
 import type PlacementUpdate from './PlacementUpdate';
+import type UsageMessage from './UsageMessage';
 import type WallClock from './WallClock';
 import createMessageReaders from './createMessageReaders';
 import FULL_MESH_MAX_INSTANCES from './fullMeshMaxInstances';
@@ -233,6 +234,10 @@
     this.send(host, PeerMessageKind.Demand, report);
   }
 
+  sendUsage(host: string, message: UsageMessage): void {
+    this.send(host, PeerMessageKind.Usage, message);
+  }
+
   sendLeavingTargets(targets: readonly (readonly [string, number])[]): void {
     this.broadcast(PeerMessageKind.LeavingTargets, targets);
   }
--- a/packages/fleet/src/createMessageReaders.ts
+++ b/packages/fleet/src/createMessageReaders.ts
@@ -7,6 +7,7 @@
 import readLoadForecast from './readLoadForecast';
 import readRelayedTargets from './readRelayedTargets';
 import readTargetRows from './readTargetRows';
+import readUsageMessage from './readUsageMessage';
 
 type MessageReaders = Readonly<Record<PeerMessageKind, (payload: never) => void>>;
 
@@ -27,6 +28,7 @@
   [PeerMessageKind.Targets]: (payload) => handlers.targets(...readRelayedTargets(payload)),
   [PeerMessageKind.Suspects]: (payload) => handlers.suspects(payload),
   [PeerMessageKind.TargetDigest]: (payload) => handlers.targetDigest(readTargetRows(payload)),
+  [PeerMessageKind.Usage]: (payload) => handlers.usage?.(readUsageMessage(payload)),
   [PeerMessageKind.LeavingTargets]: (payload) => handlers.leavingTargets(payload),
 });
 
