--- a/packages/edge/src/Edge.ts
+++ b/packages/edge/src/Edge.ts
@@ -111,11 +111,10 @@
       activeRequests: () => this.callers.activeRequests,
     });
     this.table = new TargetTable(clock);
+    const common = { clock, log, metrics: this.metrics, table: this.table };
     this.storeView = new StoreView({
-      clock,
-      table: this.table,
+      ...common,
       decoder: ports.decoder,
-      log,
       settlingMs: () => this.follower?.settlingMs ?? 0,
       recoveryMs: () => this.follower?.recoveryMs ?? 0,
       onDesiredState: ({ limits }) => this.callers.setLimits(limits),
@@ -143,23 +142,16 @@
       send: (report) => this.reportDemand(report),
     });
     this.limits = new WorkspaceLimits(clock, instances);
-    this.catchUp = new PeerCatchUp(options.peerPort, {
-      clock,
-      log,
-      metrics: this.metrics,
-      view: this.storeView,
-    });
+    this.catchUp = new PeerCatchUp(options.peerPort, { ...common, view: this.storeView });
     const connections = new TargetConnections();
     this.signals = new TargetSignals({
-      table: this.table,
+      ...common,
       connections,
-      log,
       announce: (targets) => this.peers.sendLeavingTargets(targets),
     });
     ({ suspects: this.suspects, records: this.records } = createSuspects({
-      clock,
+      ...common,
       ports,
-      log,
       isWriter: () => this.lease.isCurrent,
       announce: (update) => this.peers.sendSuspects(suspectUpdateCodec.encode(update)),
       self: options.member,
@@ -174,35 +166,28 @@
         handoverDelayMs: options.handoverDelayMs,
       },
       {
-        clock,
+        ...common,
         wallClock: ports.wallClock,
         store: ports.leaseStore,
-        log,
         lastContact: () => this.peers.lastContact,
         rank: () => this.leaseRank(),
       },
     );
     this.usage = createUsageDuty(options, ports, {
-      clock,
-      log,
-      metrics: this.metrics,
+      ...common,
       peers: this.peers,
       isPlacer: () => this.lease.isCurrent && !this.shutdown.hasBegun,
     });
     this.placer = createPlacer({
+      ...common,
       options,
       ports,
-      clock,
-      log,
       lease: this.lease,
-      table: this.table,
       demand: this.demand,
-      metrics: this.metrics,
       storeView: this.storeView,
       isStoreReachable: () => this.follower?.isReachable ?? false,
       peers: this.peers,
     });
-    const common = { clock, log, metrics: this.metrics, table: this.table };
     this.deps = {
       ...common,
       dialect: ports.dialect,
