Deferring pools: no load from the weight store while a copy will do; log the order

mayLoadFromStore allows such a load in deferring pools only for models without copies, or ones asked for in vain for as long as the load takes.

load_decided and load_put_off have priority, slack_ms and rank in deferring pools, so that the log tells for whom a model waited.

--- a/packages/fleet/src/DeferredLoadLog.ts
+++ b/packages/fleet/src/DeferredLoadLog.ts
@@ -6,6 +6,7 @@
 import type TargetView from './TargetView';
 import type WaitingModel from './WaitingModel';
 import hasCopy from './hasCopy';
+import orderFields from './orderFields';
 
 interface Parts {
   readonly clock: Clock;
@@ -81,7 +82,7 @@
       copy_is_soon: context.hasCopySoon(model),
       left_to: bestPlan === undefined ? '' : bestPlan.view.entry.failureDomain,
       own_plan: ownPlan !== undefined,
-      ...(order === null ? {} : { priority: order.priority, slack_ms: Math.round(order.slackMs) }),
+      ...orderFields(order),
     });
   }
 }
--- a/packages/fleet/src/EngineRegistry.ts
+++ b/packages/fleet/src/EngineRegistry.ts
@@ -1,6 +1,7 @@
 import type { Clock } from '@wisteriapath/model';
 import type Authority from './Authority';
 import assetId from './assetId';
+import orderFields from './orderFields';
 import type EngineControl from './EngineControl';
 import EngineOrderExecutor from './EngineOrderExecutor';
 import type EventLog from './EventLog';
@@ -98,7 +99,7 @@
 
   /** Executes a planned load; resolves when it has ended, whether or not it succeeded. */
   async execute(plan: PlannedLoad): Promise<void> {
-    const { view, model, adapter, evictions, fromStore, reason } = plan;
+    const { view, model, adapter, evictions, fromStore, reason, order = null } = plan;
     const engine = this.engineOf(view);
     const asset = assetId(model, adapter);
     const leaving = evictions.map((one) => assetId(one.model, one.adapter)).join(',');
@@ -113,6 +114,7 @@
       fence: authority.fence,
       in_memory: view.entry.inMemory.size,
       on_disk: view.entry.onDisk.size,
+      ...orderFields(order),
     });
     const release = fromStore ? this.storeLimiter.acquire() : () => {};
     const busyUntilMs = clock.nowMs() + plan.expectedMs;
--- a/packages/fleet/src/Placer.ts
+++ b/packages/fleet/src/Placer.ts
@@ -17,6 +17,7 @@
 import createModelContext from './createModelContext';
 import deferringPools from './deferringPools';
 import isWorthReplicating from './isWorthReplicating';
+import mayLoadFromStore from './mayLoadFromStore';
 import planAdapter from './planAdapter';
 import planModel from './planModel';
 import planPrefetch from './planPrefetch';
@@ -161,10 +162,8 @@
       }
       this.resendPlacement(pass, model, adapter);
     });
-    if (isDeferring) {
-      const putOff = ranked.filter(({ model }) => !this.isModelLoading(pool, model));
-      this.forecaster.update(pass, putOff);
-    }
+    const putOff = ranked.filter(({ model }) => !this.isModelLoading(pool, model));
+    if (isDeferring) this.forecaster.update(pass, putOff);
     this.replicateBusyModels(pass);
     this.prefetch(pass);
   }
@@ -211,14 +210,15 @@
   private loadWaitingModel(pass: PlanningPass, waiting: WaitingModel): void {
     const { model, waitedMs, worth, order, canWait } = waiting;
     const base = this.contextFor(pass);
+    const spec = pass.engine.models.get(model)!;
     // A load from the store goes ahead of short ones if it is worth more for the time that it takes.
     const isStoreFree =
       pass.storeSlots > 0 &&
+      mayLoadFromStore(waiting, spec) &&
       this.storeLimiter.hasCapacity &&
       (base.isStoreFree || worth >= pass.bestCopyWorth);
     const evictions = canWait ? base.deferrableEvictions : base.evictions;
     const context = { ...base, isStoreFree, evictions };
-    const spec = pass.engine.models.get(model)!;
     const contextOfAll = {
       ...context,
       free: [...context.free, ...this.freeEnginesElsewhere(pass)],
@@ -227,7 +227,7 @@
     const isOwn = bestPlan !== undefined && this.filterOwn([bestPlan.view]).length > 0;
     const ownPlan = isOwn ? bestPlan : planModel(spec, context, 'waiting');
     if (ownPlan !== undefined && (isOwn || this.leftLoads.isOwnTurn(ownPlan, bestPlan))) {
-      this.executeInPass(pass, ownPlan);
+      this.executeInPass(pass, { ...ownPlan, order });
       return;
     }
     if (bestPlan === undefined) this.leftLoads.clear(model);
--- a/packages/fleet/src/PlannedLoad.ts
+++ b/packages/fleet/src/PlannedLoad.ts
@@ -1,4 +1,5 @@
 import type TargetView from './TargetView';
+import type WaitingModel from './WaitingModel';
 
 /** A plan to load a model or adapter on an engine, with the evictions that it needs. */
 interface PlannedLoad {
@@ -14,6 +15,8 @@
   readonly fromStore: boolean;
   /** Reason for the load, for the log. */
   readonly reason: string;
+  /** How urgent it is, for the log; only for a waiting model of a deferring pool. */
+  readonly order?: WaitingModel['order'];
 }
 
 export default PlannedLoad;
--- a/packages/fleet/src/WaitingModel.ts
+++ b/packages/fleet/src/WaitingModel.ts
@@ -3,6 +3,8 @@
   readonly model: string;
   /** Time that the oldest of the requests has waited. */
   readonly waitedMs: number;
+  /** Time since the model was first asked for in vain. */
+  readonly unservedMs: number;
   /** Latency target of the most urgent of the requests. */
   readonly latencyTargetMs: number;
   /** Time until the last of the requests can no longer be served. */
@@ -11,8 +13,13 @@
   readonly worth: number;
   /** Whether nothing is lost soon if its load is postponed; false in pools that are not deferring. */
   readonly canWait: boolean;
-  /** Priority and slack of its most urgent requests; `null` in pools that are not deferring. */
-  readonly order: { readonly priority: number; readonly slackMs: number } | null;
+  /** Priority and slack of its most urgent requests, and its place among the waiting models; `null` in pools that are not deferring. */
+  readonly order: {
+    readonly priority: number;
+    readonly slackMs: number;
+    /** 0 for the first. */
+    readonly rank: number;
+  } | null;
   /** Whether no engine has a copy of it. */
   readonly isFromStore: boolean;
 }
--- a/packages/fleet/src/rankWaitingModels.ts
+++ b/packages/fleet/src/rankWaitingModels.ts
@@ -51,8 +51,11 @@
   leftMs: Math.max(...demands.map(({ leftMs }) => leftMs ?? Infinity)),
 });
 
+/** How urgent the most urgent requests for a model are. */
+type Order = Required<Pick<Demand, 'priority' | 'slackMs'>>;
+
 /** Returns how urgent the most urgent requests for a model are. */
-const orderOf = (demands: readonly Demand[], loadMs: number): WaitingModel['order'] => {
+const orderOf = (demands: readonly Demand[], loadMs: number): Order => {
   const orders = demands.map((demand) => {
     if (hasOrder(demand)) return demand;
     const { waiting: count, leftMs = Infinity } = demand;
@@ -70,7 +73,7 @@
  * vain for long, as callers that come back leave again before they have waited for long.
  */
 const rankedWork = (
-  { priority, slackMs: knownSlackMs }: NonNullable<WaitingModel['order']>,
+  { priority, slackMs: knownSlackMs }: Order,
   { waitedMs, unservedMs }: { readonly waitedMs: number; readonly unservedMs: number },
   worth: number,
 ): RankedWork => ({
@@ -108,7 +111,7 @@
     const work = order && rankedWork(order, { waitedMs, unservedMs: unserved }, worth);
     const canWait = work !== null && urgencyOf(work.slackMs) !== Urgency.Urgent;
     const { isFromStore } = load;
-    const needs = { waitedMs, latencyTargetMs, leftMs };
+    const needs = { waitedMs, unservedMs: unserved, latencyTargetMs, leftMs };
     return { model, ...needs, worth, isFromStore, order, canWait, work };
   });
   ranked.sort(
@@ -117,7 +120,10 @@
       other.worth - one.worth ||
       (one.model < other.model ? -1 : 1),
   );
-  return ranked.map(({ work, ...waitingModel }) => waitingModel);
+  return ranked.map(({ work, order, ...waitingModel }, rank) => ({
+    ...waitingModel,
+    order: order && { ...order, rank },
+  }));
 };
 
 export default rankWaitingModels;
--- a/packages/fleet/test/loadForecasts.test.ts
+++ b/packages/fleet/test/loadForecasts.test.ts
@@ -24,11 +24,12 @@
 const waiting = (model: string, more: Partial<WaitingModel> = {}): WaitingModel => ({
   model,
   waitedMs: 0,
+  unservedMs: 0,
   latencyTargetMs: 500,
   leftMs: 17_000,
   worth: 1,
   canWait: false,
-  order: { priority: 0, slackMs: 1_400 },
+  order: { priority: 0, slackMs: 1_400, rank: 0 },
   isFromStore: false,
   ...more,
 });
@@ -55,7 +56,7 @@
   });
 
   test('counts no load whose callers have left before it could start', () => {
-    const short = { order: { priority: 0, slackMs: 500 } };
+    const short = { order: { priority: 0, slackMs: 500, rank: 0 } };
     const ranked = [waiting('m0'), waiting('m1', short), waiting('m2')];
     expect(forecast(ranked)).toEqual([LOAD_MS, 2 * LOAD_MS, 2 * LOAD_MS]);
   });
@@ -93,7 +94,7 @@
 
   test('name the models whose requests would be served too late, to the instances that wait', () => {
     const { sent, update } = start();
-    const late = { order: { priority: 0, slackMs: 100 } };
+    const late = { order: { priority: 0, slackMs: 100, rank: 0 } };
     update([waiting('m0'), waiting('m1', late)], 'one');
     expect(sent).toEqual([[{ placer: 'a', pool: 'guides', models: [['m1', 2 * LOAD_MS]] }, 'one']]);
   });
