--- a/packages/fleet/src/LoadForecaster.ts
+++ b/packages/fleet/src/LoadForecaster.ts
@@ -53,13 +53,18 @@
     private readonly engines: Pick<EngineRegistry, 'get'>,
   ) {}
 
-  /** Sends a forecast if one is due. `ranked` are the waiting models that are not being loaded, in order. */
-  update({ pool, engine, demand }: Pass, ranked: readonly WaitingModel[]): void {
+  /** Sends a forecast if one is due. `waiting` are the waiting models, in order. */
+  update(
+    { pool, engine, demand }: Pass,
+    waiting: readonly WaitingModel[],
+    isLoading: (model: string) => boolean,
+  ): void {
     const { clock, log, table, publishForecast } = this.parts;
     const nowMs = clock.nowMs();
-    if (ranked.length === 0) return;
+    if (waiting.length === 0) return;
     if (nowMs - (this.lastMs.get(pool) ?? -Infinity) < FORECAST_INTERVAL_MS) return;
     this.lastMs.set(pool, nowMs);
+    const ranked = waiting.filter(({ model }) => !isLoading(model));
     const slacksMs = new Map(ranked.map(({ model, order }) => [model, order?.slackMs ?? Infinity]));
     const late = forecastLoads({
       nowMs,
--- a/packages/fleet/src/Placer.ts
+++ b/packages/fleet/src/Placer.ts
@@ -149,8 +149,9 @@
       taken: new Set(),
     };
     this.leftLoads.retain(new Set(ranked.map(({ model }) => model)));
+    const isLoading = (model: string) => this.isModelLoading(pool, model);
     ranked.forEach((waiting) => {
-      if (this.isModelLoading(pool, waiting.model)) {
+      if (isLoading(waiting.model)) {
         aggregator.recordLoad(pool, waiting.model);
         this.leftLoads.clear(waiting.model);
       } else this.loadWaitingModel(pass, waiting);
@@ -162,8 +163,7 @@
       }
       this.resendPlacement(pass, model, adapter);
     });
-    const putOff = ranked.filter(({ model }) => !this.isModelLoading(pool, model));
-    if (isDeferring) this.forecaster.update(pass, putOff);
+    if (isDeferring) this.forecaster.update(pass, ranked, isLoading);
     this.replicateBusyModels(pass);
     this.prefetch(pass);
   }
--- a/packages/fleet/test/loadForecasts.test.ts
+++ b/packages/fleet/test/loadForecasts.test.ts
@@ -87,15 +87,20 @@
         waitingInstances: new Map(MODELS.map((model) => [model, instances])),
       }) as unknown as DemandSnapshot;
     const engine = builders.engineSpec(...MODELS);
+    const isLoading = (model: string) => model === 'loading';
     const update = (ranked: readonly WaitingModel[], ...instances: readonly string[]) =>
-      forecaster.update({ pool: 'guides', engine, demand: demandFrom(...instances) }, ranked);
+      forecaster.update(
+        { pool: 'guides', engine, demand: demandFrom(...instances) },
+        ranked,
+        isLoading,
+      );
     return { clock, sent, update };
   };
 
   test('name the models whose requests would be served too late, to the instances that wait', () => {
     const { sent, update } = start();
     const late = { order: { priority: 0, slackMs: 100, rank: 0 } };
-    update([waiting('m0'), waiting('m1', late)], 'one');
+    update([waiting('loading', late), waiting('m0'), waiting('m1', late)], 'one');
     expect(sent).toEqual([[{ placer: 'a', pool: 'guides', models: [['m1', 2 * LOAD_MS]] }, 'one']]);
   });
 
