DispatchQueue: one pass per look instead of a sort of all requests

A look finds the first request of each need in one pass and sorts only those. Ranking a request copies its fields one by one; spreading it took most of the time.

--- a/packages/scheduling/src/DispatchQueue.ts
+++ b/packages/scheduling/src/DispatchQueue.ts
@@ -7,20 +7,36 @@
 import rankWork from './rankWork';
 import urgencyOf from './urgencyOf';
 
+/** A waiting request as it ranks during one look for places. */
 interface Entry {
   readonly request: DispatchRequest;
   readonly work: RankedWork;
+  readonly urgency: Urgency;
+  /** The aged priority of urgent work; the same for all other. */
+  readonly priority: number;
 }
 
+type Compare = (one: Entry, other: Entry) => number;
+
 /** Every so many starts, the request that has waited longest goes first, so that requests with short deadlines get a share too. */
 const OLDEST_TURN_INTERVAL = 8;
 
-/** Compares by urgency, and urgent work by priority too: within these, workspaces are served fairly. */
-const compareTiers = (one: RankedWork, other: RankedWork): number => {
-  const urgency = urgencyOf(one.slackMs);
-  const byUrgency = urgency - urgencyOf(other.slackMs);
-  if (byUrgency !== 0 || urgency !== Urgency.Urgent) return byUrgency;
-  return agedPriority(one) - agedPriority(other);
+/** Returns what stands for all requests that find no place where this one finds none. */
+const needOf = (request: DispatchRequest): string | DispatchRequest => request.need ?? request;
+
+const bySince: Compare = (one, other) => one.request.sinceMs - other.request.sinceMs;
+
+const toEntry = (request: DispatchRequest, nowMs: number): Entry => {
+  // Field by field: spreading the request took most of the time of a look.
+  const { priority, latencyTargetMs, sinceMs, leavesAtMs, workspace, tokens: workMs } = request;
+  const waitedMs = nowMs - sinceMs;
+  const leftMs = leavesAtMs - nowMs;
+  const work = rankWork(
+    { priority, latencyTargetMs, waitedMs, leftMs, workMs, workspace, count: 1 },
+    0,
+  );
+  const urgency = urgencyOf(work.slackMs);
+  return { request, work, urgency, priority: urgency === Urgency.Urgent ? agedPriority(work) : 0 };
 };
 
 /**
@@ -50,10 +66,10 @@
   /** Starts all requests for which there is a place, in order, and returns them. */
   dispatch(nowMs: number): readonly DispatchRequest[] {
     const started: DispatchRequest[] = [];
-    const tried = new Set<DispatchRequest>();
-    const unavailable = new Set<string>();
+    const entries = new Set([...this.requests].map((request) => toEntry(request, nowMs)));
+    const unavailable = new Set<string | DispatchRequest>();
     for (;;) {
-      const next = this.startNext(nowMs, tried, unavailable);
+      const next = this.startNext(entries, unavailable);
       if (next === undefined) return started;
       started.push(next);
     }
@@ -61,58 +77,60 @@
 
   /** Starts the first request in order for which there is a place; undefined if there is none. */
   private startNext(
-    nowMs: number,
-    tried: Set<DispatchRequest>,
-    unavailable: Set<string>,
+    entries: Set<Entry>,
+    unavailable: Set<string | DispatchRequest>,
   ): DispatchRequest | undefined {
-    const isOpen = (request: DispatchRequest) =>
-      !tried.has(request) && !(request.need !== null && unavailable.has(request.need));
-    for (const request of this.inOrder(nowMs, isOpen)) {
-      if (isOpen(request) && !request.isOver()) {
-        if (request.tryStart()) {
-          this.startCount += 1;
-          this.fairness.charge(request.workspace, request.tokens);
-          this.remove(request);
-          return request;
-        }
-        if (request.need !== null) unavailable.add(request.need);
+    const isOldestTurn = (this.startCount + 1) % OLDEST_TURN_INTERVAL === 0;
+    const compare: Compare = isOldestTurn ? bySince : (one, other) => this.compare(one, other);
+    let heads = DispatchQueue.heads(entries, unavailable, compare);
+    while (heads.length > 0) {
+      const [head] = heads;
+      const { request } = head;
+      if (request.isOver()) {
+        entries.delete(head);
+        heads = DispatchQueue.heads(entries, unavailable, compare);
+      } else if (request.tryStart()) {
+        entries.delete(head);
+        this.startCount += 1;
+        this.fairness.charge(request.workspace, request.tokens);
+        this.remove(request);
+        return request;
+      } else {
+        unavailable.add(needOf(request));
+        heads.shift();
       }
-      tried.add(request);
     }
     return undefined;
   }
 
-  private inOrder(
-    nowMs: number,
-    isOpen: (request: DispatchRequest) => boolean,
-  ): readonly DispatchRequest[] {
-    const open = [...this.requests].filter(isOpen);
-    if (open.length < 2) return open;
-    if ((this.startCount + 1) % OLDEST_TURN_INTERVAL === 0) {
-      return open.sort((one, other) => one.sinceMs - other.sinceMs);
-    }
-    const entries = open.map((request) => ({ request, work: DispatchQueue.rank(request, nowMs) }));
-    entries.sort((one, other) => this.compare(one, other));
-    return entries.map(({ request }) => request);
+  /** Returns the first request of each need, in order. Finding them takes one pass, so that not all have to be sorted. */
+  private static heads(
+    entries: ReadonlySet<Entry>,
+    unavailable: ReadonlySet<string | DispatchRequest>,
+    compare: Compare,
+  ): Entry[] {
+    const heads = new Map<string | DispatchRequest, Entry>();
+    entries.forEach((entry) => {
+      const need = needOf(entry.request);
+      if (unavailable.has(need)) return;
+      const head = heads.get(need);
+      if (head === undefined || compare(entry, head) < 0) heads.set(need, entry);
+    });
+    return [...heads.values()].sort(compare);
   }
 
   private compare(one: Entry, other: Entry): number {
     const { fairness } = this;
     return (
-      compareTiers(one.work, other.work) ||
+      one.urgency - other.urgency ||
+      one.priority - other.priority ||
       fairness.virtualStart(one.request.workspace) -
         fairness.virtualStart(other.request.workspace) ||
       compareWaiting(one.work, other.work) ||
-      one.request.sinceMs - other.request.sinceMs
+      bySince(one, other)
     );
   }
 
-  private static rank(request: DispatchRequest, nowMs: number): RankedWork {
-    const { tokens, sinceMs, leavesAtMs } = request;
-    const times = { waitedMs: nowMs - sinceMs, leftMs: leavesAtMs - nowMs };
-    return rankWork({ ...request, ...times, workMs: tokens, count: 1 }, 0);
-  }
-
   private remove(request: DispatchRequest): void {
     if (!this.requests.delete(request)) return;
     if (this.requests.size === 0) {
