--- a/packages/fleet/src/Placer.ts
+++ b/packages/fleet/src/Placer.ts
@@ -18,6 +18,7 @@
 import createAdapterContext from './createAdapterContext';
 import createModelContext from './createModelContext';
 import deferringPools from './deferringPools';
+import mayLoadFromStore from './mayLoadFromStore';
 import planAdapter from './planAdapter';
 import planModel from './planModel';
 import planPrefetch from './planPrefetch';
@@ -156,8 +157,9 @@
       taken: new Set(),
     };
     this.leftLoads.retain(new Set(ranked.map(({ model }) => model)));
+    const isLoading = (model: string) => this.isModelLoading(pool, model);
     ranked.forEach((waiting) => {
-      if (this.isModelLoading(pool, waiting.model)) {
+      if (isLoading(waiting.model)) {
         aggregator.recordLoad(pool, waiting.model);
         this.leftLoads.clear(waiting.model);
       } else this.loadWaitingModel(pass, waiting);
@@ -169,10 +171,7 @@
       }
       this.resendPlacement(pass, model, adapter);
     });
-    if (isDeferring) {
-      const putOff = ranked.filter(({ model }) => !this.isModelLoading(pool, model));
-      this.forecaster.update(pass, putOff);
-    }
+    if (isDeferring) this.forecaster.update(pass, ranked, isLoading);
     this.replicateBusyModels(pass);
     this.prefetch(pass);
   }
@@ -219,14 +218,15 @@
   private loadWaitingModel(pass: PlanningPass, waiting: WaitingModel): void {
     const { model, waitedMs, worth, order, canWait } = waiting;
     const base = this.contextFor(pass);
+    const spec = pass.engine.models.get(model)!;
     // A load from the store goes ahead of short ones if it is worth more for the time that it takes.
     const isStoreFree =
       pass.storeSlots > 0 &&
+      mayLoadFromStore(waiting, spec) &&
       this.storeLimiter.hasCapacity &&
       (base.isStoreFree || worth >= pass.bestCopyWorth);
     const evictions = canWait ? base.deferrableEvictions : base.evictions;
     const context = { ...base, isStoreFree, evictions };
-    const spec = pass.engine.models.get(model)!;
     const contextOfAll = {
       ...context,
       free: [...context.free, ...this.freeEnginesElsewhere(pass)],
@@ -235,7 +235,7 @@
     const isOwn = bestPlan !== undefined && this.filterOwn([bestPlan.view]).length > 0;
     const ownPlan = isOwn ? bestPlan : planModel(spec, context, 'waiting');
     if (ownPlan !== undefined && (isOwn || this.leftLoads.isOwnTurn(ownPlan, bestPlan))) {
-      this.executeInPass(pass, ownPlan);
+      this.executeInPass(pass, { ...ownPlan, order });
       return;
     }
     if (bestPlan === undefined) this.leftLoads.clear(model);
