--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -3,8 +3,10 @@
 
 const PACKAGE_ORDER = [
   'model',
+  'byte-accumulator',
   'response-ends',
   'suspects',
+  'scheduling',
   'log-client',
   'config',
   'peer',
@@ -20,8 +22,10 @@
 /** Packages of the users' platform, above `model` only. */
 const EDGE_ORDER = [
   'model',
+  'byte-accumulator',
   'response-ends',
   'suspects',
+  'scheduling',
   'scaling',
   'fleet',
   'duties',
--- a/packages/edge/src/DemandReporter.ts
+++ b/packages/edge/src/DemandReporter.ts
@@ -22,6 +22,8 @@
 /** Upper bounds of both intervals, below the age up to which placers use a report. */
 const MAX_REPORT_INTERVAL_MS = 300;
 const MAX_RATES_INTERVAL_MS = 1_000;
+/** Targets in one report, of some 30 bytes each. They are reported as often as rates, however often requests begin to wait. */
+const MAX_TARGET_ROWS = 16;
 
 /** Reports to the placers which models the requests of this instance wait for and use. */
 class DemandReporter {
@@ -32,6 +34,8 @@
 
   private reportedAtMs = 0;
 
+  private targetsReportedAtMs = -Infinity;
+
   private isReportScheduled = false;
 
   private isStopped = false;
@@ -72,6 +76,7 @@
 
   private report(): void {
     const waiting = this.waiting.demands;
+    const unreachable = this.deps.loads.findUnreachable();
     const nowMs = this.deps.clock.nowMs();
     const ratesIntervalMs = Math.min(
       MAX_RATES_INTERVAL_MS,
@@ -80,8 +85,20 @@
     if (waiting.length === 0 && nowMs - this.reportedAtMs < ratesIntervalMs) return;
     this.reportedAtMs = nowMs;
     const { instance, rates, loads, send } = this.deps;
-    const { running, unreachable } = loads;
-    send({ instance, waiting, rates: rates.all, running, unreachable });
+    const { running } = loads;
+    const { deferrable: deferrableRates } = rates;
+    const areTargetsDue = nowMs - this.targetsReportedAtMs >= ratesIntervalMs;
+    const targets = areTargetsDue ? loads.pace.takeRows(MAX_TARGET_ROWS) : [];
+    if (areTargetsDue) this.targetsReportedAtMs = nowMs;
+    send({
+      instance,
+      waiting,
+      rates: rates.all,
+      ...(deferrableRates.length > 0 && { deferrableRates }),
+      running,
+      unreachable,
+      ...(targets.length > 0 && { targets }),
+    });
   }
 }
 
--- a/packages/edge/src/Edge.ts
+++ b/packages/edge/src/Edge.ts
@@ -4,10 +4,7 @@
   DemandAggregator,
   type DemandReport,
   type EventLog,
-  type HeartbeatContent,
-  HeartbeatKind,
   Lease,
-  packHeartbeatEnds,
   Peers,
   type Placer,
   type StoreFollower,
@@ -18,15 +15,16 @@
 import CallerListener from './CallerListener';
 import ColdTargetLimiter from './ColdTargetLimiter';
 import DemandReporter from './DemandReporter';
+import DomainContact from './DomainContact';
 import type EdgeDependencies from './EdgeDependencies';
 import EdgeListeners from './EdgeListeners';
 import EdgeMetrics from './EdgeMetrics';
 import type EdgeOptions from './EdgeOptions';
 import type EdgePorts from './EdgePorts';
-import MemoryBudget from './MemoryBudget';
 import ModelRates from './ModelRates';
 import PeerCatchUp from './PeerCatchUp';
 import PoolRetryBudgets from './PoolRetryBudgets';
+import RequestDispatcher from './RequestDispatcher';
 import Shutdown from './Shutdown';
 import StopGate from './StopGate';
 import StoreView from './StoreView';
@@ -37,6 +35,8 @@
 import TargetSignals from './TargetSignals';
 import WorkspaceLimits from './WorkspaceLimits';
 import candidateRank from './candidateRank';
+import createHeartbeatContent from './createHeartbeatContent';
+import createMemoryBudget from './createMemoryBudget';
 import createPeerHandlers from './createPeerHandlers';
 import createPlacer from './createPlacer';
 import createReadinessLog from './createReadinessLog';
@@ -44,13 +44,10 @@
 import createSuspects from './createSuspects';
 import readsStoreForAll from './readsStoreForAll';
 import registerInstanceGauges from './registerInstanceGauges';
-import repeatedSuspects from './repeatedSuspects';
 import retainKnownTargets from './retainKnownTargets';
 import stopParts from './stopParts';
 
 const HEARTBEAT_INTERVAL_MS = 200;
-/** Fraction of the process's memory for the bodies that it holds. */
-const BODY_MEMORY_FRACTION = 0.2;
 /** Silence after which a peer is assumed to spend nothing more of the shared limits. */
 const PEER_SPENDING_TIMEOUT_MS = 12_000;
 
@@ -118,16 +115,21 @@
       settlingMs: () => this.follower?.settlingMs ?? 0,
       recoveryMs: () => this.follower?.recoveryMs ?? 0,
       onDesiredState: ({ limits }) => this.callers.setLimits(limits),
-      onTargetsRemoved: () => retainKnownTargets(this.table, this.deps),
+      onTargetsRemoved: () => retainKnownTargets(this.table, { ...this.deps, demand: this.demand }),
       onStoreReturned: (era) => this.records.writeAgain(era),
       relayTargets: (span) => {
         if (this.isStoreReader) this.peers.sendTargets(span);
       },
     });
-    this.demand = new DemandAggregator(clock);
+    this.demand = new DemandAggregator(clock, this.table);
     const instances = () => this.peers.instanceCount(PEER_SPENDING_TIMEOUT_MS);
     this.rates = new ModelRates(clock);
-    this.loads = new TargetLoads(clock, this.table);
+    const contact = new DomainContact({
+      clock,
+      ownDomain: options.member.failureDomain,
+      isHeard: (domain, withinMs) => this.peers.hasHeard(domain, withinMs),
+    });
+    this.loads = new TargetLoads(clock, this.table, contact, log);
     this.demandReporter = new DemandReporter({
       clock,
       instance: options.member.host,
@@ -189,10 +191,9 @@
       isStoreReachable: () => this.follower?.isReachable ?? false,
       peers: this.peers,
     });
+    const common = { clock, log, metrics: this.metrics, table: this.table };
     this.deps = {
-      clock,
-      log,
-      metrics: this.metrics,
+      ...common,
       dialect: ports.dialect,
       failureDomain: options.member.failureDomain,
       desired: () => this.storeView.desired,
@@ -201,28 +202,26 @@
       sendCutoffSignal: this.shutdown.sendCutoffSignal,
       stopGate: new StopGate({ clock, log, shutdown: this.shutdown }),
       stopSignal: this.shutdown.finalSignal,
-      table: this.table,
       waiting: this.demandReporter.waiting,
+      dispatcher: new RequestDispatcher(common),
       rates: this.rates,
       loads: this.loads,
       coldTargetLimiter: new ColdTargetLimiter({
-        clock,
-        log,
-        metrics: this.metrics,
+        ...common,
         limits: options.sharedLimits,
         random: Math.random,
         instances,
       }),
       limits: this.limits,
       retryBudgets: new PoolRetryBudgets(options.sharedLimits, instances),
-      memory: new MemoryBudget(options.memoryLimitBytes * BODY_MEMORY_FRACTION, log),
+      memory: createMemoryBudget(options.memoryLimitBytes, log),
       suspects: this.suspects,
       probe: new TargetProbe(ports.engineControl, clock),
       connections,
       signals: this.signals,
       connectionLimit: (maxConnections) => connectionShare(maxConnections, instances()),
     };
-    this.callers = new CallerListener(this.deps);
+    this.callers = new CallerListener(this.deps, options.memoryLimitBytes);
     this.listeners = new EdgeListeners(options, {
       deps: this.deps,
       view: this.storeView,
@@ -242,6 +241,7 @@
       isLeaseHeld: () => this.lease.isHeld(),
       instances: () => this.peers.instanceCount(PEER_SPENDING_TIMEOUT_MS),
       quarantinedTraits: () => this.suspects.quarantinedCount,
+      slowTargets: () => this.loads.pace.slowCount,
     });
     this.follower = this.ports.followStore(this.storeView, () => this.isStoreReader);
     const { listeners, storeView: view, follower } = this;
@@ -303,7 +303,16 @@
         clock,
         wallClock: this.ports.wallClock,
         log,
-        heartbeatContent: (kind) => this.heartbeatContent(kind),
+        heartbeatContent: createHeartbeatContent({
+          member: options.member,
+          limits: this.limits,
+          storeView: this.storeView,
+          table: this.table,
+          suspects: this.suspects,
+          lease: () => this.lease,
+          reachesStore: () => this.follower?.isReachable ?? false,
+          isStopping: () => this.shutdown.hasBegun,
+        }),
         handlers: createPeerHandlers({
           failureDomain: options.member.failureDomain,
           storeView: this.storeView,
@@ -313,6 +322,7 @@
           table: this.table,
           suspects: this.suspects,
           signals: this.signals,
+          loads: this.loads,
           lease: () => this.lease,
           placer: () => this.placer,
           peers: () => this.peers,
@@ -321,23 +331,6 @@
     );
   }
 
-  private heartbeatContent(kind: HeartbeatKind): HeartbeatContent {
-    const usage = this.limits.usage(kind);
-    if (kind === HeartbeatKind.Own) this.limits.recordReport(usage);
-    const held = this.lease.isCurrent ? this.lease.position : undefined;
-    return {
-      member: this.options.member,
-      ...packHeartbeatEnds((topic) => this.storeView.end(topic)),
-      reachesStore: this.follower?.isReachable ?? false,
-      leavingTargets: this.table.selfDeclaredLeaving,
-      suspects: repeatedSuspects(this.suspects),
-      leaseOffset: held?.offset ?? -1,
-      leaseEra: held?.era ?? 0,
-      isStopping: this.shutdown.hasBegun,
-      usage,
-    };
-  }
-
   /** Returns the rank of this instance among the candidates for the lease of its failure domain; -1 if not ready. */
   private leaseRank(): number {
     return this.listeners.isReady ? candidateRank(this.options.member, this.peers.candidates) : -1;
--- a/packages/edge/src/EdgeMetrics.ts
+++ b/packages/edge/src/EdgeMetrics.ts
@@ -26,6 +26,20 @@
     registers: [this.registry],
   });
 
+  readonly dispatched = new Counter({
+    name: 'wisteriapath_edge_dispatched_total',
+    help: 'Requests of deferring pools that were given a target, by priority (0 is the highest)',
+    labelNames: ['pool', 'priority'],
+    registers: [this.registry],
+  });
+
+  readonly earlyRefusals = new Counter({
+    name: 'wisteriapath_edge_early_refusals_total',
+    help: 'Requests of deferring pools that were refused because the placers expect their model later than their callers wait',
+    labelNames: ['pool'],
+    registers: [this.registry],
+  });
+
   readonly exchanges = new Counter({
     name: 'wisteriapath_edge_exchanges_total',
     help: 'Exchanges with targets by outcome',
@@ -33,6 +47,13 @@
     registers: [this.registry],
   });
 
+  readonly gapMisses = new Counter({
+    name: 'wisteriapath_edge_gap_misses_total',
+    help: 'Streams of which a pause between two events exceeded the gap target of the route, where targets report how long work takes',
+    labelNames: ['pool'],
+    registers: [this.registry],
+  });
+
   readonly streamsMoved = new Counter({
     name: 'wisteriapath_edge_streams_moved_total',
     help: 'Streams that were moved since their target had announced its end',
@@ -68,6 +89,13 @@
     registers: [this.registry],
   });
 
+  readonly closedConnections = new Counter({
+    name: 'wisteriapath_edge_closed_connections_total',
+    help: 'Connections of callers that were closed because of a limit, by reason',
+    labelNames: ['reason'],
+    registers: [this.registry],
+  });
+
   /** Registers a gauge whose value is read when the metrics are collected. */
   gauge(name: string, help: string, read: () => number): void {
     const gauge: Gauge = new Gauge({
--- a/packages/edge/src/TargetAttempt.ts
+++ b/packages/edge/src/TargetAttempt.ts
@@ -5,6 +5,7 @@
 import type CallerExchange from './CallerExchange';
 import type ChosenTarget from './ChosenTarget';
 import type EdgeDependencies from './EdgeDependencies';
+import EventGaps from './EventGaps';
 import type EventFramer from './EventFramer';
 import ExchangeEnd from './ExchangeEnd';
 import type HeaderRecord from './HeaderRecord';
@@ -15,6 +16,7 @@
 import StallWatch from './StallWatch';
 import isTargetFailure from './isTargetFailure';
 import sendResponse from './sendResponse';
+import workUnits from './workUnits';
 
 interface Context {
   readonly chosen: ChosenTarget;
@@ -36,6 +38,7 @@
 
 /** Time beyond the deadline for which the target's own timeout response is awaited. */
 const DEADLINE_GRACE_MS = 40;
+const CLIENT_ERROR = 400;
 const SERVER_ERROR = 500;
 /** Time to wait for the end of a refusal before its connection is closed. */
 const REFUSAL_BODY_TIMEOUT_MS = 150;
@@ -50,6 +53,12 @@
 
   private abort: (() => void) | undefined;
 
+  /** Measures the time between events, where targets report how long work takes. */
+  private gaps: EventGaps | undefined;
+
+  /** Longest time between events that was expected of the target when the response began; 0 if none was. */
+  private expectedGapMs = 0;
+
   private hasTimedOut = false;
 
   private hasStalled = false;
@@ -94,13 +103,16 @@
         const { fields } = this.head;
         if (fields !== null) {
           reservation.recordResponse(fields);
+          this.startToMeasure();
           deps.signals.record(context.chosen.view.entry, fields);
         }
         return isValid;
       },
       onData: (chunk) => {
         reservation.recordData();
-        return this.body.receive(chunk, () => exchange.resume());
+        const mayContinue = this.body.receive(chunk, () => exchange.resume());
+        this.gaps?.push(chunk, mayContinue);
+        return mayContinue;
       },
     });
     this.exchange = exchange;
@@ -131,6 +143,9 @@
     const outcome = this.outcomeOf(end);
     this.body.release(outcome === AttemptOutcome.Answered, this.keptResponse !== null);
     if (outcome === AttemptOutcome.NotSent) reservation.recordConnectFailure();
+    this.gaps?.end();
+    this.recordTime(outcome);
+    this.recordGapMiss();
     reservation.complete(isTargetFailure(outcome, this.statusCode));
     deps.metrics.exchanges.inc({ pool: pool.name, end });
     return outcome;
@@ -214,6 +229,54 @@
     return isValid;
   }
 
+  private startToMeasure(): void {
+    if (this.head.mode !== ResponseMode.Streamed || !this.statesWorkTime) return;
+    const { chosen, request } = this.context;
+    const { reservation, view } = chosen;
+    const expected = this.deps.loads.pace.expect(view.entry.id, request.fields.model);
+    this.expectedGapMs = expected.slowGapMs ?? 0;
+    this.gaps = new EventGaps(this.deps.clock, (gapMs) => reservation.recordGap(gapMs));
+  }
+
+  /** Records how long the target took to begin, unless the request may have waited in its queue. */
+  private recordTime(outcome: AttemptOutcome): void {
+    const { chosen, request } = this.context;
+    const { mode, fields } = this.head;
+    if (!this.statesWorkTime || fields?.load?.waiting !== 0) return;
+    const units = workUnits(request.fields, mode === ResponseMode.Streamed);
+    const { firstEventAtMs } = this.body;
+    if (mode === ResponseMode.Streamed && firstEventAtMs !== undefined) {
+      chosen.reservation.recordFirstEvent(firstEventAtMs - this.sentAtMs, units);
+      return;
+    }
+    const isWhole = mode === ResponseMode.Buffered && outcome === AttemptOutcome.Answered;
+    if (!isWhole || this.statusCode >= CLIENT_ERROR) return;
+    chosen.reservation.recordResponseTime(this.deps.clock.nowMs() - this.sentAtMs, units);
+  }
+
+  /** Logs a stream with a pause that exceeds the gap target of its route. */
+  private recordGapMiss(): void {
+    const { deps, gaps, expectedGapMs } = this;
+    const { chosen, request } = this.context;
+    const { route, pool, fields } = request;
+    if (gaps === undefined || route.gapTargetMs <= 0 || gaps.longestMs <= route.gapTargetMs) return;
+    deps.metrics.gapMisses.inc({ pool: pool.name });
+    deps.log.event('gap_target_missed', {
+      request: fields.attemptId,
+      route: route.name,
+      model: fields.model,
+      target: chosen.view.entry.id,
+      longest_ms: Math.round(gaps.longestMs),
+      expected_ms: Math.round(expectedGapMs),
+      gap_target_ms: route.gapTargetMs,
+    });
+  }
+
+  /** Whether the response states how long work takes; where none does, nothing is measured. */
+  private get statesWorkTime(): boolean {
+    return typeof this.head.fields?.load?.workTimeFactor === 'number';
+  }
+
   private startStream(): void {
     const { caller } = this.context;
     if (caller.hasStarted) return;
@@ -268,8 +331,8 @@
 
   private bufferedResponse(): KeptResponse {
     const { status, callerHeaders: headers } = this.head;
-    const { chunks: body, sizeBytes } = this.body.kept;
-    if (hasBody(this.method, status)) headers['content-length'] = String(sizeBytes);
+    const body = this.body.kept;
+    if (hasBody(this.method, status)) headers['content-length'] = String(body.sizeBytes);
     return { status, headers, body };
   }
 
--- a/packages/edge/src/TargetLoads.ts
+++ b/packages/edge/src/TargetLoads.ts
@@ -1,5 +1,7 @@
 import { type Clock, sum } from '@wisteriapath/model';
-import type { RegisteredTarget, TargetTable } from '@wisteriapath/fleet';
+import type { EventLog, RegisteredTarget, TargetTable } from '@wisteriapath/fleet';
+import type DomainContact from './DomainContact';
+import TargetPace from './TargetPace';
 import type TargetReservation from './TargetReservation';
 
 /** The state kept for one life of a target. */
@@ -17,8 +19,10 @@
   lastByteAtMs: number;
   /** Time until which no request is sent, after a connection could not be opened. */
   unreachableUntilMs: number;
-  /** Consecutive failures to open a connection. */
-  connectFailures: number;
+  /** Time until which no request is sent, after one ended without a byte of the target. */
+  silentUntilMs: number;
+  /** Consecutive requests that found the target silent: no connection was opened, or no byte arrived. */
+  silences: number;
   /** Exponentially weighted fraction of recent requests that failed. */
   failureRate: number;
   failureRateAtMs: number;
@@ -31,9 +35,9 @@
 const FIRST_BYTE_TIMEOUT_MS = 700;
 /** Cost of a target that fails every request, as a multiple of its slots. */
 const FAILURE_COST = 3;
-/** Time without requests after a connection could not be opened; doubles with each further failure. */
-const CONNECT_BACKOFF_MS = 300;
-const MAX_CONNECT_BACKOFF_MS = 1_200;
+/** Time without requests after a request found the target silent; doubles with each further one. */
+const SILENCE_BACKOFF_MS = 300;
+const MAX_SILENCE_BACKOFF_MS = 1_200;
 
 const requestsOf = ({ running }: Load): number => sum([...running.values()]);
 
@@ -41,11 +45,18 @@
 class TargetLoads {
   private readonly loads = new Map<string, Load>();
 
+  /** How fast the targets work. */
+  readonly pace: TargetPace;
+
   constructor(
     private readonly clock: Clock,
     /** Tells in which life each target is. */
     private readonly table: Pick<TargetTable, 'get'>,
-  ) {}
+    private readonly contact: DomainContact,
+    log?: EventLog,
+  ) {
+    this.pace = new TargetPace(clock, table, Math.random, log);
+  }
 
   /** Reserves a target for a request, which counts as in progress from now on. */
   reserve(id: string, model: string, adapter: string | null): TargetReservation {
@@ -54,32 +65,46 @@
     const sentMark = { sinceMs: this.clock.nowMs() };
     load.running.set(key, (load.running.get(key) ?? 0) + 1);
     load.unanswered.add(sentMark);
+    const recordByte = () => {
+      load.lastByteAtMs = this.clock.nowMs();
+      this.contact.recordResponse(this.domainOf(id));
+    };
     const end = () => {
+      // The caller may have left first; the target is no less silent for that.
+      if (load.unanswered.has(sentMark) && this.isSilentSince(load, sentMark.sinceMs)) {
+        load.silentUntilMs = this.clock.nowMs() + this.recordSilence(id, load);
+      }
       load.unanswered.delete(sentMark);
       const left = (load.running.get(key) ?? 1) - 1;
       if (left > 0) load.running.set(key, left);
       else load.running.delete(key);
     };
+    /** Records a pace, unless the target has started anew since. */
+    const recordPace = (record: (pace: TargetPace) => void) => {
+      if (this.isCurrent(id, load)) record(this.pace);
+    };
     return {
       recordResponse: (fields) => {
         load.unanswered.delete(sentMark);
-        load.connectFailures = 0;
-        load.lastByteAtMs = this.clock.nowMs();
+        load.silences = 0;
+        recordByte();
         if (fields.load === null) return;
-        const { running, waiting } = fields.load;
+        const { running, waiting, workTimeFactor } = fields.load;
         load.othersLoad = Math.max(0, running + waiting - requestsOf(load));
         load.reportedAtMs = this.clock.nowMs();
+        if (workTimeFactor !== null && workTimeFactor !== undefined) {
+          recordPace((pace) => pace.recordWorkTime(id, workTimeFactor, running + waiting));
+        }
       },
-      recordData: () => {
-        load.lastByteAtMs = this.clock.nowMs();
-      },
+      recordData: recordByte,
+      recordGap: (gapMs) => recordPace((pace) => pace.recordGap(id, model, gapMs)),
+      recordFirstEvent: (timeMs, units) =>
+        recordPace((pace) => pace.recordFirstEvent(id, { model, timeMs, units })),
+      recordResponseTime: (timeMs, units) =>
+        recordPace((pace) => pace.recordResponse(id, { model, timeMs, units })),
       recordConnectFailure: () => {
-        const waitMs = Math.min(
-          MAX_CONNECT_BACKOFF_MS,
-          CONNECT_BACKOFF_MS * 2 ** load.connectFailures,
-        );
-        load.unreachableUntilMs = this.clock.nowMs() + waitMs;
-        load.connectFailures += 1;
+        load.unanswered.delete(sentMark);
+        load.unreachableUntilMs = this.clock.nowMs() + this.recordSilence(id, load);
       },
       release: end,
       complete: (isFailure) => {
@@ -96,36 +121,75 @@
   }
 
   /** Returns the expected fraction of a target's slots in use, plus a penalty for failures; lower is better. */
-  cost({ id, slots }: Pick<RegisteredTarget, 'id' | 'slots'>): number {
+  cost(target: Pick<RegisteredTarget, 'id' | 'slots'>): number {
+    return this.utilization(target) + this.failureCost(target.id);
+  }
+
+  /** Returns the expected fraction of a target's slots in use; above 1 if requests wait there. */
+  utilization({ id, slots }: Pick<RegisteredTarget, 'id' | 'slots'>): number {
     const load = this.currentOf(id);
     if (load === undefined) return 0;
-    const nowMs = this.clock.nowMs();
-    const others = load.othersLoad * 0.5 ** ((nowMs - load.reportedAtMs) / REPORT_HALF_LIFE_MS);
-    const utilization = (requestsOf(load) + others) / Math.max(1, slots);
-    const failureRate =
-      load.failureRate * 0.5 ** ((nowMs - load.failureRateAtMs) / FAILURE_HALF_LIFE_MS);
-    return utilization + failureRate * FAILURE_COST;
+    const ageMs = this.clock.nowMs() - load.reportedAtMs;
+    const others = load.othersLoad * 0.5 ** (ageMs / REPORT_HALF_LIFE_MS);
+    return (requestsOf(load) + others) / Math.max(1, slots);
+  }
+
+  /** Returns the penalty for recent failures of a target, as a multiple of its slots. */
+  failureCost(id: string): number {
+    const load = this.currentOf(id);
+    if (load === undefined) return 0;
+    const ageMs = this.clock.nowMs() - load.failureRateAtMs;
+    return load.failureRate * 0.5 ** (ageMs / FAILURE_HALF_LIFE_MS) * FAILURE_COST;
   }
 
   /** Whether requests can be sent: connections can be opened, and responses arrive. */
   isReachable(id: string): boolean {
+    if (this.contact.isCutOff(this.domainOf(id))) return false;
     const load = this.currentOf(id);
     return load === undefined || !this.isUnavailable(load);
   }
 
-  /** Ids of the targets that cannot be reached or do not respond. */
-  get unreachable(): readonly string[] {
-    return this.current.filter(([, load]) => this.isUnavailable(load)).map(([id]) => id);
+  /**
+   * Returns the ids of the targets that this instance found out of reach by itself: a connection does not open, or a request
+   * waits for its first byte. Placers take the word of any instance, so what it only infers is left out.
+   */
+  findUnreachable(): readonly string[] {
+    const { current } = this;
+    current
+      .filter(([, load]) => this.isUnresponsive(load))
+      .forEach(([id]) => this.contact.recordSilence(this.domainOf(id)));
+    return current.filter(([, load]) => this.isFoundUnreachable(load)).map(([id]) => id);
   }
 
-  private isUnavailable(load: Load): boolean {
+  private isFoundUnreachable(load: Load): boolean {
     return load.unreachableUntilMs > this.clock.nowMs() || this.isUnresponsive(load);
   }
 
+  private isUnavailable(load: Load): boolean {
+    return load.silentUntilMs > this.clock.nowMs() || this.isFoundUnreachable(load);
+  }
+
   /** Whether a request has waited too long for its first byte while no byte of any other response arrived. */
-  private isUnresponsive({ unanswered, lastByteAtMs }: Load): boolean {
+  private isUnresponsive(load: Load): boolean {
+    return [...load.unanswered].some(({ sinceMs }) => this.isSilentSince(load, sinceMs));
+  }
+
+  /** Whether a request that was sent at `sinceMs` should have been answered by now, and no byte of any response arrived. */
+  private isSilentSince({ lastByteAtMs }: Load, sinceMs: number): boolean {
     const beforeMs = this.clock.nowMs() - FIRST_BYTE_TIMEOUT_MS;
-    return lastByteAtMs < beforeMs && [...unanswered].some(({ sinceMs }) => sinceMs < beforeMs);
+    return lastByteAtMs < beforeMs && sinceMs < beforeMs;
+  }
+
+  /** Notes that a target did not respond; returns the time for which to send it nothing. */
+  private recordSilence(id: string, load: Load): number {
+    const { silences } = load;
+    Object.assign(load, { silences: silences + 1 });
+    this.contact.recordSilence(this.domainOf(id));
+    return Math.min(MAX_SILENCE_BACKOFF_MS, SILENCE_BACKOFF_MS * 2 ** silences);
+  }
+
+  private domainOf(id: string): string {
+    return this.table.get(id)?.entry.failureDomain ?? '';
   }
 
   /** The requests in progress, as `[target, model, adapter or '', count]`. */
@@ -140,6 +204,7 @@
 
   /** Drops the state of all targets except the given ones and those with requests in progress. */
   retain(ids: ReadonlySet<string>): void {
+    this.pace.retain(ids);
     this.loads.forEach((load, id) => {
       if (!ids.has(id) && load.running.size === 0) this.loads.delete(id);
     });
@@ -179,7 +244,8 @@
       reportedAtMs: 0,
       lastByteAtMs: 0,
       unreachableUntilMs: 0,
-      connectFailures: 0,
+      silentUntilMs: 0,
+      silences: 0,
       failureRate: 0,
       failureRateAtMs: 0,
     };
--- a/packages/edge/src/createPeerHandlers.ts
+++ b/packages/edge/src/createPeerHandlers.ts
@@ -12,6 +12,7 @@
 import type { SuspectRegistry } from '@wisteriapath/suspects';
 import type PeerCatchUp from './PeerCatchUp';
 import type StoreView from './StoreView';
+import type TargetLoads from './TargetLoads';
 import type TargetSignals from './TargetSignals';
 import type WorkspaceLimits from './WorkspaceLimits';
 
@@ -24,6 +25,7 @@
   readonly table: TargetTable;
   readonly suspects: SuspectRegistry;
   readonly signals: TargetSignals;
+  readonly loads: TargetLoads;
   readonly lease: () => Lease;
   readonly placer: () => Placer;
   readonly peers: () => Peers;
@@ -59,10 +61,12 @@
   },
   targets: (span, sender) => deps.storeView.mergeFromPeer(StoreTopic.Targets, span, sender),
   leavingTargets: (targets) => deps.signals.recordFromPeer(targets),
+  forecast: (forecast) => deps.table.forecasts.record(forecast),
   placement: (updates) => updates.forEach((update) => deps.table.applyPlacement(update)),
   suspects: (message) => {
     deps.suspects.merge(suspectUpdateCodec.decode(message));
   },
+  targetDigest: (rows) => deps.loads.pace.recordShared(rows),
 });
 
 export default createPeerHandlers;
--- a/packages/edge/src/createPlacer.ts
+++ b/packages/edge/src/createPlacer.ts
@@ -52,9 +52,14 @@
       desired: () => storeView.desired,
       activeDomains,
       scaler: createScaler({ ...dependencies, authority: lease, activeDomains }),
+      sendDigest: (rows) => peers.sendTargetDigest(rows),
       publish: (updates, instance) => {
         if (instance !== host) peers.sendPlacement(updates, instance);
       },
+      publishForecast: (forecast, instance) => {
+        if (instance === host) deps.table.forecasts.record(forecast);
+        else peers.sendForecast(forecast, instance);
+      },
     },
   );
 };
--- a/packages/edge/test/repeatedWork.test.ts
+++ b/packages/edge/test/repeatedWork.test.ts
@@ -45,8 +45,12 @@
     const reporter = new DemandReporter({
       clock: { nowMs: () => Date.now(), sleep: () => Promise.resolve() },
       instance: '10.1.0.25',
-      rates: { all: [] } as unknown as ModelRates,
-      loads: { running: [], unreachable: [] } as unknown as TargetLoads,
+      rates: { all: [], deferrable: [] } as unknown as ModelRates,
+      loads: {
+        running: [],
+        findUnreachable: () => [],
+        pace: { takeRows: () => [] },
+      } as unknown as TargetLoads,
       instances: () => 1,
       send: () => {
         reports += 1;
--- a/packages/fleet/src/Peers.ts
+++ b/packages/fleet/src/Peers.ts
@@ -7,22 +7,24 @@
 import type EventLog from './EventLog';
 import HolderContact from './HolderContact';
 import type MemberRecord from './MemberRecord';
+import type LoadForecast from './LoadForecast';
 import type Moment from './Moment';
+import type Peer from './Peer';
 import type PeerHandlers from './PeerHandlers';
 import PeerMessageKind from './PeerMessageKind';
 import type DemandReport from './DemandReport';
+import type DigestRow from './DigestRow';
 import type PlacementUpdate from './PlacementUpdate';
 import type WallClock from './WallClock';
+import createMessageReaders from './createMessageReaders';
 import FULL_MESH_MAX_INSTANCES from './fullMeshMaxInstances';
 import heartbeatRecipients from './heartbeatRecipients';
 import type RecordSpan from './RecordSpan';
-import type StorePosition from './StorePosition';
 import type SuspectMessage from './SuspectMessage';
+import batchPlacements from './batchPlacements';
+import fitRows from './fitRows';
 import heartbeatLease from './heartbeatLease';
 import leaseClaimants from './leaseClaimants';
-import readDemandReport from './readDemandReport';
-import readHeartbeat from './readHeartbeat';
-import readRelayedTargets from './readRelayedTargets';
 import recordSpanCodec from './recordSpanCodec';
 
 interface Options {
@@ -45,32 +47,11 @@
   readonly heartbeatContent: (kind: HeartbeatKind) => HeartbeatContent;
 }
 
-interface Peer {
-  readonly member: MemberRecord;
-  /** When its last heartbeat arrived, on the monotonic clock; -Infinity if none has. */
-  lastHeartbeatMs: number;
-  /** The same as time of day. */
-  lastHeartbeatWallMs: number;
-  /** Number of its newest heartbeat. */
-  newestNumber: number;
-  isStopping: boolean;
-  /** Whether the store answered its last call. */
-  reachesStore: boolean;
-  /** Position of the lease record under which it gives orders; `undefined` if it gives none. */
-  lease: StorePosition | undefined;
-  /** Number of instances whose usage its heartbeats report. */
-  counted: number;
-  /** Number of the newest heartbeat of this instance, sent as lease holder, that the peer acknowledged. */
-  ackedNumber: number;
-}
-
 const PROTOCOL_VERSION = 1;
 /** Size up to which a datagram fits into one packet. */
 const MAX_DATAGRAM_BYTES = 1_200;
 /** Size limit of relayed records, whose datagram may be sent in fragments. */
 const MAX_TARGETS_BYTES = 48_000;
-const APPROXIMATE_PLACEMENT_BYTES = 60;
-const APPROXIMATE_MODEL_BYTES = 40;
 /** Time without a heartbeat after which a peer no longer counts as live. */
 const LIVE_PEER_TIMEOUT_MS = 1_000;
 /** Time without a heartbeat after which a peer is removed. */
@@ -101,6 +82,8 @@
 
   private readonly contact: HolderContact;
 
+  private readonly readers: ReturnType<typeof createMessageReaders>;
+
   private heartbeatNumber = 0;
 
   /** Name of the last lease holder that sent a heartbeat, and the number of that heartbeat. */
@@ -111,6 +94,9 @@
     private readonly parts: Parts,
   ) {
     this.contact = new HolderContact(parts.clock, options.failureDomain);
+    this.readers = createMessageReaders(parts.handlers, (heartbeat) =>
+      this.receiveHeartbeat(heartbeat),
+    );
   }
 
   /** Opens the socket and starts to send heartbeats; rejects, and may be called again, if the port cannot be bound. */
@@ -158,6 +144,13 @@
     return [...this.peers.values()].filter(({ lastHeartbeatMs }) => lastHeartbeatMs >= sinceMs);
   }
 
+  /** Whether an instance of a failure domain sent a heartbeat within `withinMs`. */
+  hasHeard(failureDomain: string, withinMs: number): boolean {
+    return this.peersActiveWithin(withinMs).some(
+      ({ member }) => member.failureDomain === failureDomain,
+    );
+  }
+
   /** The peers that claim a lease, by its failure domain; of several claims the newest counts. */
   get placers(): ReadonlyMap<string, MemberRecord> {
     return leaseClaimants(this.livePeers);
@@ -260,25 +253,30 @@
     if (bytes.length <= MAX_TARGETS_BYTES) this.broadcastBytes(bytes);
   }
 
+  /** Sends a forecast of loads to `host`. */
+  sendForecast(forecast: LoadForecast, host: string): void {
+    this.send(host, PeerMessageKind.Forecast, forecast);
+  }
+
   /** Sends placement updates to `host`, or to all peers, in as many datagrams as needed. */
   sendPlacement(updates: readonly PlacementUpdate[], host?: string): void {
-    let batch: PlacementUpdate[] = [];
-    let bytes = 0;
-    const flush = () => {
-      if (batch.length === 0) return;
+    batchPlacements(updates, MAX_DATAGRAM_BYTES).forEach((batch) => {
       if (host === undefined) this.broadcast(PeerMessageKind.Placement, batch);
       else this.send(host, PeerMessageKind.Placement, batch);
-      batch = [];
-      bytes = 0;
-    };
-    updates.forEach((update) => {
-      batch.push(update);
-      const adapterCount = update.models.flatMap(([, adapters]) => adapters).length;
-      bytes += APPROXIMATE_PLACEMENT_BYTES + APPROXIMATE_MODEL_BYTES * update.models.length;
-      bytes += adapterCount * 4;
-      if (bytes >= MAX_DATAGRAM_BYTES) flush();
     });
-    flush();
+  }
+
+  /**
+   * Sends the first rows of a digest to the live instances of this failure domain, as many as fit into one datagram,
+   * and passes them to this instance.
+   */
+  sendTargetDigest(rows: readonly DigestRow[]): void {
+    const sent = fitRows(rows, MAX_DATAGRAM_BYTES);
+    const bytes = encode([PROTOCOL_VERSION, PeerMessageKind.TargetDigest, sent]);
+    this.livePeers
+      .filter(({ member }) => member.failureDomain === this.options.failureDomain)
+      .forEach(({ member }) => this.sendBytes(member.host, bytes));
+    this.parts.handlers.targetDigest(sent);
   }
 
   private encodeHeartbeat(kind: HeartbeatKind): Uint8Array {
@@ -335,25 +333,13 @@
   private receive(bytes: Uint8Array): void {
     try {
       const [version, kind, payload] = decode(bytes) as [number, PeerMessageKind, never];
-      if (version === PROTOCOL_VERSION) this.dispatch(kind, payload);
+      // Kinds of later builds are ignored.
+      if (version === PROTOCOL_VERSION) this.readers[kind]?.(payload);
     } catch (error) {
       this.parts.log.event('peer_datagram_unreadable', { error: (error as Error).message });
     }
   }
 
-  private dispatch(kind: PeerMessageKind, payload: never): void {
-    const { handlers } = this.parts;
-    const table: Record<PeerMessageKind, () => void> = {
-      [PeerMessageKind.Heartbeat]: () => this.receiveHeartbeat(readHeartbeat(payload)),
-      [PeerMessageKind.Demand]: () => handlers.demand(readDemandReport(payload)),
-      [PeerMessageKind.Placement]: () => handlers.placement(payload as PlacementUpdate[]),
-      [PeerMessageKind.Targets]: () => handlers.targets(...readRelayedTargets(payload)),
-      [PeerMessageKind.Suspects]: () => handlers.suspects(payload),
-      [PeerMessageKind.LeavingTargets]: () => handlers.leavingTargets(payload),
-    };
-    table[kind]?.();
-  }
-
   private receiveHeartbeat(heartbeat: Heartbeat): void {
     const { member } = heartbeat;
     const known = this.peers.get(member.name);
--- a/packages/fleet/src/Placer.ts
+++ b/packages/fleet/src/Placer.ts
@@ -1,10 +1,12 @@
 import { rendezvousOrder } from '@wisteriapath/model';
 import assetId from './assetId';
 import DeferredLoadLog from './DeferredLoadLog';
-import type DemandSnapshot from './DemandSnapshot';
+import DigestSender from './DigestSender';
 import EngineRegistry from './EngineRegistry';
+import EngineSpeedSource from './EngineSpeedSource';
 import type EngineSpec from './EngineSpec';
 import LeftLoads from './LeftLoads';
+import LoadForecaster from './LoadForecaster';
 import type PlacerOptions from './PlacerOptions';
 import type PlacerParts from './PlacerParts';
 import type PlannedLoad from './PlannedLoad';
@@ -13,12 +15,14 @@
 import StoreLoadMonitor from './StoreLoadMonitor';
 import type TargetView from './TargetView';
 import type WaitingModel from './WaitingModel';
+import createAdapterContext from './createAdapterContext';
 import createModelContext from './createModelContext';
-import isWorthReplicating from './isWorthReplicating';
-import modelsWithoutCopy from './modelsWithoutCopy';
+import deferringPools from './deferringPools';
 import planAdapter from './planAdapter';
 import planModel from './planModel';
+import planPrefetch from './planPrefetch';
 import rankWaitingModels from './rankWaitingModels';
+import replicateBusyModels from './replicateBusyModels';
 import runLoop from './runLoop';
 import storeLoadShare from './storeLoadShare';
 
@@ -30,19 +34,15 @@
 const MIN_PLANNING_INTERVAL_MS = 8;
 /** Time before the authority begins at which engines are asked what they hold. */
 const SYNC_LEAD_MS = 1_200;
-const MAX_LOADING_ADAPTERS_PER_ENGINE = 4;
-/** Request rate from which a model gets a second replica. */
-const SECOND_REPLICA_RATE_PER_S = 6;
-const MAX_BUSY_MODEL_REPLICAS = 2;
-/** Share of the engines that may load from the weight store ahead of demand while there is none. */
-const IDLE_PREFETCH_SHARE = 0.5;
-/** The same once there are requests: an engine cannot make any other change during a long load. */
-const BUSY_PREFETCH_SHARE = 0.13;
 
 /** Decides which model or adapter is loaded on which engine while this instance holds the authority. */
 class Placer {
   private readonly engines: EngineRegistry;
 
+  private readonly engineSpeeds: EngineSpeedSource;
+
+  private readonly digestSender: DigestSender;
+
   private readonly storeLimiter: StoreLoadLimiter;
 
   private readonly storeLoads: StoreLoadMonitor;
@@ -51,6 +51,8 @@
 
   private readonly deferredLoadLog: DeferredLoadLog;
 
+  private readonly forecaster: LoadForecaster;
+
   private cachedContext:
     | { readonly pass: PlanningPass; readonly context: ReturnType<Placer['modelContext']> }
     | undefined;
@@ -65,6 +67,8 @@
     private readonly options: PlacerOptions,
     private readonly parts: PlacerParts,
   ) {
+    this.engineSpeeds = new EngineSpeedSource(parts);
+    this.digestSender = new DigestSender(parts);
     this.storeLimiter = new StoreLoadLimiter(parts.clock, () => ({
       maxPerS: Math.max(0, ...this.pools.map(([, engine]) => engine.maxStoreLoadsPerS)),
       windowMs: options.weightStoreWindowMs,
@@ -73,6 +77,7 @@
     this.leftLoads = new LeftLoads({ ...parts, failureDomain: options.failureDomain });
     this.storeLoads = new StoreLoadMonitor(parts, options.maxConcurrentStoreLoads);
     this.engines = new EngineRegistry(parts, this.storeLimiter, () => this.schedulePlanning());
+    this.forecaster = new LoadForecaster(parts, options.failureDomain, this.engines);
     this.deferredLoadLog = new DeferredLoadLog(parts, {
       ownViews: (pool) => this.ownViews(pool),
       engineOf: (view) => this.engines.engineOf(view),
@@ -89,8 +94,10 @@
 
   private async tick(): Promise<void> {
     const { authority, clock } = this.parts;
-    if (authority.isHeld()) this.schedulePlanning();
-    else if (authority.isHeldWithin(SYNC_LEAD_MS)) this.syncEngines();
+    if (authority.isHeld()) {
+      this.schedulePlanning();
+      this.digestSender.sendIfDue();
+    } else if (authority.isHeldWithin(SYNC_LEAD_MS)) this.syncEngines();
     else this.engines.clear();
     await clock.sleep(TICK_INTERVAL_MS);
   }
@@ -128,20 +135,22 @@
 
   private get pools(): readonly (readonly [string, EngineSpec])[] {
     const pools = [...(this.parts.desired()?.pools.values() ?? [])];
-    return pools.flatMap((pool) =>
-      pool.engine === null ? [] : [[pool.name, pool.engine] as const],
-    );
+    return pools.flatMap(({ name, engine }) => (engine === null ? [] : [[name, engine] as const]));
   }
 
   private planPool(pool: string, engine: EngineSpec): void {
     const { demand: aggregator } = this.parts;
     const demand = aggregator.snapshot(pool);
-    const ranked = this.rankWaiting(pool, engine, demand);
+    const desired = this.parts.desired();
+    const isDeferring = desired !== undefined && deferringPools(desired).has(pool);
+    const ranked = this.rankWaiting({ pool, engine, demand, isDeferring });
     const copyWorths = ranked.filter(({ isFromStore }) => !isFromStore).map(({ worth }) => worth);
     const pass: PlanningPass = {
       pool,
+      isDeferring,
       engine,
       demand,
+      speeds: this.engineSpeeds.of(pool),
       bestCopyWorth: Math.max(0, ...copyWorths),
       storeSlots: this.storeLoads.freeSlots,
       taken: new Set(),
@@ -160,21 +169,27 @@
       }
       this.resendPlacement(pass, model, adapter);
     });
+    if (isDeferring) {
+      const putOff = ranked.filter(({ model }) => !this.isModelLoading(pool, model));
+      this.forecaster.update(pass, putOff);
+    }
     this.replicateBusyModels(pass);
     this.prefetch(pass);
   }
 
-  private rankWaiting(
-    pool: string,
-    engine: EngineSpec,
-    demand: DemandSnapshot,
-  ): readonly WaitingModel[] {
+  private rankWaiting({
+    pool,
+    engine,
+    demand,
+    isDeferring,
+  }: Pick<PlanningPass, 'pool' | 'engine' | 'demand' | 'isDeferring'>): readonly WaitingModel[] {
     return rankWaitingModels(demand, {
       nowMs: this.parts.clock.nowMs(),
       views: this.parts.table.inService(pool),
       models: engine.models,
       unservedMs: (model) => this.parts.demand.recordUnserved(pool, model),
       isHeld: (model) => this.reachableHolding({ pool, demand }, model).length > 0,
+      isDeferring,
     });
   }
 
@@ -201,14 +216,16 @@
   }
 
   /** Loads a model, or leaves it to the placer of a better engine, or puts it off. */
-  private loadWaitingModel(pass: PlanningPass, { model, waitedMs, worth }: WaitingModel): void {
+  private loadWaitingModel(pass: PlanningPass, waiting: WaitingModel): void {
+    const { model, waitedMs, worth, order, canWait } = waiting;
     const base = this.contextFor(pass);
     // A load from the store goes ahead of short ones if it is worth more for the time that it takes.
     const isStoreFree =
       pass.storeSlots > 0 &&
       this.storeLimiter.hasCapacity &&
       (base.isStoreFree || worth >= pass.bestCopyWorth);
-    const context = { ...base, isStoreFree };
+    const evictions = canWait ? base.deferrableEvictions : base.evictions;
+    const context = { ...base, isStoreFree, evictions };
     const spec = pass.engine.models.get(model)!;
     const contextOfAll = {
       ...context,
@@ -222,7 +239,7 @@
       return;
     }
     if (bestPlan === undefined) this.leftLoads.clear(model);
-    this.deferredLoadLog.record({ pass, model, waitedMs, bestPlan, ownPlan, context });
+    this.deferredLoadLog.record({ pass, model, waitedMs, order, bestPlan, ownPlan, context });
     if (bestPlan === undefined) return;
     pass.taken.add(bestPlan.view.entry.id);
     if (bestPlan.fromStore) Object.assign(pass, { storeSlots: pass.storeSlots - 1 });
@@ -281,65 +298,48 @@
       .map(({ entry }) => entry.failureDomain)
       .filter((one) => active.has(one));
     if (isLoading || (!isUrgent && !this.isResponsible(asset, domains))) return;
-    const plan = planAdapter(model, adapter, {
-      engine,
-      holding: this.filterOwn(holding)
-        .filter((view) => {
-          const own = this.engines.engineOf(view);
-          return !own.isBusy && own.executor.isStateKnown;
-        })
-        .map((view) => this.withOwnState(view)),
-      ratesByAsset: demand.assetRates,
-      requested: new Set(demand.waiting.map((one) => assetId(one.model, one.adapter))),
-      running: (id, ofModel, ofAdapter) =>
-        demand.running.get(id)?.get(assetId(ofModel, ofAdapter)) ?? 0,
-      loadingCount: (id) => this.engines.get(id)?.loadingAdapters.size ?? 0,
-      maxLoading: MAX_LOADING_ADAPTERS_PER_ENGINE,
+    const usable = this.filterOwn(holding).filter((view) => {
+      const own = this.engines.engineOf(view);
+      return !own.isBusy && own.executor.isStateKnown;
     });
+    const input = { engine, demand, holding: usable.map((view) => this.withOwnState(view)) };
+    const plan = planAdapter(model, adapter, createAdapterContext(input, this.engines));
     if (plan !== undefined) this.execute(plan);
   }
 
-  /** Loads a further replica of busy models. */
+  /** Loads further replicas of busy models, and of models whose engines are too slow. */
   private replicateBusyModels(pass: PlanningPass): void {
-    const { pool, engine, demand } = pass;
-    [...demand.modelRates]
-      .filter(([model, rate]) => rate >= SECOND_REPLICA_RATE_PER_S && engine.models.has(model))
-      .sort(([, one], [, other]) => other - one)
-      .forEach(([model, rate]) => {
-        const present = this.parts.table.holding(pool, model, null);
-        if (present.length >= MAX_BUSY_MODEL_REPLICAS || this.isModelLoading(pool, model)) return;
-        const domains = new Set(present.map(({ entry }) => entry.failureDomain));
-        const active = this.parts.activeDomains();
-        const others = active.filter((domain) => !domains.has(domain));
-        if (!this.isResponsible(model, others.length > 0 ? others : active)) return;
-        const context = this.contextFor(pass);
-        const spec = engine.models.get(model)!;
-        const plan = planModel(spec, { ...context, isStoreFree: false }, 'busy');
-        if (plan !== undefined && isWorthReplicating(plan, rate, demand.modelRates)) {
-          this.execute(plan);
-        }
-      });
+    const { pool } = pass;
+    replicateBusyModels(pass, {
+      holders: (model) => this.parts.table.holding(pool, model, null),
+      isLoading: (model) => this.isModelLoading(pool, model),
+      isOwn: (view) => this.filterOwn([view]).length > 0,
+      activeDomains: () => this.parts.activeDomains(),
+      isResponsible: (model, domains) => this.isResponsible(model, domains),
+      context: () => this.contextFor(pass),
+      freeElsewhere: () => this.freeEnginesElsewhere(pass),
+      hasStoreCapacity: () => this.storeLimiter.hasCapacity,
+      execute: (plan) => this.execute(plan),
+    });
   }
 
-  /** Loads models of which no engine has a copy, so that a later load is short. */
+  /** Loads a model of which no engine has a copy, so that a later load is short. */
   private prefetch(pass: PlanningPass): void {
-    const { pool, engine, demand } = pass;
-    const views = this.parts.table.inService(pool);
-    const ownViews = this.filterOwn(views);
-    const busyCount = ownViews.filter((view) => this.engines.engineOf(view).isBusy).length;
-    const share = demand.modelRates.size === 0 ? IDLE_PREFETCH_SHARE : BUSY_PREFETCH_SHARE;
-    if (busyCount >= ownViews.length * share || !this.storeLimiter.hasCapacity) return;
+    if (!this.storeLimiter.hasCapacity) return;
+    const { pool } = pass;
+    const ownViews = this.ownViews(pool);
     const active = this.parts.activeDomains();
-    const requested = new Set(demand.waiting.map(({ model }) => model));
-    const missing = modelsWithoutCopy(engine, views).filter(
-      ({ name }) => !requested.has(name) && !this.isModelLoading(pool, name),
-    );
-    // Placers with the same knowledge share out the free slots alike.
-    const own = missing
-      .slice(0, pass.storeSlots)
-      .find(({ name }) => this.isResponsible(name, active));
-    if (own === undefined) return;
-    const plan = planModel(own, this.contextFor(pass), 'ahead');
+    const spec = planPrefetch({
+      ...pass,
+      views: this.parts.table.inService(pool),
+      own: {
+        count: ownViews.length,
+        busy: ownViews.filter((view) => this.engines.engineOf(view).isBusy).length,
+      },
+      isLoading: (model) => this.isModelLoading(pool, model),
+      isResponsible: (model) => this.isResponsible(model, active),
+    });
+    const plan = spec && planModel(spec, this.contextFor(pass), 'ahead');
     if (plan !== undefined) this.executeInPass(pass, plan);
   }
 
@@ -356,10 +356,10 @@
     return this.cachedContext.context;
   }
 
-  private modelContext({ pool, engine, demand }: PlanningPass) {
+  private modelContext({ pool, engine, demand, isDeferring, speeds }: PlanningPass) {
     const views = this.parts.table.inService(pool).map((view) => this.withOwnState(view));
     return createModelContext(
-      { views, own: this.filterOwn(views), engine, demand },
+      { views, own: this.filterOwn(views), engine, demand, isDeferring, speeds },
       this.engines,
       this.parts.clock.nowMs(),
     );
--- a/packages/fleet/src/readDemandReport.ts
+++ b/packages/fleet/src/readDemandReport.ts
@@ -1,5 +1,6 @@
 import type Demand from './Demand';
 import type DemandReport from './DemandReport';
+import readTargetRows from './readTargetRows';
 
 /** What a report counts at one place, behind the names of the place. */
 type Count = DemandReport['rates'][number];
@@ -15,6 +16,10 @@
 const isTime = (value: unknown): value is number =>
   typeof value === 'number' && !Number.isNaN(value);
 
+/** A field that is absent arrives as null if its sender wrote it as undefined. */
+const isAbsentOr = (isValue: (value: unknown) => boolean) => (value: unknown) =>
+  value === undefined || value === null || isValue(value);
+
 const isListOf =
   <T>(isItem: (value: unknown) => value is T) =>
   (value: unknown): value is readonly T[] =>
@@ -22,13 +27,15 @@
 
 const isDemand = (value: unknown): value is Demand => {
   const demand = value as Demand | null | undefined;
-  const { pool, model, adapter, leftMs } = demand ?? {};
+  const { pool, model, adapter, leftMs, priority, slackMs } = demand ?? {};
   return (
     isText(pool) &&
     isText(model) &&
     (adapter === null || isText(adapter)) &&
     DEMAND_COUNTS.every((key) => isCount(demand?.[key])) &&
-    (leftMs === undefined || leftMs === null || isTime(leftMs))
+    isAbsentOr(isTime)(leftMs) &&
+    isAbsentOr(isCount)(priority) &&
+    isAbsentOr(isTime)(slackMs)
   );
 };
 
@@ -45,6 +52,7 @@
     isListOf(isDemand)(report.waiting) &&
     isListOf(isText)(report.unreachable) &&
     isListOf(isNamedCount)(report.rates) &&
+    isAbsentOr(isListOf(isNamedCount))(report.deferrableRates) &&
     isListOf(isNamedCount)(report.running)
   );
 };
@@ -58,7 +66,8 @@
  */
 const readDemandReport = (payload: unknown): DemandReport => {
   if (!isReport(payload)) throw new Error('not a demand report');
-  return payload;
+  const { targets, ...report } = payload;
+  return targets === undefined ? report : { ...report, targets: readTargetRows(targets) };
 };
 
 export default readDemandReport;
--- a/tools/bundle.mjs
+++ b/tools/bundle.mjs
@@ -5,7 +5,7 @@
  * of standard error tells the reason.
  */
 import { createHash } from 'node:crypto';
-import { readFileSync } from 'node:fs';
+import { readFileSync, readdirSync } from 'node:fs';
 import paths from './paths.mjs';
 import undeclaredImports from './undeclaredImports.mjs';
 
@@ -16,6 +16,14 @@
 const readJson = (path) => JSON.parse(readFileSync(path, 'utf8'));
 const versionIn = (folder) => readJson(`${folder}/package.json`).version;
 
+/** The packages of this workspace are bundled from their sources, built or not. */
+const ownPackages = Object.fromEntries(
+  readdirSync('packages').map((name) => [
+    `@wisteriapath/${name}`,
+    `./packages/${name}/src/index.ts`,
+  ]),
+);
+
 /** Returns the text of a bundle; an import of the second file is left to Node.js, under its name. */
 const bundle = async (entryPoint, plugins = []) => {
   const { build } = await import('esbuild');
@@ -32,14 +40,7 @@
     minifyWhitespace: true,
     keepNames: false,
     logLevel: 'warning',
-    alias: {
-      '@wisteriapath/model': './packages/model/src/index.ts',
-      '@wisteriapath/process-signals': './packages/process-signals/src/index.ts',
-      '@wisteriapath/response-ends': './packages/response-ends/src/index.ts',
-      '@wisteriapath/suspects': './packages/suspects/src/index.ts',
-      '@wisteriapath/fleet': './packages/fleet/src/index.ts',
-      '@wisteriapath/edge': './packages/edge/src/index.ts',
-    },
+    alias: ownPackages,
   });
   const { packages } = readJson('package-lock.json');
   const problems = undeclaredImports(metafile, packages, versionIn);
