Usage duty in the enumerated model; decisions of an earlier era are not sent again

The model of the duty has one window, holders that decide other counts each time, late and unanswered appends, an authority that ends with a report on its way, and a return of the store. It found that a decision carried out late, in a copy that lacks a later holder's decision that was sent, was taken for one of the copy and sent: two contents of one window. Decisions now state the era of the position at which they were meant to be appended, as lease records do, and only those of the present era are sent again. Those of an earlier one are not decided again.

--- a/packages/duties/src/UsageJournal.ts
+++ b/packages/duties/src/UsageJournal.ts
@@ -6,13 +6,18 @@
   readonly firstWindow: number;
 }
 
+interface StoredDecision extends UsageReport {
+  /** Era of the position at which its writer meant to append it; see `LeaseRecord`. */
+  readonly writtenInEra: number;
+}
+
 /** What the store keeps of decided windows. */
 interface JournalState {
   readonly era: number;
   /** When this process first saw that era, on the monotonic clock: the store has not come back from a copy since. */
   readonly eraSinceMs: number;
   readonly mark: EraMark | null;
-  readonly decisions: readonly UsageReport[];
+  readonly decisions: readonly StoredDecision[];
 }
 
 /** A port to the decisions that are kept beside the lease of the duty. Its calls never reject. */
--- a/packages/duties/src/UsageReporter.ts
+++ b/packages/duties/src/UsageReporter.ts
@@ -136,12 +136,15 @@
     const seenForMs = clock.nowMs() - kept.eraSinceMs;
     const firstOfEra = this.windowOf(time.bounds!.lowMs - seenForMs);
     const decisions = new Map(
-      kept.decisions.map((decision) => [
-        decision.window,
-        { ...decision, triedAtMs: -Infinity, isDone: this.isOutdated(decision.window) },
-      ]),
+      kept.decisions
+        // One of an earlier era may have been carried out late, behind what a later holder decided and the copy lacks.
+        .filter(({ writtenInEra }) => writtenInEra === era)
+        .map(({ window, counts }) => {
+          const isDone = this.isOutdated(window);
+          return [window, { window, counts, triedAtMs: -Infinity, isDone }];
+        }),
     );
-    const newest = Math.max(-1, ...decisions.keys());
+    const newest = Math.max(-1, ...kept.decisions.map(({ window }) => window));
     const isMarked = mark !== null && mark.era === era;
     const state: TenureState = {
       fence,
@@ -150,7 +153,8 @@
       decisions,
       proposed: undefined,
     };
-    log.event('usage_duty_begun', { fence, era, decisions: decisions.size, newest });
+    const doubtful = kept.decisions.length - decisions.size;
+    log.event('usage_duty_begun', { fence, era, decisions: decisions.size, doubtful, newest });
     // In an era without a mark, the copy may lack decisions that were made and sent.
     if (!isMarked && newest >= 0) {
       this.logMissed(newest + 1, state.nextWindow - 1, 'store_returned');
--- a/packages/duties/test/usageReporter.test.ts
+++ b/packages/duties/test/usageReporter.test.ts
@@ -241,3 +241,21 @@
     expect(duty.api.broken).toEqual([]);
   },
 );
+
+// Found by packages/spec: a decision carried out late, in a copy that lacks the decision of a later holder that was sent.
+test('a decision of an earlier era is neither sent nor decided again by a later holder', async () => {
+  const duty = await started();
+  await duty.run(3_000);
+  const one = duty.machines[0];
+  one.faults.isKilled = true;
+  const decided = duty.store.records.findLastIndex(({ key }) => key.startsWith('window'));
+  const late = { window: FIRST_WINDOW + 2, counts: { a: 999 }, writtenInEra: duty.store.era };
+  duty.store.records = duty.store.records.slice(0, decided);
+  duty.store.records.push({ key: `window-${late.window % 16}`, value: JSON.stringify(late) });
+  duty.store.era += 1;
+  duty.store.eraSinceMs = duty.clock.nowMs();
+  await duty.run(20_000);
+  expect(duty.api.broken).toEqual([]);
+  expect(duty.events('usage_duty_begun').at(-1)).toContain('"doubtful":3');
+  expect(duty.receivedWindows().slice(0, 6)).toEqual(range(0, 5));
+});
--- a/packages/spec/src/specs.ts
+++ b/packages/spec/src/specs.ts
@@ -4,6 +4,7 @@
 import explore from './explore';
 import leaseSpec from './leaseSpec';
 import placerSpec from './placerSpec';
+import usageSpec from './usageSpec';
 
 interface SpecCase {
   readonly name: string;
@@ -15,6 +16,9 @@
 const TWO_RETURNS = { machines: 2, returns: 2, restarts: 1, late: 0, records: 2 };
 const MORE_RECORDS = { machines: 2, returns: 1, restarts: 0, late: 0, records: 3 };
 
+const USAGE_LATE = { machines: 2, takes: 3, contents: 3, returns: 0, late: 1 };
+const USAGE_RETURN = { machines: 2, takes: 3, contents: 2, returns: 1, late: 0 };
+
 /** The specifications: sound as implemented, and mutations with one rule removed each. */
 const specs: { readonly sound: readonly SpecCase[]; readonly mutations: readonly SpecCase[] } = {
   sound: [
@@ -25,6 +29,8 @@
     { name: 'lease, one return', run: (max) => explore(leaseSpec(ONE_RETURN, []), max) },
     { name: 'lease, more records', run: (max) => explore(leaseSpec(MORE_RECORDS, []), max) },
     { name: 'lease, two returns', run: (max) => explore(leaseSpec(TWO_RETURNS, []), max) },
+    { name: 'usage duty, late appends', run: (max) => explore(usageSpec(USAGE_LATE, []), max) },
+    { name: 'usage duty, one return', run: (max) => explore(usageSpec(USAGE_RETURN, []), max) },
   ],
   mutations: [
     {
@@ -79,6 +85,30 @@
       name: 'lease without: the handover delay',
       run: (max) => explore(leaseSpec(ONE_RETURN, ['handover_wait']), max),
     },
+    {
+      name: 'usage duty without: the decision is stored before the report',
+      run: (max) => explore(usageSpec(USAGE_LATE, ['decision_before_report']), max),
+    },
+    {
+      name: 'usage duty without: a successor reads the decisions',
+      run: (max) => explore(usageSpec(USAGE_LATE, ['read_decisions']), max),
+    },
+    {
+      name: 'usage duty without: counts that were tried stay',
+      run: (max) => explore(usageSpec(USAGE_LATE, ['fixed_proposal']), max),
+    },
+    {
+      name: 'usage duty without: windows before a return are not decided again',
+      run: (max) => explore(usageSpec(USAGE_RETURN, ['era_mark']), max),
+    },
+    {
+      name: 'usage duty without: only decisions of the present era are sent again',
+      run: (max) => explore(usageSpec(USAGE_RETURN, ['certain_decisions']), max),
+    },
+    {
+      name: 'usage duty without: a report is reset with its authority',
+      run: (max) => explore(usageSpec(USAGE_LATE, ['reset_with_authority']), max),
+    },
   ],
 };
 
--- a/packages/spec/test/specs.test.ts
+++ b/packages/spec/test/specs.test.ts
@@ -83,6 +83,36 @@
          "no two holders give orders within the handover delay",
          8,
        ],
+       [
+         "usage duty without: the decision is stored before the report",
+         "a window has one content",
+         13,
+       ],
+       [
+         "usage duty without: a successor reads the decisions",
+         "a window has one content",
+         15,
+       ],
+       [
+         "usage duty without: counts that were tried stay",
+         "a window has one content",
+         15,
+       ],
+       [
+         "usage duty without: windows before a return are not decided again",
+         "a window has one content",
+         18,
+       ],
+       [
+         "usage duty without: only decisions of the present era are sent again",
+         "a window has one content",
+         19,
+       ],
+       [
+         "usage duty without: a report is reset with its authority",
+         "a fencing token never falls",
+         13,
+       ],
      ]
     `);
   });
