Usage reports: the median of the instances' clocks stands in for dates of the store

Change: with the duty in force heartbeats carry the sender's time of day, and where no dated answer is known the median of three clocks or more is taken, with an error of 200 ms.

--- a/packages/duties/src/TrueTime.ts
+++ b/packages/duties/src/TrueTime.ts
@@ -1,4 +1,5 @@
 import type { Clock } from '@wisteriapath/model';
+import ClockMedian from './ClockMedian';
 import type DatedAnswer from './DatedAnswer';
 
 /** Between which times the true time lies, in milliseconds since 1970-01-01. */
@@ -21,6 +22,8 @@
 const MAX_CONTRADICTIONS = 3;
 /** Time that the fastest datagram of a peer takes at most. */
 const FASTEST_TRANSIT_MS = 5;
+/** How far the median of the instances' clocks may be off, where the store does not date its answers. */
+const CLOCK_MEDIAN_ERROR_MS = 200;
 /** Age up to which the time of a peer is used; a suspension of this machine is then forgotten. */
 const PEER_MAX_AGE_MS = 20_000;
 
@@ -28,7 +31,7 @@
  * The true time, by the dates of the store's answers. Each answer gives two bounds of the offset between true time and
  * the monotonic clock; many answers at different fractions of a second narrow them to some milliseconds. The time of day
  * of the machine is not used, as it may jump. An instance that calls the store rarely takes the bounds of a peer, less
- * the time of the fastest datagram.
+ * the time of the fastest datagram. Where the store does not date its answers, the median of the instances' clocks is taken.
  */
 class TrueTime {
   private low: OffsetBound | undefined;
@@ -40,7 +43,16 @@
   /** The highest lower bound that a peer gave, with the width of its bounds. */
   private peer: (OffsetBound & { readonly widthMs: number }) | undefined;
 
-  constructor(private readonly clock: Clock) {}
+  private readonly clocks: ClockMedian;
+
+  constructor(private readonly clock: Clock) {
+    this.clocks = new ClockMedian(clock);
+  }
+
+  /** Learns the time of day of an instance, this one included, from a message that has just arrived. */
+  observeClock(instance: string, timeMs: number): void {
+    this.clocks.observe(instance, timeMs);
+  }
 
   /** Learns from an answer of the store. */
   observe({ sentMs, receivedMs, dateMs }: DatedAnswer): void {
@@ -80,7 +92,7 @@
   get bounds(): TimeBounds | undefined {
     const nowMs = this.clock.nowMs();
     const own = this.ownOffsets;
-    const offsets = this.narrowedByPeer(own);
+    const offsets = own === undefined ? this.undatedOffsets : this.narrowedByPeer(own);
     if (offsets === undefined) return undefined;
     return { lowMs: nowMs + offsets.lowMs, highMs: nowMs + offsets.highMs };
   }
@@ -107,6 +119,13 @@
     return { lowMs, highMs };
   }
 
+  /** The bounds without a dated answer. The median goes first: instances that took each other's bounds would drift together. */
+  private get undatedOffsets(): TimeBounds | undefined {
+    const { offsetMs } = this.clocks;
+    if (offsetMs === undefined) return this.narrowedByPeer(undefined);
+    return { lowMs: offsetMs - CLOCK_MEDIAN_ERROR_MS, highMs: offsetMs + CLOCK_MEDIAN_ERROR_MS };
+  }
+
   private narrowedByPeer(own: TimeBounds | undefined): TimeBounds | undefined {
     const { peer } = this;
     if (peer === undefined) return own;
--- a/packages/duties/test/trueTime.test.ts
+++ b/packages/duties/test/trueTime.test.ts
@@ -96,3 +96,50 @@
   world.time.observePeer({ lowMs: NaN, highMs: wrongMs });
   expect(isWithinBounds(world)).toBe(true);
 });
+
+// Found on a deployment whose store sends no `Date`: no window was ever decided.
+describe('without dated answers', () => {
+  const startUndated = () => {
+    const clock = new VirtualClock();
+    const time = new TrueTime(clock);
+    const trueMs = () => clock.nowMs() + EPOCH_MS;
+    /** Instances tell their clocks, each with its error. */
+    const tell = (errorsMs: readonly number[]) => {
+      errorsMs.forEach((errorMs, index) => time.observeClock(`edge-${index}`, trueMs() + errorMs));
+    };
+    return { clock, time, trueMs, tell };
+  };
+
+  test('the median of the clocks is the time', () => {
+    const { time, trueMs, tell } = startUndated();
+    tell([-20, 5, 30]);
+    expect(time.nowMs! - trueMs()).toBe(5);
+    expect(time.errorMs).toBe(200);
+  });
+
+  test('clocks that have jumped by seconds, fewer than half of them, do not move it', () => {
+    const { time, trueMs, tell } = startUndated();
+    tell([-10, 0, 10, 5_000, -7_000]);
+    tell([-10, 0, 10, 9_000, 9_000]);
+    expect(Math.abs(time.nowMs! - trueMs())).toBeLessThanOrEqual(10);
+  });
+
+  test('two clocks tell nothing', () => {
+    const { time, tell } = startUndated();
+    tell([0, 0]);
+    expect(time.nowMs).toBeUndefined();
+  });
+
+  test('clocks that are not heard any more do not count', async () => {
+    const { clock, time, tell } = startUndated();
+    tell([0, 0, 0]);
+    await clock.advance(6_000);
+    expect(time.nowMs).toBeUndefined();
+  });
+
+  test('a time that is none is ignored', () => {
+    const { time } = startUndated();
+    ['a', 'b', 'c'].forEach((name) => time.observeClock(name, NaN));
+    expect(time.nowMs).toBeUndefined();
+  });
+});
--- a/packages/edge/src/UsageDuty.ts
+++ b/packages/edge/src/UsageDuty.ts
@@ -148,8 +148,16 @@
     };
   }
 
+  /** The time of day here, which heartbeats tell the others. */
+  get clockMs(): number {
+    const clockMs = this.deps.wallClock();
+    this.time.observeClock(this.deps.member.name, clockMs);
+    return clockMs;
+  }
+
   /** Learns from a peer's heartbeat who performs the duty, and the true time. */
-  observeHeartbeat({ usageDuty, member }: Heartbeat): void {
+  observeHeartbeat({ usageDuty, clockMs, member }: Heartbeat): void {
+    if (clockMs !== undefined) this.time.observeClock(member.name, clockMs);
     const content = readUsageDutyContent(usageDuty);
     if (content === undefined) return;
     const { lease, decidedThrough, time } = content;
--- a/packages/edge/src/createHeartbeatContent.ts
+++ b/packages/edge/src/createHeartbeatContent.ts
@@ -50,6 +50,7 @@
     leaseEra: held?.era ?? 0,
     isStopping: shutdown.hasBegun,
     ...(usageDuty && { usageDuty }),
+    ...(duty && { clockMs: duty.clockMs }),
     usage,
   };
 };
--- a/packages/fleet/src/Heartbeat.ts
+++ b/packages/fleet/src/Heartbeat.ts
@@ -27,6 +27,8 @@
   readonly leaseEra?: number;
   /** What the sender knows of the usage duty; absent if it is no candidate. Read it by `readUsageDutyContent`. */
   readonly usageDuty?: UsageDutyContent;
+  /** Time of day at the sender; only where the deployment has duties that depend on true time. */
+  readonly clockMs?: number;
   /** Whether the sender is shutting down. */
   readonly isStopping: boolean;
   /** Sequence number. Increases with each heartbeat of one incarnation. */
