Replicas for speed are planned once per reading of the speeds

Cause: each planning pass tried each model on slow engines on each engine, twice; passes follow each other within 8 ms.

--- a/packages/fleet/src/EngineSpeeds.ts
+++ b/packages/fleet/src/EngineSpeeds.ts
@@ -7,12 +7,21 @@
 
 /** The speeds of the engines of a pool in one planning pass, as far as placement needs them. */
 class EngineSpeeds {
+  private hasPlannedReplica = false;
+
   constructor(
     private readonly ratings: Ratings,
     /** Shortest gap target of the streams of the pool; 0 if there is none. */
     private readonly gapTargetMs: number,
   ) {}
 
+  /** Whether replicas have not been planned by these speeds yet; from now on they count as planned. */
+  takeReplicaTurn(): boolean {
+    const isDue = !this.hasPlannedReplica;
+    this.hasPlannedReplica = true;
+    return isDue;
+  }
+
   /** Returns the speed of an engine in coarse steps: 0 if it is usual or not known, more if it is slower. */
   stepOf(id: string): number {
     return this.ratings.get(id)?.step ?? 0;
--- a/packages/fleet/src/planGapReplica.ts
+++ b/packages/fleet/src/planGapReplica.ts
@@ -37,16 +37,16 @@
   const known = context();
   const free = [...known.free, ...freeElsewhere()].filter(({ entry }) => speeds.keepsGap(entry.id));
   const mayUseStore = known.isStoreFree && storeSlots > 0 && hasStoreCapacity();
-  const plans = candidates.map(([model, rate]) => {
+  for (const [model, rate] of candidates) {
     const spec = engine.models.get(model)!;
     const isStoreFree = mayUseStore && rate >= MIN_STORE_RATE_PER_S;
     const options = { ...known, free };
     const plan =
       planModel(spec, { ...options, isStoreFree: false }, 'slow_holders') ??
-      planModel(spec, { ...options, isStoreFree }, 'slow_holders');
-    return plan && isWorthReplicating(plan, rate, modelRates) ? plan : undefined;
-  });
-  return plans.find((plan) => plan !== undefined);
+      (isStoreFree ? planModel(spec, { ...options, isStoreFree }, 'slow_holders') : undefined);
+    if (plan !== undefined && isWorthReplicating(plan, rate, modelRates)) return plan;
+  }
+  return undefined;
 };
 
 export default planGapReplica;
--- a/packages/fleet/src/replicateBusyModels.ts
+++ b/packages/fleet/src/replicateBusyModels.ts
@@ -33,6 +33,8 @@
         engines.execute(plan);
       }
     });
+  // Planning tries each such model on each engine, and passes follow each other within milliseconds.
+  if (!pass.speeds?.takeReplicaTurn()) return;
   const plan = planGapReplica(pass, engines);
   if (plan === undefined) return;
   if (plan.fromStore) Object.assign(pass, { storeSlots: pass.storeSlots - 1 });
