Usage reports count what services begin, and failures that were run

Cause: only requests of pools with models were counted, and no responses from 400 on. What a target has begun counts, whatever the kind of pool and the status.

--- a/packages/edge/src/RequestExecution.ts
+++ b/packages/edge/src/RequestExecution.ts
@@ -129,7 +129,7 @@
         keepsFailure:
           this.authorization.isRetryable && this.executions + 1 < this.request.route.attempts,
         tryReserveRetry: () => this.tryReserveRetry(),
-        onBegun: () => this.recordBegun(attempt),
+        onBegun: () => this.recordBegun(),
       });
       const sentAtMs = this.deps.clock.nowMs();
       this.firstSentAtMs ??= sentAtMs;
@@ -147,11 +147,10 @@
     }
   }
 
-  /** Notes that a target has begun to answer; counts the usage of an engine once for each request. */
-  private recordBegun({ statusCode }: TargetAttempt): void {
-    const { pool, workspace } = this.request;
-    const isUsage = !this.probe.hasBegun && pool.engine !== null && statusCode < CLIENT_ERROR;
-    if (isUsage && workspace !== null) this.deps.recordUsage?.(workspace.name);
+  /** Notes that a target has begun to answer; counts that once for each request. A failure was run, too. */
+  private recordBegun(): void {
+    const { workspace } = this.request;
+    if (!this.probe.hasBegun && workspace !== null) this.deps.recordUsage?.(workspace.name);
     this.probe.recordBegun();
   }
 
