Name each request whose caller gets no whole answer through this process

A request that was read could end without an answer and without a line: one that is dropped behind the last response of its connection, one whose connection is closed for a limit, one that is left at the end of a stop.

CallerServer now takes note of why it, or its user, ends the connection of a caller, and tells of each request that was read, has no whole response and whose caller had not left. The instance counts them (wisteriapath_edge_unanswered_requests_total by reason and by what the caller got) and writes caller_unanswered with the request's id, how far it had come, since when, and whether a stop had begun.

A failure of a handler is caught in CallerServer, in place of a guard in HttpListener; what it does is the same.

--- a/packages/edge/src/CallerExchange.ts
+++ b/packages/edge/src/CallerExchange.ts
@@ -1,8 +1,10 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { ByteAccumulator } from '@wisteriapath/byte-accumulator';
 import { responseTo, type ServeError } from '@wisteriapath/model';
+import { EndReason } from '@wisteriapath/response-ends';
 import type Dialect from './Dialect';
 import type MemoryReservation from './MemoryReservation';
+import RequestStep from './RequestStep';
 import mediaTypeOf from './mediaTypeOf';
 
 /**
@@ -11,6 +13,14 @@
  */
 const REFUSED_BODY_TIMEOUT_MS = 10_000;
 
+/** What an exchange needs of the server of its connection. */
+interface Connection {
+  /** Whether the connection is closed after this response. */
+  readonly shouldClose: () => boolean;
+  /** Called before the connection is ended without a whole response. */
+  readonly onEnd: (reason: EndReason, detail: string) => void;
+}
+
 /** One caller's request together with its response, which is started once and ended once. */
 class CallerExchange {
   private readonly disconnected = new AbortController();
@@ -26,6 +36,9 @@
   /** Called once the caller can take more. */
   private onDrain: (() => void) | null = null;
 
+  /** How far the request has come, as long as its response has not begun. */
+  private progress = RequestStep.Receiving;
+
   private mediaType = '';
 
   /** Whether only the end of the connection shows the caller where the response ends. */
@@ -35,12 +48,9 @@
     readonly request: IncomingMessage,
     private readonly response: ServerResponse,
     private readonly dialect: Dialect,
-    /** Whether the connection is closed after this response. */
-    private readonly shouldCloseConnection: () => boolean,
+    private readonly connection: Connection,
     /** What the body of the request holds, until the exchange has ended. */
     readonly bodyMemory: MemoryReservation,
-    /** Called when the connection is closed, as the caller did not end its body in time after the refusal. */
-    private readonly onUnfinished: () => void = () => {},
   ) {
     response.on('close', () => {
       this.bodyMemory.release();
@@ -58,6 +68,16 @@
     return this.response.headersSent;
   }
 
+  /** How far the request has come. */
+  get step(): RequestStep {
+    return this.hasStarted ? RequestStep.Answering : this.progress;
+  }
+
+  /** Takes note of how far the request has come. */
+  reach(step: RequestStep): void {
+    this.progress = step;
+  }
+
   /** Media type of the response as it was started; empty if it had none. */
   get startedMediaType(): string {
     return this.mediaType;
@@ -73,7 +93,7 @@
     const { httpVersionMajor, httpVersionMinor } = this.request;
     const readsChunks = httpVersionMajor > 1 || httpVersionMinor > 0;
     this.isCloseDelimited = !readsChunks && headers['content-length'] === undefined;
-    if (this.shouldCloseConnection()) this.response.shouldKeepAlive = false;
+    if (this.connection.shouldClose()) this.response.shouldKeepAlive = false;
     this.mediaType = mediaTypeOf(headers['content-type']);
     this.response.writeHead(status, headers);
   }
@@ -104,8 +124,9 @@
   }
 
   /** Breaks the response off, so that it does not look complete: with a reset if only its connection would end it. */
-  abort(): void {
+  abort(reason: EndReason, detail = ''): void {
     const { socket } = this.response;
+    this.connection.onEnd(reason, detail);
     if (this.isCloseDelimited && socket !== null) socket.resetAndDestroy();
     else this.response.destroy();
   }
@@ -114,7 +135,7 @@
   sendError(error: ServeError, attemptId: string): void {
     if (this.disconnectSignal.aborted) return;
     if (this.hasStarted) {
-      this.abort();
+      this.abort(EndReason.AnswerBroken, error.message);
       return;
     }
     const { status, retryAfterMs: waitMs } = responseTo(error);
@@ -153,10 +174,8 @@
   /** Sends the whole body, and ends the exchange once the request has been read: a close before would reset the connection. */
   private endOnceRead(body: Buffer): void {
     this.response.write(body);
-    const timer = setTimeout(() => {
-      this.onUnfinished();
-      this.response.destroy();
-    }, REFUSED_BODY_TIMEOUT_MS);
+    const cut = () => this.abort(EndReason.BodyUnfinished);
+    const timer = setTimeout(cut, REFUSED_BODY_TIMEOUT_MS);
     this.request.once('end', () => this.response.end());
     this.response.once('close', () => clearTimeout(timer));
   }
--- a/packages/edge/src/CallerListener.ts
+++ b/packages/edge/src/CallerListener.ts
@@ -1,12 +1,15 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { CallerLimits } from '@wisteriapath/fleet';
+import { EndReason } from '@wisteriapath/response-ends';
 import CallerExchange from './CallerExchange';
 import type EdgeDependencies from './EdgeDependencies';
 import HttpListener from './HttpListener';
 import ClosedCallers from './ClosedCallers';
+import UnansweredLog from './UnansweredLog';
 import callerConnectionLimits from './callerConnectionLimits';
 import callerServerOptions from './callerServerOptions';
 import handleRequest from './handleRequest';
+import nameSome from './nameSome';
 import readDescriptorLimit from './readDescriptorLimit';
 
 /** Margin beyond the longest idle time after which callers reuse a connection. */
@@ -14,19 +17,25 @@
 
 /** The listener for callers, which also counts the requests in progress. */
 class CallerListener {
-  private readonly active = new Set<CallerExchange>();
+  private readonly active = new Map<IncomingMessage, CallerExchange>();
 
   private listener: HttpListener | undefined;
 
   private limits: CallerLimits | undefined;
 
+  /** The requests that were broken off at the end of a stop; undefined before. */
+  private left: readonly string[] | undefined;
+
   private readonly closed: ClosedCallers;
 
+  private readonly unanswered: UnansweredLog;
+
   constructor(
     private readonly deps: EdgeDependencies,
     private readonly memoryLimitBytes: number,
   ) {
     this.closed = new ClosedCallers(deps.log, deps.metrics);
+    this.unanswered = new UnansweredLog(deps);
   }
 
   /** Number of requests in progress. */
@@ -34,6 +43,12 @@
     return this.active.size;
   }
 
+  /** Log fields on the requests in progress, or those that were broken off at the end of a stop: the ids, and how far each has come. */
+  get leftFields(): { readonly under_way: number; readonly requests: string } {
+    const left = this.left ?? this.activeIds;
+    return { under_way: left.length, requests: nameSome(left) };
+  }
+
   /** Listens at `host:port`. */
   async open(address: string): Promise<HttpListener> {
     const { deps } = this;
@@ -47,20 +62,28 @@
           request,
           response,
           deps.dialect,
-          () => deps.isStopping() && this.isLastRequest(request, response),
+          {
+            shouldClose: () => deps.isStopping() && this.isLastRequest(request, response),
+            onEnd: (reason, detail) => this.noteEnd(request, reason, detail),
+          },
           deps.memory.reserve(),
-          () => this.recordUnfinished(request),
         );
-        this.active.add(caller);
+        this.active.set(request, caller);
         response.on('close', () => {
-          this.active.delete(caller);
+          this.active.delete(request);
         });
         handleRequest(deps, caller).catch((error: Error) => {
           log.event('request_crashed', { error: error.stack ?? error.message });
-          caller.abort();
+          caller.abort(EndReason.HandlerFailed, error.message);
         });
       },
+      (request) => this.idOf(request),
     );
+    listener.server.watchUnanswered((unanswered) => {
+      const { request } = unanswered;
+      const step = this.active.get(request)?.step ?? '';
+      this.unanswered.record(unanswered, { id: this.idOf(request), step });
+    });
     listener.server.limitUse(
       callerConnectionLimits(this.memoryLimitBytes, readDescriptorLimit()),
       (closed) => this.closed.record(closed),
@@ -72,7 +95,8 @@
 
   /** Breaks off the responses that their callers have not taken by the end of a stop. */
   abortActive(): void {
-    this.active.forEach((caller) => caller.abort());
+    this.left = this.activeIds;
+    this.active.forEach((caller) => caller.abort(EndReason.StopEnded));
   }
 
   /** Applies the limits of a desired state, now or once the listener is open. */
@@ -81,11 +105,25 @@
     this.applyLimits();
   }
 
+  private get activeIds(): readonly string[] {
+    return [...this.active].map(([request, { step }]) => `${this.idOf(request)}:${step}`);
+  }
+
+  /** Takes note of why the connection of a request is about to be ended. */
+  private noteEnd(request: IncomingMessage, reason: EndReason, detail: string): void {
+    this.listener?.server.noteEnd(request, reason, detail);
+    if (reason === EndReason.BodyUnfinished) this.recordUnfinished(request);
+  }
+
   /** Takes note of a caller whose connection is closed, as it did not end its body after the refusal. */
-  private recordUnfinished({ headers }: IncomingMessage): void {
-    const { dialect, log, metrics } = this.deps;
+  private recordUnfinished(request: IncomingMessage): void {
+    const { log, metrics } = this.deps;
     metrics.closedConnections.inc({ reason: 'refused_body_unfinished' });
-    log.event('refused_body_unfinished', { request: dialect.parseRequest(headers).attemptId });
+    log.event('refused_body_unfinished', { request: this.idOf(request) });
+  }
+
+  private idOf({ headers }: IncomingMessage): string {
+    return this.deps.dialect.parseRequest(headers).attemptId;
   }
 
   /** Whether a response may close its connection: the requests behind it would not be answered. */
--- a/packages/edge/src/Edge.ts
+++ b/packages/edge/src/Edge.ts
@@ -259,6 +259,11 @@
     return this.stopped;
   }
 
+  /** Log fields on the requests that a stop has left without a whole answer, or that are in progress. */
+  get leftFields(): CallerListener['leftFields'] {
+    return this.callers.leftFields;
+  }
+
   private async stopOnce(): Promise<void> {
     this.log.event('stopping', { under_way: this.callers.activeRequests });
     const finished = this.shutdown.run(this.listeners.all, this.listeners.isKnownAsReady);
@@ -280,7 +285,7 @@
       catch_up: () => this.catchUp.close(),
       targets: () => this.deps.connections.close(),
     });
-    this.log.event('stopped', { under_way: this.callers.activeRequests });
+    this.log.event('stopped', this.leftFields);
   }
 
   /** Whether this instance reads the targets' entries from the store and relays them to the peers. */
--- a/packages/edge/src/EdgeMetrics.ts
+++ b/packages/edge/src/EdgeMetrics.ts
@@ -91,11 +91,18 @@
 
   readonly closedConnections = new Counter({
     name: 'wisteriapath_edge_closed_connections_total',
-    help: 'Connections of callers that were closed because of a limit, by reason',
+    help: 'Connections of callers that were closed because of a limit, or as a request crossed their close, by reason',
     labelNames: ['reason'],
     registers: [this.registry],
   });
 
+  readonly unansweredRequests = new Counter({
+    name: 'wisteriapath_edge_unanswered_requests_total',
+    help: 'Requests that were read and whose callers, which had not left, got nothing or half of a response, by the reason why this instance ended the connection',
+    labelNames: ['reason', 'got'],
+    registers: [this.registry],
+  });
+
   /** Registers a gauge whose value is read when the metrics are collected. */
   gauge(name: string, help: string, read: () => number): void {
     const gauge: Gauge = new Gauge({
--- a/packages/edge/src/HttpListener.ts
+++ b/packages/edge/src/HttpListener.ts
@@ -2,10 +2,14 @@
 import type { EventLog } from '@wisteriapath/fleet';
 import type { Clock } from '@wisteriapath/model';
 import { CallerServer } from '@wisteriapath/response-ends';
+import nameSome from './nameSome';
 
 /** Answers a request, at once or later. The server may have answered it before: bytes that cannot be read come after its head. */
 type Handle = (request: IncomingMessage, response: ServerResponse) => void | Promise<void>;
 
+/** Returns what names a request in the log. */
+type IdOf = (request: IncomingMessage) => string;
+
 const BACKLOG = 1_024;
 /** Time for the first request on a connection that has just been accepted. */
 const FIRST_REQUEST_MS = 50;
@@ -13,43 +17,29 @@
 const CLOSE_TIMEOUT_MS = 200;
 const POLL_INTERVAL_MS = 10;
 
-/** Lets an error of a handler end its own response, so that no request waits for an answer that does not come. */
-const guard =
-  (handle: Handle, address: string, log: EventLog) =>
-  async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
-    try {
-      await handle(request, response);
-    } catch (error) {
-      log.event('answer_failed', { address, error: (error as Error).stack ?? String(error) });
-      if (!response.writableEnded) response.destroy();
-    }
-  };
-
 /** An HTTP server that listens at one address. */
 class HttpListener {
   private constructor(
     readonly server: CallerServer,
     private readonly address: string,
     private readonly log: EventLog,
+    private readonly idOf: IdOf,
   ) {}
 
-  /** Opens a listener; `address` is `host:port`. Rejects if the port cannot be bound. */
+  /** Opens a listener; `address` is `host:port`, `idOf` names requests in the log. Rejects if the port cannot be bound. */
   static async open(
     address: string,
     options: ServerOptions,
     log: EventLog,
     handle: Handle,
+    idOf: IdOf = ({ url }) => url ?? '',
   ): Promise<HttpListener> {
-    const answer = guard(handle, address, log);
-    const server = new CallerServer(
-      options,
-      (request, response) => {
-        void answer(request, response);
-      },
-      ({ code, underWay, status }) => {
-        log.event('caller_unreadable', { address, code, under_way: underWay, status });
-      },
-    );
+    const server = new CallerServer(options, handle, ({ code, underWay, status }) => {
+      log.event('caller_unreadable', { address, code, under_way: underWay, status });
+    });
+    server.watchFailures(({ stack, message }) => {
+      log.event('answer_failed', { address, error: stack ?? message });
+    });
     const [host = '', port = '0'] = address.split(':');
     await new Promise<void>((resolve, reject) => {
       server.once('error', reject);
@@ -58,7 +48,7 @@
     server.removeAllListeners('error').on('error', (error: NodeJS.ErrnoException) => {
       log.event('listener_error', { address, code: error.code ?? error.message });
     });
-    return new HttpListener(server, address, log);
+    return new HttpListener(server, address, log, idOf);
   }
 
   /** Closes connections without a request under way, once what has arrived is handled. Call it again, as further ones become idle. */
@@ -81,7 +71,9 @@
       await clock.sleep(Math.min(POLL_INTERVAL_MS, leftMs()));
     }
     const count = server.connectionCount;
-    if (count > 0) this.log.event('connections_left', { address: this.address, count });
+    if (count === 0) return;
+    const requests = nameSome(server.requests.map(this.idOf));
+    this.log.event('connections_left', { address: this.address, count, requests });
   }
 
   /** Closes the server and all connections. */
--- a/packages/edge/src/RequestExecution.ts
+++ b/packages/edge/src/RequestExecution.ts
@@ -11,6 +11,7 @@
 import ExchangeEnd from './ExchangeEnd';
 import type RequestResult from './RequestResult';
 import RequestAuthorization from './RequestAuthorization';
+import RequestStep from './RequestStep';
 import RequestProbe from './RequestProbe';
 import TargetAttempt from './TargetAttempt';
 import TargetFinder from './TargetFinder';
@@ -102,6 +103,7 @@
       this.deps.rates.record(pool.name, model, adapter, waitOrder?.isDeferrable);
     }
     for (;;) {
+      this.caller.reach(RequestStep.Waiting);
       await this.waitForProbe();
       const chosen = await this.findTarget();
       if (this.caller.disconnectSignal.aborted) {
@@ -135,6 +137,7 @@
       this.firstSentAtMs ??= sentAtMs;
       this.sends += 1;
       this.lastTargetId = view.entry.id;
+      this.caller.reach(RequestStep.Sent);
       const outcome = await attempt.run();
       if (outcome === AttemptOutcome.Broken) await this.reportCrash(view, attempt, sentAtMs);
       this.probe.end();
--- a/packages/edge/src/ResponseBody.ts
+++ b/packages/edge/src/ResponseBody.ts
@@ -1,4 +1,5 @@
 import { ByteAccumulator, reclaimReceived } from '@wisteriapath/byte-accumulator';
+import { EndReason } from '@wisteriapath/response-ends';
 import type AdmittedRequest from './AdmittedRequest';
 import type CallerExchange from './CallerExchange';
 import type ChosenTarget from './ChosenTarget';
@@ -132,7 +133,7 @@
       request: request.fields.attemptId,
       unsent_bytes: unsentBytes,
     });
-    caller.abort();
+    caller.abort(EndReason.CallerTooSlow);
   }
 
   /** Ends the exchange whose response holds more than any other body, once there is no memory left for all of them. */
--- a/packages/edge/src/admit.ts
+++ b/packages/edge/src/admit.ts
@@ -1,6 +1,7 @@
 import { type Either, Left, Right } from 'purify-ts';
 import { ErrorKind, ServeError } from '@wisteriapath/model';
 import { type PathRoute, RouteSemantics, type WorkspaceSpec } from '@wisteriapath/fleet';
+import { EndReason } from '@wisteriapath/response-ends';
 import { SuspectDecision } from '@wisteriapath/suspects';
 import type AdmittedRequest from './AdmittedRequest';
 import type CallerExchange from './CallerExchange';
@@ -59,6 +60,7 @@
     limitBytes: state.limits.maxBodyBytes,
     memory: exchange.bodyMemory,
     stopSignal: deps.sendCutoffSignal,
+    cut: () => exchange.abort(EndReason.BodyUnfinished),
   });
   if (read.isLeft()) return Left(read.extract());
   const body = read.unsafeCoerce();
--- a/packages/edge/src/readBody.ts
+++ b/packages/edge/src/readBody.ts
@@ -10,6 +10,8 @@
   readonly memory: MemoryReservation;
   /** Aborts when a body that has not arrived is too late. */
   readonly stopSignal: AbortSignal;
+  /** Closes the connection of a caller who sends on without end after the body was refused. */
+  readonly cut: () => void;
 }
 
 /**
@@ -17,11 +19,11 @@
  * disconnects, or this instance stops before its end.
  *
  * @example
- * const body = await readBody(request, { limitBytes: 4_194_304, memory: budget.reserve(), stopSignal });
+ * const body = await readBody(request, { limitBytes: 4_194_304, memory: budget.reserve(), stopSignal, cut });
  */
 const readBody = (
   request: IncomingMessage,
-  { limitBytes, memory, stopSignal }: Options,
+  { limitBytes, memory, stopSignal, cut }: Options,
 ): Promise<Either<ServeError, Buffer>> =>
   new Promise((settle) => {
     const content = new ByteAccumulator();
@@ -50,7 +52,7 @@
     };
     const refuseTooLarge = () => {
       // Its rest, which has no bound, is not read.
-      if (memory.hasGivenWay) request.destroy();
+      if (memory.hasGivenWay) cut();
       else request.pause();
       refuse(ErrorKind.BodyTooLarge, `the body is longer than ${limitBytes} bytes`);
     };
--- a/packages/response-ends/src/CallerConnection.ts
+++ b/packages/response-ends/src/CallerConnection.ts
@@ -1,6 +1,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 import ConnectionState from './ConnectionState';
+import EndReason from './EndReason';
 
 /** Time for which a caller may take what it is sent last, and go on sending, before its connection is destroyed. */
 const LINGER_MS = 2_000;
@@ -27,6 +28,11 @@
 
   private isEnding = false;
 
+  /** Why this side ended the connection; undefined if it did not. */
+  private endReason: EndReason | undefined;
+
+  private detail = '';
+
   /** Bytes that had been read when the last whole request had arrived; undefined if none has. */
   private requestBytes: number | undefined;
 
@@ -84,6 +90,30 @@
     return this.isEnding;
   }
 
+  /** The requests whose responses the caller has not been sent in full. */
+  get requests(): readonly IncomingMessage[] {
+    return [...this.exchanges].map(({ request }) => request);
+  }
+
+  /** Why the connection ended, and what was said of it; undefined if the caller left first. */
+  get end(): { readonly reason: EndReason; readonly detail: string } | undefined {
+    const { endReason, detail } = this;
+    if (endReason === undefined && this.hasCallerLeft) return undefined;
+    return { reason: endReason ?? EndReason.Unknown, detail };
+  }
+
+  /** Whether the caller has ended its side, or the connection has broken off. */
+  private get hasCallerLeft(): boolean {
+    return this.socket.readableEnded || this.socket.errored !== null;
+  }
+
+  /** Takes note of why this side ends the connection; only the first reason counts, and none once the caller has left. */
+  noteEnd(reason: EndReason, detail = ''): void {
+    if (this.endReason !== undefined || this.hasCallerLeft) return;
+    this.endReason = reason;
+    this.detail = detail;
+  }
+
   /** Counts a request as under way until its response has been sent, or its connection has closed. */
   track(request: IncomingMessage, response: ServerResponse): void {
     const exchange = { request, response };
@@ -93,7 +123,7 @@
     });
     response.once('close', () => {
       this.exchanges.delete(exchange);
-      if (this.isEnding && this.underWay === 0) this.end();
+      if (this.isEnding && this.underWay === 0) this.endSide();
     });
   }
 
@@ -104,7 +134,7 @@
   refuse(status: number, reason: string): boolean {
     this.isEnding = true;
     // Node.js calls this after a response that is its connection's last, and would destroy the connection beside unread bytes.
-    this.socket.destroySoon = () => this.end();
+    this.socket.destroySoon = () => this.endSide();
     this.discardInput();
     const unread = [...this.exchanges].find(({ request }) => !request.complete);
     if (unread !== undefined) return this.refuseUnread(unread, status);
@@ -114,23 +144,29 @@
     }
     const isFirst = this.socket.bytesWritten === 0;
     const head = `HTTP/1.1 ${status} ${reason}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`;
-    this.end(isFirst ? head : '');
+    this.endSide(isFirst ? head : '');
     return isFirst;
   }
 
-  /** Closes a connection that carries no request. Its caller has time to close its side: a reset could overtake its last response. */
-  close(): void {
+  /**
+   * Closes a connection that carries no request. Its caller has time to close its side: a reset could overtake its last response.
+   * `onCrossed` is called if further bytes come.
+   */
+  close(onCrossed: () => void): void {
     if (this.isEnding) return;
     this.isEnding = true;
     this.discardInput();
-    this.end();
+    this.socket.once('data', onCrossed);
+    this.endSide();
   }
 
   /** Closes the connection at once, to free its descriptor. A request whose body has not arrived is refused if it can be. */
   evict(): void {
     const { socket } = this;
     const [only] = this.exchanges;
-    if (this.state !== ConnectionState.Receiving || only.response.headersSent) {
+    const isReceiving = this.state === ConnectionState.Receiving;
+    if (!isReceiving || only.response.headersSent) {
+      this.noteEnd(isReceiving ? EndReason.BodyUnfinished : EndReason.TooManyConnections);
       socket.destroy();
       return;
     }
@@ -161,7 +197,7 @@
   }
 
   /** Sends the last bytes, and destroys the connection if the caller does not close it in time. */
-  private end(lastBytes = ''): void {
+  private endSide(lastBytes = ''): void {
     const { socket } = this;
     if (socket.writableEnded) return;
     socket.end(lastBytes);
@@ -177,8 +213,9 @@
       return true;
     }
     // It was answered early, and its end will not come.
+    this.noteEnd(EndReason.BodyUnfinished);
     this.exchanges.delete(exchange);
-    if (this.underWay === 0) this.end();
+    if (this.underWay === 0) this.endSide();
     return false;
   }
 
--- a/packages/response-ends/src/CallerServer.ts
+++ b/packages/response-ends/src/CallerServer.ts
@@ -1,21 +1,20 @@
-import {
-  type IncomingMessage,
-  type RequestListener,
-  Server,
-  type ServerOptions,
-  type ServerResponse,
-} from 'node:http';
+import { type IncomingMessage, Server, type ServerOptions, type ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 import { setImmediate as passTurn } from 'node:timers/promises';
 import CallerConnection from './CallerConnection';
 import CloseReason from './CloseReason';
 import type ClosedConnection from './ClosedConnection';
 import type ConnectionLimits from './ConnectionLimits';
+import EndReason from './EndReason';
 import HeldAnswers from './HeldAnswers';
+import type UnansweredRequest from './UnansweredRequest';
 import type UnreadableBytes from './UnreadableBytes';
 import chooseEvicted from './chooseEvicted';
 import refusalOf from './refusalOf';
 
+/** Answers a request, at once or later. The server may have answered it before: bytes that cannot be read come after its head. */
+type Handle = (request: IncomingMessage, response: ServerResponse) => void | Promise<void>;
+
 /** Error code for a connection that the caller ends inside a request. */
 const EARLY_END = 'HPE_INVALID_EOF_STATE';
 /** Error code of Node.js for a request that is not received in time. */
@@ -31,6 +30,10 @@
 /** Each turn accepts one connection, so these empty a full backlog. */
 const MAX_TURNS = 1_024;
 
+const rethrow = (error: Error): void => {
+  throw error;
+};
+
 /**
  * An HTTP server that knows which requests of each connection are under way: it writes a status of its own on a connection, or
  * closes it as idle, only while there are none, and once it has read what had arrived before.
@@ -47,6 +50,10 @@
 
   private onClosed: ((closed: ClosedConnection) => void) | null = null;
 
+  private onUnanswered: ((unanswered: UnansweredRequest) => void) | null = null;
+
+  private onFailed = rethrow;
+
   /** Number of requests that are under way. */
   private requestCount = 0;
 
@@ -55,16 +62,21 @@
 
   constructor(
     options: ServerOptions,
-    handle: RequestListener,
+    private readonly handle: Handle,
     private readonly onUnreadable: (bytes: UnreadableBytes) => void,
   ) {
     super(options);
     this.on('connection', (socket) => this.trackConnection(socket));
     this.on('request', (request, response) => {
       // Behind the last response of its connection it could not be answered, so that it must not run.
-      if (this.callerConnections.get(request.socket)?.isLastBegun) return;
+      if (this.callerConnections.get(request.socket)?.isLastBegun) {
+        this.tellDropped(request, EndReason.BehindLastResponse);
+        return;
+      }
       if (!this.trackRequest(request, response)) return;
-      this.answers.add(request, () => handle(request, response));
+      this.answers.add(request, () => {
+        void this.answer(request, response);
+      });
     });
     this.on('timeout', (socket) => {
       void this.closeIfSilent(socket);
@@ -89,6 +101,26 @@
     this.onClosed = onClosed;
   }
 
+  /** Tells of requests that were read, and whose callers get no whole answer though they have not left. */
+  watchUnanswered(onUnanswered: (unanswered: UnansweredRequest) => void): void {
+    this.onUnanswered = onUnanswered;
+  }
+
+  /** Tells of errors of handlers, which end no request but their own. Without it, they are unhandled rejections. */
+  watchFailures(onFailed: (error: Error) => void): void {
+    this.onFailed = onFailed;
+  }
+
+  /** The requests that are under way. */
+  get requests(): readonly IncomingMessage[] {
+    return [...this.callerConnections.values()].flatMap(({ requests }) => requests);
+  }
+
+  /** Takes note of why the connection of a request is about to be ended; does not end it. */
+  noteEnd({ socket }: IncomingMessage, reason: EndReason, detail = ''): void {
+    this.callerConnections.get(socket)?.noteEnd(reason, detail);
+  }
+
   /** Sets the size of heads above which requests on new connections are refused (431). */
   limitHeads(bytes: number): void {
     // Node.js reads the property of its option for each new connection; the types do not name it.
@@ -142,15 +174,25 @@
       .forEach(([socket]) => this.refuse(socket, RECEIVE_TIMEOUT));
   }
 
+  /** Closes all connections, whatever they carry. */
+  override closeAllConnections(): void {
+    this.callerConnections.forEach((connection) => connection.noteEnd(EndReason.ServerClosed));
+    super.closeAllConnections();
+  }
+
   private async closeWithoutRequest(
     mayClose: (connection: CallerConnection) => boolean,
   ): Promise<void> {
     await this.handlePendingInput();
     [...this.callerConnections.values()].filter(mayClose).forEach((connection) => {
-      connection.close();
+      this.closeIdle(connection);
     });
   }
 
+  private closeIdle(connection: CallerConnection): void {
+    connection.close(() => this.tellClosed(CloseReason.CrossedClose, 0));
+  }
+
   /**
    * Closes a connection that has been silent for too long without a request under way, unless bytes have arrived on it meanwhile.
    * Those before may have been no request: the parser skips empty lines.
@@ -159,7 +201,7 @@
     const { bytesRead } = socket;
     await this.handlePendingInput();
     const connection = this.callerConnections.get(socket);
-    if (connection?.underWay === 0 && socket.bytesRead === bytesRead) connection.close();
+    if (connection?.underWay === 0 && socket.bytesRead === bytesRead) this.closeIdle(connection);
   }
 
   private trackConnection(socket: Socket): void {
@@ -188,22 +230,58 @@
     this.arrivals += 1;
     const connection = this.callerConnections.get(request.socket);
     // The parser reads on to the end of the bytes that it was given, also once their connection was closed.
-    if (request.socket.destroyed || connection === undefined) return false;
-    connection.track(request, response);
-    this.requestCount += 1;
+    if (request.socket.destroyed || connection === undefined) {
+      const reason = connection?.end?.reason;
+      if (reason !== undefined) this.tellDropped(request, reason);
+      return false;
+    }
+    const startedMs = performance.now();
     response.once('close', () => {
       this.requestCount -= 1;
+      if (response.writableFinished) return;
+      const tookMs = performance.now() - startedMs;
+      this.tellUnanswered(connection, { request, hasBegun: response.headersSent, tookMs });
     });
+    connection.track(request, response);
+    this.requestCount += 1;
     const { requestsInConnection, requests } = this.limits;
     const isLong = connection.underWay > requestsInConnection;
     const isOneOfTooMany = this.requestCount > requests && connection.underWay > 1;
     if (!isLong && !isOneOfTooMany) return true;
     if (isLong) this.tellClosed(CloseReason.TooManyPipelined, requestsInConnection);
     else this.tellClosed(CloseReason.TooManyRequests, requests);
+    connection.noteEnd(isLong ? EndReason.TooManyPipelined : EndReason.TooManyRequests);
     request.socket.destroy();
     return false;
   }
 
+  /** Lets an error of the handler end its own response, so that no request waits for an answer that does not come. */
+  private async answer(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    try {
+      await this.handle(request, response);
+    } catch (error) {
+      const { message } = error as Error;
+      this.noteEnd(request, EndReason.HandlerFailed, message);
+      if (!response.writableEnded) response.destroy();
+      this.onFailed(error as Error);
+    }
+  }
+
+  private tellUnanswered(
+    connection: CallerConnection,
+    exchange: Pick<UnansweredRequest, 'request' | 'hasBegun' | 'tookMs'>,
+  ): void {
+    const { end, underWay } = connection;
+    if (end === undefined || end.reason === EndReason.BodyUnfinished) return;
+    this.onUnanswered?.({ ...exchange, ...end, underWay });
+  }
+
+  /** Tells of a request that is not handled, as its connection ends. */
+  private tellDropped(request: IncomingMessage, reason: EndReason): void {
+    const underWay = this.callerConnections.get(request.socket)?.underWay ?? 0;
+    this.onUnanswered?.({ request, reason, detail: '', hasBegun: false, tookMs: 0, underWay });
+  }
+
   private tellClosed(reason: CloseReason, limit: number): void {
     this.onClosed?.({ reason, connections: this.connectionCount, limit });
   }
@@ -217,6 +295,7 @@
     // A caller that closes its side has left, and waits for no answer.
     const hasLeft = code === EARLY_END && underWay > 0;
     if (refusal === undefined || hasLeft || !socket.writable) {
+      if (refusal !== undefined && !hasLeft) connection.noteEnd(EndReason.Unreadable, code);
       socket.destroy();
       this.onUnreadable({ code, underWay, status: 0 });
       return;
