Wait in a stop wherever callers may come, not only where the balancer has asked

The users' platform uses all nodes of a zone when fewer than half are in rotation, so that such an instance has callers.

Cause: the time for which callers are still served after the signal was 0 unless the readiness port had once answered that the instance is ready, so idle kept connections were closed at once, beside requests that were on their way.

What matters is whether callers may come: they may where the balancer has been told that the instance is ready, and where any caller has ever connected. Only an instance that neither has reached ends at once.

--- a/packages/edge/src/CallerListener.ts
+++ b/packages/edge/src/CallerListener.ts
@@ -43,6 +43,11 @@
     return this.active.size;
   }
 
+  /** Whether a connection has been accepted. */
+  get haveConnected(): boolean {
+    return this.listener?.server.hasAccepted ?? false;
+  }
+
   /** Log fields on the requests in progress, or those that were broken off at the end of a stop: the ids, and how far each has come. */
   get leftFields(): { readonly under_way: number; readonly requests: string } {
     const left = this.left ?? this.activeIds;
--- a/packages/edge/src/Edge.ts
+++ b/packages/edge/src/Edge.ts
@@ -266,7 +266,7 @@
 
   private async stopOnce(): Promise<void> {
     this.log.event('stopping', { under_way: this.callers.activeRequests });
-    const finished = this.shutdown.run(this.listeners.all, this.listeners.isKnownAsReady);
+    const finished = this.shutdown.run(this.listeners.all, this.listeners.mayBeReached);
     // A silent store must not let the release of the lease delay the rest.
     void stopParts(this.log, {
       heartbeat: () => this.peers.sendHeartbeat(),
--- a/packages/edge/src/EdgeListeners.ts
+++ b/packages/edge/src/EdgeListeners.ts
@@ -53,9 +53,9 @@
     return this.isServing && view.isLoaded && !deps.isStopping();
   }
 
-  /** Whether the balancer may have been told that the instance is ready. */
-  get isKnownAsReady(): boolean {
-    return this.hasSaidReady;
+  /** Whether callers may come: the balancer may have been told that the instance is ready, or callers have connected without that. */
+  get mayBeReached(): boolean {
+    return this.hasSaidReady || this.parts.callers.haveConnected;
   }
 
   /** The ports that serving needs and that are not open, each with its last error; then the self-check. */
--- a/packages/edge/src/Shutdown.ts
+++ b/packages/edge/src/Shutdown.ts
@@ -63,14 +63,14 @@
   }
 
   /**
-   * Finishes the requests in progress, and has the others answered before the grace period ends. Where the balancer was never told
-   * that the instance is ready, nothing waits for it to turn away.
+   * Finishes the requests in progress, and has the others answered before the grace period ends. Where no callers can
+   * have been sent to the instance, nothing waits for them to be sent elsewhere.
    */
-  async run(listeners: readonly HttpListener[], isKnownAsReady: boolean): Promise<void> {
+  async run(listeners: readonly HttpListener[], mayBeReached: boolean): Promise<void> {
     const { clock, graceMs } = this.parts;
     const startedMs = clock.nowMs();
     const longestMs = Math.max(0, graceMs - LEAST_REST_MS);
-    const sendingMs = isKnownAsReady ? Math.min(BALANCER_LAG_MS, longestMs) : 0;
+    const sendingMs = mayBeReached ? Math.min(BALANCER_LAG_MS, longestMs) : 0;
     this.cutoffAtMs = startedMs + sendingMs;
     this.finalAtMs = startedMs + graceMs - GRACE_MARGIN_MS;
     await clock.sleep(sendingMs);
--- a/packages/response-ends/src/CallerServer.ts
+++ b/packages/response-ends/src/CallerServer.ts
@@ -95,6 +95,11 @@
     return this.callerConnections.size;
   }
 
+  /** Whether a connection has ever been accepted. */
+  get hasAccepted(): boolean {
+    return this.arrivals > 0;
+  }
+
   /** Sets what callers may use from now on; `onClosed` is told what is closed for it. */
   limitUse(limits: ConnectionLimits, onClosed: (closed: ClosedConnection) => void): void {
     this.limits = limits;
