Answer a request whose handling fails, in place of closing its connection

What callers saw: after an error in the code that handles a request (request_crashed at the callers' port, answer_failed at the others) its connection was closed without an answer. A response that was whole, but not yet written out, was broken off too.

Such a request gets 502, which promises nothing, as what it was at is not known; it may have run. Its connection stays open if its body has been read. Only a response that has begun and is not whole is broken off (reason=handler_failed). request_crashed names the request.

--- a/packages/edge/src/CallerExchange.ts
+++ b/packages/edge/src/CallerExchange.ts
@@ -1,6 +1,6 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { ByteAccumulator } from '@wisteriapath/byte-accumulator';
-import { responseTo, type ServeError } from '@wisteriapath/model';
+import { ErrorKind, responseTo, ServeError } from '@wisteriapath/model';
 import { EndReason } from '@wisteriapath/response-ends';
 import type Dialect from './Dialect';
 import type MemoryReservation from './MemoryReservation';
@@ -13,6 +13,11 @@
  */
 const REFUSED_BODY_TIMEOUT_MS = 10_000;
 
+const FAILED = ServeError.maybeExecuted(
+  ErrorKind.TargetFailed,
+  'this instance failed while it handled the request, which may have run',
+);
+
 /** What an exchange needs of the server of its connection. */
 interface Connection {
   /** Whether the connection is closed after this response. */
@@ -36,6 +41,9 @@
   /** Called once the caller can take more. */
   private onDrain: (() => void) | null = null;
 
+  /** Whether the whole response has been handed over, be it not ended yet. */
+  private isWhole = false;
+
   /** How far the request has come, as long as its response has not begun. */
   private progress = RequestStep.Receiving;
 
@@ -110,6 +118,7 @@
 
   /** Completes the response with the rest of its body, whose memory is free once it has been sent. */
   end(rest = new ByteAccumulator()): void {
+    this.isWhole = true;
     this.response.cork();
     if (this.unwritten.sizeBytes > 0) this.response.write(this.unwritten.take());
     rest.pieces.forEach((piece) => this.response.write(piece));
@@ -152,10 +161,18 @@
       ...retry,
     };
     this.start(status, headers);
+    this.isWhole = true;
     if (isReadOn && !this.request.complete) this.endOnceRead(body);
     else this.response.end(body);
   }
 
+  /** Ends a request whose handling has failed. What it was at is not known, so it may have run; a whole response stays. */
+  fail(message: string, attemptId: string): void {
+    if (this.isWhole || this.response.writableEnded) return;
+    if (this.hasStarted) this.abort(EndReason.HandlerFailed, message);
+    else this.sendError(FAILED, attemptId);
+  }
+
   private writeOut(bytes: Buffer): void {
     this.isWriting = true;
     this.response.write(bytes, () => this.onWritten());
--- a/packages/edge/src/CallerListener.ts
+++ b/packages/edge/src/CallerListener.ts
@@ -77,10 +77,7 @@
         response.on('close', () => {
           this.active.delete(request);
         });
-        handleRequest(deps, caller).catch((error: Error) => {
-          log.event('request_crashed', { error: error.stack ?? error.message });
-          caller.abort(EndReason.HandlerFailed, error.message);
-        });
+        return this.serve(request, caller);
       },
       (request) => this.idOf(request),
     );
@@ -110,6 +107,18 @@
     this.applyLimits();
   }
 
+  /** Serves a request; one whose handling fails may have run, so that its answer promises nothing. */
+  private async serve(request: IncomingMessage, caller: CallerExchange): Promise<void> {
+    try {
+      await handleRequest(this.deps, caller);
+    } catch (error) {
+      const { stack, message } = error as Error;
+      const id = this.idOf(request);
+      this.deps.log.event('request_crashed', { request: id, error: stack ?? message });
+      caller.fail(message, id);
+    }
+  }
+
   private get activeIds(): readonly string[] {
     return [...this.active].map(([request, { step }]) => `${this.idOf(request)}:${step}`);
   }
--- a/packages/edge/test/httpListener.test.ts
+++ b/packages/edge/test/httpListener.test.ts
@@ -88,12 +88,17 @@
       },
     },
     { when: 'later', handle: () => Promise.reject(new Error('made to fail')) },
-  ])('whose handler fails $when closes the connection and says why', async ({ handle }) => {
-    const port = await open(handle);
-    expect(await exchange(port, WHOLE)).toBe('');
-    expect(errors).toEqual([]);
-    expect(lines.join()).toMatch(/answer_failed.*made to fail/);
-  });
+  ])(
+    'whose handler fails $when promises nothing, closes the connection and says why',
+    async ({ handle }) => {
+      const port = await open(handle);
+      expect(await exchange(port, WHOLE)).toMatch(
+        /^HTTP\/1\.1 502 [^]*connection: close\r\n[^]*\r\n\r\n$/,
+      );
+      expect(errors).toEqual([]);
+      expect(lines.join()).toMatch(/answer_failed.*made to fail/);
+    },
+  );
 
   test('that finishes answers the requests of connections that wait to be accepted', async () => {
     const port = await open((_, response) => {
--- a/packages/response-ends/src/CallerServer.ts
+++ b/packages/response-ends/src/CallerServer.ts
@@ -20,6 +20,8 @@
 /** Error code of Node.js for a request that is not received in time. */
 const RECEIVE_TIMEOUT = 'ERR_HTTP_REQUEST_TIMEOUT';
 const EXPECTATION_FAILED = 417;
+/** Promises nothing: the request may have run. */
+const BAD_GATEWAY = 502;
 const NO_LIMITS: ConnectionLimits = {
   connections: Infinity,
   requestsInConnection: Infinity,
@@ -260,18 +262,26 @@
     return false;
   }
 
-  /** Lets an error of the handler end its own response, so that no request waits for an answer that does not come. */
+  /** Answers a request whose handler fails with a status that promises nothing, as it may have run; breaks off what has begun. */
   private async answer(request: IncomingMessage, response: ServerResponse): Promise<void> {
     try {
       await this.handle(request, response);
     } catch (error) {
-      const { message } = error as Error;
-      this.noteEnd(request, EndReason.HandlerFailed, message);
-      if (!response.writableEnded) response.destroy();
+      this.endFailed(request, response, error as Error);
       this.onFailed(error as Error);
     }
   }
 
+  private endFailed(request: IncomingMessage, response: ServerResponse, { message }: Error): void {
+    if (response.writableEnded) return;
+    if (!response.headersSent) {
+      response.writeHead(BAD_GATEWAY, { connection: 'close', 'content-length': '0' }).end();
+      return;
+    }
+    this.noteEnd(request, EndReason.HandlerFailed, message);
+    response.destroy();
+  }
+
   private tellUnanswered(
     connection: CallerConnection,
     exchange: Pick<UnansweredRequest, 'request' | 'hasBegun' | 'tookMs'>,
