--- a/packages/edge/src/CallerListener.ts
+++ b/packages/edge/src/CallerListener.ts
@@ -43,6 +43,11 @@
     return this.active.size;
   }
 
+  /** Whether a connection has been accepted. */
+  get haveConnected(): boolean {
+    return this.listener?.server.hasAccepted ?? false;
+  }
+
   /** Log fields on the requests in progress, or those that were broken off at the end of a stop: the ids, and how far each has come. */
   get leftFields(): { readonly under_way: number; readonly requests: string } {
     const left = this.left ?? this.activeIds;
@@ -72,10 +77,7 @@
         response.on('close', () => {
           this.active.delete(request);
         });
-        handleRequest(deps, caller).catch((error: Error) => {
-          log.event('request_crashed', { error: error.stack ?? error.message });
-          caller.abort(EndReason.HandlerFailed, error.message);
-        });
+        return this.serve(request, caller);
       },
       (request) => this.idOf(request),
     );
@@ -105,6 +107,18 @@
     this.applyLimits();
   }
 
+  /** Serves a request; one whose handling fails may have run, so that its answer promises nothing. */
+  private async serve(request: IncomingMessage, caller: CallerExchange): Promise<void> {
+    try {
+      await handleRequest(this.deps, caller);
+    } catch (error) {
+      const { stack, message } = error as Error;
+      const id = this.idOf(request);
+      this.deps.log.event('request_crashed', { request: id, error: stack ?? message });
+      caller.fail(message, id);
+    }
+  }
+
   private get activeIds(): readonly string[] {
     return [...this.active].map(([request, { step }]) => `${this.idOf(request)}:${step}`);
   }
