A stop counts its grace period from when its signal may have come, not from its handler

Callers: a process that stands still as SIGTERM comes handles the signal late, goes on serving for its whole grace period from then on, and is cut by SIGKILL with all that it took meanwhile. These requests had been sent more than 3 s after the signal, so nothing excuses them.

Cause: nothing tells a process when a signal was sent, and all times of a stop counted from the call of the handler. What held those processes still is not shown; this mends what it did to callers.

The stop takes off what may have passed: the time for which requests are sent, the time at which requests under way are answered, and the limit of the stop. The line `stopping` has it as passed_ms.

Own protocol: looked at; its stop has no grace period, so nothing to count.

--- a/packages/edge/src/Edge.ts
+++ b/packages/edge/src/Edge.ts
@@ -253,15 +253,22 @@
     this.log.event('started', { callers, domain: member.failureDomain });
   }
 
-  /** Finishes the requests in progress and stops within the grace period. Called again, it waits for the same stop. */
-  stop(): Promise<void> {
-    this.stopped ??= this.stopOnce();
+  /**
+   * Finishes the requests in progress and stops within the grace period, of which a part may have passed. Called again, it waits for
+   * the same stop.
+   */
+  stop(passedMs = 0): Promise<void> {
+    this.stopped ??= this.stopOnce(passedMs);
     return this.stopped;
   }
 
-  private async stopOnce(): Promise<void> {
-    this.log.event('stopping', { under_way: this.callers.activeRequests });
-    const finished = this.shutdown.run(this.listeners.all, this.listeners.isKnownAsReady);
+  private async stopOnce(passedMs: number): Promise<void> {
+    const { callers, listeners } = this;
+    this.log.event('stopping', {
+      under_way: callers.activeRequests,
+      passed_ms: Math.round(passedMs),
+    });
+    const finished = this.shutdown.run(listeners.all, listeners.isKnownAsReady, passedMs);
     // A silent store must not let the release of the lease delay the rest.
     void stopParts(this.log, {
       heartbeat: () => this.peers.sendHeartbeat(),
--- a/packages/edge/src/Shutdown.ts
+++ b/packages/edge/src/Shutdown.ts
@@ -64,16 +64,20 @@
 
   /**
    * Finishes the requests in progress, and has the others answered before the grace period ends. Where the balancer was never told
-   * that the instance is ready, nothing waits for it to turn away.
+   * that the instance is ready, nothing waits for it to turn away. `passedMs` of the grace period may have passed.
    */
-  async run(listeners: readonly HttpListener[], isKnownAsReady: boolean): Promise<void> {
+  async run(
+    listeners: readonly HttpListener[],
+    isKnownAsReady: boolean,
+    passedMs = 0,
+  ): Promise<void> {
     const { clock, graceMs } = this.parts;
-    const startedMs = clock.nowMs();
+    const startedMs = clock.nowMs() - passedMs;
     const longestMs = Math.max(0, graceMs - LEAST_REST_MS);
     const sendingMs = isKnownAsReady ? Math.min(BALANCER_LAG_MS, longestMs) : 0;
     this.cutoffAtMs = startedMs + sendingMs;
     this.finalAtMs = startedMs + graceMs - GRACE_MARGIN_MS;
-    await clock.sleep(sendingMs);
+    await clock.sleep(sendingMs - passedMs);
     this.cutoffController.abort();
     await this.finishRequests(listeners, this.finalAtMs);
     this.controller.abort();
--- a/packages/edge/test/shutdown.test.ts
+++ b/packages/edge/test/shutdown.test.ts
@@ -43,6 +43,18 @@
     expect(atMs).toEqual({ final: times.finalMs, end: times.endMs });
   });
 
+  test.each([
+    { passedMs: 1_000, cutoffMs: 1_600, finalMs: 4_500 },
+    { passedMs: 3_000, cutoffMs: -400, finalMs: 2_500 },
+  ])('of which $passedMs ms have passed ends as much sooner', async (times) => {
+    const clock = new VirtualClock();
+    const shutdown = new Shutdown({ clock, graceMs: 6_000, activeRequests: () => 1 });
+    const ended = shutdown.run([], true, times.passedMs);
+    expect(shutdown).toMatchObject({ sendCutoffAtMs: times.cutoffMs, endAtMs: times.finalMs });
+    await clock.runUntil(times.finalMs + FINAL_PART_MS - END_PART_MS);
+    await ended;
+  });
+
   test('ends soon after the last request has ended', async () => {
     let active = 1;
     const { clock, atMs, ended } = run(6_000, () => active);
