A stream that has begun may wait for its next engine, however long it has lasted

What callers saw: half an answer. A resumable stream whose engine had announced its end was moved, that is, this instance ended its run, and then the stream was broken off in place of going on at another engine. All streams of an engine that leaves are moved in one moment, so that one leave could cut several of them.

Cause: the search for a target ended at the time by which the caller wants the first event (2 s or more after the request came), also for a stream that had begun and whose caller had its events. Later than that, the search was over before it began: in a pool with a queue (deferring) no engine was asked at all, in others each was asked once, and a place that became free a moment later was not waited for.

Why it works: the search of a stream that has begun ends when its caller gives up waiting for the next event, or at the deadline.

Not shown to be what the users saw.

--- a/packages/edge/src/RequestDispatcher.ts
+++ b/packages/edge/src/RequestDispatcher.ts
@@ -16,6 +16,8 @@
 interface Search {
   /** Whether what the request needs may differ from that of others for the same model, as it excludes targets. */
   readonly isSpecial: boolean;
+  /** Time at which the caller leaves if nothing has come until then. */
+  readonly leavesAtMs: number;
   readonly isOver: () => boolean;
   /** Reserves a target; undefined if none can take the request now. */
   readonly reserve: () => ChosenTarget | undefined;
@@ -65,7 +67,7 @@
   /** Puts a request into the queue; a target is looked for before this returns. */
   enter(request: AdmittedRequest, order: WaitOrder, search: Search): Ticket {
     const { clock, log, metrics } = this.deps;
-    const { pool, route, workspace, fields, firstEventDeadlineAtMs: leavesAtMs } = request;
+    const { pool, route, workspace, fields } = request;
     const sinceMs = clock.nowMs();
     let reserved: ChosenTarget | undefined;
     let settle: () => void = () => {};
@@ -96,7 +98,7 @@
       priority: order.priority,
       latencyTargetMs: route.latencyTargetMs,
       sinceMs,
-      leavesAtMs,
+      leavesAtMs: search.leavesAtMs,
       workspace: workspace?.name ?? '',
       tokens: Math.max(MIN_TOKENS, fields.tokens ?? workspace?.defaultTokens ?? 0),
       need: search.isSpecial ? null : JSON.stringify([pool.name, fields.model, fields.adapter]),
--- a/packages/edge/src/RequestExecution.ts
+++ b/packages/edge/src/RequestExecution.ts
@@ -14,7 +14,9 @@
 import RequestProbe from './RequestProbe';
 import TargetAttempt from './TargetAttempt';
 import TargetFinder from './TargetFinder';
+import type TargetSearch from './TargetSearch';
 import awaitRunEnd from './awaitRunEnd';
+import eventWaitMs from './eventWaitMs';
 import mayRunAgain from './mayRunAgain';
 import sendResponse from './sendResponse';
 
@@ -220,17 +222,26 @@
 
   private async findTarget(): Promise<ChosenTarget | undefined> {
     const { clock } = this.deps;
-    const { firstEventDeadlineAtMs, pool, route } = this.request;
     const startedMs = clock.nowMs();
-    const lastMs = firstEventDeadlineAtMs - REFUSAL_MARGIN_MS;
-    const serviceUntilMs = startedMs + route.latencyTargetMs * SERVICE_WAIT_FRACTION;
-    const untilMs = pool.engine === null ? Math.min(lastMs, serviceUntilMs) : lastMs;
-    const search = { excluded: this.excluded, untilMs, isOver: () => this.isOver };
+    const { excluded } = this;
+    const search = { excluded, ...this.searchEnd(startedMs), isOver: () => this.isOver };
     const chosen = await this.finder.find(this.request, search);
     this.waitedMs += clock.nowMs() - startedMs;
     return chosen;
   }
 
+  /** Returns when a search that begins now ends, and when the caller leaves. A stream that has begun cannot be refused any more. */
+  private searchEnd(nowMs: number): Pick<TargetSearch, 'untilMs' | 'leavesAtMs'> {
+    const { deadlineAtMs, firstEventDeadlineAtMs, pool, route } = this.request;
+    const { hasStarted } = this.caller;
+    const nextEventDeadlineAtMs = Math.min(deadlineAtMs, nowMs + eventWaitMs(route));
+    const leavesAtMs = hasStarted ? nextEventDeadlineAtMs : firstEventDeadlineAtMs;
+    const lastMs = hasStarted ? leavesAtMs : leavesAtMs - REFUSAL_MARGIN_MS;
+    const serviceUntilMs = nowMs + route.latencyTargetMs * SERVICE_WAIT_FRACTION;
+    const untilMs = pool.engine === null ? Math.min(lastMs, serviceUntilMs) : lastMs;
+    return { untilMs, leavesAtMs };
+  }
+
   /** Ends an answered request; logs an answer of which only its connection showed the end. */
   private finishAnswered(attempt: TargetAttempt): RequestResult {
     const { framing, end } = attempt.endFields;
--- a/packages/edge/src/TargetFinder.ts
+++ b/packages/edge/src/TargetFinder.ts
@@ -3,15 +3,7 @@
 import type ChosenTarget from './ChosenTarget';
 import type EdgeDependencies from './EdgeDependencies';
 import TargetRanking from './TargetRanking';
-
-interface Search {
-  /** Targets that are not chosen, with the time until which they are excluded. */
-  readonly excluded: ReadonlyMap<string, number>;
-  /** Time at which the search ends. */
-  readonly untilMs: number;
-  /** Whether the request must not be sent any more, no matter which targets are available. */
-  readonly isOver: () => boolean;
-}
+import type TargetSearch from './TargetSearch';
 
 const POLL_INTERVAL_MS = 25;
 /** Interval at which a request in the queue looks whether its caller still waits and its model can still be held in time. */
@@ -29,7 +21,7 @@
   }
 
   /** Returns the best target with a reservation on it; undefined if none became available in time. */
-  async find(request: AdmittedRequest, search: Search): Promise<ChosenTarget | undefined> {
+  async find(request: AdmittedRequest, search: TargetSearch): Promise<ChosenTarget | undefined> {
     const { clock, table, waiting, sendCutoffAtMs } = this.deps;
     const { pool, route, fields } = request;
     // Registered once per wait, so that the placers learn how long the request has waited.
@@ -51,7 +43,7 @@
             {
               latencyTargetMs: route.latencyTargetMs,
               deadlineAtMs: request.deadlineAtMs,
-              ...this.demandOrder(request),
+              ...this.demandOrder(request, search),
             },
           );
           if (this.heldInMs(request) > leftMs) {
@@ -78,11 +70,12 @@
   }
 
   /** Puts a request of a deferring pool into the queue of this instance; the others look for a target by themselves. */
-  private enterQueue(request: AdmittedRequest, search: Search) {
+  private enterQueue(request: AdmittedRequest, search: TargetSearch) {
     const { clock, dispatcher, sendCutoffAtMs } = this.deps;
     if (request.waitOrder === undefined) return undefined;
     return dispatcher.enter(request, request.waitOrder, {
       isSpecial: search.excluded.size > 0,
+      leavesAtMs: search.leavesAtMs,
       isOver: () => search.isOver() || clock.nowMs() >= Math.min(search.untilMs, sendCutoffAtMs()),
       reserve: () => this.reserveBest(request, search.excluded),
     });
@@ -109,8 +102,9 @@
   /** Returns what the placers are told of how urgent a request is; nothing in pools that are not deferring. */
   private demandOrder(
     request: AdmittedRequest,
+    { leavesAtMs }: TargetSearch,
   ): Pick<Parameters<WaitingRequests['add']>[1], 'order'> {
-    const { waitOrder, firstEventDeadlineAtMs: leavesAtMs } = request;
+    const { waitOrder } = request;
     if (waitOrder === undefined) return {};
     return {
       order: { priority: waitOrder.priority, leavesAtMs, loadMs: () => this.loadMs(request) },
--- a/packages/edge/src/admit.ts
+++ b/packages/edge/src/admit.ts
@@ -1,6 +1,6 @@
 import { type Either, Left, Right } from 'purify-ts';
 import { ErrorKind, ServeError } from '@wisteriapath/model';
-import { type PathRoute, RouteSemantics, type WorkspaceSpec } from '@wisteriapath/fleet';
+import type { WorkspaceSpec } from '@wisteriapath/fleet';
 import { SuspectDecision } from '@wisteriapath/suspects';
 import type AdmittedRequest from './AdmittedRequest';
 import type CallerExchange from './CallerExchange';
@@ -8,26 +8,18 @@
 import type RequestFields from './RequestFields';
 import authorize from './authorize';
 import choosePool from './choosePool';
+import eventWaitMs from './eventWaitMs';
 import readBody from './readBody';
 import suspectError from './suspectError';
 import traitsOf from './traitsOf';
 import waitOrderOf from './waitOrderOf';
 
-/** Minimum time for which callers of streams wait for an event. */
-const MIN_FIRST_EVENT_WAIT_MS = 2_000;
-
 const notRun = (kind: ErrorKind, message: string, retryAfterMs?: number) =>
   Left(ServeError.notExecuted(kind, message, retryAfterMs));
 
 const unitsOf = (workspace: WorkspaceSpec, fields: RequestFields): number =>
   workspace.countsTokens ? (fields.tokens ?? workspace.defaultTokens) : 1;
 
-/** Returns the time for which callers wait for an event before they disconnect. */
-const firstEventWaitMs = ({ semantics, latencyTargetMs, gapTargetMs }: PathRoute): number =>
-  semantics === RouteSemantics.Stream
-    ? Math.max(MIN_FIRST_EVENT_WAIT_MS, 4 * latencyTargetMs, 8 * gapTargetMs)
-    : Infinity;
-
 /**
  * Reads a request and checks its route, key, size, rate limit and whether it may crash targets.
  *
@@ -69,7 +61,7 @@
   if (decision === SuspectDecision.Refused) return Left(suspectError(suspectWaitMs));
   const waitMs = workspace === null ? 0 : deps.limits.admit(workspace, unitsOf(workspace, fields));
   if (waitMs > 0) return notRun(ErrorKind.OverRate, 'the workspace is over its rate', waitMs);
-  const firstEventDeadlineAtMs = Math.min(deadlineAtMs, arrivedMs + firstEventWaitMs(route));
+  const firstEventDeadlineAtMs = Math.min(deadlineAtMs, arrivedMs + eventWaitMs(route));
   return Right({
     state,
     route,
--- a/packages/edge/test/requestDispatcher.test.ts
+++ b/packages/edge/test/requestDispatcher.test.ts
@@ -56,7 +56,12 @@
       firstEventDeadlineAtMs,
       waitOrder: { priority, isDeferrable: priority > 0 },
     } as unknown as AdmittedRequest;
-    const search = { excluded, untilMs: firstEventDeadlineAtMs, isOver };
+    const search = {
+      excluded,
+      untilMs: firstEventDeadlineAtMs,
+      leavesAtMs: firstEventDeadlineAtMs,
+      isOver,
+    };
     return new TargetFinder(deps).find(request, search).then((found) => {
       ended.push(name);
       if (found === undefined) return;
--- a/packages/edge/test/targetFinder.test.ts
+++ b/packages/edge/test/targetFinder.test.ts
@@ -32,7 +32,12 @@
     route: { latencyTargetMs: 2_000 },
     fields: { model: 'm', adapter: null },
   } as unknown as AdmittedRequest;
-  const search = { excluded: new Map(), untilMs: WAIT_MS, isOver: () => false };
+  const search = {
+    excluded: new Map(),
+    untilMs: WAIT_MS,
+    leavesAtMs: WAIT_MS,
+    isOver: () => false,
+  };
   const found = new TargetFinder(deps).find(request, search);
   await clock.advance(WAIT_MS * 0.9);
   expect(waiting.demands.map(({ waitedMs }) => waitedMs)).toEqual([WAIT_MS * 0.9]);
@@ -62,6 +67,7 @@
   const search = {
     excluded: new Map(),
     untilMs: WAIT_MS,
+    leavesAtMs: WAIT_MS,
     isOver: () => false,
   };
   const finder = new TargetFinder(deps);
@@ -103,7 +109,12 @@
     } as unknown as AdmittedRequest;
     const finder = new TargetFinder(deps);
     let outcome: string | undefined;
-    const search = { excluded: new Map(), untilMs: PATIENCE_MS, isOver: () => false };
+    const search = {
+      excluded: new Map(),
+      untilMs: PATIENCE_MS,
+      leavesAtMs: PATIENCE_MS,
+      isOver: () => false,
+    };
     const found = finder.find(request, search).then((chosen) => {
       outcome = chosen === undefined ? 'unserved' : 'served';
     });
@@ -198,7 +209,12 @@
     } as unknown as AdmittedRequest;
     const finder = new TargetFinder(deps);
     let hasEnded = false;
-    const search = { excluded: new Map(), untilMs: LEAVES_AFTER_MS, isOver: () => false };
+    const search = {
+      excluded: new Map(),
+      untilMs: LEAVES_AFTER_MS,
+      leavesAtMs: LEAVES_AFTER_MS,
+      isOver: () => false,
+    };
     void finder.find(request, search).then(() => {
       hasEnded = true;
     });
