A stream that was moved from its engine goes on elsewhere also if a stop begins meanwhile

What callers saw: half an answer, seconds before the end of the grace period, of a resumable stream whose engine would have gone on.

Cause: an instance ends the run of a stream 1 s before its engine is gone, and waits until the engine no longer works on it, up to a second and more where engines go on without a connection. A SIGTERM in that time asked for the rest as for any broken stream: one that was not expected to fit was given up. But here no engine had broken it off.

Why it works: what this instance has taken from its engine is never given up for an expectation; streams that engines broke off are still weighed, as before.

--- a/packages/edge/src/RequestExecution.ts
+++ b/packages/edge/src/RequestExecution.ts
@@ -76,6 +76,9 @@
 
   private stopRefusal: ServeError | undefined;
 
+  /** Whether this instance itself has ended a run, so that the stream goes on elsewhere. */
+  private isMoved = false;
+
   private lastFailure: TargetAttempt | null = null;
 
   private readonly probe: RequestProbe;
@@ -138,6 +141,7 @@
       this.sends += 1;
       this.lastTargetId = view.entry.id;
       const outcome = await attempt.run();
+      this.isMoved ||= outcome === AttemptOutcome.Moved;
       if (outcome === AttemptOutcome.Broken) await this.reportCrash(view, attempt, sentAtMs);
       this.probe.end();
       this.recordTime(attempt, outcome, sentAtMs);
@@ -173,8 +177,12 @@
     return this.stopError() ?? this.authorization.denial ?? this.probe.refusal;
   }
 
-  /** Returns a refusal once a shutdown leaves no time to run the request, or the rest of a stream that has begun. */
+  /**
+   * Returns a refusal once a shutdown leaves no time to run the request, or the rest of a stream that has begun. A moved stream goes on,
+   * whatever is expected of its rest: nothing but this instance has ended its run.
+   */
   private stopError(): ServeError | undefined {
+    if (this.isMoved) return undefined;
     const begunAtMs = this.caller.hasStarted ? this.firstSentAtMs : undefined;
     this.stopRefusal ??= this.deps.stopGate.refusal(this.request, begunAtMs);
     return this.stopRefusal;
