A stream that pauses is left only if it goes on elsewhere

What callers saw: half an answer of a resumable stream that paused, whose target would have gone on.

Cause: a stream whose engine said that it had no such run was given up first; only then it was asked whether another attempt was allowed. With no attempt or retry left, or in a stop that expected the rest not to fit, that broke it off. A stream of a plain service whose entry lists models was given up for its silence alone, without any question (entries without models were spared by chance: they seem to have no alternative).

Why it works: giving up and moving take the retry before they end the run, by the same check. Where nothing can follow, no engine is asked any more.

--- a/packages/edge/src/RequestExecution.ts
+++ b/packages/edge/src/RequestExecution.ts
@@ -47,6 +47,7 @@
   AttemptOutcome.NotSent,
   AttemptOutcome.Withheld,
   AttemptOutcome.Moved,
+  AttemptOutcome.Stalled,
 ]);
 /** Fraction of the latency target for which a request waits for a target of a pool of services. */
 const SERVICE_WAIT_FRACTION = 0.5;
@@ -133,7 +134,8 @@
         mayRunAgain: () => this.authorization.isRetryable,
         keepsFailure:
           this.authorization.isRetryable && this.executions + 1 < this.request.route.attempts,
-        tryReserveRetry: () => this.tryReserveRetry(),
+        mayGoElsewhere: () => this.mayGoElsewhere,
+        tryReserveRetry: () => this.mayGoElsewhere && this.canRetry(AttemptOutcome.Broken),
         onBegun: () => this.recordBegun(),
       });
       const sentAtMs = this.deps.clock.nowMs();
@@ -329,12 +331,10 @@
     return WITHOUT_RETRY.has(outcome) || retryBudgets.tryTake(pool.name);
   }
 
-  /** Takes a retry for a stream that still runs; returns false if it could not be resumed elsewhere. */
-  private tryReserveRetry(): boolean {
-    const { isStopping } = this.deps;
-    const { route } = this.request;
-    if (isStopping() || this.isOver || !this.authorization.isRetryable) return false;
-    return this.executions + 1 < route.attempts && this.canRetry(AttemptOutcome.Broken);
+  /** Whether a stream that still runs could be resumed elsewhere, if a retry is left. */
+  private get mayGoElsewhere(): boolean {
+    const { attempts } = this.request.route;
+    return !this.isOver && this.authorization.isRetryable && this.executions + 1 < attempts;
   }
 
   /** Ends the request after its last attempt, with the kept response of a failed attempt if there is one. */
--- a/packages/edge/src/StallWatch.ts
+++ b/packages/edge/src/StallWatch.ts
@@ -16,8 +16,10 @@
   readonly silentMs: () => number;
   /** Returns whether the stream has begun. */
   readonly hasBegun: () => boolean;
-  /** Ends the attempt, so that the stream is resumed at another target. */
-  readonly giveUp: () => void;
+  /** Returns whether the stream may be resumed at another target. */
+  readonly mayGoElsewhere: () => boolean;
+  /** Ends the attempt and returns true if the stream may be resumed at another target now, where a retry is left for it. */
+  readonly tryGiveUp: () => boolean;
   /** Returns when the stream is expected to end, as a time on the clock. */
   readonly expectedEndMs: () => number;
   /** Ends the attempt and returns true if the stream may be resumed at another target. */
@@ -71,15 +73,12 @@
   private async check(): Promise<void> {
     const { attempt } = this;
     if (this.isMoveDue && this.tryMove()) return;
-    if (attempt.request.pool.engine === null) {
-      if (attempt.silentMs() >= this.limitMs && this.hasAlternative()) attempt.giveUp();
-      return;
-    }
+    // Plain services cannot be asked, and silence alone is no end.
+    if (attempt.request.pool.engine === null) return;
     if (this.isAsking || !this.isQuestionDue) return;
     this.isAsking = true;
     try {
-      const isOver = await this.askWhetherOver();
-      if (isOver && this.timer !== undefined) attempt.giveUp();
+      await this.leaveIfOver();
     } catch (error) {
       const { attemptId } = attempt.request.fields;
       this.deps.log.event('stream_not_asked', {
@@ -124,8 +123,8 @@
     return true;
   }
 
-  /** Asks the engine; resolves to whether the attempt is to be given up. */
-  private async askWhetherOver(): Promise<boolean> {
+  /** Asks the engine, and gives the attempt up if it does not work on the request and the stream goes on elsewhere. */
+  private async leaveIfOver(): Promise<void> {
     const { attempt, deps } = this;
     const { attemptId } = attempt.request.fields;
     const askedAtSilentMs = attempt.silentMs();
@@ -134,7 +133,11 @@
     const silentMs = attempt.silentMs();
     const goesOn = silentMs < askedAtSilentMs;
     const isOver =
-      !goesOn && !mayStillRun({ attemptId, isShown: hasBegun }, runs) && this.hasAlternative();
+      this.timer !== undefined &&
+      !goesOn &&
+      !mayStillRun({ attemptId, isShown: hasBegun }, runs) &&
+      this.hasAlternative();
+    const isLeft = isOver && attempt.tryGiveUp();
     deps.log.event('stream_stalled', {
       request: attemptId,
       target: attempt.target.id,
@@ -143,15 +146,15 @@
       engine: runs.contact,
       listed: runs.ids?.has(attemptId) ?? 'unknown',
       unlisted: runs.unlisted,
-      outcome: isOver ? 'left' : 'kept',
+      outcome: isLeft ? 'left' : 'kept',
     });
-    return isOver;
   }
 
   private get isQuestionDue(): boolean {
     return (
       this.attempt.silentMs() >= this.limitMs - ASK_LEAD_MS &&
       this.deps.clock.nowMs() >= this.nextQuestionAtMs &&
+      this.attempt.mayGoElsewhere() &&
       this.hasAlternative()
     );
   }
--- a/packages/edge/src/TargetAttempt.ts
+++ b/packages/edge/src/TargetAttempt.ts
@@ -30,6 +30,8 @@
   readonly mayRunAgain: () => boolean;
   /** Whether an error response of the target is kept instead of passed on, because another attempt may follow. */
   readonly keepsFailure: boolean;
+  /** Whether another attempt may follow this one, which runs, by all but the retries that are left. */
+  readonly mayGoElsewhere: () => boolean;
   /** Takes what another attempt needs, while this one runs; returns false if there may be none. */
   readonly tryReserveRetry: () => boolean;
   /** Called when the target has begun to answer: with a complete event of a stream, or with a whole response. */
@@ -206,13 +208,15 @@
       target: context.chosen.view.entry,
       silentMs: () => this.body.silentMs,
       hasBegun: () => this.head.mode === ResponseMode.Streamed,
-      giveUp: () => {
-        this.hasStalled = true;
-        this.abort?.();
+      mayGoElsewhere: context.mayGoElsewhere,
+      tryGiveUp: () => {
+        this.hasStalled = context.tryReserveRetry();
+        if (this.hasStalled) this.abort?.();
+        return this.hasStalled;
       },
       expectedEndMs: () => this.sentAtMs + deps.stopGate.expectedMs(context.request, this.sentAtMs),
       tryMove: () => {
-        this.isMoved = context.tryReserveRetry();
+        this.isMoved = !deps.isStopping() && context.tryReserveRetry();
         if (this.isMoved) this.abort?.();
         return this.isMoved;
       },
