Own protocol: a stop answers the operators' requests that are under way

What operators saw: a reset in place of an answer, of an edit that was under way when the instance was asked to stop; they could not know whether it had been made.

Cause: the operators' listener was destroyed at the end of a stop, with what was under way on it. Only the callers' listener was closed in order.

Why it works: the listener is closed as that of the callers is, before the tasks end on which edits depend.

--- a/packages/cli/test/wholePath.test.ts
+++ b/packages/cli/test/wholePath.test.ts
@@ -7,6 +7,8 @@
 
 const MAX_PROPAGATION_MS = 4_000;
 const DOMAINS = ['khomas-a', 'khomas-b', 'khomas-c'];
+/** Longer than a stop takes with nothing under way, and shorter than an edit may take. */
+const SLOW_EDIT_MS = 1_500;
 
 describe('end to end', () => {
   let system: ProcessSystem;
@@ -299,4 +301,32 @@
     expect(await instance.process.exited).toBe(0);
     await system.stop();
   });
+
+  test('answers an operator whose edit is under way, and exits with 0', async () => {
+    const system = await ProcessSystem.start(['khomas-a']);
+    try {
+      const instance = await system.instance({ name: 'entry-1', failureDomain: 'khomas-a' });
+      const { operator } = instance;
+      await eventually(
+        () => operator.status(),
+        (status) => status.ready,
+      );
+      const body = JSON.stringify({
+        kind: 'slow',
+        method: 'POST',
+        delayMs: SLOW_EDIT_MS,
+        remaining: 1,
+      });
+      await (await request(`${system.log.url}/faults`, { method: 'POST', body })).body.dump();
+      const edit = operator.set('workspaces', 'omuriro', 0, rows.workspace());
+      await new Promise((resolve) => {
+        setTimeout(resolve, 150);
+      });
+      instance.process.signal('SIGTERM');
+      expect(await edit).toMatchObject({ version: 1 });
+      expect(await instance.process.exited).toBe(0);
+    } finally {
+      await system.stop();
+    }
+  });
 });
--- a/packages/daemon/src/startInstance.ts
+++ b/packages/daemon/src/startInstance.ts
@@ -207,9 +207,9 @@
     logger.info({}, 'stopping');
     await components.clock.sleep(settings.shutdown.balancer_lag_ms);
     await callers.close();
+    await operators.close();
     checkpointTask.abort();
     await stopTasks(components);
-    operators.destroy();
     peers.close();
     logger.info({}, 'stopped');
   };
