--- a/packages/edge/src/RequestExecution.ts
+++ b/packages/edge/src/RequestExecution.ts
@@ -15,7 +15,9 @@
 import RequestProbe from './RequestProbe';
 import TargetAttempt from './TargetAttempt';
 import TargetFinder from './TargetFinder';
+import type TargetSearch from './TargetSearch';
 import awaitRunEnd from './awaitRunEnd';
+import eventWaitMs from './eventWaitMs';
 import mayRunAgain from './mayRunAgain';
 import sendResponse from './sendResponse';
 
@@ -46,6 +48,7 @@
   AttemptOutcome.NotSent,
   AttemptOutcome.Withheld,
   AttemptOutcome.Moved,
+  AttemptOutcome.Stalled,
 ]);
 /** Fraction of the latency target for which a request waits for a target of a pool of services. */
 const SERVICE_WAIT_FRACTION = 0.5;
@@ -75,6 +78,9 @@
 
   private stopRefusal: ServeError | undefined;
 
+  /** Whether this instance itself has ended a run, so that the stream goes on elsewhere. */
+  private isMoved = false;
+
   private lastFailure: TargetAttempt | null = null;
 
   private readonly probe: RequestProbe;
@@ -130,7 +136,8 @@
         mayRunAgain: () => this.authorization.isRetryable,
         keepsFailure:
           this.authorization.isRetryable && this.executions + 1 < this.request.route.attempts,
-        tryReserveRetry: () => this.tryReserveRetry(),
+        mayGoElsewhere: () => this.mayGoElsewhere,
+        tryReserveRetry: () => this.mayGoElsewhere && this.canRetry(AttemptOutcome.Broken),
         onBegun: () => this.recordBegun(),
       });
       const sentAtMs = this.deps.clock.nowMs();
@@ -139,6 +146,7 @@
       this.lastTargetId = view.entry.id;
       this.caller.reach(RequestStep.Sent);
       const outcome = await attempt.run();
+      this.isMoved ||= outcome === AttemptOutcome.Moved;
       if (outcome === AttemptOutcome.Broken) await this.reportCrash(view, attempt, sentAtMs);
       this.probe.end();
       this.recordTime(attempt, outcome, sentAtMs);
@@ -174,8 +182,12 @@
     return this.stopError() ?? this.authorization.denial ?? this.probe.refusal;
   }
 
-  /** Returns a refusal once a shutdown leaves no time to run the request, or the rest of a stream that has begun. */
+  /**
+   * Returns a refusal once a shutdown leaves no time to run the request, or the rest of a stream that has begun. A moved stream goes on,
+   * whatever is expected of its rest: nothing but this instance has ended its run.
+   */
   private stopError(): ServeError | undefined {
+    if (this.isMoved) return undefined;
     const begunAtMs = this.caller.hasStarted ? this.firstSentAtMs : undefined;
     this.stopRefusal ??= this.deps.stopGate.refusal(this.request, begunAtMs);
     return this.stopRefusal;
@@ -223,17 +235,26 @@
 
   private async findTarget(): Promise<ChosenTarget | undefined> {
     const { clock } = this.deps;
-    const { firstEventDeadlineAtMs, pool, route } = this.request;
     const startedMs = clock.nowMs();
-    const lastMs = firstEventDeadlineAtMs - REFUSAL_MARGIN_MS;
-    const serviceUntilMs = startedMs + route.latencyTargetMs * SERVICE_WAIT_FRACTION;
-    const untilMs = pool.engine === null ? Math.min(lastMs, serviceUntilMs) : lastMs;
-    const search = { excluded: this.excluded, untilMs, isOver: () => this.isOver };
+    const { excluded } = this;
+    const search = { excluded, ...this.searchEnd(startedMs), isOver: () => this.isOver };
     const chosen = await this.finder.find(this.request, search);
     this.waitedMs += clock.nowMs() - startedMs;
     return chosen;
   }
 
+  /** Returns when a search that begins now ends, and when the caller leaves. A stream that has begun cannot be refused any more. */
+  private searchEnd(nowMs: number): Pick<TargetSearch, 'untilMs' | 'leavesAtMs'> {
+    const { deadlineAtMs, firstEventDeadlineAtMs, pool, route } = this.request;
+    const { hasStarted } = this.caller;
+    const nextEventDeadlineAtMs = Math.min(deadlineAtMs, nowMs + eventWaitMs(route));
+    const leavesAtMs = hasStarted ? nextEventDeadlineAtMs : firstEventDeadlineAtMs;
+    const lastMs = hasStarted ? leavesAtMs : leavesAtMs - REFUSAL_MARGIN_MS;
+    const serviceUntilMs = nowMs + route.latencyTargetMs * SERVICE_WAIT_FRACTION;
+    const untilMs = pool.engine === null ? Math.min(lastMs, serviceUntilMs) : lastMs;
+    return { untilMs, leavesAtMs };
+  }
+
   /** Ends an answered request; logs an answer of which only its connection showed the end. */
   private finishAnswered(attempt: TargetAttempt): RequestResult {
     const { framing, end } = attempt.endFields;
@@ -313,12 +334,10 @@
     return WITHOUT_RETRY.has(outcome) || retryBudgets.tryTake(pool.name);
   }
 
-  /** Takes a retry for a stream that still runs; returns false if it could not be resumed elsewhere. */
-  private tryReserveRetry(): boolean {
-    const { isStopping } = this.deps;
-    const { route } = this.request;
-    if (isStopping() || this.isOver || !this.authorization.isRetryable) return false;
-    return this.executions + 1 < route.attempts && this.canRetry(AttemptOutcome.Broken);
+  /** Whether a stream that still runs could be resumed elsewhere, if a retry is left. */
+  private get mayGoElsewhere(): boolean {
+    const { attempts } = this.request.route;
+    return !this.isOver && this.authorization.isRetryable && this.executions + 1 < attempts;
   }
 
   /** Ends the request after its last attempt, with the kept response of a failed attempt if there is one. */
