Order an engine that starts while the authority is held at once, not 0.6 s later

Cause: a placer reads what an engine holds before its first order, 0.6 s after it first looks at the engine, so that the report reflects what an earlier holder of the authority ordered. It waited as long for engines that had started under its own authority, to which no earlier holder can have given an order.

Why this works: the wait now counts from when the placer first looked at any engine under its present authority, as earlier holders have given their last orders by then. A report that could not be used (unreadable, or the engine was busy) is read again after 0.6 s, as before, and one after an own order once it reflects that order. The count of orders that each order carries still refuses one that was decided on an older state.

Test: two of engineRestarts failed before (the engine was not known 1 ms after it had started); the two others guard the wait that must stay, and how often a busy engine is asked.

--- a/packages/fleet/src/EngineOrderExecutor.ts
+++ b/packages/fleet/src/EngineOrderExecutor.ts
@@ -63,6 +63,8 @@
 
   private lastOrderMs = -Infinity;
 
+  private lastReportMs = -Infinity;
+
   /** Number of orders that the engine has accepted since its start; `undefined` before its first report. */
   private orderCount: number | undefined;
 
@@ -88,6 +90,8 @@
   constructor(
     private readonly parts: Parts,
     view: TargetView,
+    /** Time by which earlier holders of the authority have given their last orders. */
+    private readonly earlierOrdersUntilMs = parts.clock.nowMs(),
   ) {
     this.entry = view.entry;
     this.models = view.models;
@@ -102,11 +106,18 @@
     return this.isSynced;
   }
 
-  /** Reads the engine's report, after a wait so that it reflects orders of earlier holders of the authority. */
+  /** Time from which the report reflects all orders given so far; a report that did not help is not read again sooner. */
+  private get nextReportMs(): number {
+    const lastMs = Math.max(this.earlierOrdersUntilMs, this.lastOrderMs, this.lastReportMs);
+    return lastMs + MAX_REPORT_LAG_MS;
+  }
+
+  /** Reads the engine's report once it reflects the orders of earlier holders of the authority. */
   private async sync(): Promise<void> {
     this.isSyncing = true;
     const { clock } = this.parts;
-    await clock.sleep(MAX_REPORT_LAG_MS);
+    await clock.sleep(Math.max(0, this.nextReportMs - clock.nowMs()));
+    this.lastReportMs = clock.nowMs();
     const report = await this.readReport();
     this.isSyncing = false;
     if (report === undefined || report.isBusy || !this.isSameIncarnation) return;
--- a/packages/fleet/src/EngineRegistry.ts
+++ b/packages/fleet/src/EngineRegistry.ts
@@ -59,6 +59,9 @@
 class EngineRegistry {
   private readonly engines = new Map<string, Engine>();
 
+  /** When the first engine was looked at under this authority: earlier holders have given their last orders. */
+  private sinceMs: number | undefined;
+
   constructor(
     private readonly parts: Parts,
     private readonly storeLimiter: StoreLoadLimiter,
@@ -84,6 +87,7 @@
   /** Removes every engine, because the authority has ended. */
   clear(): void {
     this.engines.clear();
+    this.sinceMs = undefined;
   }
 
   /** Returns the state of an engine, and creates it at first use and after each restart of the engine. */
@@ -91,8 +95,9 @@
     const { id, bornMs } = view.entry;
     const known = this.engines.get(id);
     if (known !== undefined && known.bornMs === bornMs) return known;
+    this.sinceMs ??= this.parts.clock.nowMs();
     const engine: Engine = {
-      executor: new EngineOrderExecutor(this.parts, view),
+      executor: new EngineOrderExecutor(this.parts, view, this.sinceMs),
       bornMs,
       loading: null,
       isBusy: false,
