Load a model from a copy while a much longer load of it is under way

Cause: the only engine that held it ended (the probe of a quarantined part). The engines with a copy on their disks, 0.8 s away, could evict nothing at that moment, as what they held was in use. So another placer began to load it from the weight store, which takes 6 s (22.70 s; at 22.69 s load_put_off says free_with_copy=2). From then on it counted as being loaded, and no placer planned it again, though streams on the engines with copies ended meanwhile.

Class of fault: a load under way counted as if it ended at once, however long it takes.

Why this works: `LoadsUnderWay` compares when the first load of a waiting model ends with what a load from a copy takes. If it is over twice that, the model is planned as before, but from copies only. The load from the store goes on, and leaves a second copy. A load from a copy under way keeps others from being decided, so there is one of them at most.

Test: overtakenLoads failed before (the model was not held after 4.5 s); the second test guards that a load from a copy is not doubled.

--- a/packages/fleet/src/EngineRegistry.ts
+++ b/packages/fleet/src/EngineRegistry.ts
@@ -77,11 +77,16 @@
     return this.engines.get(id);
   }
 
-  /** Whether a model is being loaded on an engine that will go on; what is loaded on the others is lost with them. */
-  isLoading(model: string): boolean {
-    return [...this.engines].some(
-      ([id, { loading }]) => loading === model && !isEnding(this.parts.table.get(id)),
-    );
+  /**
+   * Returns the time until a load of a model under way ends, undefined if there is none. What is loaded on an engine that is about to
+   * end is lost with it, so it does not count.
+   */
+  loadEndsInMs(model: string): number | undefined {
+    const nowMs = this.parts.clock.nowMs();
+    const endsInMs = [...this.engines]
+      .filter(([id, { loading }]) => loading === model && !isEnding(this.parts.table.get(id)))
+      .map(([, { busyUntilMs }]) => Math.max(0, busyUntilMs - nowMs));
+    return endsInMs.length === 0 ? undefined : Math.min(...endsInMs);
   }
 
   /** Removes every engine, because the authority has ended. */
--- a/packages/fleet/src/Placer.ts
+++ b/packages/fleet/src/Placer.ts
@@ -7,6 +7,8 @@
 import type EngineSpec from './EngineSpec';
 import LeftLoads from './LeftLoads';
 import LoadForecaster from './LoadForecaster';
+import LoadNeed from './LoadNeed';
+import LoadsUnderWay from './LoadsUnderWay';
 import type PlacerOptions from './PlacerOptions';
 import type PlacerParts from './PlacerParts';
 import type PlannedLoad from './PlannedLoad';
@@ -40,6 +42,8 @@
 class Placer {
   private readonly engines: EngineRegistry;
 
+  private readonly loads: LoadsUnderWay;
+
   private readonly engineSpeeds: EngineSpeedSource;
 
   private readonly digestSender: DigestSender;
@@ -78,6 +82,7 @@
     this.leftLoads = new LeftLoads({ ...parts, failureDomain: options.failureDomain });
     this.storeLoads = new StoreLoadMonitor(parts, options.maxConcurrentStoreLoads);
     this.engines = new EngineRegistry(parts, this.storeLimiter, () => this.schedulePlanning());
+    this.loads = new LoadsUnderWay(parts, this.engines);
     this.forecaster = new LoadForecaster(parts, options.failureDomain, this.engines);
     this.deferredLoadLog = new DeferredLoadLog(parts, {
       ownViews: (pool) => this.ownViews(pool),
@@ -157,13 +162,7 @@
       taken: new Set(),
     };
     this.leftLoads.retain(new Set(ranked.map(({ model }) => model)));
-    const isLoading = (model: string) => this.isModelLoading(pool, model);
-    ranked.forEach((waiting) => {
-      if (isLoading(waiting.model)) {
-        aggregator.recordLoad(pool, waiting.model);
-        this.leftLoads.clear(waiting.model);
-      } else this.loadWaitingModel(pass, waiting);
-    });
+    ranked.forEach((waiting) => this.planWaitingModel(pass, waiting));
     demand.waiting.forEach(({ model, adapter, waitedMs }) => {
       const holding = this.reachableHolding(pass, model);
       if (adapter !== null && holding.length > 0) {
@@ -171,6 +170,7 @@
       }
       this.resendPlacement(pass, model, adapter);
     });
+    const isLoading = (model: string) => this.loads.includes(pool, model);
     if (isDeferring) this.forecaster.update(pass, ranked, isLoading);
     this.replicateBusyModels(pass);
     this.prefetch(pass);
@@ -214,13 +214,22 @@
     instances.forEach((instance) => this.parts.publish(updates, instance));
   }
 
+  /** Loads a waiting model, unless a load under way ends soon enough. */
+  private planWaitingModel(pass: PlanningPass, waiting: WaitingModel): void {
+    const need = this.loads.needOf(pass, waiting);
+    if (need !== LoadNeed.AnyLoad) this.parts.demand.recordLoad(pass.pool, waiting.model);
+    if (need === LoadNeed.Nothing) this.leftLoads.clear(waiting.model);
+    else this.loadWaitingModel(pass, waiting, need);
+  }
+
   /** Loads a model, or leaves it to the placer of a better engine, or puts it off. */
-  private loadWaitingModel(pass: PlanningPass, waiting: WaitingModel): void {
+  private loadWaitingModel(pass: PlanningPass, waiting: WaitingModel, need: LoadNeed): void {
     const { model, waitedMs, worth, order, canWait } = waiting;
     const base = this.contextFor(pass);
     const spec = pass.engine.models.get(model)!;
     // A load from the store goes ahead of short ones if it is worth more for the time that it takes.
     const isStoreFree =
+      need === LoadNeed.AnyLoad &&
       pass.storeSlots > 0 &&
       mayLoadFromStore(waiting, spec) &&
       this.storeLimiter.hasCapacity &&
@@ -252,13 +261,6 @@
     this.execute(plan);
   }
 
-  private isModelLoading(pool: string, model: string): boolean {
-    const nowMs = this.parts.clock.nowMs();
-    const isOwn = this.engines.isLoading(model);
-    const views = this.parts.table.inService(pool);
-    return isOwn || views.some((view) => view.loading === model && view.busyUntilMs > nowMs);
-  }
-
   private filterOwn(views: readonly TargetView[]): readonly TargetView[] {
     return views.filter(({ entry }) => entry.failureDomain === this.options.failureDomain);
   }
@@ -312,7 +314,7 @@
     const { pool } = pass;
     replicateBusyModels(pass, {
       holders: (model) => this.parts.table.holding(pool, model, null),
-      isLoading: (model) => this.isModelLoading(pool, model),
+      isLoading: (model) => this.loads.includes(pool, model),
       isOwn: (view) => this.filterOwn([view]).length > 0,
       activeDomains: () => this.parts.activeDomains(),
       isResponsible: (model, domains) => this.isResponsible(model, domains),
@@ -336,7 +338,7 @@
         count: ownViews.length,
         busy: ownViews.filter((view) => this.engines.engineOf(view).isBusy).length,
       },
-      isLoading: (model) => this.isModelLoading(pool, model),
+      isLoading: (model) => this.loads.includes(pool, model),
       isResponsible: (model) => this.isResponsible(model, active),
     });
     const plan = spec && planModel(spec, this.contextFor(pass), 'ahead');
--- a/packages/fleet/test/support/startPlacers.ts
+++ b/packages/fleet/test/support/startPlacers.ts
@@ -20,6 +20,8 @@
   readonly held: readonly string[];
   /** Models of which each engine has a copy on its disk. */
   readonly copied: readonly string[];
+  /** Further models of which the engines of a failure domain have copies. */
+  readonly copiedIn?: Readonly<Record<string, readonly string[]>>;
   /** Failure domains whose placers claim to be active, but never plan. */
   readonly stuck?: readonly string[];
   /** Time of a load from the weight store, with the number of such loads under way at its start, itself included. */
@@ -40,18 +42,20 @@
   models,
   held,
   copied,
+  copiedIn = {},
   stuck = [],
   storeLoadMs = () => STORE_LOAD_MS,
 }: Options) => {
   const clock = new VirtualClock();
   const domains = Object.keys(engineCounts);
-  const onDisk = new Set(copied);
+  const onDiskIn = (failureDomain: string) =>
+    new Set([...copied, ...(copiedIn[failureDomain] ?? [])]);
   const engines = new Map<string, FakeEngine>();
   const entries = domains.flatMap((failureDomain) =>
     Array.from({ length: engineCounts[failureDomain] }, (_, number) => {
       const id = `${failureDomain}${number}`;
       engines.set(id, new FakeEngine(clock, new Set(held)));
-      return builders.target(id, held, { failureDomain, onDisk });
+      return builders.target(id, held, { failureDomain, onDisk: onDiskIn(failureDomain) });
     }),
   );
   const storeLoads: { readonly model: string; readonly atMs: number }[] = [];
@@ -62,7 +66,7 @@
     order: (target, order) => {
       const engine = engines.get(target.id)!;
       const isNew = !engine.isLoading;
-      const isFromStore = !onDisk.has(order.model);
+      const isFromStore = !target.onDisk.has(order.model);
       if (isNew) engine.loadMs = isFromStore ? storeLoadMs(loadingFromStore() + 1) : DISK_LOAD_MS;
       const answer = engine.order(target, order);
       if (isNew && engine.isLoading && isFromStore) {
