Send nothing to a target whose address a later one has taken

Each answer takes a retry from the shared budget; without one the caller was refused, though engines that hold the model were there. 11 loads were decided for engines that were gone.

Cause: the entry of an engine that crashes lapses after three heartbeats.

Why this works: two targets cannot listen on one address, so of the entries with the same address only that with the latest start counts as in service, whatever its pool. If that left a pool without any target, all count, as for targets of which peers alone say that they leave: an entry of another writer must not empty a pool. If the later entry goes, the earlier one counts again.

Test: two new ones of targetTable failed before (the ended engine was still chosen); a third guards that no pool is emptied.

--- a/packages/fleet/src/TargetTable.ts
+++ b/packages/fleet/src/TargetTable.ts
@@ -4,6 +4,7 @@
 import LeavingSource from './LeavingSource';
 import LoadForecasts from './LoadForecasts';
 import isSameEntry from './isSameEntry';
+import newestStarts from './newestStarts';
 import Notifier from './Notifier';
 import type PlacementUpdate from './PlacementUpdate';
 import type RegisteredTarget from './RegisteredTarget';
@@ -262,7 +263,8 @@
 
   /**
    * Returns the targets of a pool that may be given new work. Where only leaving ones are left, those count of which
-   * peers alone say that they leave: a word that was forged or misread elsewhere must not empty a pool.
+   * peers alone say that they leave: a word that was forged or misread elsewhere must not empty a pool. The same goes for those whose
+   * address a later target has.
    */
   inService(pool: string): readonly TargetView[] {
     const known = this.inServiceByPool.get(pool);
@@ -276,9 +278,12 @@
     const open = this.rowsInPool(pool).filter(
       ({ entry }) => !entry.isLeaving && !this.drained.has(entry.failureDomain),
     );
-    const staying = open.filter(({ leavingSource }) => leavingSource === LeavingSource.None);
+    const startsMs = newestStarts([...this.rows.values()].map(({ entry }) => entry));
+    const newest = open.filter(({ entry }) => entry.bornMs === startsMs.get(entry.address));
+    const present = newest.length > 0 ? newest : open;
+    const staying = present.filter(({ leavingSource }) => leavingSource === LeavingSource.None);
     if (staying.length > 0) return staying;
-    return open.filter(({ leavingSource }) => leavingSource === LeavingSource.Peer);
+    return present.filter(({ leavingSource }) => leavingSource === LeavingSource.Peer);
   }
 
   private rowsInPool(pool: string): readonly Row[] {
--- a/packages/fleet/test/targetTable.test.ts
+++ b/packages/fleet/test/targetTable.test.ts
@@ -31,6 +31,27 @@
     expect([ids('b'), ids('c')]).toEqual([[], ['one']]);
   });
 
+  test.each(['guides', 'desk'])(
+    'a target whose address a later one of the pool %s has taken gets no new work, before its entry lapses',
+    (pool) => {
+      const { table, ids } = start();
+      table.applyEntry(builders.target('ended', ['a'], { address: '10.0.0.1:1' }));
+      table.applyEntry(builders.target('other', ['a'], { address: '10.0.0.2:1' }));
+      const next = builders.target('next', [], { address: '10.0.0.1:1', bornMs: 2, pool });
+      table.applyEntry(next);
+      expect(ids('a')).toEqual(['other']);
+      table.remove(next.id);
+      expect(ids('a')).toEqual(['ended', 'other']);
+    },
+  );
+
+  test('an address that another entry claims does not empty a pool', () => {
+    const { table, ids } = start();
+    table.applyEntry(builders.target('only', ['a']));
+    table.applyEntry(builders.target('forged', [], { bornMs: 2, pool: 'desk' }));
+    expect(ids('a')).toEqual(['only']);
+  });
+
   test('an entry that is older than the known one is ignored', () => {
     const { table, ids } = start();
     table.applyEntry(builders.target('one', ['b'], { entryNumber: 5 }));
