--- a/packages/fleet/src/EngineRegistry.ts
+++ b/packages/fleet/src/EngineRegistry.ts
@@ -59,6 +59,9 @@
 class EngineRegistry {
   private readonly engines = new Map<string, Engine>();
 
+  /** When the first engine was looked at under this authority: earlier holders have given their last orders. */
+  private sinceMs: number | undefined;
+
   constructor(
     private readonly parts: Parts,
     private readonly storeLimiter: StoreLoadLimiter,
@@ -74,16 +77,22 @@
     return this.engines.get(id);
   }
 
-  /** Whether a model is being loaded on an engine that will go on; what is loaded on the others is lost with them. */
-  isLoading(model: string): boolean {
-    return [...this.engines].some(
-      ([id, { loading }]) => loading === model && !isEnding(this.parts.table.get(id)),
-    );
+  /**
+   * Returns the time until a load of a model under way ends, undefined if there is none. What is loaded on an engine that is about to
+   * end is lost with it, so it does not count.
+   */
+  loadEndsInMs(model: string): number | undefined {
+    const nowMs = this.parts.clock.nowMs();
+    const endsInMs = [...this.engines]
+      .filter(([id, { loading }]) => loading === model && !isEnding(this.parts.table.get(id)))
+      .map(([, { busyUntilMs }]) => Math.max(0, busyUntilMs - nowMs));
+    return endsInMs.length === 0 ? undefined : Math.min(...endsInMs);
   }
 
   /** Removes every engine, because the authority has ended. */
   clear(): void {
     this.engines.clear();
+    this.sinceMs = undefined;
   }
 
   /** Returns the state of an engine, and creates it at first use and after each restart of the engine. */
@@ -91,8 +100,9 @@
     const { id, bornMs } = view.entry;
     const known = this.engines.get(id);
     if (known !== undefined && known.bornMs === bornMs) return known;
+    this.sinceMs ??= this.parts.clock.nowMs();
     const engine: Engine = {
-      executor: new EngineOrderExecutor(this.parts, view),
+      executor: new EngineOrderExecutor(this.parts, view, this.sinceMs),
       bornMs,
       loading: null,
       isBusy: false,
