A stream is taken in a stop only if its end is certain, while another instance serves

Callers got half a stream from an instance that was being stopped: it took their streams up to 2.1 s after SIGTERM, as they were expected to fit, and broke them off 0.5 s before the end of the grace.

Cause: the stop took work whose length it guessed. Three in four answers and a tenth more is an expectation, and one stream in five that pauses exceeds it.

While at least half of the instances of the failure domain are heard, ready and not stopping, a stream that has not run is now taken only if its deadline comes before requests are broken off, or if all tokens that it allows fit at the slowest start and pace of the last answers (19 at least). The others are refused at once and reach another instance. Where no other instance serves (the only one of its failure domain, instances that stop together, others that are not ready), and for streams that have run and go on at a second engine, what is expected to fit is taken, as before: a refused caller would come back to the same instance. Bookings and look-ups end with a whole answer in any case and stay as they were. Heartbeats say whether their sender is ready (builds before do not: then ready unless stopping), and a stop is announced to all instances of the failure domain at once, also where heartbeats go round.

--- a/packages/edge/src/AnswerPace.ts
+++ b/packages/edge/src/AnswerPace.ts
@@ -1,4 +1,4 @@
-/** How fast answers come, by one of the lengths that requests state. */
+/** How fast answers come, by one of the lengths that requests state. Pauses count as part of the pace. */
 interface AnswerPace {
   /** Time until the first event, with the wait in the engine's queue. */
   readonly startMs: number;
--- a/packages/edge/src/AnswerTimes.ts
+++ b/packages/edge/src/AnswerTimes.ts
@@ -15,6 +15,8 @@
 const MAX_SAMPLES = 32;
 /** Answers below which nothing is expected from them. */
 const MIN_SAMPLES = 3;
+/** Answers below which the slowest one is no bound: with so many, the next one is slower in one case of twenty. */
+const MIN_BOUND_SAMPLES = 19;
 /** Models, pools and routes that are kept: those that were answered last. */
 const MAX_KEYS = 1_000;
 
@@ -24,13 +26,29 @@
 
 const startOf = ({ firstEventMs, totalMs }: Sample): number => firstEventMs ?? totalMs;
 
-const paceOf = (samples: readonly Sample[], length: keyof TokenCounts): AnswerPace | undefined => {
-  const stated = samples.flatMap((sample) => {
+/** Returns the pace of each answer whose request stated a length. */
+const pacesOf = (
+  samples: readonly Sample[],
+  length: keyof TokenCounts,
+): readonly (AnswerPace & { readonly tokens: number })[] =>
+  samples.flatMap((sample) => {
     const tokens = sample[length];
     if (tokens === null || tokens === 0) return [];
     const startMs = startOf(sample);
     return [{ startMs, msPerToken: (sample.totalMs - startMs) / tokens, tokens }];
   });
+
+const slowestOf = (samples: readonly Sample[]): AnswerPace | undefined => {
+  const stated = pacesOf(samples, 'outputTokens');
+  if (stated.length < MIN_BOUND_SAMPLES) return undefined;
+  return {
+    startMs: Math.max(...stated.map(({ startMs }) => startMs)),
+    msPerToken: Math.max(...stated.map(({ msPerToken }) => msPerToken)),
+  };
+};
+
+const paceOf = (samples: readonly Sample[], length: keyof TokenCounts): AnswerPace | undefined => {
+  const stated = pacesOf(samples, length);
   if (stated.length < MIN_SAMPLES) return undefined;
   const starts = stated.map(({ startMs }) => ({ value: startMs, weight: 1 }));
   const lengths = stated.map(({ tokens }) => ({ value: tokens, weight: 1 }));
@@ -72,6 +90,16 @@
     return paceOf(this.samplesOf(poolKey(pool)), length);
   }
 
+  /** Returns the slowest start and pace of answers of a model for the tokens allowed; undefined if too few are known. */
+  slowestOfModel(pool: string, model: string): AnswerPace | undefined {
+    return slowestOf(this.samplesOf(modelKey(pool, model)));
+  }
+
+  /** Returns the slowest start and pace of answers of all models of a pool; undefined if too few are known. */
+  slowestOfPool(pool: string): AnswerPace | undefined {
+    return slowestOf(this.samplesOf(poolKey(pool)));
+  }
+
   /** Returns the time of the longest of a route's recent answers; undefined if too few are known. */
   longestMs(route: string): number | undefined {
     const samples = this.samplesOf(routeKey(route));
--- a/packages/edge/src/DurationSource.ts
+++ b/packages/edge/src/DurationSource.ts
@@ -1,5 +1,9 @@
 /** What an expected duration was taken from; the values are those of the log. */
 enum DurationSource {
+  /** The slowest of the recent answers of the same model, for the tokens that the request allows. */
+  ModelSlowest = 'model_slowest',
+  /** The slowest of the recent answers of all models of the pool, for the tokens that the request allows. */
+  PoolSlowest = 'pool_slowest',
   /** The pace of answers of the same model, for the length that the caller estimates. */
   ModelEstimate = 'model_estimate',
   /** The pace of answers of the same model, for the tokens that the request allows. */
--- a/packages/edge/src/Edge.ts
+++ b/packages/edge/src/Edge.ts
@@ -196,7 +196,7 @@
       isStopping: () => this.shutdown.hasBegun,
       sendCutoffAtMs: () => this.shutdown.sendCutoffAtMs,
       sendCutoffSignal: this.shutdown.sendCutoffSignal,
-      stopGate: new StopGate({ clock, log, shutdown: this.shutdown }),
+      stopGate: new StopGate({ clock, log, shutdown: this.shutdown, peers: this.peers }),
       stopSignal: this.shutdown.finalSignal,
       waiting: this.demandReporter.waiting,
       dispatcher: new RequestDispatcher(common),
@@ -264,7 +264,7 @@
     const finished = this.shutdown.run(this.listeners.all, this.listeners.isKnownAsReady);
     // A silent store must not let the release of the lease delay the rest.
     void stopParts(this.log, {
-      heartbeat: () => this.peers.sendHeartbeat(),
+      heartbeat: () => this.peers.announceStop(),
       lease: () => this.lease.stop(),
       usage: () => this.usage?.release(),
     });
@@ -334,6 +334,7 @@
       table,
       suspects,
       shutdown,
+      isReady: this.listeners.isReady,
       usage,
     };
   }
--- a/packages/edge/src/RequestExecution.ts
+++ b/packages/edge/src/RequestExecution.ts
@@ -174,7 +174,8 @@
   /** Returns a refusal once a shutdown leaves no time to run the request, or the rest of a stream that has begun. */
   private stopError(): ServeError | undefined {
     const begunAtMs = this.caller.hasStarted ? this.firstSentAtMs : undefined;
-    this.stopRefusal ??= this.deps.stopGate.refusal(this.request, begunAtMs);
+    const mayHaveRun = this.executions > 0;
+    this.stopRefusal ??= this.deps.stopGate.refusal(this.request, { begunAtMs, mayHaveRun });
     return this.stopRefusal;
   }
 
--- a/packages/edge/src/StopGate.ts
+++ b/packages/edge/src/StopGate.ts
@@ -1,27 +1,38 @@
 import type { Clock } from '@wisteriapath/model';
 import { ErrorKind, ServeError } from '@wisteriapath/model';
-import type { EventLog } from '@wisteriapath/fleet';
+import { type EventLog, RouteSemantics } from '@wisteriapath/fleet';
 import type AnswerTime from './AnswerTime';
 import AnswerTimes from './AnswerTimes';
 import type AnsweredRequest from './AnsweredRequest';
+import type DomainInstances from './DomainInstances';
 import DurationSource from './DurationSource';
 import type Shutdown from './Shutdown';
 import type StopDecision from './StopDecision';
 import type TimedRequest from './TimedRequest';
+import boundDuration from './boundDuration';
 import expectDuration from './expectDuration';
+import isServedElsewhere from './isServedElsewhere';
 
 interface Parts {
   readonly clock: Clock;
   readonly log: EventLog;
   readonly shutdown: Pick<Shutdown, 'hasBegun' | 'sendCutoffAtMs' | 'endAtMs'>;
+  readonly peers: DomainInstances;
+}
+
+/** What has become of a request before it is decided on. */
+interface Progress {
+  /** When a stream was first sent that has begun; undefined if its caller has received nothing. */
+  readonly begunAtMs?: number | undefined;
+  /** Whether a target may have run the request. */
+  readonly mayHaveRun?: boolean;
 }
 
 /**
- * Decides which requests an instance still serves from the stop signal on: those that are expected to be answered before requests in
- * progress are broken off. The others are refused before they run, so that their callers are served by other instances.
- *
- * Served are calls of services, streams that are short at the pace of their model, and whatever its deadline ends in time. Refused are
- * streams that would outlast the grace period, and those of which nothing is known but a deadline behind it.
+ * Decides which requests an instance still serves from the stop signal on. While another instance serves the callers, a stream must
+ * surely end before requests in progress are broken off: by its deadline, or at the slowest pace of recent answers. Else, and for
+ * requests that are answered at once or not at all, it is enough that they are expected to end in time. The others are refused
+ * before they run.
  */
 class StopGate {
   private readonly times = new AnswerTimes();
@@ -38,27 +49,31 @@
     return expectDuration(request, this.times, sentAtMs).durationMs;
   }
 
-  /** Returns whether a request that is sent now is served. `begunAtMs` is when a stream was first sent that has begun already. */
-  decide(request: TimedRequest, begunAtMs?: number): StopDecision {
+  /** Returns whether a request that is sent now is served. */
+  decide(request: TimedRequest, progress: Progress = {}): StopDecision {
     const { clock, shutdown } = this.parts;
+    const { begunAtMs } = progress;
     const nowMs = clock.nowMs();
     const leftMs = shutdown.endAtMs - nowMs;
-    const { durationMs, source } = expectDuration(request, this.times, nowMs);
+    const mustBeCertain = this.mustBeCertain(request, progress);
+    const durationOf = mustBeCertain ? boundDuration : expectDuration;
+    const { durationMs, source } = durationOf(request, this.times, nowMs);
     const spentMs = begunAtMs === undefined ? 0 : nowMs - begunAtMs;
     const expectedMs =
       source === DurationSource.Deadline ? durationMs : Math.max(0, durationMs - spentMs);
     // A stream that has begun is not given up for what is not known.
     const isGuess = begunAtMs !== undefined && source === DurationSource.Nothing;
-    return { isServed: isGuess || expectedMs <= leftMs, expectedMs, leftMs, source };
+    const isServed = isGuess || expectedMs <= leftMs;
+    return { isServed, mustBeCertain, expectedMs, leftMs, source };
   }
 
   /** Returns the refusal of a request that must not be sent any more, and logs why; undefined if it is served. */
-  refusal(request: TimedRequest, begunAtMs?: number): ServeError | undefined {
+  refusal(request: TimedRequest, progress: Progress = {}): ServeError | undefined {
     if (!this.parts.shutdown.hasBegun) return undefined;
-    const hasBegun = begunAtMs !== undefined;
+    const hasBegun = progress.begunAtMs !== undefined;
     const lateRefusal = hasBegun ? undefined : this.lateRefusal();
     if (lateRefusal !== undefined) return lateRefusal;
-    const decision = this.decide(request, begunAtMs);
+    const decision = this.decide(request, progress);
     if (decision.isServed) return undefined;
     this.logRefusal(request, decision, hasBegun);
     return StopGate.refuse();
@@ -70,6 +85,13 @@
     return clock.nowMs() >= shutdown.sendCutoffAtMs ? StopGate.refuse() : undefined;
   }
 
+  /** A stream is broken off by the stop, while other answers are whole, or an error that says that they may have run. */
+  private mustBeCertain({ route }: TimedRequest, { begunAtMs, mayHaveRun }: Progress): boolean {
+    if (route.semantics !== RouteSemantics.Stream) return false;
+    const isInProgress = begunAtMs !== undefined || mayHaveRun === true;
+    return !isInProgress && isServedElsewhere(this.parts.peers);
+  }
+
   /** Callers come back at once, as their next connection leads to another instance. */
   private static refuse(): ServeError {
     return ServeError.notExecuted(ErrorKind.Stopping, 'this instance is shutting down', 0);
@@ -77,7 +99,7 @@
 
   private logRefusal(
     { fields, route }: TimedRequest,
-    { expectedMs, leftMs, source }: StopDecision,
+    { mustBeCertain, expectedMs, leftMs, source }: StopDecision,
     hasBegun: boolean,
   ): void {
     this.parts.log.event('stop_refused', {
@@ -89,6 +111,7 @@
       expected_ms: Math.round(expectedMs),
       left_ms: Math.round(leftMs),
       known_by: source,
+      must_be_certain: mustBeCertain,
       begun: hasBegun,
     });
   }
--- a/packages/edge/src/createHeartbeatContent.ts
+++ b/packages/edge/src/createHeartbeatContent.ts
@@ -23,6 +23,8 @@
   readonly table: TargetTable;
   readonly suspects: SuspectRegistry;
   readonly shutdown: Shutdown;
+  /** Whether this instance tells the balancer that it is ready. */
+  readonly isReady: boolean;
   readonly usage: UsageDuty | undefined;
 }
 
@@ -32,10 +34,8 @@
  * @example
  * createHeartbeatContent(HeartbeatKind.Own, parts);
  */
-const createHeartbeatContent = (
-  kind: HeartbeatKind,
-  { member, limits, lease, storeView, follower, table, suspects, shutdown, usage: duty }: Parts,
-): HeartbeatContent => {
+const createHeartbeatContent = (kind: HeartbeatKind, parts: Parts): HeartbeatContent => {
+  const { member, limits, lease, storeView, follower, table, suspects, usage: duty } = parts;
   const usage = limits.usage(kind);
   if (kind === HeartbeatKind.Own) limits.recordReport(usage);
   const held = lease.isCurrent ? lease.position : undefined;
@@ -48,7 +48,8 @@
     suspects: repeatedSuspects(suspects),
     leaseOffset: held?.offset ?? -1,
     leaseEra: held?.era ?? 0,
-    isStopping: shutdown.hasBegun,
+    isStopping: parts.shutdown.hasBegun,
+    isReady: parts.isReady,
     ...(usageDuty && { usageDuty }),
     ...(duty && { clockMs: duty.clockMs }),
     usage,
--- a/packages/edge/test/stopGate.test.ts
+++ b/packages/edge/test/stopGate.test.ts
@@ -4,7 +4,7 @@
 import { RouteSemantics } from '@wisteriapath/fleet';
 import VirtualClock from '@wisteriapath/virtual-clock';
 import StopGate from '../src/StopGate';
-import type TimedRequest from '../src/TimedRequest';
+import requestOf from './support/requestOf';
 
 /** Time from the stop signal until requests in progress are broken off. */
 const END_MS = 7_500;
@@ -14,27 +14,8 @@
 /** What may be added to a duration that is known. */
 const ALLOWANCE = 1.1;
 
-const requestOf = ({
-  outputTokens = null,
-  estimatedTokens = null,
-  semantics = RouteSemantics.Stream,
-  deadlineAtMs = 20_000,
-  model = 'm',
-  gapTargetMs = 0,
-}: {
-  readonly outputTokens?: number | null;
-  readonly estimatedTokens?: number | null;
-  readonly semantics?: RouteSemantics;
-  readonly deadlineAtMs?: number;
-  readonly model?: string;
-  readonly gapTargetMs?: number;
-}): TimedRequest =>
-  ({
-    route: { name: 'write', semantics, latencyTargetMs: 300, gapTargetMs },
-    pool: { name: 'engines' },
-    fields: { attemptId: 'a', model, outputTokens, estimatedTokens },
-    deadlineAtMs,
-  }) as unknown as TimedRequest;
+/** No other instance of the failure domain is heard. */
+const ALONE = { candidates: [], domainPeers: [] };
 
 /** Begins a stop at time 0, after the given answers. */
 const createGate = (lengths: readonly (number | null)[], durationMs?: number) => {
@@ -44,7 +25,7 @@
     event: (name: string, fields: object) => lines.push(JSON.stringify([name, fields])),
   };
   const shutdown = { hasBegun: true, sendCutoffAtMs: SEND_CUTOFF_MS, endAtMs: END_MS };
-  const gate = new StopGate({ clock, log, shutdown });
+  const gate = new StopGate({ clock, log, shutdown, peers: ALONE });
   lengths.forEach((outputTokens) =>
     gate.recordAnswer(
       { pool: 'engines', route: 'write', model: 'm', outputTokens, estimatedTokens: null },
@@ -197,14 +178,14 @@
   async ({ outputTokens, begunAtMs, isServed }) => {
     const { clock, gate } = createGate(outputTokens === null ? [] : LENGTHS);
     await clock.advance(3_000);
-    expect(gate.refusal(requestOf({ outputTokens }), begunAtMs) === undefined).toBe(isServed);
+    expect(gate.refusal(requestOf({ outputTokens }), { begunAtMs }) === undefined).toBe(isServed);
   },
 );
 
 test('without a stop nothing is refused', () => {
   const clock = new VirtualClock();
   const shutdown = { hasBegun: false, sendCutoffAtMs: Infinity, endAtMs: Infinity };
-  const gate = new StopGate({ clock, log: { event: () => {} }, shutdown });
+  const gate = new StopGate({ clock, log: { event: () => {} }, shutdown, peers: ALONE });
   expect(gate.refusal(requestOf({}))).toBeUndefined();
 });
 
--- a/packages/fleet/src/Heartbeat.ts
+++ b/packages/fleet/src/Heartbeat.ts
@@ -31,6 +31,8 @@
   readonly clockMs?: number;
   /** Whether the sender is shutting down. */
   readonly isStopping: boolean;
+  /** Whether the sender tells the balancer that it is ready; absent from heartbeats of an earlier build. */
+  readonly isReady?: boolean;
   /** Sequence number. Increases with each heartbeat of one incarnation. */
   readonly number: number;
   /**
--- a/packages/fleet/src/Peer.ts
+++ b/packages/fleet/src/Peer.ts
@@ -11,6 +11,8 @@
   /** Number of its newest heartbeat. */
   newestNumber: number;
   isStopping: boolean;
+  /** Whether it tells the balancer that it is ready. */
+  isReady: boolean;
   /** Whether the store answered its last call. */
   reachesStore: boolean;
   /** Position of the lease record under which it gives orders; `undefined` if it gives none. */
--- a/packages/fleet/src/Peers.ts
+++ b/packages/fleet/src/Peers.ts
@@ -162,8 +162,8 @@
     return this.contact.newest([...this.peers.values()], this.sentHeartbeats);
   }
 
-  /** Sends one heartbeat to the peers whose turn it is. */
-  sendHeartbeat(): void {
+  /** Sends one heartbeat to the peers whose turn it is, and to `others`. */
+  sendHeartbeat(others: readonly Peer[] = []): void {
     const { heartbeatContent, clock, wallClock } = this.parts;
     this.removeExpiredPeers();
     this.heartbeatNumber += 1;
@@ -183,6 +183,7 @@
       usageAggregator: this.usageAggregator,
       placers: [...this.placers.values()],
       heartbeatNumber: this.heartbeatNumber,
+      others,
     });
     const bytesOf = new Map<HeartbeatKind, Uint8Array>();
     recipients.forEach(({ member, kind }) => {
@@ -193,6 +194,11 @@
     if (known.length === 0 || this.heartbeatNumber % SEEDING_PERIOD === 0) this.sendToSeeds();
   }
 
+  /** Sends one heartbeat to the peers whose turn it is, and to all peers of this instance's failure domain. */
+  announceStop(): void {
+    this.sendHeartbeat(this.domainPeers);
+  }
+
   /** The placer to which this instance reports its usage where the instances form no full mesh. */
   get usageAggregator(): MemberRecord | undefined {
     const { placers } = this;
@@ -205,7 +211,12 @@
     const isRoundRobin = this.instanceCount(USAGE_REPORT_MAX_AGE_MS) > FULL_MESH_MAX_INSTANCES;
     return this.peersActiveWithin(
       isRoundRobin ? ROUND_ROBIN_CANDIDATE_TIMEOUT_MS : CANDIDATE_TIMEOUT_MS,
-    ).filter(({ member }) => member.failureDomain === this.options.failureDomain);
+    ).filter(({ member }) => this.isLocal(member));
+  }
+
+  /** The peers of this instance's failure domain that were heard and have not been silent for long. */
+  get domainPeers(): readonly Peer[] {
+    return this.peersActiveWithin(PEER_EXPIRY_MS).filter(({ member }) => this.isLocal(member));
   }
 
   /**
@@ -279,11 +290,15 @@
     const sent = fitRows(rows, MAX_DATAGRAM_BYTES);
     const bytes = encode([PROTOCOL_VERSION, PeerMessageKind.TargetDigest, sent]);
     this.livePeers
-      .filter(({ member }) => member.failureDomain === this.options.failureDomain)
+      .filter(({ member }) => this.isLocal(member))
       .forEach(({ member }) => this.sendBytes(member.host, bytes));
     this.parts.handlers.targetDigest(sent);
   }
 
+  private isLocal({ failureDomain }: MemberRecord): boolean {
+    return failureDomain === this.options.failureDomain;
+  }
+
   private encodeHeartbeat(kind: HeartbeatKind): Uint8Array {
     const { heartbeatNumber: number, holderHeard } = this;
     const reporting = () =>
@@ -360,11 +375,12 @@
     this.contact.notePeer(member);
     peer.isStopping = heartbeat.isStopping;
     // Instances of an earlier build do not say.
+    peer.isReady = heartbeat.isReady ?? !heartbeat.isStopping;
     peer.reachesStore = heartbeat.reachesStore ?? true;
     peer.lease = heartbeatLease(heartbeat);
     peer.counted = heartbeat.counted;
-    const isLocal = member.failureDomain === this.options.failureDomain;
-    if (isLocal && peer.lease !== undefined) this.holderHeard = [member.name, heartbeat.number];
+    const isLocalHolder = this.isLocal(member) && peer.lease !== undefined;
+    if (isLocalHolder) this.holderHeard = [member.name, heartbeat.number];
     const [holder, number] = heartbeat.holderHeard;
     if (holder === this.options.name) peer.ackedNumber = Math.max(peer.ackedNumber, number);
     this.announceToPlacers(heartbeat.placers);
@@ -390,6 +406,7 @@
       lastHeartbeatWallMs: this.parts.wallClock(),
       newestNumber: 0,
       isStopping: false,
+      isReady: false,
       reachesStore: false,
       lease: undefined,
       counted: 0,
--- a/packages/fleet/src/heartbeatRecipients.ts
+++ b/packages/fleet/src/heartbeatRecipients.ts
@@ -21,6 +21,8 @@
   readonly placers: readonly MemberRecord[];
   /** Increases by one with each heartbeat. */
   readonly heartbeatNumber: number;
+  /** Peers that are to be told in any case that this instance is alive; none by default. */
+  readonly others?: readonly Peer[];
 }
 
 interface Recipient {
@@ -76,6 +78,11 @@
     : [{ member: usageAggregator, kind: HeartbeatKind.Own }, ...presence];
 };
 
+const inTurn = (context: HeartbeatContext): readonly Recipient[] => {
+  if (context.instances <= FULL_MESH_MAX_INSTANCES) return fullMesh(context);
+  return context.isPlacer ? fromPlacer(context) : fromNonPlacer(context);
+};
+
 /**
  * Returns the recipients of one heartbeat and what it reports to each. Up to
  * `FULL_MESH_MAX_INSTANCES` instances, each reports its own usage to every other. Beyond that, the
@@ -86,8 +93,10 @@
  * heartbeatRecipients({ ...context, instances: 7 }); // every peer
  */
 const heartbeatRecipients = (context: HeartbeatContext): readonly Recipient[] => {
-  if (context.instances <= FULL_MESH_MAX_INSTANCES) return fullMesh(context);
-  return context.isPlacer ? fromPlacer(context) : fromNonPlacer(context);
+  const recipients = inTurn(context);
+  const reached = new Set(recipients.map(({ member }) => member.name));
+  const missed = (context.others ?? []).filter(({ member }) => !reached.has(member.name));
+  return [...recipients, ...missed.map(({ member }) => ({ member, kind: HeartbeatKind.Presence }))];
 };
 
 export default heartbeatRecipients;
--- a/packages/fleet/test/heartbeatRecipients.test.ts
+++ b/packages/fleet/test/heartbeatRecipients.test.ts
@@ -48,6 +48,15 @@
   SAME_DOMAIN.forEach(({ name }) => expect(names).toContain(name));
 });
 
+test.each([16, 25])(
+  'of %d instances, others that are named get one heartbeat each in any case',
+  (instances) => {
+    const others = SAME_DOMAIN.map((one) => ({ member: one }));
+    const names = recipients(1, { instances, others } as never).map((one) => one.split(' ')[0]);
+    SAME_DOMAIN.forEach(({ name }) => expect(names.filter((one) => one === name)).toEqual([name]));
+  },
+);
+
 test('a placer sends each heartbeat to its failure domain and every second one to all instances', () => {
   expect(recipients(1, { isPlacer: true })).toHaveLength(12);
   expect(recipients(2, { isPlacer: true })).toHaveLength(24);
--- a/packages/fleet/test/peers.test.ts
+++ b/packages/fleet/test/peers.test.ts
@@ -17,6 +17,7 @@
 const DOMAINS = ['a', 'b'];
 const INSTANCES_PER_DOMAIN = 10;
 const LONG_MS = 10_000;
+const HEARTBEAT_INTERVAL_MS = 40;
 
 const freePort = (): Promise<number> =>
   new Promise((resolve) => {
@@ -58,6 +59,7 @@
   member: MemberRecord,
   port: number,
   handlers: Partial<PeerHandlers> = {},
+  isStopping = () => false,
 ): Promise<Peers> => {
   const isPlacer = member.name.endsWith('0');
   const content: HeartbeatContent = {
@@ -77,14 +79,14 @@
       failureDomain: member.failureDomain,
       host: member.host,
       port,
-      heartbeatIntervalMs: 40,
+      heartbeatIntervalMs: HEARTBEAT_INTERVAL_MS,
       seedHosts: [],
     },
     {
       clock: systemClock,
       wallClock: Date.now,
       log: { event: () => {} },
-      heartbeatContent: () => content,
+      heartbeatContent: () => ({ ...content, isStopping: isStopping(), isReady: !isStopping() }),
       handlers: {
         heartbeat: () => {},
         demand: () => {},
@@ -233,6 +235,59 @@
   [...all, last].forEach((peers) => peers.stop());
 });
 
+test('all instances of a failure domain hear of a stop at once, also where only some hear each heartbeat', async () => {
+  const port = await freePort();
+  const stopping = new Set<string>();
+  const all = await Promise.all(
+    MEMBERS.map((member) => startPeers(member, port, {}, () => stopping.has(member.name))),
+  );
+  try {
+    all.forEach((peers) => peers.addMembers(MEMBERS));
+    const deadlineMs = Date.now() + 10_000;
+    const neighbours = all.slice(1, INSTANCES_PER_DOMAIN);
+    const hasHeardAll = () =>
+      neighbours.every(({ domainPeers }) => domainPeers.length === INSTANCES_PER_DOMAIN - 1);
+    while (!hasHeardAll() && Date.now() < deadlineMs) await systemClock.sleep(20);
+    const [, last] = MEMBERS;
+    stopping.add(last.name);
+    all[1].announceStop();
+    const others = [all[0], ...neighbours.slice(1)];
+    const hears = ({ candidates }: Peers) =>
+      candidates.some(
+        ({ member, isStopping, isReady }) => member.name === last.name && isStopping && !isReady,
+      );
+    // No further heartbeat tells the rest.
+    await systemClock.sleep(HEARTBEAT_INTERVAL_MS / 8);
+    all[1].stop();
+    while (!others.every(hears) && Date.now() < deadlineMs) await systemClock.sleep(20);
+    expect(others.filter(hears).length).toBe(others.length);
+  } finally {
+    all.forEach((peers) => peers.stop());
+  }
+});
+
+test.each([
+  { what: 'says so', isReady: true, isStopping: false, isHeardReady: true },
+  { what: 'says that it is not', isReady: false, isStopping: false, isHeardReady: false },
+  { what: 'is of an earlier build and serves', isStopping: false, isHeardReady: true },
+  { what: 'is of an earlier build and stops', isStopping: true, isHeardReady: false },
+])('a peer counts as ready or not if it $what', async ({ isHeardReady, ...more }) => {
+  const port = await freePort();
+  const [self, peer] = MEMBERS;
+  const peers = await startPeers(self, port);
+  const socket = createSocket('udp4');
+  const bytes = encode([1, PeerMessageKind.Heartbeat, Object.assign(heartbeatOf(peer, 1), more)]);
+  try {
+    socket.send(bytes, port, self.host);
+    const deadlineMs = Date.now() + 5_000;
+    while (peers.domainPeers.length === 0 && Date.now() < deadlineMs) await systemClock.sleep(20);
+    expect(peers.domainPeers.map(({ isReady }) => isReady)).toEqual([isHeardReady]);
+  } finally {
+    socket.close();
+    peers.stop();
+  }
+});
+
 test('a digest goes to the live instances of its failure domain only, as many rows as one datagram holds', async () => {
   const port = await freePort();
   const [self, peer] = MEMBERS;
