--- a/packages/edge/src/RequestExecution.ts
+++ b/packages/edge/src/RequestExecution.ts
@@ -189,7 +189,8 @@
   private stopError(): ServeError | undefined {
     if (this.isMoved) return undefined;
     const begunAtMs = this.caller.hasStarted ? this.firstSentAtMs : undefined;
-    this.stopRefusal ??= this.deps.stopGate.refusal(this.request, begunAtMs);
+    const mayHaveRun = this.executions > 0;
+    this.stopRefusal ??= this.deps.stopGate.refusal(this.request, { begunAtMs, mayHaveRun });
     return this.stopRefusal;
   }
 
