--- a/packages/edge/src/Edge.ts
+++ b/packages/edge/src/Edge.ts
@@ -5,7 +5,7 @@
   type DemandReport,
   type EventLog,
   Lease,
-  Peers,
+  type Peers,
   type Placer,
   type StoreFollower,
   StoreTopic,
@@ -36,9 +36,10 @@
 import type UsageDuty from './UsageDuty';
 import WorkspaceLimits from './WorkspaceLimits';
 import candidateRank from './candidateRank';
-import createHeartbeatContent from './createHeartbeatContent';
+import type createHeartbeatContent from './createHeartbeatContent';
 import createMemoryBudget from './createMemoryBudget';
 import createPeerHandlers from './createPeerHandlers';
+import createPeers from './createPeers';
 import createPlacer from './createPlacer';
 import createReadinessLog from './createReadinessLog';
 import connectionShare from './connectionShare';
@@ -49,7 +50,6 @@
 import retainKnownTargets from './retainKnownTargets';
 import stopParts from './stopParts';
 
-const HEARTBEAT_INTERVAL_MS = 200;
 /** Silence after which a peer is assumed to spend nothing more of the shared limits. */
 const PEER_SPENDING_TIMEOUT_MS = 12_000;
 
@@ -304,35 +304,27 @@
 
   private createPeers(): Peers {
     const { options, clock, log } = this;
-    return new Peers(
-      {
-        ...options.member,
-        port: options.peerPort,
-        heartbeatIntervalMs: HEARTBEAT_INTERVAL_MS,
-        seedHosts: options.seedHosts,
-      },
-      {
-        clock,
-        wallClock: this.ports.wallClock,
-        log,
-        heartbeatContent: (kind) => createHeartbeatContent(kind, this.heartbeatParts),
-        handlers: createPeerHandlers({
-          failureDomain: options.member.failureDomain,
-          storeView: this.storeView,
-          catchUp: this.catchUp,
-          limits: this.limits,
-          demand: this.demand,
-          table: this.table,
-          suspects: this.suspects,
-          signals: this.signals,
-          loads: this.loads,
-          lease: () => this.lease,
-          placer: () => this.placer,
-          usage: () => this.usage,
-          peers: () => this.peers,
-        }),
-      },
-    );
+    return createPeers(options, {
+      clock,
+      wallClock: this.ports.wallClock,
+      log,
+      heartbeatParts: () => this.heartbeatParts,
+      handlers: createPeerHandlers({
+        failureDomain: options.member.failureDomain,
+        storeView: this.storeView,
+        catchUp: this.catchUp,
+        limits: this.limits,
+        demand: this.demand,
+        table: this.table,
+        suspects: this.suspects,
+        signals: this.signals,
+        loads: this.loads,
+        lease: () => this.lease,
+        placer: () => this.placer,
+        usage: () => this.usage,
+        peers: () => this.peers,
+      }),
+    });
   }
 
   private get heartbeatParts(): Parameters<typeof createHeartbeatContent>[1] {
