Let callers take the last response of a connection though they go on sending

There the 503 had arrived; a caller that reads only after it has written loses it: in a test on loopback such a caller got EPIPE and no whole answer. The kernel may also discard on a reset what has not been read yet; that was not seen on loopback, where a further request behind the last response did no harm.

Cause: after a response that is its connection's last, Node.js closes its side and destroys the socket (destroySoon); the kernel then answers further bytes with a reset. CallerConnection lingered only where it closed a connection by itself.

Now it does so after each last response: it closes its side, reads and discards, and destroys the connection once the caller has closed its side, after 2 s, or after 1 MB; while a body is on its way that was answered early after 10 s or 8 MB. Weighed: to read on within the request, as for bodies that are refused for memory. It keeps the request under way, so that a stop waits for it, and does nothing for bytes behind a whole request.

Limits: such a connection counts as idle or unused, so it is the first to be closed for a new one; a stop waits 0.2 s for callers to close their side, as before; the own protocol's stop (refuseReceiving) cuts such bodies within 4 s.

--- a/packages/response-ends/src/CallerConnection.ts
+++ b/packages/response-ends/src/CallerConnection.ts
@@ -1,14 +1,20 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import type { Socket } from 'node:net';
+import { Socket } from 'node:net';
 import ConnectionState from './ConnectionState';
 import EndReason from './EndReason';
 
-/** Time for which a caller may take what it is sent last, and go on sending, before its connection is destroyed. */
-const LINGER_MS = 2_000;
+interface Linger {
+  /** Time for which a caller may take what it is sent last, and go on sending, before its connection is destroyed. */
+  readonly timeoutMs: number;
+  /** Bytes that are read and discarded meanwhile. */
+  readonly limitBytes: number;
+}
+
+const LINGER: Linger = { timeoutMs: 2_000, limitBytes: 1_048_576 };
+/** While the body of a request that was answered early is on its way. A body of 4 MB takes 6.4 s at 5 Mbit/s. */
+const BODY_LINGER: Linger = { timeoutMs: 10_000, limitBytes: 8_388_608 };
 /** Status for a request that is given up for others before its body has arrived. */
 const SERVICE_UNAVAILABLE = 503;
-/** Bytes that are read and discarded meanwhile. */
-const LINGER_BYTES = 1_048_576;
 
 interface Exchange {
   readonly request: IncomingMessage;
@@ -36,7 +42,10 @@
   /** Bytes that had been read when the last whole request had arrived; undefined if none has. */
   private requestBytes: number | undefined;
 
-  constructor(readonly socket: Socket) {}
+  constructor(readonly socket: Socket) {
+    // Node.js calls this after a response that is its connection's last, and would destroy the connection beside unread bytes.
+    this.socket.destroySoon = () => this.endAfterLast();
+  }
 
   /** Number of requests whose responses the caller has not been sent in full. */
   get underWay(): number {
@@ -133,9 +142,7 @@
    */
   refuse(status: number, reason: string): boolean {
     this.isEnding = true;
-    // Node.js calls this after a response that is its connection's last, and would destroy the connection beside unread bytes.
-    this.socket.destroySoon = () => this.endSide();
-    this.discardInput();
+    this.discardInput(LINGER);
     const unread = [...this.exchanges].find(({ request }) => !request.complete);
     if (unread !== undefined) return this.refuseUnread(unread, status);
     if (this.underWay > 0) {
@@ -155,7 +162,7 @@
   close(onCrossed: () => void): void {
     if (this.isEnding) return;
     this.isEnding = true;
-    this.discardInput();
+    this.discardInput(LINGER);
     this.socket.once('data', onCrossed);
     this.endSide();
   }
@@ -172,7 +179,12 @@
     }
     const headers = { connection: 'close', 'content-length': '0' };
     only.response.writeHead(SERVICE_UNAVAILABLE, headers).end();
-    socket.destroySoon();
+    Socket.prototype.destroySoon.call(socket);
+  }
+
+  /** Lets a caller whose last response has been sent go on sending its body for no longer than other callers may linger. */
+  limitLinger(): void {
+    if (this.isEnding && this.underWay === 0) this.destroyAfter(LINGER.timeoutMs);
   }
 
   /** Tells responses that their connection has closed. Node.js tells only the first one, not those that wait behind it. */
@@ -180,10 +192,31 @@
     this.exchanges.forEach(({ response }) => response.emit('close'));
   }
 
+  /** Ends the connection after its last response, which its caller must be able to take though it goes on sending. */
+  private endAfterLast(): void {
+    if (this.isEnding) {
+      this.endSide();
+      return;
+    }
+    const linger = this.isReceiving ? BODY_LINGER : LINGER;
+    this.isEnding = true;
+    this.discardInput(linger);
+    this.dropBehind();
+    this.endSide('', linger);
+  }
+
+  /** Gives up requests that arrived behind that of the last response. */
+  private dropBehind(): void {
+    const behind = [...this.exchanges].filter(({ response }) => !response.writableFinished);
+    if (behind.length === 0) return;
+    this.noteEnd(EndReason.BehindLastResponse);
+    behind.forEach(({ response }) => response.emit('close'));
+  }
+
   /** Takes the connection from the parser, which would serve what still arrives. That is read, as a close beside unread bytes is a reset. */
-  private discardInput(): void {
+  private discardInput({ limitBytes }: Linger): void {
     const { socket } = this;
-    let leftBytes = LINGER_BYTES;
+    let leftBytes = limitBytes;
     socket.removeAllListeners('data');
     socket.on('data', (bytes: Buffer) => {
       leftBytes -= bytes.length;
@@ -197,11 +230,15 @@
   }
 
   /** Sends the last bytes, and destroys the connection if the caller does not close it in time. */
-  private endSide(lastBytes = ''): void {
+  private endSide(lastBytes = '', { timeoutMs }: Linger = LINGER): void {
+    if (this.socket.writableEnded) return;
+    this.socket.end(lastBytes);
+    this.destroyAfter(timeoutMs);
+  }
+
+  private destroyAfter(timeoutMs: number): void {
     const { socket } = this;
-    if (socket.writableEnded) return;
-    socket.end(lastBytes);
-    const timer = setTimeout(() => socket.destroy(), LINGER_MS).unref();
+    const timer = setTimeout(() => socket.destroy(), timeoutMs).unref();
     socket.once('close', () => clearTimeout(timer));
   }
 
--- a/packages/response-ends/src/CallerServer.ts
+++ b/packages/response-ends/src/CallerServer.ts
@@ -173,9 +173,10 @@
     return this.closeWithoutRequest((connection) => connection.isIdle || connection.isUnused);
   }
 
-  /** Refuses the requests that have not been received in full, and closes their connections. */
+  /** Refuses the requests that have not been received in full, and closes their connections, also those that were answered early. */
   async refuseReceiving(): Promise<void> {
     await this.handlePendingInput();
+    this.callerConnections.forEach((connection) => connection.limitLinger());
     [...this.callerConnections.entries()]
       .filter(([, connection]) => connection.isReceiving)
       .forEach(([socket]) => this.refuse(socket, RECEIVE_TIMEOUT));
