Give the first request of a new connection a round trip before a stop closes it

Cause: a stop closed connections without a request 50 ms after the last accept, as if they were idle. The first request of a caller that is a round trip of more than that away, or that waits so long, crossed the close.

A stop now waits for the first request on such connections for up to 150 ms, and for callers to close their side for 0.3 s in all in place of 0.2 s; where there are none, it ends as before. The end of the grace bounds both, as before.

Tests: packages/edge/test/httpListener.test.ts, a first request that comes 120 ms after the connection; it failed before (no answer). The bound beside it passed before, too.

--- a/packages/edge/src/HttpListener.ts
+++ b/packages/edge/src/HttpListener.ts
@@ -11,10 +11,12 @@
 type IdOf = (request: IncomingMessage) => string;
 
 const BACKLOG = 1_024;
-/** Time for the first request on a connection that has just been accepted. */
-const FIRST_REQUEST_MS = 50;
+/** Time for requests that are on their way as the port is closed. */
+const CROSSING_MS = 50;
+/** Time for the first request on a connection that has just been accepted: a round trip between regions. */
+const FIRST_REQUEST_MS = 150;
 /** Time for callers to close their side, and for requests that are being received. */
-const CLOSE_TIMEOUT_MS = 200;
+const CLOSE_TIMEOUT_MS = 300;
 const POLL_INTERVAL_MS = 10;
 
 /** An HTTP server that listens at one address. */
@@ -65,7 +67,11 @@
     const endMs = Math.min(limitMs, clock.nowMs() + CLOSE_TIMEOUT_MS);
     const leftMs = () => Math.max(0, endMs - clock.nowMs());
     await server.stopAccepting();
-    await clock.sleep(Math.min(FIRST_REQUEST_MS, leftMs()));
+    await clock.sleep(Math.min(CROSSING_MS, leftMs()));
+    const firstRequestMs = clock.nowMs() + FIRST_REQUEST_MS - CROSSING_MS;
+    while (server.hasUnused && clock.nowMs() < firstRequestMs && leftMs() > 0) {
+      await clock.sleep(Math.min(POLL_INTERVAL_MS, leftMs()));
+    }
     while (server.connectionCount > 0 && leftMs() > 0) {
       await server.closeUnusedConnections();
       await clock.sleep(Math.min(POLL_INTERVAL_MS, leftMs()));
--- a/packages/edge/test/httpListener.test.ts
+++ b/packages/edge/test/httpListener.test.ts
@@ -1,4 +1,5 @@
 /** A request whose bytes cannot be read, or whose handler fails, is no error of the process, and ends. */
+import { once } from 'node:events';
 import { connect } from 'node:net';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { Registry } from 'prom-client';
@@ -13,6 +14,8 @@
 const BAD_CHUNK = `${HEAD}xyz\r\n`;
 const WHOLE = `${HEAD}0\r\n\r\n`;
 const PAUSE_MS = 50;
+/** Time from the accepted connection to its first request: a round trip between regions. */
+const FAR_MS = 120;
 const CALLERS = 10;
 const ETERNAL_CALLERS = 100;
 const STATUS_END = 12;
@@ -112,6 +115,39 @@
     expect(new Set(statuses)).toEqual(new Set(['HTTP/1.1 200']));
   });
 
+  test('that finishes answers the first request of a connection whose caller is far away', async () => {
+    const port = await open((_, response) => {
+      response.writeHead(200, { connection: 'close' }).end('ok');
+    });
+    const caller = connect(port, HOST);
+    try {
+      let answer = '';
+      caller.on('data', (chunk) => {
+        answer += chunk.toString('latin1');
+      });
+      await once(caller, 'connect');
+      const finished = listener.finish(systemClock, Infinity);
+      await sleep(FAR_MS);
+      caller.write(WHOLE);
+      await finished;
+      expect(answer).toMatch(/^HTTP\/1\.1 200 /);
+    } finally {
+      caller.destroy();
+    }
+  });
+
+  test('that finishes waits for no first request that does not come', async () => {
+    const caller = connect(await open(() => {}), HOST);
+    try {
+      await once(caller, 'connect');
+      const startedMs = performance.now();
+      await listener.finish(systemClock, startedMs + FAR_MS);
+      expect(performance.now() - startedMs).toBeLessThan(FAR_MS + PAUSE_MS);
+    } finally {
+      caller.destroy();
+    }
+  });
+
   test('that finishes resets no connection of callers that connect again once they are answered', async () => {
     const port = await open((_, response) => {
       response.writeHead(200, { connection: 'close' }).end('ok');
--- a/packages/response-ends/src/CallerServer.ts
+++ b/packages/response-ends/src/CallerServer.ts
@@ -102,6 +102,11 @@
     return this.arrivals > 0;
   }
 
+  /** Whether there are connections on which nothing has arrived. */
+  get hasUnused(): boolean {
+    return [...this.callerConnections.values()].some(({ isUnused }) => isUnused);
+  }
+
   /** Sets what callers may use from now on; `onClosed` is told what is closed for it. */
   limitUse(limits: ConnectionLimits, onClosed: (closed: ClosedConnection) => void): void {
     this.limits = limits;
