--- a/packages/response-ends/src/CallerServer.ts
+++ b/packages/response-ends/src/CallerServer.ts
@@ -102,6 +102,11 @@
     return this.arrivals > 0;
   }
 
+  /** Whether there are connections on which nothing has arrived. */
+  get hasUnused(): boolean {
+    return [...this.callerConnections.values()].some(({ isUnused }) => isUnused);
+  }
+
   /** Sets what callers may use from now on; `onClosed` is told what is closed for it. */
   limitUse(limits: ConnectionLimits, onClosed: (closed: ClosedConnection) => void): void {
     this.limits = limits;
@@ -173,9 +178,10 @@
     return this.closeWithoutRequest((connection) => connection.isIdle || connection.isUnused);
   }
 
-  /** Refuses the requests that have not been received in full, and closes their connections. */
+  /** Refuses the requests that have not been received in full, and closes their connections, also those that were answered early. */
   async refuseReceiving(): Promise<void> {
     await this.handlePendingInput();
+    this.callerConnections.forEach((connection) => connection.limitLinger());
     [...this.callerConnections.entries()]
       .filter(([, connection]) => connection.isReceiving)
       .forEach(([socket]) => this.refuse(socket, RECEIVE_TIMEOUT));
