The log gives up in time for the process to end before SIGKILL, where its output has no room

Seen: KNOWN-RED, "a pipe for output that is full does not keep it from ending within its grace", once beside load 21 to 35: not ended 3,000 ms after the signal. No request is lost by it, as all have been answered by then; the process ends by SIGKILL in place of code 0.

Cause: with a grace of 3 s the last answers are due after 2.7 s, the log then tries for 0.2 s in which the process could run, and Node.js takes up to 0.1 s for its exit. The parts fill the grace, and the time of the log grows with the load, as it counts only time in which the process runs.

Fix: the log is told when the process has to be gone, and tries until 0.2 s before that, once at least. A write that holds the exit (a file, by the thread pool) is awaited as before, as the process would end itself by SIGKILL.

--- a/packages/edge/src/LineLog.ts
+++ b/packages/edge/src/LineLog.ts
@@ -44,9 +44,9 @@
     this.schedule();
   }
 
-  /** Writes the buffered lines, before the process exits. Gives up if nobody reads them. */
-  async close(): Promise<void> {
-    await this.writer.finish();
+  /** Writes the buffered lines, before the process exits. Gives up if nobody reads them, or by `limitMs` on the monotonic clock. */
+  async close(limitMs = Infinity): Promise<void> {
+    await this.writer.finish(limitMs);
     clearTimeout(this.timer);
     this.timer = undefined;
   }
--- a/packages/edge/src/OutputWriter.ts
+++ b/packages/edge/src/OutputWriter.ts
@@ -55,27 +55,33 @@
 
   /**
    * Writes all that is there now, before the process exits, and nothing after it, as a process does not exit in order while a write is
-   * in progress. Gives up if it has found no room for 0.2 s. Called again, it waits for the same end.
+   * in progress. Gives up if it has found no room for 0.2 s, or by `limitMs` on the monotonic clock, unless a write in progress holds
+   * the exit. Called again, it waits for the same end.
    */
-  finish(): Promise<void> {
-    this.finished ??= this.finishOnce();
+  finish(limitMs = Infinity): Promise<void> {
+    this.finished ??= this.finishOnce(limitMs);
     return this.finished;
   }
 
-  private async finishOnce(): Promise<void> {
+  private async finishOnce(limitMs: number): Promise<void> {
     this.takesLeft = this.source.hasText() ? 1 : 0;
     let isOver = false;
     const cancel = afterRunningTime(FINISH_TIMEOUT_MS, () => {
       isOver = true;
     });
     this.flush();
-    while ((this.takesLeft > 0 || this.unwritten.length > 0) && !isOver) {
+    const isLate = () => performance.now() >= limitMs && !this.holdsExit;
+    while ((this.takesLeft > 0 || this.unwritten.length > 0) && !isOver && !isLate()) {
       await sleep(FINISH_POLL_INTERVAL_MS);
       this.flush();
     }
     cancel();
   }
 
+  private get holdsExit(): boolean {
+    return this.isWriting && this.output.holdsExit === true;
+  }
+
   private take(): void {
     if (this.takesLeft === 0 || !this.source.hasText()) return;
     this.takesLeft -= 1;
--- a/packages/edge/src/PoolOutput.ts
+++ b/packages/edge/src/PoolOutput.ts
@@ -6,6 +6,8 @@
  * pool when it exits, a process that exits while a write blocks ends by SIGKILL.
  */
 class PoolOutput implements LogOutput {
+  readonly holdsExit = true;
+
   private isWriting = false;
 
   constructor(private readonly descriptor: number) {
--- a/packages/edge/test/logOutput.test.ts
+++ b/packages/edge/test/logOutput.test.ts
@@ -176,6 +176,28 @@
     expect(tookMs).toBeLessThan(CLOSE_LIMIT_MS / 2);
   });
 
+  test.each([
+    { what: 'is given up by its limit', holdsExit: false, isWritten: false },
+    { what: 'is awaited where it holds the exit', holdsExit: true, isWritten: true },
+  ])('a write in progress $what', async ({ holdsExit, isWritten }) => {
+    const output = Object.assign(new SlowOutput(), { holdsExit });
+    const log = new LineLog('one', output);
+    log.event('tested', {});
+    await log.close(performance.now());
+    expect(output.text !== '').toBe(isWritten);
+    while (output.isWriting) await sleep(POLL_INTERVAL_MS);
+  });
+
+  test('is closed by its limit where there is no room', async () => {
+    const output = openLogOutput(openSync(path, constants.O_WRONLY));
+    fill(reader);
+    const log = new LineLog('one', output);
+    log.event('tested', {});
+    const startMs = performance.now();
+    await log.close(startMs + CLOSE_LIMIT_MS / 10);
+    expect(performance.now() - startMs).toBeLessThan(CLOSE_LIMIT_MS / 2);
+  });
+
   test('opens a pipe again, and uses it as a socket where it cannot', () => {
     const descriptor = openSync(path, constants.O_WRONLY);
     expect(openLogOutput(descriptor)).toBeInstanceOf(NonBlockingOutput);
