A caller who is refused in a stop comes back when another instance can take it

Callers whose streams the only instance of a failure domain refused after SIGTERM were told to come back at once, came back to the same instance 0.1 s later, were refused again and had no retry left. The same at the second instance of a domain while the first one was stopping.

Cause: the refusal said Retry-After 0 on the belief that the next connection leads to another instance. The balancer uses other failure domains only once it has turned away from all instances of this one.

--- a/packages/edge/src/StopGate.ts
+++ b/packages/edge/src/StopGate.ts
@@ -12,6 +12,7 @@
 import boundDuration from './boundDuration';
 import expectDuration from './expectDuration';
 import isServedElsewhere from './isServedElsewhere';
+import readyInstances from './readyInstances';
 
 interface Parts {
   readonly clock: Clock;
@@ -76,13 +77,13 @@
     const decision = this.decide(request, progress);
     if (decision.isServed) return undefined;
     this.logRefusal(request, decision, hasBegun);
-    return StopGate.refuse();
+    return this.refuse();
   }
 
   /** Returns the refusal of a request that comes too late to be served, whatever it is; undefined if it may be served. */
   lateRefusal(): ServeError | undefined {
     const { clock, shutdown } = this.parts;
-    return clock.nowMs() >= shutdown.sendCutoffAtMs ? StopGate.refuse() : undefined;
+    return clock.nowMs() >= shutdown.sendCutoffAtMs ? this.refuse() : undefined;
   }
 
   /** A stream is broken off by the stop, while other answers are whole, or an error that says that they may have run. */
@@ -92,9 +93,19 @@
     return !isInProgress && isServedElsewhere(this.parts.peers);
   }
 
-  /** Callers come back at once, as their next connection leads to another instance. */
-  private static refuse(): ServeError {
-    return ServeError.notExecuted(ErrorKind.Stopping, 'this instance is shutting down', 0);
+  /**
+   * Callers come back at once where their next connection may lead to another instance of this failure domain; else when the
+   * balancer has turned away to other failure domains.
+   */
+  private refuse(): ServeError {
+    const { clock, shutdown, peers } = this.parts;
+    const untilTurnedAwayMs = Math.max(0, shutdown.sendCutoffAtMs - clock.nowMs());
+    const retryAfterMs = readyInstances(peers) > 0 ? 0 : untilTurnedAwayMs;
+    return ServeError.notExecuted(
+      ErrorKind.Stopping,
+      'this instance is shutting down',
+      retryAfterMs,
+    );
   }
 
   private logRefusal(
--- a/packages/edge/src/isServedElsewhere.ts
+++ b/packages/edge/src/isServedElsewhere.ts
@@ -1,4 +1,5 @@
 import type DomainInstances from './DomainInstances';
+import readyInstances from './readyInstances';
 
 /** Fraction of the instances of a failure domain below which a balancer uses those that are not ready as well. */
 const LEAST_READY_FRACTION = 0.5;
@@ -10,9 +11,9 @@
  * @example
  * isServedElsewhere(peers); // false if this is the only instance of its failure domain, or the others stop as well
  */
-const isServedElsewhere = ({ candidates, domainPeers }: DomainInstances): boolean => {
-  const ready = candidates.filter(({ isReady, isStopping }) => isReady && !isStopping).length;
-  const all = domainPeers.length + 1;
+const isServedElsewhere = (peers: DomainInstances): boolean => {
+  const ready = readyInstances(peers);
+  const all = peers.domainPeers.length + 1;
   return ready > 0 && ready >= LEAST_READY_FRACTION * all;
 };
 
--- a/packages/edge/test/stopBound.test.ts
+++ b/packages/edge/test/stopBound.test.ts
@@ -1,6 +1,6 @@
 /** Which streams an instance still serves from the stop signal on while another one serves the callers. */
 import fc from 'fast-check';
-import { ErrorKind } from '@wisteriapath/model';
+import { ErrorKind, responseTo } from '@wisteriapath/model';
 import { RouteSemantics } from '@wisteriapath/fleet';
 import VirtualClock from '@wisteriapath/virtual-clock';
 import StopGate from '../src/StopGate';
@@ -24,6 +24,7 @@
 const ENDLESS_TOKENS = 1e9;
 
 const SERVING = { isReady: true, isStopping: false };
+const STOPPING = { isReady: false, isStopping: true };
 /** What is heard of the other instances of the failure domain. */
 const ALONE: DomainInstances = { candidates: [], domainPeers: [] };
 const BESIDE_ANOTHER: DomainInstances = { candidates: [SERVING], domainPeers: [SERVING] };
@@ -70,10 +71,7 @@
     { what: 'there is no other', peers: ALONE },
     {
       what: 'the other stops as well',
-      peers: {
-        candidates: [{ isReady: false, isStopping: true }],
-        domainPeers: [{ isReady: false, isStopping: true }],
-      },
+      peers: { candidates: [STOPPING], domainPeers: [STOPPING] },
     },
     {
       what: 'the other is not ready',
@@ -164,3 +162,30 @@
     );
   });
 });
+
+test.each([
+  { what: 'at once, as another instance serves', peers: BESIDE_ANOTHER, returnsAtMs: LATE_MS },
+  {
+    what: 'at once, as one of three is left',
+    peers: { candidates: [SERVING], domainPeers: [SERVING, SERVING] },
+    returnsAtMs: LATE_MS,
+  },
+  {
+    what: 'when the balancer has turned away, as there is no other instance',
+    peers: ALONE,
+    returnsAtMs: SEND_CUTOFF_MS,
+  },
+  {
+    what: 'when the balancer has turned away, as all stop',
+    peers: { candidates: [STOPPING], domainPeers: [STOPPING] },
+    returnsAtMs: SEND_CUTOFF_MS,
+  },
+  { what: 'at once, as it has by then', peers: ALONE, atMs: 3_000, returnsAtMs: 3_000 },
+])('a caller who is refused in a stop comes back $what', async ({ peers, atMs, returnsAtMs }) => {
+  const { clock, gate } = stopBusy(peers);
+  await clock.advance(atMs ?? LATE_MS);
+  const { retryAfterMs } = responseTo(
+    gate.refusal(requestOf({ ...usual, outputTokens: 200, estimatedTokens: null }))!,
+  );
+  expect(clock.nowMs() + retryAfterMs!).toBe(returnsAtMs);
+});
--- a/packages/edge/test/stopGate.test.ts
+++ b/packages/edge/test/stopGate.test.ts
@@ -148,7 +148,7 @@
   },
 );
 
-test('a refusal says truly that the request has not run, and that its caller may come back at once', () => {
+test('a refusal says truly that the request has not run, and that its caller may come back when the balancer has turned away', () => {
   const { gate, lines } = createGate(LENGTHS);
   const refusal = gate.refusal(requestOf({ outputTokens: 200 }))!;
   const { kind, ran } = refusal;
@@ -156,7 +156,7 @@
     kind: ErrorKind.Stopping,
     ran: ExecutionStatus.NotExecuted,
     status: 503,
-    retryAfterMs: 0,
+    retryAfterMs: SEND_CUTOFF_MS,
   });
   expect(lines).toMatchSnapshot();
 });
