In a stop, streams under way count among the slowest ones

Cause: the slowest of the recent answers was taken from those that had ended. At an instance that is young, or whose engine slows down, these are the short ones.

A request that is under way now counts as having lasted so long, with all of its time at its pace. The new test of stopBound fails without it: the stream is taken beside one that has run for longer than its bound.

--- a/packages/edge/src/AnswerTimes.ts
+++ b/packages/edge/src/AnswerTimes.ts
@@ -6,6 +6,11 @@
 
 type Sample = AnswerTime & TokenCounts;
 
+/** A request that has been sent and is not answered. */
+interface Begun extends AnsweredRequest {
+  readonly sentAtMs: number;
+}
+
 /** Fraction of recent answers that were no slower than what is expected of the next one of known length. */
 const EXPECTED_FRACTION = 0.75;
 const MIDDLE_FRACTION = 0.5;
@@ -38,12 +43,17 @@
     return [{ startMs, msPerToken: (sample.totalMs - startMs) / tokens, tokens }];
   });
 
-const slowestOf = (samples: readonly Sample[]): AnswerPace | undefined => {
-  const stated = pacesOf(samples, 'outputTokens');
-  if (stated.length < MIN_BOUND_SAMPLES) return undefined;
+/** Returns the slowest start and pace of answers, and of requests under way, which take as long as they have at least. */
+const slowestOf = (
+  samples: readonly Sample[],
+  underWay: readonly Sample[],
+): AnswerPace | undefined => {
+  const answered = pacesOf(samples, 'outputTokens');
+  if (answered.length < MIN_BOUND_SAMPLES) return undefined;
+  const all = [...answered, ...pacesOf(underWay, 'outputTokens')];
   return {
-    startMs: Math.max(...stated.map(({ startMs }) => startMs)),
-    msPerToken: Math.max(...stated.map(({ msPerToken }) => msPerToken)),
+    startMs: Math.max(...all.map(({ startMs }) => startMs)),
+    msPerToken: Math.max(...all.map(({ msPerToken }) => msPerToken)),
   };
 };
 
@@ -69,6 +79,8 @@
   /** In the order of their newest answers. */
   private readonly samples = new Map<string, Sample[]>();
 
+  private readonly underWay = new Set<Begun>();
+
   /** Records an answer that has ended. */
   record(
     { pool, route, model, outputTokens, estimatedTokens }: AnsweredRequest,
@@ -90,14 +102,23 @@
     return paceOf(this.samplesOf(poolKey(pool)), length);
   }
 
+  /** Notes that a request has been sent; returns a function that ends it. */
+  begin(request: AnsweredRequest, sentAtMs: number): () => void {
+    const begun = { ...request, sentAtMs };
+    this.underWay.add(begun);
+    return () => this.underWay.delete(begun);
+  }
+
   /** Returns the slowest start and pace of answers of a model for the tokens allowed; undefined if too few are known. */
-  slowestOfModel(pool: string, model: string): AnswerPace | undefined {
-    return slowestOf(this.samplesOf(modelKey(pool, model)));
+  slowestOfModel(pool: string, model: string, nowMs: number): AnswerPace | undefined {
+    const isOfModel = (begun: Begun) => begun.pool === pool && begun.model === model;
+    return slowestOf(this.samplesOf(modelKey(pool, model)), this.begunSamples(isOfModel, nowMs));
   }
 
   /** Returns the slowest start and pace of answers of all models of a pool; undefined if too few are known. */
-  slowestOfPool(pool: string): AnswerPace | undefined {
-    return slowestOf(this.samplesOf(poolKey(pool)));
+  slowestOfPool(pool: string, nowMs: number): AnswerPace | undefined {
+    const isOfPool = (begun: Begun) => begun.pool === pool;
+    return slowestOf(this.samplesOf(poolKey(pool)), this.begunSamples(isOfPool, nowMs));
   }
 
   /** Returns the time of the longest of a route's recent answers; undefined if too few are known. */
@@ -107,6 +128,13 @@
     return Math.max(...samples.map(({ totalMs }) => totalMs));
   }
 
+  /** Returns requests under way as if they ended now; how long their start took is left out. */
+  private begunSamples(isMeant: (begun: Begun) => boolean, nowMs: number): readonly Sample[] {
+    return [...this.underWay]
+      .filter(isMeant)
+      .map((begun) => ({ ...begun, firstEventMs: 0, totalMs: nowMs - begun.sentAtMs }));
+  }
+
   private samplesOf(key: string): readonly Sample[] {
     return this.samples.get(key) ?? [];
   }
--- a/packages/edge/src/RequestExecution.ts
+++ b/packages/edge/src/RequestExecution.ts
@@ -3,6 +3,7 @@
 import { ResponseFraming } from '@wisteriapath/response-ends';
 import { SuspectDecision } from '@wisteriapath/suspects';
 import type AdmittedRequest from './AdmittedRequest';
+import type AnsweredRequest from './AnsweredRequest';
 import AttemptOutcome from './AttemptOutcome';
 import type CallerExchange from './CallerExchange';
 import type ChosenTarget from './ChosenTarget';
@@ -72,6 +73,9 @@
   /** When the request was first sent to a target, on the monotonic clock; undefined until then. */
   private firstSentAtMs: number | undefined;
 
+  /** Ends the request as one that is under way; undefined until it is first sent. */
+  private recordEnd: (() => void) | undefined;
+
   private stopRefusal: ServeError | undefined;
 
   private lastFailure: TargetAttempt | null = null;
@@ -95,6 +99,14 @@
 
   /** Runs the request until it is answered, fails or is no longer allowed. */
   async run(): Promise<RequestResult> {
+    try {
+      return await this.runAttempts();
+    } finally {
+      this.recordEnd?.();
+    }
+  }
+
+  private async runAttempts(): Promise<RequestResult> {
     const { pool, fields, waitOrder } = this.request;
     this.deps.retryBudgets.recordRequest(pool.name);
     if (pool.engine !== null) {
@@ -133,6 +145,7 @@
       });
       const sentAtMs = this.deps.clock.nowMs();
       this.firstSentAtMs ??= sentAtMs;
+      this.recordEnd ??= this.deps.stopGate.recordBegun(this.answeredRequest, sentAtMs);
       this.sends += 1;
       this.lastTargetId = view.entry.id;
       const outcome = await attempt.run();
@@ -182,16 +195,18 @@
   /** Records how long an answer took that one target gave from its beginning, or would have taken at least. */
   private recordTime(attempt: TargetAttempt, outcome: AttemptOutcome, sentAtMs: number): void {
     if (this.executions > 0 || !TIMED.has(outcome) || attempt.statusCode >= CLIENT_ERROR) return;
+    const { firstEventAtMs } = attempt;
+    this.deps.stopGate.recordAnswer(this.answeredRequest, {
+      firstEventMs: firstEventAtMs === undefined ? null : firstEventAtMs - sentAtMs,
+      totalMs: this.deps.clock.nowMs() - sentAtMs,
+    });
+  }
+
+  /** What tells how long answers to requests like this one take. */
+  private get answeredRequest(): AnsweredRequest {
     const { pool, route, fields } = this.request;
     const { model, outputTokens, estimatedTokens } = fields;
-    const { firstEventAtMs } = attempt;
-    this.deps.stopGate.recordAnswer(
-      { pool: pool.name, route: route.name, model, outputTokens, estimatedTokens },
-      {
-        firstEventMs: firstEventAtMs === undefined ? null : firstEventAtMs - sentAtMs,
-        totalMs: this.deps.clock.nowMs() - sentAtMs,
-      },
-    );
+    return { pool: pool.name, route: route.name, model, outputTokens, estimatedTokens };
   }
 
   /** Waits while another request with the same suspected traits is being tried. */
--- a/packages/edge/src/StopGate.ts
+++ b/packages/edge/src/StopGate.ts
@@ -45,6 +45,11 @@
     this.times.record(request, time);
   }
 
+  /** Notes that a request has been sent; returns a function that ends it. One that lasts tells that others may. */
+  recordBegun(request: AnsweredRequest, sentAtMs: number): () => void {
+    return this.times.begin(request, sentAtMs);
+  }
+
   /** Returns how long a request was expected to take when it was sent. */
   expectedMs(request: TimedRequest, sentAtMs: number): number {
     return expectDuration(request, this.times, sentAtMs).durationMs;
--- a/packages/edge/src/boundDuration.ts
+++ b/packages/edge/src/boundDuration.ts
@@ -10,19 +10,19 @@
 const WAYS: readonly DurationWay[] = [
   [
     DurationSource.ModelSlowest,
-    ({ pool, fields }, times) =>
-      durationAtPace(times.slowestOfModel(pool.name, fields.model), fields.outputTokens),
+    ({ pool, fields }, times, nowMs) =>
+      durationAtPace(times.slowestOfModel(pool.name, fields.model, nowMs), fields.outputTokens),
   ],
   [
     DurationSource.PoolSlowest,
-    ({ pool, fields }, times) =>
-      durationAtPace(times.slowestOfPool(pool.name), fields.outputTokens),
+    ({ pool, fields }, times, nowMs) =>
+      durationAtPace(times.slowestOfPool(pool.name, nowMs), fields.outputTokens),
   ],
 ];
 
 /**
  * Returns how long a request takes at worst if it is sent now: all tokens that it allows at the slowest start and pace of recent
- * answers, and never longer than until its deadline.
+ * answers and of those under way, and never longer than until its deadline.
  *
  * @example
  * const { durationMs, source } = boundDuration(request, times, clock.nowMs());
--- a/packages/edge/src/durationBy.ts
+++ b/packages/edge/src/durationBy.ts
@@ -21,7 +21,7 @@
 ): ExpectedDuration => {
   const untilDeadlineMs = Math.max(0, request.deadlineAtMs - nowMs);
   for (const [source, durationOf] of ways) {
-    const knownMs = durationOf(request, times);
+    const knownMs = durationOf(request, times, nowMs);
     if (knownMs !== undefined) {
       const durationMs = knownMs * ALLOWANCE;
       return durationMs < untilDeadlineMs
--- a/packages/edge/test/stopBound.test.ts
+++ b/packages/edge/test/stopBound.test.ts
@@ -56,7 +56,8 @@
   return parts;
 };
 
-const usual = { outputTokens: TOKENS, estimatedTokens: TOKENS, deadlineAtMs: DEADLINE_MS };
+const LENGTHS = { outputTokens: TOKENS, estimatedTokens: TOKENS };
+const usual = { ...LENGTHS, deadlineAtMs: DEADLINE_MS };
 
 describe('while another instance serves the callers', () => {
   test('a stream that fits only without a pause that others had is refused', async () => {
@@ -117,6 +118,17 @@
     expect(gate.refusal(requestOf({ ...usual, ...request }))?.kind).toBe(ErrorKind.Stopping);
   });
 
+  test('a stream is refused beside one that has run for longer than all others did, until that one has ended', async () => {
+    const { clock, gate } = stopBusy(BESIDE_ANOTHER, { pauseMs: 0 });
+    const alike = { pool: 'engines', route: 'write', model: 'm', ...LENGTHS };
+    const end = gate.recordBegun(alike, clock.nowMs() - REST_MS - PAUSE_MS);
+    await clock.advance(LATE_MS);
+    const beside = gate.refusal(requestOf(usual));
+    end();
+    const behind = gate.refusal(requestOf(usual));
+    expect([beside?.kind, behind]).toEqual([ErrorKind.Stopping, undefined]);
+  });
+
   test('a stream is refused after few others, whose slowest one is no bound', () => {
     const { gate } = stopBusy(BESIDE_ANOTHER, { answers: 3, pauseMs: 0 });
     expect(gate.refusal(requestOf(usual))?.kind).toBe(ErrorKind.Stopping);
