A stream that has begun ends, also if its route or key is withdrawn between its two runs

What callers saw: half an answer around a change of the desired state, of a resumable stream that this instance had taken from an engine that was leaving.

Cause: before the stream was sent to its next engine, the newest desired state was asked as for a new request. With its route or its caller's key gone the rest was refused, which for a stream that has begun means to break it off. The request had been sent, admitted and begun before.

Why it works: a change withdraws what is sent later. Only where the key belongs to another workspace by now is the rest not run: no workspace runs anything with the key of another.

--- a/packages/edge/src/RequestExecution.ts
+++ b/packages/edge/src/RequestExecution.ts
@@ -176,7 +176,9 @@
 
   /** Returns why the request may not be sent any more, though it was admitted; undefined if it may. */
   private denial(): ServeError | undefined {
-    return this.stopError() ?? this.authorization.denial ?? this.probe.refusal;
+    const { authorization } = this;
+    const denial = this.caller.hasStarted ? authorization.denialOfRest : authorization.denial;
+    return this.stopError() ?? denial ?? this.probe.refusal;
   }
 
   /**
