A stream that has begun ends, also if its key goes to another workspace between its two runs

Cause: the rest was refused, as the caller's key belonged to another workspace by then. The request was sent, admitted and begun as one of the workspace before, and its rest says so (`Tenant` as in its first run); a change is for what is sent later. Requests that have not begun are still refused.

--- a/packages/edge/src/RequestAuthorization.ts
+++ b/packages/edge/src/RequestAuthorization.ts
@@ -12,8 +12,6 @@
   readonly route: PathRoute | undefined;
   /** Why the state forbids the request; undefined if it allows it. */
   readonly denial: ServeError | undefined;
-  /** Whether the key belongs to another workspace by now. */
-  readonly hasOtherOwner: boolean;
 }
 
 /** Retry delay for a request that only has to be admitted again. */
@@ -30,7 +28,7 @@
     private readonly path: string,
   ) {
     const { state, route } = request;
-    this.last = { state, route, denial: undefined, hasOtherOwner: false };
+    this.last = { state, route, denial: undefined };
   }
 
   /** Why the request is no longer allowed; undefined if it is. */
@@ -38,15 +36,6 @@
     return this.newest.denial;
   }
 
-  /**
-   * Why the rest of a stream that has begun may not run elsewhere. What was sent before its route or key was withdrawn may end; but no
-   * workspace runs anything with the key of another.
-   */
-  get denialOfRest(): ServeError | undefined {
-    const { denial, hasOtherOwner } = this.newest;
-    return hasOtherOwner ? denial : undefined;
-  }
-
   /** Whether the request may run again, both as it was admitted and by the newest desired state. */
   get isRetryable(): boolean {
     const { route } = this.newest;
@@ -62,14 +51,14 @@
   private authorizeAgain(state: DesiredState): Authorization {
     const { fields, workspace } = this.request;
     return authorize(state, fields, this.path).caseOf<Authorization>({
-      Left: (denial) => ({ state, route: undefined, denial, hasOtherOwner: false }),
+      Left: (denial) => ({ state, route: undefined, denial }),
       Right: ({ route, workspace: owner }) => {
         const hasSameOwner = owner?.name === workspace?.name;
         const message = 'the key now belongs to another workspace';
         const denial = hasSameOwner
           ? undefined
           : ServeError.notExecuted(ErrorKind.NoTarget, message, READMISSION_DELAY_MS);
-        return { state, route, denial, hasOtherOwner: !hasSameOwner };
+        return { state, route, denial };
       },
     });
   }
--- a/packages/edge/src/RequestExecution.ts
+++ b/packages/edge/src/RequestExecution.ts
@@ -176,8 +176,8 @@
 
   /** Returns why the request may not be sent any more, though it was admitted; undefined if it may. */
   private denial(): ServeError | undefined {
-    const { authorization } = this;
-    const denial = this.caller.hasStarted ? authorization.denialOfRest : authorization.denial;
+    // A change of the desired state is for what is sent later: a stream that has begun may end.
+    const denial = this.caller.hasStarted ? undefined : this.authorization.denial;
     return this.stopError() ?? denial ?? this.probe.refusal;
   }
 
