The rest of a stream that this instance took from its engine is not given up for a few refusals

What callers saw: half an answer, 0.3 to 0.9 s after a stream was moved from an engine that was leaving, where the other engines were full for a moment. All streams of such an engine are moved at once, so the others are likely to be full.

Cause: each request is sent six times at most, and to one that refused it again after 0.15 s. For a request that has not begun a refusal follows, and its caller comes back; for a stream that has begun it means to break it off, though its caller waits for 2 s or more.

A trial with pauses that double (0.15 s, 0.3 s, ...) came too late in both.

Why it works: the rest is offered every 0.3 s to each engine until its caller stops waiting, counted from the end of the run before, or until the retry budget is spent.

--- a/packages/edge/src/RequestExecution.ts
+++ b/packages/edge/src/RequestExecution.ts
@@ -24,8 +24,9 @@
 const REFUSAL_MARGIN_MS = 60;
 /** Minimum time that a target needs to run a request. */
 const MIN_RUN_MS = 20;
-/** Time for which a target that refused a request is not chosen for it again. */
+/** Time for which a target that refused a request is not chosen for it again, and the same for the rest of a stream, which is sent more often. */
 const EXCLUSION_MS = 150;
+const REST_EXCLUSION_MS = 300;
 const MAX_SENDS = 6;
 const MAX_LOGGED_PARTS = 8;
 const CLIENT_ERROR = 400;
@@ -68,6 +69,9 @@
 
   private sends = 0;
 
+  /** When the last run ended, on the monotonic clock; undefined if none has. */
+  private runEndedAtMs: number | undefined;
+
   private waitedMs = 0;
 
   private lastTargetId = '';
@@ -246,7 +250,8 @@
   private searchEnd(nowMs: number): Pick<TargetSearch, 'untilMs' | 'leavesAtMs'> {
     const { deadlineAtMs, firstEventDeadlineAtMs, pool, route } = this.request;
     const { hasStarted } = this.caller;
-    const nextEventDeadlineAtMs = Math.min(deadlineAtMs, nowMs + eventWaitMs(route));
+    const quietSinceMs = this.runEndedAtMs ?? nowMs;
+    const nextEventDeadlineAtMs = Math.min(deadlineAtMs, quietSinceMs + eventWaitMs(route));
     const leavesAtMs = hasStarted ? nextEventDeadlineAtMs : firstEventDeadlineAtMs;
     const lastMs = hasStarted ? leavesAtMs : leavesAtMs - REFUSAL_MARGIN_MS;
     const serviceUntilMs = nowMs + route.latencyTargetMs * SERVICE_WAIT_FRACTION;
@@ -292,10 +297,12 @@
     });
     if (outcome === AttemptOutcome.DeadlineExceeded) return this.failWithTimeout();
     if (outcome === AttemptOutcome.Stopped) return this.failStopped();
-    this.excluded.set(id, clock.nowMs() + EXCLUSION_MS);
+    const exclusionMs = this.caller.hasStarted ? REST_EXCLUSION_MS : EXCLUSION_MS;
+    this.excluded.set(id, clock.nowMs() + exclusionMs);
     if (outcome === AttemptOutcome.NotExecuted) this.refusedBy.add(id);
     if (POSSIBLY_EXECUTED.has(outcome)) {
       this.executions += 1;
+      this.runEndedAtMs = clock.nowMs();
       this.excluded.set(id, Infinity);
     }
     if (attempt.isMisdirected) table.markAbsent(id, fields.model, fields.adapter);
@@ -328,7 +335,9 @@
     if (mayHaveRun && (!this.authorization.isRetryable || this.executions >= route.attempts)) {
       return false;
     }
-    if (deadlineAtMs - clock.nowMs() < MIN_RUN_MS || this.sends >= MAX_SENDS) return false;
+    if (deadlineAtMs - clock.nowMs() < MIN_RUN_MS) return false;
+    // The rest of a stream cannot be refused; its sends are bounded by the time for which its caller waits.
+    if (this.sends >= MAX_SENDS && !this.caller.hasStarted) return false;
     if (this.probe.refusal !== undefined) return false;
     return WITHOUT_RETRY.has(outcome) || retryBudgets.tryTake(pool.name);
   }
