In a stop the rest of a stream may wait for a place elsewhere as long as its caller waits

What callers saw: half an answer 2.6 s after SIGTERM, of a stream that had been moved from an engine that was leaving just before the signal.

Cause: from 2.6 s after the signal on nothing new is sent to targets; the search for a place ended then for the rest of a stream, too. A new request is refused at that moment, a stream that has begun is broken off, with up to 2 s and more of the grace left.

Why it works: the search of a rest ends when its caller leaves; whether a rest that its engine broke off still fits into the grace is decided by the stop gate, as before.

--- a/packages/edge/src/RequestExecution.ts
+++ b/packages/edge/src/RequestExecution.ts
@@ -247,7 +247,7 @@
   }
 
   /** Returns when a search that begins now ends, and when the caller leaves. A stream that has begun cannot be refused any more. */
-  private searchEnd(nowMs: number): Pick<TargetSearch, 'untilMs' | 'leavesAtMs'> {
+  private searchEnd(nowMs: number): Omit<TargetSearch, 'excluded' | 'isOver'> {
     const { deadlineAtMs, firstEventDeadlineAtMs, pool, route } = this.request;
     const { hasStarted } = this.caller;
     const quietSinceMs = this.runEndedAtMs ?? nowMs;
@@ -256,7 +256,7 @@
     const lastMs = hasStarted ? leavesAtMs : leavesAtMs - REFUSAL_MARGIN_MS;
     const serviceUntilMs = nowMs + route.latencyTargetMs * SERVICE_WAIT_FRACTION;
     const untilMs = pool.engine === null ? Math.min(lastMs, serviceUntilMs) : lastMs;
-    return { untilMs, leavesAtMs };
+    return { untilMs, leavesAtMs, hasBegun: hasStarted };
   }
 
   /** Ends an answered request; logs an answer of which only its connection showed the end. */
--- a/packages/edge/src/TargetFinder.ts
+++ b/packages/edge/src/TargetFinder.ts
@@ -22,7 +22,7 @@
 
   /** Returns the best target with a reservation on it; undefined if none became available in time. */
   async find(request: AdmittedRequest, search: TargetSearch): Promise<ChosenTarget | undefined> {
-    const { clock, table, waiting, sendCutoffAtMs } = this.deps;
+    const { clock, table, waiting } = this.deps;
     const { pool, route, fields } = request;
     // Registered once per wait, so that the placers learn how long the request has waited.
     let stopWaiting: (() => void) | undefined;
@@ -34,7 +34,7 @@
         const chosen =
           ticket === undefined ? this.reserveBest(request, search.excluded) : undefined;
         if (chosen !== undefined) return chosen;
-        const leftMs = Math.min(search.untilMs, sendCutoffAtMs()) - clock.nowMs();
+        const leftMs = this.endAtMs(search) - clock.nowMs();
         if (leftMs <= 0 || (this.pauseMs(pool.name) ?? 0) >= leftMs) return undefined;
         const isAbsent = this.isModelAbsent(request);
         if (isAbsent) {
@@ -69,14 +69,19 @@
     }
   }
 
+  /** Returns when a search ends, on the monotonic clock. */
+  private endAtMs({ untilMs, hasBegun }: TargetSearch): number {
+    return hasBegun ? untilMs : Math.min(untilMs, this.deps.sendCutoffAtMs());
+  }
+
   /** Puts a request of a deferring pool into the queue of this instance; the others look for a target by themselves. */
   private enterQueue(request: AdmittedRequest, search: TargetSearch) {
-    const { clock, dispatcher, sendCutoffAtMs } = this.deps;
+    const { clock, dispatcher } = this.deps;
     if (request.waitOrder === undefined) return undefined;
     return dispatcher.enter(request, request.waitOrder, {
       isSpecial: search.excluded.size > 0,
       leavesAtMs: search.leavesAtMs,
-      isOver: () => search.isOver() || clock.nowMs() >= Math.min(search.untilMs, sendCutoffAtMs()),
+      isOver: () => search.isOver() || clock.nowMs() >= this.endAtMs(search),
       reserve: () => this.reserveBest(request, search.excluded),
     });
   }
--- a/packages/edge/src/TargetSearch.ts
+++ b/packages/edge/src/TargetSearch.ts
@@ -6,6 +6,8 @@
   readonly untilMs: number;
   /** Time at which the caller leaves if nothing has come until then. */
   readonly leavesAtMs: number;
+  /** Whether it is for the rest of a stream that has begun, which is sent also when a stop sends no new requests any more. */
+  readonly hasBegun: boolean;
   /** Whether the request must not be sent any more, no matter which targets are available. */
   readonly isOver: () => boolean;
 }
--- a/packages/edge/test/requestDispatcher.test.ts
+++ b/packages/edge/test/requestDispatcher.test.ts
@@ -60,6 +60,7 @@
       excluded,
       untilMs: firstEventDeadlineAtMs,
       leavesAtMs: firstEventDeadlineAtMs,
+      hasBegun: false,
       isOver,
     };
     return new TargetFinder(deps).find(request, search).then((found) => {
--- a/packages/edge/test/targetFinder.test.ts
+++ b/packages/edge/test/targetFinder.test.ts
@@ -36,6 +36,7 @@
     excluded: new Map(),
     untilMs: WAIT_MS,
     leavesAtMs: WAIT_MS,
+    hasBegun: false,
     isOver: () => false,
   };
   const found = new TargetFinder(deps).find(request, search);
@@ -68,6 +69,7 @@
     excluded: new Map(),
     untilMs: WAIT_MS,
     leavesAtMs: WAIT_MS,
+    hasBegun: false,
     isOver: () => false,
   };
   const finder = new TargetFinder(deps);
@@ -113,6 +115,7 @@
       excluded: new Map(),
       untilMs: PATIENCE_MS,
       leavesAtMs: PATIENCE_MS,
+      hasBegun: false,
       isOver: () => false,
     };
     const found = finder.find(request, search).then((chosen) => {
@@ -213,6 +216,7 @@
       excluded: new Map(),
       untilMs: LEAVES_AFTER_MS,
       leavesAtMs: LEAVES_AFTER_MS,
+      hasBegun: false,
       isOver: () => false,
     };
     void finder.find(request, search).then(() => {
