Try a quarantined part on a target that another can replace, as long as the trial can wait

The engines with copies were in use; the next one held it at 24.8 s.

Cause: a trial went to whichever holder was best for the request, though it is the request that is likeliest to end it.

Why this works: for the first 8 s from when it is due, a trial goes only to a target whose model another one holds that can be reached, and waits for such a target as any request waits for a place. After that, or if the trait's crashes are all those of another quarantined trait, it goes to any: a sound part must not stay quarantined because its model has one holder.

Ruled out: never trying where there is one holder (rare models have one for ever); a trial on the least used target (it still ends the only holder).

Test: probeTargets; its first test failed with the choice as it was, the two others guard that trials are not kept back where they need not be, or for ever.

--- a/packages/edge/src/RequestExecution.ts
+++ b/packages/edge/src/RequestExecution.ts
@@ -225,7 +225,12 @@
     const lastMs = firstEventDeadlineAtMs - REFUSAL_MARGIN_MS;
     const serviceUntilMs = startedMs + route.latencyTargetMs * SERVICE_WAIT_FRACTION;
     const untilMs = pool.engine === null ? Math.min(lastMs, serviceUntilMs) : lastMs;
-    const search = { excluded: this.excluded, untilMs, isOver: () => this.isOver };
+    const search = {
+      excluded: this.excluded,
+      untilMs,
+      isOver: () => this.isOver,
+      needsSpare: () => this.probe.needsSpareTarget,
+    };
     const chosen = await this.finder.find(this.request, search);
     this.waitedMs += clock.nowMs() - startedMs;
     return chosen;
--- a/packages/edge/src/RequestProbe.ts
+++ b/packages/edge/src/RequestProbe.ts
@@ -4,6 +4,9 @@
 import type EdgeDependencies from './EdgeDependencies';
 import suspectError from './suspectError';
 
+/** Time for which a probe that is due waits for a target that another can replace. */
+const SPARE_WAIT_MS = 8_000;
+
 /** Whether a request that has something in common with crashes may be sent: freely, as a probe that runs alone, or not. */
 class RequestProbe {
   /** Id of the claim under which the request is being tried though it is suspected. */
@@ -27,6 +30,12 @@
     return decision === SuspectDecision.Refused ? suspectError(waitMs) : undefined;
   }
 
+  /** Whether the request may only be tried on a target that another can replace, as it may crash it. */
+  get needsSpareTarget(): boolean {
+    const { decision, overdueMs = Infinity } = this.checked;
+    return decision === SuspectDecision.Probe && overdueMs < SPARE_WAIT_MS;
+  }
+
   /** Whether a target has begun to answer. */
   get hasBegun(): boolean {
     return this.isAnswered;
--- a/packages/edge/src/TargetFinder.ts
+++ b/packages/edge/src/TargetFinder.ts
@@ -1,4 +1,9 @@
-import { shortestLoad, timeUntilHeld, type WaitingRequests } from '@wisteriapath/fleet';
+import {
+  shortestLoad,
+  type TargetView,
+  timeUntilHeld,
+  type WaitingRequests,
+} from '@wisteriapath/fleet';
 import type AdmittedRequest from './AdmittedRequest';
 import type ChosenTarget from './ChosenTarget';
 import type EdgeDependencies from './EdgeDependencies';
@@ -11,6 +16,8 @@
   readonly untilMs: number;
   /** Whether the request must not be sent any more, no matter which targets are available. */
   readonly isOver: () => boolean;
+  /** Whether only targets are chosen that another can replace; false where absent. */
+  readonly needsSpare?: () => boolean;
 }
 
 const POLL_INTERVAL_MS = 25;
@@ -39,8 +46,7 @@
       for (;;) {
         if (ticket?.target !== undefined) return ticket.target;
         if (search.isOver()) return undefined;
-        const chosen =
-          ticket === undefined ? this.reserveBest(request, search.excluded) : undefined;
+        const chosen = ticket === undefined ? this.reserveBest(request, search) : undefined;
         if (chosen !== undefined) return chosen;
         const leftMs = Math.min(search.untilMs, sendCutoffAtMs()) - clock.nowMs();
         if (leftMs <= 0 || (this.pauseMs(pool.name) ?? 0) >= leftMs) return undefined;
@@ -82,9 +88,9 @@
     const { clock, dispatcher, sendCutoffAtMs } = this.deps;
     if (request.waitOrder === undefined) return undefined;
     return dispatcher.enter(request, request.waitOrder, {
-      isSpecial: search.excluded.size > 0,
+      isSpecial: search.excluded.size > 0 || search.needsSpare?.() === true,
       isOver: () => search.isOver() || clock.nowMs() >= Math.min(search.untilMs, sendCutoffAtMs()),
-      reserve: () => this.reserveBest(request, search.excluded),
+      reserve: () => this.reserveBest(request, search),
     });
   }
 
@@ -190,16 +196,28 @@
   /** Reserves the best target synchronously, so that no other request can choose in between. */
   private reserveBest(
     request: AdmittedRequest,
-    excluded: ReadonlyMap<string, number>,
+    { excluded, needsSpare }: Search,
   ): ChosenTarget | undefined {
     const { loads, coldTargetLimiter } = this.deps;
     const { pool, fields } = request;
     const { model, adapter, attemptId } = fields;
+    const mustBeSpare = needsSpare?.() === true;
     const view = this.ranking
       .rank(request, excluded)
+      .filter((candidate) => !mustBeSpare || this.isSpare(request, candidate))
       .find((candidate) => coldTargetLimiter.tryTake(candidate, pool.coldPerS, attemptId));
     return view && { view, reservation: loads.reserve(view.entry.id, model, adapter) };
   }
+
+  /** Whether another target could serve the requests for the same model if this one ended. */
+  private isSpare({ pool, fields }: AdmittedRequest, { entry }: TargetView): boolean {
+    const { table, loads } = this.deps;
+    const holders =
+      pool.engine === null
+        ? table.inService(pool.name)
+        : table.holding(pool.name, fields.model, null);
+    return holders.some(({ entry: other }) => other.id !== entry.id && loads.isReachable(other.id));
+  }
 }
 
 export default TargetFinder;
--- /dev/null
+++ b/packages/edge/test/probeTargets.test.ts
@@ -0,0 +1,82 @@
+/** A request that is tried though it may crash its target does not end the only one that holds its model, as long as the trial can wait. */
+import VirtualClock from '@wisteriapath/virtual-clock';
+import { TargetTable, WaitingRequests } from '@wisteriapath/fleet';
+import { SuspectRegistry } from '@wisteriapath/suspects';
+import type AdmittedRequest from '../src/AdmittedRequest';
+import type EdgeDependencies from '../src/EdgeDependencies';
+import RequestProbe from '../src/RequestProbe';
+import TargetFinder from '../src/TargetFinder';
+import createTargetLoads from './support/createTargetLoads';
+import targetEntry from './support/targetEntry';
+
+const PATIENCE_MS = 2_000;
+const FIRST_PROBE_MS = 8_000;
+/** Time from which a trial that is due goes to the only holder of a model, too. */
+const LAST_PROBE_MS = 2 * FIRST_PROBE_MS;
+
+const start = async (holders: number) => {
+  const clock = new VirtualClock();
+  const table = new TargetTable(clock);
+  const idOf = (number: number) => `holder-${number}`;
+  const holderOf = (number: number) =>
+    targetEntry({ id: idOf(number), address: `10.0.0.${number}:1` });
+  for (let number = 0; number < holders; number += 1) table.applyEntry(holderOf(number));
+  const suspects = new SuspectRegistry({
+    clock,
+    log: { event: () => {} },
+    announce: () => {},
+    onQuarantineChanged: () => {},
+  });
+  const deps = {
+    clock,
+    table,
+    waiting: new WaitingRequests(clock, () => {}),
+    sendCutoffAtMs: () => Infinity,
+    loads: createTargetLoads(clock, table),
+    coldTargetLimiter: { tryTake: () => true },
+    connectionLimit: (maxConnections: number) => maxConnections,
+    failureDomain: 'a',
+  } as unknown as EdgeDependencies;
+  const request = {
+    pool: { name: 'guides', engine: { models: new Map() }, maxConnections: 4, coldPerS: 0 },
+    route: { latencyTargetMs: 600 },
+    fields: { model: 'm', adapter: null, attemptId: 'one' },
+    deadlineAtMs: Infinity,
+  } as unknown as AdmittedRequest;
+  ['crash-1', 'crash-2'].forEach((crashId) =>
+    suspects.recordCrash({ crashId, hasEnded: true, traits: ['part'], sentAtMs: clock.nowMs() }),
+  );
+  /** Looks for a target of a request with these traits; returns whether one was found. */
+  const isFound = async (traits: readonly string[]): Promise<boolean> => {
+    const probe = new RequestProbe(suspects, traits);
+    const found = new TargetFinder(deps).find(request, {
+      excluded: new Map(),
+      untilMs: clock.nowMs() + PATIENCE_MS,
+      isOver: () => false,
+      needsSpare: () => probe.needsSpareTarget,
+    });
+    await clock.advance(PATIENCE_MS + 1);
+    const chosen = await found;
+    chosen?.reservation.release();
+    return chosen !== undefined;
+  };
+  await clock.advance(FIRST_PROBE_MS);
+  return { clock, isFound };
+};
+
+test('a trial that is due waits while one target holds the model', async () => {
+  const { isFound } = await start(1);
+  expect(await isFound(['part'])).toBe(false);
+  expect(await isFound(['sound'])).toBe(true);
+});
+
+test('a trial that is due goes to one of several targets that hold the model', async () => {
+  const { isFound } = await start(2);
+  expect(await isFound(['part'])).toBe(true);
+});
+
+test('a trial that has waited long goes to the only target that holds the model', async () => {
+  const { clock, isFound } = await start(1);
+  await clock.advance(LAST_PROBE_MS - FIRST_PROBE_MS);
+  expect(await isFound(['part'])).toBe(true);
+});
--- a/packages/suspects/src/SuspectRegistry.ts
+++ b/packages/suspects/src/SuspectRegistry.ts
@@ -30,10 +30,13 @@
   readonly sentAtMs: number;
 }
 
-/** A decision, with the time after which a refused request may be tried; 0 unless it is refused. */
+/** A decision. */
 interface CheckResult {
   readonly decision: SuspectDecision;
+  /** Time after which a refused request may be tried; 0 unless it is refused. */
   readonly waitMs: number;
+  /** For how long a probe has been due; absent unless the request may be one. */
+  readonly overdueMs?: number;
 }
 
 const MAX_TRAITS = 10_000;
@@ -60,7 +63,6 @@
 const MAX_REPEATED_CRASHES = 4;
 const CLEAR: CheckResult = { decision: SuspectDecision.Clear, waitMs: 0 };
 const WAIT: CheckResult = { decision: SuspectDecision.Wait, waitMs: 0 };
-const PROBE: CheckResult = { decision: SuspectDecision.Probe, waitMs: 0 };
 
 const isEmpty = ({ crashes, clearances, probes }: SuspectUpdate): boolean =>
   crashes.length + clearances.length + probes.length === 0;
@@ -97,9 +99,10 @@
     if (this.quarantined.size === 0) return CLEAR;
     const held = traits.filter((trait) => this.quarantined.has(trait));
     if (held.length === 0) return CLEAR;
-    const waitMs = Math.max(...held.map((trait) => this.probeDueInMs(trait, traits)));
-    if (waitMs > 0) return { decision: SuspectDecision.Refused, waitMs };
-    return held.some((trait) => this.isBeingProbed(trait)) ? WAIT : PROBE;
+    const dueInMs = Math.max(...held.map((trait) => this.probeDueInMs(trait, traits)));
+    if (dueInMs > 0) return { decision: SuspectDecision.Refused, waitMs: dueInMs };
+    if (held.some((trait) => this.isBeingProbed(trait))) return WAIT;
+    return { decision: SuspectDecision.Probe, waitMs: 0, overdueMs: -dueInMs };
   }
 
   /** Claims the probe of a request that may be sent as one, before it is sent; returns the id of the claim. */
@@ -194,7 +197,7 @@
     return this.quarantined.get(trait)!.probeUntilMs > this.parts.clock.nowMs();
   }
 
-  /** Returns the time until a request with these traits may be tried for one of them. */
+  /** Returns the time until a request with these traits may be tried for one of them; negative once it may. */
   private probeDueInMs(trait: string, traits: readonly string[]): number {
     const record = this.quarantined.get(trait)!;
     const excused = record.sightings.filter(([crashId]) => record.isExcusedFor(crashId));
@@ -206,7 +209,7 @@
     const dueAtMs = this.isExplainedElsewhere(counted, traits)
       ? -Infinity
       : SuspectRegistry.probeAtMs(counted.map(([, sighting]) => sighting));
-    return Math.max(0, Math.max(dueAtMs, waveEndMs) - this.parts.clock.nowMs());
+    return Math.max(dueAtMs, waveEndMs) - this.parts.clock.nowMs();
   }
 
   /** Returns the time, on the monotonic clock, from which a trait with these crashes may be tried. */
