--- a/packages/edge/src/RequestAuthorization.ts
+++ b/packages/edge/src/RequestAuthorization.ts
@@ -4,6 +4,7 @@
 import type EdgeDependencies from './EdgeDependencies';
 import authorize from './authorize';
 import mayRunAgain from './mayRunAgain';
+import workspaceOfKey from './workspaceOfKey';
 
 /** What a desired state says of the request. */
 interface Authorization {
@@ -12,6 +13,8 @@
   readonly route: PathRoute | undefined;
   /** Why the state forbids the request; undefined if it allows it. */
   readonly denial: ServeError | undefined;
+  /** Whether the key still belongs to the workspace of the request. */
+  readonly hasSameOwner: boolean;
 }
 
 /** Retry delay for a request that only has to be admitted again. */
@@ -28,7 +31,7 @@
     private readonly path: string,
   ) {
     const { state, route } = request;
-    this.last = { state, route, denial: undefined };
+    this.last = { state, route, denial: undefined, hasSameOwner: true };
   }
 
   /** Why the request is no longer allowed; undefined if it is. */
@@ -36,6 +39,15 @@
     return this.newest.denial;
   }
 
+  /**
+   * Why the rest of a stream that has begun may not run elsewhere: its key was withdrawn, or belongs to another workspace. What was sent
+   * before its route went may end.
+   */
+  get denialOfRest(): ServeError | undefined {
+    const { denial, hasSameOwner } = this.newest;
+    return hasSameOwner ? undefined : denial;
+  }
+
   /** Whether the request may run again, both as it was admitted and by the newest desired state. */
   get isRetryable(): boolean {
     const { route } = this.newest;
@@ -50,15 +62,16 @@
 
   private authorizeAgain(state: DesiredState): Authorization {
     const { fields, workspace } = this.request;
+    const hasSameOwner = workspaceOfKey(state, fields.key)?.name === workspace?.name;
     return authorize(state, fields, this.path).caseOf<Authorization>({
-      Left: (denial) => ({ state, route: undefined, denial }),
+      Left: (denial) => ({ state, route: undefined, denial, hasSameOwner }),
       Right: ({ route, workspace: owner }) => {
-        const hasSameOwner = owner?.name === workspace?.name;
         const message = 'the key now belongs to another workspace';
-        const denial = hasSameOwner
-          ? undefined
-          : ServeError.notExecuted(ErrorKind.NoTarget, message, READMISSION_DELAY_MS);
-        return { state, route, denial };
+        const denial =
+          owner?.name === workspace?.name
+            ? undefined
+            : ServeError.notExecuted(ErrorKind.NoTarget, message, READMISSION_DELAY_MS);
+        return { state, route, denial, hasSameOwner };
       },
     });
   }
--- a/packages/edge/src/RequestExecution.ts
+++ b/packages/edge/src/RequestExecution.ts
@@ -16,14 +16,12 @@
 import RequestProbe from './RequestProbe';
 import TargetAttempt from './TargetAttempt';
 import TargetFinder from './TargetFinder';
-import type TargetSearch from './TargetSearch';
 import awaitRunEnd from './awaitRunEnd';
-import eventWaitMs from './eventWaitMs';
+import finalErrors from './finalErrors';
 import mayRunAgain from './mayRunAgain';
+import searchTimes from './searchTimes';
 import sendResponse from './sendResponse';
 
-/** Time before the deadline at which a request that could not be sent is refused. */
-const REFUSAL_MARGIN_MS = 60;
 /** Minimum time that a target needs to run a request. */
 const MIN_RUN_MS = 20;
 /** Time for which a target that refused a request is not chosen for it again, and the same for the rest of a stream, which is sent more often. */
@@ -52,8 +50,6 @@
   AttemptOutcome.Moved,
   AttemptOutcome.Stalled,
 ]);
-/** Fraction of the latency target for which a request waits for a target of a pool of services. */
-const SERVICE_WAIT_FRACTION = 0.5;
 
 /** The execution of one admitted request, with as many attempts as its route and the limits allow. */
 class RequestExecution {
@@ -196,8 +192,8 @@
 
   /** Returns why the request may not be sent any more, though it was admitted; undefined if it may. */
   private denial(): ServeError | undefined {
-    // A change of the desired state is for what is sent later: a stream that has begun may end.
-    const denial = this.caller.hasStarted ? undefined : this.authorization.denial;
+    const { authorization } = this;
+    const denial = this.caller.hasStarted ? authorization.denialOfRest : authorization.denial;
     return this.stopError() ?? denial ?? this.probe.refusal;
   }
 
@@ -258,26 +254,18 @@
   private async findTarget(): Promise<ChosenTarget | undefined> {
     const { clock } = this.deps;
     const startedMs = clock.nowMs();
-    const { excluded } = this;
-    const search = { excluded, ...this.searchEnd(startedMs), isOver: () => this.isOver };
+    const quietSinceMs = this.caller.hasStarted ? (this.runEndedAtMs ?? startedMs) : undefined;
+    const search = {
+      excluded: this.excluded,
+      ...searchTimes(this.request, { nowMs: startedMs, quietSinceMs }),
+      isOver: () => this.isOver,
+      needsSpare: () => this.probe.needsSpareTarget,
+    };
     const chosen = await this.finder.find(this.request, search);
     this.waitedMs += clock.nowMs() - startedMs;
     return chosen;
   }
 
-  /** Returns when a search that begins now ends, and when the caller leaves. A stream that has begun cannot be refused any more. */
-  private searchEnd(nowMs: number): Omit<TargetSearch, 'excluded' | 'isOver'> {
-    const { deadlineAtMs, firstEventDeadlineAtMs, pool, route } = this.request;
-    const { hasStarted } = this.caller;
-    const quietSinceMs = this.runEndedAtMs ?? nowMs;
-    const nextEventDeadlineAtMs = Math.min(deadlineAtMs, quietSinceMs + eventWaitMs(route));
-    const leavesAtMs = hasStarted ? nextEventDeadlineAtMs : firstEventDeadlineAtMs;
-    const lastMs = hasStarted ? leavesAtMs : leavesAtMs - REFUSAL_MARGIN_MS;
-    const serviceUntilMs = nowMs + route.latencyTargetMs * SERVICE_WAIT_FRACTION;
-    const untilMs = pool.engine === null ? Math.min(lastMs, serviceUntilMs) : lastMs;
-    return { untilMs, leavesAtMs, hasBegun: hasStarted };
-  }
-
   /** Ends an answered request; logs an answer of which only its connection showed the end. */
   private finishAnswered(attempt: TargetAttempt): RequestResult {
     const { framing, end } = attempt.endFields;
@@ -314,8 +302,8 @@
       shared_parts: fields.sharedParts.slice(0, MAX_LOGGED_PARTS).join(','),
       sends: this.sends,
     });
-    if (outcome === AttemptOutcome.DeadlineExceeded) return this.failWithTimeout();
-    if (outcome === AttemptOutcome.Stopped) return this.failStopped();
+    const finalError = finalErrors[outcome];
+    if (finalError !== undefined) return this.sendError(finalError);
     const exclusionMs = this.caller.hasStarted ? REST_EXCLUSION_MS : EXCLUSION_MS;
     this.excluded.set(id, clock.nowMs() + exclusionMs);
     if (outcome === AttemptOutcome.NotExecuted) this.refusedBy.add(id);
@@ -377,16 +365,6 @@
     return this.fail('every attempt failed');
   }
 
-  private failWithTimeout(): RequestResult {
-    const message = 'the deadline passed while a target was running the request';
-    return this.sendError(ServeError.maybeExecuted(ErrorKind.DeadlineExpired, message));
-  }
-
-  private failStopped(): RequestResult {
-    const message = 'this instance had to stop before the target had answered';
-    return this.sendError(ServeError.maybeExecuted(ErrorKind.TargetFailed, message));
-  }
-
   private failUnserved(): RequestResult {
     const retryAfterMs = this.finder.retryAfterMs(this.request);
     return this.fail('no target became available in time', retryAfterMs);
--- a/packages/edge/src/TargetSearch.ts
+++ b/packages/edge/src/TargetSearch.ts
@@ -10,6 +10,8 @@
   readonly hasBegun: boolean;
   /** Whether the request must not be sent any more, no matter which targets are available. */
   readonly isOver: () => boolean;
+  /** Whether only targets are chosen that another can replace; false where absent. */
+  readonly needsSpare?: () => boolean;
 }
 
 export default TargetSearch;
