Count the callers of the own protocol who get no whole answer, too

The own protocol has the same server for its callers and told nothing of requests that it left without a whole answer. It now counts them (wisteriapath_unanswered_requests_total by reason and by what the caller got) and writes caller_unanswered for each. KoaResponseSink.abort names its reason to the server that has read the request (CallerServer.of).

--- a/packages/daemon/src/HttpListener.ts
+++ b/packages/daemon/src/HttpListener.ts
@@ -1,7 +1,11 @@
 import { once } from 'node:events';
 import type { RequestListener } from 'node:http';
 import type { AddressInfo } from 'node:net';
-import { CallerServer, type UnreadableBytes } from '@wisteriapath/response-ends';
+import {
+  CallerServer,
+  type UnansweredRequest,
+  type UnreadableBytes,
+} from '@wisteriapath/response-ends';
 
 const IDLE_SWEEP_INTERVAL_MS = 50;
 /** Time for requests that are being received as the listener closes. */
@@ -39,6 +43,11 @@
     return `http://${this.host}:${port}`;
   }
 
+  /** Tells of requests that were read, and whose callers get no whole answer though they have not left. */
+  watchUnanswered(onUnanswered: (unanswered: UnansweredRequest) => void): void {
+    this.server.watchUnanswered(onUnanswered);
+  }
+
   /**
    * Stops accepting connections, once those that wait have been accepted, and resolves when the last request has been
    * answered. Closes connections that carry no request in the meantime, and refuses requests that are not received in time.
--- a/packages/daemon/src/KoaResponseSink.ts
+++ b/packages/daemon/src/KoaResponseSink.ts
@@ -1,5 +1,6 @@
 import { once } from 'node:events';
 import type { Context } from 'koa';
+import { CallerServer, EndReason } from '@wisteriapath/response-ends';
 import type { ResponseSink } from '@wisteriapath/routing';
 
 /**
@@ -41,6 +42,7 @@
 
   abort(): void {
     const { req, res } = this.context;
+    CallerServer.of(req)?.noteEnd(req, EndReason.AnswerBroken);
     // Without chunks, the end of the connection would end the response.
     if (req.httpVersionMinor === 0) req.socket.resetAndDestroy();
     else res.destroy();
--- a/packages/daemon/src/Metrics.ts
+++ b/packages/daemon/src/Metrics.ts
@@ -19,6 +19,13 @@
     registers: [this.registry],
   });
 
+  readonly unansweredRequests = new Counter({
+    name: 'wisteriapath_unanswered_requests_total',
+    help: 'Requests that were read and whose callers, which had not left, got nothing or half of a response, by the reason why this instance ended the connection',
+    labelNames: ['reason', 'got'],
+    registers: [this.registry],
+  });
+
   readonly placementDecisions = new Counter({
     name: 'wisteriapath_placement_decisions_total',
     help: 'Loads and unloads decided by this instance as a placer',
--- a/packages/daemon/src/startInstance.ts
+++ b/packages/daemon/src/startInstance.ts
@@ -15,6 +15,7 @@
 import type RunningInstance from './RunningInstance';
 import describeInstance from './describeInstance';
 import explainRoute from './explainRoute';
+import recordUnanswered from './recordUnanswered';
 import registerPlatform from './registerPlatform';
 import registerRoles from './registerRoles';
 import registerServing from './registerServing';
@@ -198,6 +199,7 @@
       logger.info({ address, ...bytes }, 'caller_unreadable'),
     );
   const callers = await listen(settings.listen.callers, callerApi.app.callback());
+  callers.watchUnanswered(recordUnanswered(components, () => isStopping));
   const operatorApi = createOperatorApi(components, isReady);
   const operators = await listen(settings.listen.operators, operatorApi.app.callback());
   logger.info({ callers: callers.url, operators: operators.url, peers: peerAddress }, 'started');
--- a/packages/response-ends/src/CallerServer.ts
+++ b/packages/response-ends/src/CallerServer.ts
@@ -44,6 +44,8 @@
  * const server = new CallerServer({ requestTimeout: 0 }, handle, ({ code }) => log.event('caller_unreadable', { code }));
  */
 class CallerServer extends Server {
+  private static readonly servers = new WeakMap<Socket, CallerServer>();
+
   private readonly callerConnections = new Map<Socket, CallerConnection>();
 
   private readonly answers = new HeldAnswers();
@@ -92,6 +94,11 @@
     });
   }
 
+  /** Returns the server that has read a request; undefined if another kind of server has. */
+  static of({ socket }: IncomingMessage): CallerServer | undefined {
+    return CallerServer.servers.get(socket);
+  }
+
   /** Number of open connections. */
   get connectionCount(): number {
     return this.callerConnections.size;
@@ -220,6 +227,7 @@
   private trackConnection(socket: Socket): void {
     const connection = new CallerConnection(socket);
     this.callerConnections.set(socket, connection);
+    CallerServer.servers.set(socket, this);
     this.arrivals += 1;
     socket.once('close', () => {
       this.callerConnections.delete(socket);
