Bodies in very small chunks are read in turn, so that ordinary callers are served beside them

What callers saw: while 60 clients sent bodies of 300 kB in chunks of one byte, an ordinary request sent 10 s later had no answer within 9 s. Cause: each chunk is parsed and passed on by itself, so that one read of 64 kB takes 10 to 20 ms, and each turn of the event loop read from all these connections before anything else was looked at. Change: a body that has come in 1,000 chunks waits for its turn; of the connections that wait, one is read in each turn of the event loop, the others are paused. A body in ordinary chunks never waits, a single one of small chunks waits for no other. Evidence: ordinaryCallers (40 clients, 200 kB each, 20 ordinary requests one after the other, beside other work): before, 34 of the crowd's 40 bodies had been answered when the twentieth was; now none.

--- a/packages/edge/src/admit.ts
+++ b/packages/edge/src/admit.ts
@@ -58,6 +58,7 @@
   const read = await readBody(request, {
     limitBytes: state.limits.maxBodyBytes,
     memory: exchange.bodyMemory,
+    turns: deps.readTurns,
     stopSignal: deps.sendCutoffSignal,
   });
   if (read.isLeft()) return Left(read.extract());
