--- a/packages/edge/src/admit.ts
+++ b/packages/edge/src/admit.ts
@@ -51,6 +51,7 @@
   const read = await readBody(request, {
     limitBytes: state.limits.maxBodyBytes,
     memory: exchange.bodyMemory,
+    turns: deps.readTurns,
     stopSignal: deps.sendCutoffSignal,
     cut: () => exchange.abort(EndReason.BodyUnfinished),
   });
