Read an engine again after a failed order only once the other orders have ended

The orders of other loads at the same engine, which were refused for the same wrong count of orders, had not failed yet: they went on with the count just read (a40, accepted with 37), while new loads had been planned into the same slots (a7, a30).

Why this works: only the first report of an engine is read without a wait; after a failed order it is read 0.6 s later, as before.

Test: a new one in engineRestarts failed before (the engine was known again at once).

--- a/packages/fleet/src/EngineOrderExecutor.ts
+++ b/packages/fleet/src/EngineOrderExecutor.ts
@@ -106,10 +106,16 @@
     return this.isSynced;
   }
 
-  /** Time from which the report reflects all orders given so far; a report that did not help is not read again sooner. */
+  /**
+   * Time from which the report may be read. The first time it must reflect the orders of earlier holders; after a failed order, those that
+   * are still under way must have ended, as they would go on with what they were planned for. One that did not help is not read again sooner.
+   */
   private get nextReportMs(): number {
-    const lastMs = Math.max(this.earlierOrdersUntilMs, this.lastOrderMs, this.lastReportMs);
-    return lastMs + MAX_REPORT_LAG_MS;
+    const isFirst = this.orderCount === undefined;
+    const sinceMs = isFirst
+      ? Math.max(this.earlierOrdersUntilMs, this.lastReportMs)
+      : this.parts.clock.nowMs();
+    return sinceMs + MAX_REPORT_LAG_MS;
   }
 
   /** Reads the engine's report once it reflects the orders of earlier holders of the authority. */
--- a/packages/fleet/test/engineRestarts.test.ts
+++ b/packages/fleet/test/engineRestarts.test.ts
@@ -1,6 +1,8 @@
 /** Engines that start while a placer holds the authority are ordered at once; others only once their reports reflect what earlier holders ordered. */
 import VirtualClock from '@wisteriapath/virtual-clock';
 import EngineRegistry from '../src/EngineRegistry';
+import OrderAnswer from '../src/OrderAnswer';
+import OrderKind from '../src/OrderKind';
 import type TargetView from '../src/TargetView';
 
 const REPORT_LAG_MS = 600;
@@ -16,6 +18,7 @@
     clock,
     authority: { isHeld: () => true, holder: 'one', fence: 1 },
     control: {
+      order: () => Promise.resolve(OrderAnswer.Refused),
       report: ({ id }: { readonly id: string }) => {
         reported.push(id);
         return Promise.resolve({ isBusy, orderCount: 0, models: new Map() });
@@ -65,3 +68,15 @@
   }
   expect(reported.length).toBeLessThanOrEqual(LATER_MS / REPORT_LAG_MS);
 });
+
+test('after a failed order an engine is ordered again only once the other orders under way have ended', async () => {
+  const { clock, registry, isKnownAfter } = start();
+  await isKnownAfter('engine', LATER_MS);
+  const { executor } = registry.engineOf(viewOf('engine'));
+  await executor.applyChange({ kind: OrderKind.Load, model: 'm', adapter: 'a1' }, 0);
+  expect(executor.isStateKnown).toBe(false);
+  await clock.advance(REPORT_LAG_MS - 1);
+  expect(executor.isStateKnown).toBe(false);
+  await clock.advance(1);
+  expect(executor.isStateKnown).toBe(true);
+});
