Count only a target that answers as the spare of one on which a part is tried

Why this works: a target whose last request found it silent is no spare until it has answered again. It may still be tried itself, which shows whether it is there.

Test: a new one of probeTargets failed before, in three runs of three (the trial went to the only target that answers).

--- a/packages/edge/src/TargetFinder.ts
+++ b/packages/edge/src/TargetFinder.ts
@@ -216,7 +216,7 @@
       pool.engine === null
         ? table.inService(pool.name)
         : table.holding(pool.name, fields.model, null);
-    return holders.some(({ entry: other }) => other.id !== entry.id && loads.isReachable(other.id));
+    return holders.some(({ entry: other }) => other.id !== entry.id && loads.isAnswering(other.id));
   }
 }
 
--- a/packages/edge/src/TargetLoads.ts
+++ b/packages/edge/src/TargetLoads.ts
@@ -149,6 +149,11 @@
     return load === undefined || !this.isUnavailable(load);
   }
 
+  /** Whether requests can be sent, and the last one did not find the target silent: a back-off ends without any sign of life. */
+  isAnswering(id: string): boolean {
+    return this.isReachable(id) && (this.currentOf(id)?.silences ?? 0) === 0;
+  }
+
   /**
    * Returns the ids of the targets that this instance found out of reach by itself: a connection does not open, or a request
    * waits for its first byte. Placers take the word of any instance, so what it only infers is left out.
--- a/packages/edge/test/probeTargets.test.ts
+++ b/packages/edge/test/probeTargets.test.ts
@@ -11,6 +11,8 @@
 
 const PATIENCE_MS = 2_000;
 const FIRST_PROBE_MS = 8_000;
+/** Longer than a target is left alone after a connection could not be opened. */
+const BACKOFF_MS = 1_500;
 /** Time from which a trial that is due goes to the only holder of a model, too. */
 const LAST_PROBE_MS = 2 * FIRST_PROBE_MS;
 
@@ -46,8 +48,8 @@
   ['crash-1', 'crash-2'].forEach((crashId) =>
     suspects.recordCrash({ crashId, hasEnded: true, traits: ['part'], sentAtMs: clock.nowMs() }),
   );
-  /** Looks for a target of a request with these traits; returns whether one was found. */
-  const isFound = async (traits: readonly string[]): Promise<boolean> => {
+  /** Looks for a target of a request with these traits; returns its id. */
+  const find = async (traits: readonly string[]): Promise<string | undefined> => {
     const probe = new RequestProbe(suspects, traits);
     const found = new TargetFinder(deps).find(request, {
       excluded: new Map(),
@@ -58,25 +60,38 @@
     await clock.advance(PATIENCE_MS + 1);
     const chosen = await found;
     chosen?.reservation.release();
-    return chosen !== undefined;
+    return chosen?.view.entry.id;
   };
   await clock.advance(FIRST_PROBE_MS);
-  return { clock, isFound };
+  const failToConnect = (number: number) => {
+    const reservation = deps.loads.reserve(idOf(number), 'm', null);
+    reservation.recordConnectFailure();
+    reservation.complete(true);
+  };
+  return { clock, find, failToConnect };
 };
 
 test('a trial that is due waits while one target holds the model', async () => {
-  const { isFound } = await start(1);
-  expect(await isFound(['part'])).toBe(false);
-  expect(await isFound(['sound'])).toBe(true);
+  const { find } = await start(1);
+  expect(await find(['part'])).toBeUndefined();
+  expect(await find(['sound'])).toBeDefined();
 });
 
 test('a trial that is due goes to one of several targets that hold the model', async () => {
-  const { isFound } = await start(2);
-  expect(await isFound(['part'])).toBe(true);
+  const { find } = await start(2);
+  expect(await find(['part'])).toBeDefined();
+});
+
+test('a trial that is due does not go to the only target that answers', async () => {
+  const { clock, find, failToConnect } = await start(2);
+  failToConnect(1);
+  await clock.advance(BACKOFF_MS);
+  const found = [await find(['part']), await find(['part']), await find(['part'])];
+  expect(found).not.toContain('holder-0');
 });
 
 test('a trial that has waited long goes to the only target that holds the model', async () => {
-  const { clock, isFound } = await start(1);
+  const { clock, find } = await start(1);
   await clock.advance(LAST_PROBE_MS - FIRST_PROBE_MS);
-  expect(await isFound(['part'])).toBe(true);
+  expect(await find(['part'])).toBeDefined();
 });
