A stream that was taken from its engine for its silence goes on elsewhere also if a stop begins meanwhile

What callers saw: half an answer of a resumable stream, seconds before the end of the grace period.

Cause: this instance ends a run that its engine does not list, or whose engine cannot be reached, and the rest waits for a free place.

Evidence: stalledStreams, SIGTERM at the line stream_stalled with outcome=left, the place elsewhere taken for about 1.3 s more: the stream ended after its first event before, whole now (11 passed).

Why it works: both are runs that nothing but this instance has ended; neither is given up for an expectation.

--- a/packages/edge/src/RequestExecution.ts
+++ b/packages/edge/src/RequestExecution.ts
@@ -43,6 +43,8 @@
 const TIMED = new Set([AttemptOutcome.Answered, AttemptOutcome.DeadlineExceeded]);
 /** Outcomes after which an engine that can be reached may still work on a resumable stream. */
 const CUT_OFF = new Set([AttemptOutcome.Broken, AttemptOutcome.Moved]);
+/** Outcomes of runs that this instance itself has ended, so that their streams go on elsewhere. */
+const TAKEN = new Set([AttemptOutcome.Moved, AttemptOutcome.Stalled]);
 /** Outcomes after which another attempt takes no retry: no target got the request, or it was taken before. */
 const WITHOUT_RETRY = new Set([
   AttemptOutcome.NotSent,
@@ -83,7 +85,7 @@
   private stopRefusal: ServeError | undefined;
 
   /** Whether this instance itself has ended a run, so that the stream goes on elsewhere. */
-  private isMoved = false;
+  private isTaken = false;
 
   private lastFailure: TargetAttempt | null = null;
 
@@ -159,7 +161,7 @@
       this.lastTargetId = view.entry.id;
       this.caller.reach(RequestStep.Sent);
       const outcome = await attempt.run();
-      this.isMoved ||= outcome === AttemptOutcome.Moved;
+      this.isTaken ||= TAKEN.has(outcome);
       if (outcome === AttemptOutcome.Broken) await this.reportCrash(view, attempt, sentAtMs);
       this.probe.end();
       this.recordTime(attempt, outcome, sentAtMs);
@@ -198,11 +200,11 @@
   }
 
   /**
-   * Returns a refusal once a shutdown leaves no time to run the request, or the rest of a stream that has begun. A moved stream goes on,
-   * whatever is expected of its rest: nothing but this instance has ended its run.
+   * Returns a refusal once a shutdown leaves no time to run the request, or the rest of a stream that has begun. A stream that was taken
+   * from its target goes on, whatever is expected of its rest: nothing but this instance has ended its run.
    */
   private stopError(): ServeError | undefined {
-    if (this.isMoved) return undefined;
+    if (this.isTaken) return undefined;
     const begunAtMs = this.caller.hasStarted ? this.firstSentAtMs : undefined;
     const mayHaveRun = this.executions > 0;
     this.stopRefusal ??= this.deps.stopGate.refusal(this.request, { begunAtMs, mayHaveRun });
