What is asked of a stream that runs is no refusal of its rest

What callers saw: half an answer of a resumable stream in a stop, though its engine had broken it off with time left and another could have gone on.

Cause: a stream whose first event is late is asked for again and again whether it could go on elsewhere. Since streams may be left in a stop, too, that asked for a refusal, and a refusal is remembered: 2.6 s after SIGTERM nothing new is sent, so the stream counted as refused from then on, while its engine ran it. Lines `stop_refused` were written for streams that went on and were answered.

Why it works: the question (`wouldServe`) decides nothing, and is about a request that may have run, as it would be once the run is left.

--- a/packages/edge/src/RequestExecution.ts
+++ b/packages/edge/src/RequestExecution.ts
@@ -19,6 +19,7 @@
 import awaitRunEnd from './awaitRunEnd';
 import finalErrors from './finalErrors';
 import mayRunAgain from './mayRunAgain';
+import outcomeKinds from './outcomeKinds';
 import searchTimes from './searchTimes';
 import sendResponse from './sendResponse';
 
@@ -31,27 +32,6 @@
 const MAX_LOGGED_PARTS = 8;
 const CLIENT_ERROR = 400;
 const PROBE_POLL_INTERVAL_MS = 25;
-/** Outcomes after which the target may have run the request. */
-const POSSIBLY_EXECUTED = new Set([
-  AttemptOutcome.Broken,
-  AttemptOutcome.Failed,
-  AttemptOutcome.Moved,
-  AttemptOutcome.Stalled,
-  AttemptOutcome.UnconfirmedRefusal,
-]);
-/** Outcomes that tell how long answers take: one that its deadline ended took at least as long. */
-const TIMED = new Set([AttemptOutcome.Answered, AttemptOutcome.DeadlineExceeded]);
-/** Outcomes after which an engine that can be reached may still work on a resumable stream. */
-const CUT_OFF = new Set([AttemptOutcome.Broken, AttemptOutcome.Moved]);
-/** Outcomes of runs that this instance itself has ended, so that their streams go on elsewhere. */
-const TAKEN = new Set([AttemptOutcome.Moved, AttemptOutcome.Stalled]);
-/** Outcomes after which another attempt takes no retry: no target got the request, or it was taken before. */
-const WITHOUT_RETRY = new Set([
-  AttemptOutcome.NotSent,
-  AttemptOutcome.Withheld,
-  AttemptOutcome.Moved,
-  AttemptOutcome.Stalled,
-]);
 
 /** The execution of one admitted request, with as many attempts as its route and the limits allow. */
 class RequestExecution {
@@ -161,7 +141,7 @@
       this.lastTargetId = view.entry.id;
       this.caller.reach(RequestStep.Sent);
       const outcome = await attempt.run();
-      this.isTaken ||= TAKEN.has(outcome);
+      this.isTaken ||= outcomeKinds.taken.has(outcome);
       if (outcome === AttemptOutcome.Broken) await this.reportCrash(view, attempt, sentAtMs);
       this.probe.end();
       this.recordTime(attempt, outcome, sentAtMs);
@@ -182,8 +162,12 @@
 
   /** Whether the request must not be sent any more: too late, caller disconnected, or no longer authorized. */
   private get isOver(): boolean {
-    const isLate = this.deps.clock.nowMs() > this.lastSendMs;
-    return isLate || this.caller.disconnectSignal.aborted || this.denial() !== undefined;
+    return this.isLate || this.denial() !== undefined;
+  }
+
+  /** Whether it is too late to send the request, or its caller has left. */
+  private get isLate(): boolean {
+    return this.deps.clock.nowMs() > this.lastSendMs || this.caller.disconnectSignal.aborted;
   }
 
   /** Time from which it is too late to send the request, on the monotonic clock. */
@@ -194,9 +178,14 @@
 
   /** Returns why the request may not be sent any more, though it was admitted; undefined if it may. */
   private denial(): ServeError | undefined {
+    return this.stopError() ?? this.lastingDenial;
+  }
+
+  /** Why the request may not be sent any more, whether or not a stop has begun; undefined if it may. */
+  private get lastingDenial(): ServeError | undefined {
     const { authorization } = this;
     const denial = this.caller.hasStarted ? authorization.denialOfRest : authorization.denial;
-    return this.stopError() ?? denial ?? this.probe.refusal;
+    return denial ?? this.probe.refusal;
   }
 
   /**
@@ -205,16 +194,22 @@
    */
   private stopError(): ServeError | undefined {
     if (this.isTaken) return undefined;
-    const begunAtMs = this.caller.hasStarted ? this.firstSentAtMs : undefined;
+    const { begunAtMs } = this;
     const mayHaveRun = this.executions > 0;
     this.stopRefusal ??= this.deps.stopGate.refusal(this.request, { begunAtMs, mayHaveRun });
     return this.stopRefusal;
   }
 
+  /** When the request was first sent, if its caller has received the beginning of a response; else undefined. */
+  private get begunAtMs(): number | undefined {
+    return this.caller.hasStarted ? this.firstSentAtMs : undefined;
+  }
+
   /** Records how long an answer took that one target gave from its beginning, or would have taken at least. */
   private recordTime(attempt: TargetAttempt, outcome: AttemptOutcome, sentAtMs: number): void {
-    if (this.executions > 0 || !TIMED.has(outcome) || attempt.statusCode >= CLIENT_ERROR) return;
-    const { firstEventAtMs } = attempt;
+    const { firstEventAtMs, statusCode } = attempt;
+    if (this.executions > 0 || statusCode >= CLIENT_ERROR) return;
+    if (!outcomeKinds.timed.has(outcome)) return;
     this.deps.stopGate.recordAnswer(this.answeredRequest, {
       firstEventMs: firstEventAtMs === undefined ? null : firstEventAtMs - sentAtMs,
       totalMs: this.deps.clock.nowMs() - sentAtMs,
@@ -309,7 +304,7 @@
     const exclusionMs = this.caller.hasStarted ? REST_EXCLUSION_MS : EXCLUSION_MS;
     this.excluded.set(id, clock.nowMs() + exclusionMs);
     if (outcome === AttemptOutcome.NotExecuted) this.refusedBy.add(id);
-    if (POSSIBLY_EXECUTED.has(outcome)) {
+    if (outcomeKinds.possiblyExecuted.has(outcome)) {
       this.executions += 1;
       this.runEndedAtMs = clock.nowMs();
       this.excluded.set(id, Infinity);
@@ -326,7 +321,7 @@
     outcome: AttemptOutcome,
   ): Promise<boolean> {
     const { pool, fields } = this.request;
-    const isCutOffStream = CUT_OFF.has(outcome) && this.framer !== null;
+    const isCutOffStream = outcomeKinds.cutOff.has(outcome) && this.framer !== null;
     if (!isCutOffStream || pool.engine === null) return true;
     return awaitRunEnd(this.deps, {
       attemptId: fields.attemptId,
@@ -348,13 +343,17 @@
     // The rest of a stream cannot be refused; its sends are bounded by the time for which its caller waits.
     if (this.sends >= MAX_SENDS && !this.caller.hasStarted) return false;
     if (this.probe.refusal !== undefined) return false;
-    return WITHOUT_RETRY.has(outcome) || retryBudgets.tryTake(pool.name);
+    return outcomeKinds.withoutRetry.has(outcome) || retryBudgets.tryTake(pool.name);
   }
 
   /** Whether a stream that still runs could be resumed elsewhere, if a retry is left. */
   private get mayGoElsewhere(): boolean {
-    const { attempts } = this.request.route;
-    return !this.isOver && this.authorization.isRetryable && this.executions + 1 < attempts;
+    if (this.isLate || this.lastingDenial !== undefined) return false;
+    const { request, begunAtMs, isTaken } = this;
+    const isServed =
+      isTaken || this.deps.stopGate.wouldServe(request, { begunAtMs, mayHaveRun: true });
+    const hasAttempt = this.executions + 1 < request.route.attempts;
+    return isServed && hasAttempt && this.authorization.isRetryable;
   }
 
   /** Ends the request after its last attempt, with the kept response of a failed attempt if there is one. */
--- a/packages/edge/src/StopGate.ts
+++ b/packages/edge/src/StopGate.ts
@@ -73,6 +73,13 @@
     return { isServed, mustBeCertain, expectedMs, leftMs, source };
   }
 
+  /** Returns whether a request that is sent now, or the rest of a stream, would be served; it is not refused by that. */
+  wouldServe(request: TimedRequest, progress: Progress): boolean {
+    if (!this.parts.shutdown.hasBegun) return true;
+    const isLate = progress.begunAtMs === undefined && this.lateRefusal() !== undefined;
+    return !isLate && this.decide(request, progress).isServed;
+  }
+
   /** Returns the refusal of a request that must not be sent any more, and logs why; undefined if it is served. */
   refusal(request: TimedRequest, progress: Progress = {}): ServeError | undefined {
     if (!this.parts.shutdown.hasBegun) return undefined;
