Retry-After counts from when the balancer was told, not from when the signal may have come

What callers saw: at the only ready instance of a failure domain, a refusal in a stop that led them back up to as much too early as the signal may have waited: 0.1 s on a process that runs, more behind a standstill. The balancer had not turned away, so that they came to the same instance again.

Cause: since a stop counts its grace from when its signal may have come, `Retry-After` did too. But the balancer learns of the stop only once the handler has withdrawn the readiness.

Why it works: `turnedAwayAtMs` is counted from the handler; what is sent and when requests are broken off are counted from the signal as before.

--- a/packages/edge/src/Shutdown.ts
+++ b/packages/edge/src/Shutdown.ts
@@ -33,6 +33,8 @@
 
   private finalAtMs = Infinity;
 
+  private awayAtMs = Infinity;
+
   constructor(private readonly parts: Parts) {
     // Each request in progress listens to it.
     setMaxListeners(0, this.controller.signal, this.cutoffController.signal);
@@ -47,7 +49,12 @@
     return this.cutoffAtMs;
   }
 
-  /** Aborts at that time. */
+  /** Time from which the balancer sends no callers any more, on the monotonic clock; Infinity if the stop has not begun. */
+  get turnedAwayAtMs(): number {
+    return this.awayAtMs;
+  }
+
+  /** Aborts when no request is sent to targets any more. */
   get sendCutoffSignal(): AbortSignal {
     return this.cutoffController.signal;
   }
@@ -72,10 +79,13 @@
     passedMs = 0,
   ): Promise<void> {
     const { clock, graceMs } = this.parts;
-    const startedMs = clock.nowMs() - passedMs;
+    const nowMs = clock.nowMs();
+    const startedMs = nowMs - passedMs;
     const longestMs = Math.max(0, graceMs - LEAST_REST_MS);
     const sendingMs = mayBeReached ? Math.min(BALANCER_LAG_MS, longestMs) : 0;
     this.cutoffAtMs = startedMs + sendingMs;
+    // The balancer has been told that the instance is not ready only since now.
+    this.awayAtMs = nowMs + sendingMs;
     this.finalAtMs = startedMs + graceMs - GRACE_MARGIN_MS;
     await clock.sleep(sendingMs - passedMs);
     this.cutoffController.abort();
--- a/packages/edge/src/StopGate.ts
+++ b/packages/edge/src/StopGate.ts
@@ -17,7 +17,7 @@
 interface Parts {
   readonly clock: Clock;
   readonly log: EventLog;
-  readonly shutdown: Pick<Shutdown, 'hasBegun' | 'sendCutoffAtMs' | 'endAtMs'>;
+  readonly shutdown: Pick<Shutdown, 'hasBegun' | 'sendCutoffAtMs' | 'turnedAwayAtMs' | 'endAtMs'>;
   readonly peers: DomainInstances;
 }
 
@@ -111,7 +111,7 @@
    */
   private refuse(): ServeError {
     const { clock, shutdown, peers } = this.parts;
-    const untilTurnedAwayMs = Math.max(0, shutdown.sendCutoffAtMs - clock.nowMs());
+    const untilTurnedAwayMs = Math.max(0, shutdown.turnedAwayAtMs - clock.nowMs());
     const retryAfterMs = readyInstances(peers) > 0 ? 0 : untilTurnedAwayMs;
     return ServeError.notExecuted(
       ErrorKind.Stopping,
--- a/packages/edge/test/shutdown.test.ts
+++ b/packages/edge/test/shutdown.test.ts
@@ -6,6 +6,8 @@
 const FINAL_PART_MS = 500;
 /** Part of the grace period that is left when answers that their callers have not taken are broken off. */
 const END_PART_MS = 300;
+/** Time from the moment at which the readiness is withdrawn until the balancer sends no callers. */
+const TURNED_AWAY_MS = 2_600;
 
 describe('a planned stop', () => {
   const run = (graceMs: number, activeRequests: () => number) => {
@@ -46,14 +48,21 @@
   test.each([
     { passedMs: 1_000, cutoffMs: 1_600, finalMs: 4_500 },
     { passedMs: 3_000, cutoffMs: -400, finalMs: 2_500 },
-  ])('of which $passedMs ms have passed ends as much sooner', async (times) => {
-    const clock = new VirtualClock();
-    const shutdown = new Shutdown({ clock, graceMs: 6_000, activeRequests: () => 1 });
-    const ended = shutdown.run([], true, times.passedMs);
-    expect(shutdown).toMatchObject({ sendCutoffAtMs: times.cutoffMs, endAtMs: times.finalMs });
-    await clock.runUntil(times.finalMs + FINAL_PART_MS - END_PART_MS);
-    await ended;
-  });
+  ])(
+    'of which $passedMs ms have passed ends as much sooner, but the balancer turns away from now on',
+    async (times) => {
+      const clock = new VirtualClock();
+      const shutdown = new Shutdown({ clock, graceMs: 6_000, activeRequests: () => 1 });
+      const ended = shutdown.run([], true, times.passedMs);
+      expect(shutdown).toMatchObject({
+        sendCutoffAtMs: times.cutoffMs,
+        turnedAwayAtMs: TURNED_AWAY_MS,
+        endAtMs: times.finalMs,
+      });
+      await clock.runUntil(times.finalMs + FINAL_PART_MS - END_PART_MS);
+      await ended;
+    },
+  );
 
   test('ends soon after the last request has ended', async () => {
     let active = 1;
--- a/packages/edge/test/stopBound.test.ts
+++ b/packages/edge/test/stopBound.test.ts
@@ -36,7 +36,12 @@
   const log = {
     event: (name: string, fields: object) => lines.push(JSON.stringify([name, fields])),
   };
-  const shutdown = { hasBegun: true, sendCutoffAtMs: SEND_CUTOFF_MS, endAtMs: END_MS };
+  const shutdown = {
+    hasBegun: true,
+    sendCutoffAtMs: SEND_CUTOFF_MS,
+    turnedAwayAtMs: SEND_CUTOFF_MS,
+    endAtMs: END_MS,
+  };
   const gate = new StopGate({ clock, log, shutdown, peers });
   return { clock, gate, lines };
 };
--- a/packages/edge/test/stopGate.test.ts
+++ b/packages/edge/test/stopGate.test.ts
@@ -24,7 +24,12 @@
   const log = {
     event: (name: string, fields: object) => lines.push(JSON.stringify([name, fields])),
   };
-  const shutdown = { hasBegun: true, sendCutoffAtMs: SEND_CUTOFF_MS, endAtMs: END_MS };
+  const shutdown = {
+    hasBegun: true,
+    sendCutoffAtMs: SEND_CUTOFF_MS,
+    turnedAwayAtMs: SEND_CUTOFF_MS,
+    endAtMs: END_MS,
+  };
   const gate = new StopGate({ clock, log, shutdown, peers: ALONE });
   lengths.forEach((outputTokens) =>
     gate.recordAnswer(
@@ -184,7 +189,12 @@
 
 test('without a stop nothing is refused', () => {
   const clock = new VirtualClock();
-  const shutdown = { hasBegun: false, sendCutoffAtMs: Infinity, endAtMs: Infinity };
+  const shutdown = {
+    hasBegun: false,
+    sendCutoffAtMs: Infinity,
+    turnedAwayAtMs: Infinity,
+    endAtMs: Infinity,
+  };
   const gate = new StopGate({ clock, log: { event: () => {} }, shutdown, peers: ALONE });
   expect(gate.refusal(requestOf({}))).toBeUndefined();
 });
