--- a/packages/edge/src/StopGate.ts
+++ b/packages/edge/src/StopGate.ts
@@ -17,7 +17,7 @@
 interface Parts {
   readonly clock: Clock;
   readonly log: EventLog;
-  readonly shutdown: Pick<Shutdown, 'hasBegun' | 'sendCutoffAtMs' | 'endAtMs'>;
+  readonly shutdown: Pick<Shutdown, 'hasBegun' | 'sendCutoffAtMs' | 'turnedAwayAtMs' | 'endAtMs'>;
   readonly peers: DomainInstances;
 }
 
@@ -73,6 +73,13 @@
     return { isServed, mustBeCertain, expectedMs, leftMs, source };
   }
 
+  /** Returns whether a request that is sent now, or the rest of a stream, would be served; it is not refused by that. */
+  wouldServe(request: TimedRequest, progress: Progress): boolean {
+    if (!this.parts.shutdown.hasBegun) return true;
+    const isLate = progress.begunAtMs === undefined && this.lateRefusal() !== undefined;
+    return !isLate && this.decide(request, progress).isServed;
+  }
+
   /** Returns the refusal of a request that must not be sent any more, and logs why; undefined if it is served. */
   refusal(request: TimedRequest, progress: Progress = {}): ServeError | undefined {
     if (!this.parts.shutdown.hasBegun) return undefined;
@@ -104,7 +111,7 @@
    */
   private refuse(): ServeError {
     const { clock, shutdown, peers } = this.parts;
-    const untilTurnedAwayMs = Math.max(0, shutdown.sendCutoffAtMs - clock.nowMs());
+    const untilTurnedAwayMs = Math.max(0, shutdown.turnedAwayAtMs - clock.nowMs());
     const retryAfterMs = readyInstances(peers) > 0 ? 0 : untilTurnedAwayMs;
     return ServeError.notExecuted(
       ErrorKind.Stopping,
