A stop bounds the operators' requests of the own protocol; a stream taken from its engine is sent nowhere once requests are broken off

A stream that this instance has taken from its engine passed the stop's gate also after requests in progress had been broken off, so that an engine could be sent a run in the last 0.3 s.

--- a/packages/daemon/src/startInstance.ts
+++ b/packages/daemon/src/startInstance.ts
@@ -23,6 +23,8 @@
 
 const CONFIRM_DOWN_TIMEOUT_MS = 3_000;
 const SHUTDOWN_STEP_TIMEOUT_MS = 5_000;
+/** Time for operators' requests that are under way at a stop; an edit takes 8 s at most. */
+const OPERATORS_TIMEOUT_MS = 9_000;
 
 /** Replaces components of an instance; tests use it to inject failures. */
 type OverrideComponents = (container: AwilixContainer<InstanceComponents>) => void;
@@ -209,7 +211,11 @@
     logger.info({}, 'stopping');
     await components.clock.sleep(settings.shutdown.balancer_lag_ms);
     await callers.close();
-    await operators.close();
+    const closed = new AbortController();
+    const timeout = components.clock.sleep(OPERATORS_TIMEOUT_MS, closed.signal);
+    await Promise.race([operators.close(), timeout]);
+    closed.abort();
+    operators.destroy();
     checkpointTask.abort();
     await stopTasks(components);
     peers.close();
--- a/packages/edge/src/RequestExecution.ts
+++ b/packages/edge/src/RequestExecution.ts
@@ -193,6 +193,7 @@
    * from its target goes on, whatever is expected of its rest: nothing but this instance has ended its run.
    */
   private stopError(): ServeError | undefined {
+    if (this.isTaken && this.deps.stopSignal.aborted) return finalErrors[AttemptOutcome.Stopped];
     if (this.isTaken) return undefined;
     const { begunAtMs } = this;
     const mayHaveRun = this.executions > 0;
