The rest of a stream of a plain service gives up after half the latency target again

What mended is open again: a resumable stream of a plain service whose other targets are full for longer is broken off (announcedEnds had the case, with a free place after 2 s).

--- a/packages/edge/src/searchTimes.ts
+++ b/packages/edge/src/searchTimes.ts
@@ -28,8 +28,7 @@
   const leavesAtMs = hasBegun
     ? Math.min(deadlineAtMs, quietSinceMs + eventWaitMs(route))
     : firstEventDeadlineAtMs;
-  if (hasBegun) return { untilMs: leavesAtMs, leavesAtMs, hasBegun };
-  const lastMs = leavesAtMs - REFUSAL_MARGIN_MS;
+  const lastMs = hasBegun ? leavesAtMs : leavesAtMs - REFUSAL_MARGIN_MS;
   const serviceUntilMs = nowMs + route.latencyTargetMs * SERVICE_WAIT_FRACTION;
   const untilMs = pool.engine === null ? Math.min(lastMs, serviceUntilMs) : lastMs;
   return { untilMs, leavesAtMs, hasBegun };
