What callers send is parsed in slices, those first that have cost least

What callers saw: no answer beside crowds that send bodies in chunks of 1 byte on connections that come and go, nor for seconds after the crowd had left; the own protocol gave none beside 60 such bodies.

Cause: a read of 64 kB was parsed as it came. It holds 10,000 chunks of 1 byte and holds up the event loop for 10 to 20 ms; turns were counted by body, from its 1,000th chunk on, so each new connection got one such read for nothing. Node.js accepts one connection in each turn of the loop, so a backlog of 1,024 connections, most of them left by their clients already, stood before each ordinary caller for as many long turns.

Change: `ConnectionInput` leaves what was read in the socket (64 kB at most, the rest in the kernel) and hands it to the parser in slices of 1 to 16 kB. `InputScheduler` decides over all connections whose slice is next: those that have cost least time since their last complete request, then the others, 1 ms each in a turn of the loop, 0.2 ms while connections wait to be accepted. So the work is bounded by process and not by connection, an ordinary request is ahead of every body that costs much, and a single such body is still parsed as fast as it comes. What waits unparsed is bounded by a tenth of the memory; beyond it the connection that costs most is closed, with 503 if its body has not arrived (`too_much_unread`). It replaces `ReadTurns`, and serves the own protocol too, as it is part of `CallerServer`.

Ruled out: counting chunks by connection or by key (a new connection or key costs nothing); closing bodies whose chunks are small (one body of 4 MB in chunks of 1 byte is within the limits and is served in calm).

--- a/packages/edge/src/Edge.ts
+++ b/packages/edge/src/Edge.ts
@@ -24,7 +24,6 @@
 import ModelRates from './ModelRates';
 import PeerCatchUp from './PeerCatchUp';
 import PoolRetryBudgets from './PoolRetryBudgets';
-import ReadTurns from './ReadTurns';
 import RequestDispatcher from './RequestDispatcher';
 import Shutdown from './Shutdown';
 import StopGate from './StopGate';
@@ -213,7 +212,6 @@
       limits: this.limits,
       retryBudgets: new PoolRetryBudgets(options.sharedLimits, instances),
       memory: createMemoryBudget(options.memoryLimitBytes, log),
-      readTurns: new ReadTurns(),
       suspects: this.suspects,
       probe: new TargetProbe(ports.engineControl, clock),
       connections,
--- a/packages/edge/src/EdgeDependencies.ts
+++ b/packages/edge/src/EdgeDependencies.ts
@@ -7,7 +7,6 @@
 import type MemoryBudget from './MemoryBudget';
 import type ModelRates from './ModelRates';
 import type PoolRetryBudgets from './PoolRetryBudgets';
-import type ReadTurns from './ReadTurns';
 import type RequestDispatcher from './RequestDispatcher';
 import type StopGate from './StopGate';
 import type TargetConnections from './TargetConnections';
@@ -46,8 +45,6 @@
   readonly retryBudgets: PoolRetryBudgets;
   /** The memory for the bodies of all exchanges. */
   readonly memory: MemoryBudget;
-  /** The turns in which bodies of many small chunks are read. */
-  readonly readTurns: ReadTurns;
   readonly suspects: SuspectRegistry;
   readonly probe: TargetProbe;
   readonly connections: TargetConnections;
--- a/packages/edge/src/admit.ts
+++ b/packages/edge/src/admit.ts
@@ -51,7 +51,6 @@
   const read = await readBody(request, {
     limitBytes: state.limits.maxBodyBytes,
     memory: exchange.bodyMemory,
-    turns: deps.readTurns,
     stopSignal: deps.sendCutoffSignal,
     cut: () => exchange.abort(EndReason.BodyUnfinished),
   });
--- a/packages/edge/src/callerConnectionLimits.ts
+++ b/packages/edge/src/callerConnectionLimits.ts
@@ -4,6 +4,8 @@
 const CONNECTION_MEMORY_FRACTION = 0.25;
 /** A connection with a head of 8 kB in many small lines takes about 60 kB of the heap. */
 const CONNECTION_BYTES = 65_536;
+/** Fraction of the process's memory for bytes that were read from connections and not parsed. A connection holds up to 80 kB of them. */
+const UNREAD_MEMORY_FRACTION = 0.1;
 /** Fraction of the process's descriptors for connections of callers; the others are for targets, peers, the store and files. */
 const CONNECTION_DESCRIPTOR_FRACTION = 0.7;
 /** Descriptors for the others at least. A process without work has about 30 open. */
@@ -18,7 +20,7 @@
  * without end; a client that sends one request on one connection does not come near.
  *
  * @example
- * callerConnectionLimits(367_001_600, 20_000); // { connections: 1400, requestsInConnection: 64, requests: 2800 }
+ * callerConnectionLimits(367_001_600, 20_000); // { connections: 1400, requests: 2800, ... }
  */
 const callerConnectionLimits = (
   memoryLimitBytes: number,
@@ -34,6 +36,7 @@
     connections,
     requestsInConnection: REQUESTS_IN_CONNECTION,
     requests: REQUESTS_PER_CONNECTION * connections,
+    unreadBytes: Math.floor(memoryLimitBytes * UNREAD_MEMORY_FRACTION),
   };
 };
 
--- a/packages/edge/src/readBody.ts
+++ b/packages/edge/src/readBody.ts
@@ -3,38 +3,31 @@
 import { ByteAccumulator, reclaimReceived } from '@wisteriapath/byte-accumulator';
 import { ErrorKind, ServeError } from '@wisteriapath/model';
 import type MemoryReservation from './MemoryReservation';
-import type ReadTurns from './ReadTurns';
 
 interface Options {
   readonly limitBytes: number;
   /** Holds the bytes of the body, which may have to give way until all of them have arrived. */
   readonly memory: MemoryReservation;
-  /** The turns in which a body of many small chunks is read. */
-  readonly turns: ReadTurns;
   /** Aborts when a body that has not arrived is too late. */
   readonly stopSignal: AbortSignal;
   /** Closes the connection of a caller who sends on without end after the body was refused. */
   readonly cut: () => void;
 }
 
-/** Chunks of one body that are read without waiting for a turn: far more than any read of a body in ordinary chunks has. */
-const CHUNKS_PER_TURN = 1_000;
-
 /**
  * Reads the complete body of a request; fails if it exceeds `limitBytes`, has to give way to other bodies, the caller
  * disconnects, or this instance stops before its end.
  *
  * @example
- * const body = await readBody(request, { limitBytes: 4_194_304, memory, turns, stopSignal, cut });
+ * const body = await readBody(request, { limitBytes: 4_194_304, memory, stopSignal, cut });
  */
 const readBody = (
   request: IncomingMessage,
-  { limitBytes, memory, turns, stopSignal, cut }: Options,
+  { limitBytes, memory, stopSignal, cut }: Options,
 ): Promise<Either<ServeError, Buffer>> =>
   new Promise((settle) => {
     const content = new ByteAccumulator();
     let size = 0;
-    let chunksInTurn = 0;
     let isRefused = false;
     /** Keeps nothing of the body from now on. */
     const drop = () => {
@@ -69,14 +62,7 @@
         'this instance holds too many bytes of requests and answers',
       );
     };
-    const takeTurns = () => {
-      chunksInTurn += 1;
-      if (chunksInTurn < CHUNKS_PER_TURN) return;
-      chunksInTurn = 0;
-      turns.wait(request.socket);
-    };
     request.on('data', (chunk: Buffer) => {
-      takeTurns();
       reclaimReceived(chunk.length);
       size += chunk.length;
       if (size > limitBytes) refuseTooLarge();
--- a/packages/edge/test/callerConnectionLimits.test.ts
+++ b/packages/edge/test/callerConnectionLimits.test.ts
@@ -16,7 +16,12 @@
     '$connections with $memoryMb MB and $descriptors',
     ({ memoryMb, descriptors, connections }) => {
       const limits = callerConnectionLimits(memoryMb * MB, descriptors);
-      expect(limits).toEqual({ connections, requestsInConnection: 64, requests: 2 * connections });
+      expect(limits).toEqual({
+        connections,
+        requestsInConnection: 64,
+        requests: 2 * connections,
+        unreadBytes: Math.floor((memoryMb * MB) / 10),
+      });
     },
   );
 
--- a/packages/response-ends/src/CallerConnection.ts
+++ b/packages/response-ends/src/CallerConnection.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { Socket } from 'node:net';
+import type ConnectionInput from './ConnectionInput';
 import ConnectionState from './ConnectionState';
 import EndReason from './EndReason';
 
@@ -26,7 +27,7 @@
  * requests.
  *
  * @example
- * const connection = new CallerConnection(socket);
+ * const connection = new CallerConnection(input, () => scheduler.remove(input));
  * server.on('request', (request, response) => connection.track(request, response));
  */
 class CallerConnection {
@@ -39,10 +40,17 @@
 
   private detail = '';
 
-  /** Bytes that had been read when the last whole request had arrived; undefined if none has. */
+  /** Bytes that had been parsed when the last whole request had arrived; undefined if none has. */
   private requestBytes: number | undefined;
 
-  constructor(readonly socket: Socket) {
+  readonly socket: Socket;
+
+  constructor(
+    private readonly input: ConnectionInput,
+    /** Called once the input of the connection is no longer parsed. */
+    private readonly onDetached: () => void,
+  ) {
+    this.socket = input.socket;
     // Node.js calls this after a response that is its connection's last, and would destroy the connection beside unread bytes.
     this.socket.destroySoon = () => this.endAfterLast();
   }
@@ -60,6 +68,11 @@
     return this.underWay === 0 && this.socket.bytesRead === this.requestBytes;
   }
 
+  /** Whether bytes have been read that are still to be parsed. */
+  get hasUnread(): boolean {
+    return this.input.unreadBytes > 0;
+  }
+
   /** Whether nothing has been read from this connection yet. */
   get isUnused(): boolean {
     return this.socket.bytesRead === 0;
@@ -127,8 +140,10 @@
   track(request: IncomingMessage, response: ServerResponse): void {
     const exchange = { request, response };
     this.exchanges.add(exchange);
+    this.input.begin(request);
     request.once('end', () => {
-      this.requestBytes = this.socket.bytesRead;
+      this.input.complete();
+      this.requestBytes = this.socket.bytesRead - this.input.unreadBytes;
     });
     response.once('close', () => {
       this.exchanges.delete(exchange);
@@ -167,16 +182,18 @@
     this.endSide();
   }
 
-  /** Closes the connection at once, to free its descriptor. A request whose body has not arrived is refused if it can be. */
-  evict(): void {
+  /** Closes the connection at once, to free what it holds. A request whose body has not arrived is refused if it can be. */
+  evict(reason: EndReason): void {
     const { socket } = this;
     const [only] = this.exchanges;
-    const isReceiving = this.state === ConnectionState.Receiving;
+    const isReceiving = this.underWay === 1 && !only.request.complete;
     if (!isReceiving || only.response.headersSent) {
-      this.noteEnd(isReceiving ? EndReason.BodyUnfinished : EndReason.TooManyConnections);
+      this.noteEnd(isReceiving ? EndReason.BodyUnfinished : reason);
       socket.destroy();
       return;
     }
+    this.input.detach();
+    this.onDetached();
     const headers = { connection: 'close', 'content-length': '0' };
     only.response.writeHead(SERVICE_UNAVAILABLE, headers).end();
     Socket.prototype.destroySoon.call(socket);
@@ -217,6 +234,8 @@
   private discardInput({ limitBytes }: Linger): void {
     const { socket } = this;
     let leftBytes = limitBytes;
+    this.input.detach();
+    this.onDetached();
     socket.removeAllListeners('data');
     socket.on('data', (bytes: Buffer) => {
       leftBytes -= bytes.length;
--- a/packages/response-ends/src/CallerServer.ts
+++ b/packages/response-ends/src/CallerServer.ts
@@ -3,10 +3,13 @@
 import { setImmediate as passTurn } from 'node:timers/promises';
 import CallerConnection from './CallerConnection';
 import CloseReason from './CloseReason';
+import ConnectionInput from './ConnectionInput';
 import type ClosedConnection from './ClosedConnection';
 import type ConnectionLimits from './ConnectionLimits';
+import ConnectionState from './ConnectionState';
 import EndReason from './EndReason';
 import HeldAnswers from './HeldAnswers';
+import InputScheduler from './InputScheduler';
 import type UnansweredRequest from './UnansweredRequest';
 import type UnreadableBytes from './UnreadableBytes';
 import chooseEvicted from './chooseEvicted';
@@ -26,6 +29,7 @@
   connections: Infinity,
   requestsInConnection: Infinity,
   requests: Infinity,
+  unreadBytes: Infinity,
 };
 /** Turns of the event loop without input after which none waits: one accepts a connection, the next reads its request. */
 const QUIET_TURNS = 3;
@@ -50,6 +54,8 @@
 
   private readonly answers = new HeldAnswers();
 
+  private readonly scheduler = new InputScheduler();
+
   private limits = NO_LIMITS;
 
   private onClosed: ((closed: ClosedConnection) => void) | null = null;
@@ -160,7 +166,8 @@
     for (let turn = 0; quietTurns < QUIET_TURNS && turn < MAX_TURNS; turn += 1) {
       const { arrivals } = this;
       await passTurn();
-      quietTurns = this.arrivals === arrivals ? quietTurns + 1 : 0;
+      const isQuiet = this.arrivals === arrivals && !this.scheduler.hasFresh;
+      quietTurns = isQuiet ? quietTurns + 1 : 0;
     }
   }
 
@@ -221,15 +228,28 @@
     const { bytesRead } = socket;
     await this.handlePendingInput();
     const connection = this.callerConnections.get(socket);
-    if (connection?.underWay === 0 && socket.bytesRead === bytesRead) this.closeIdle(connection);
+    if (connection === undefined || connection.underWay > 0 || connection.hasUnread) return;
+    if (socket.bytesRead === bytesRead) this.closeIdle(connection);
+  }
+
+  /** Bytes that were no request have ended the timeout of an idle connection. */
+  private limitSilence({ state, socket }: CallerConnection): void {
+    if (state === ConnectionState.Idle && socket.timeout === 0) {
+      socket.setTimeout(this.keepAliveTimeout);
+    }
   }
 
   private trackConnection(socket: Socket): void {
-    const connection = new CallerConnection(socket);
+    const { scheduler } = this;
+    scheduler.noteArrival();
+    const input = new ConnectionInput(socket, () => this.receive(input));
+    const connection = new CallerConnection(input, () => scheduler.remove(input));
+    input.onParsed = () => this.limitSilence(connection);
     this.callerConnections.set(socket, connection);
     CallerServer.servers.set(socket, this);
     this.arrivals += 1;
     socket.once('close', () => {
+      scheduler.remove(input);
       this.callerConnections.delete(socket);
       // After the listeners of Node.js for the same event.
       process.nextTick(() => connection.closeResponses());
@@ -243,7 +263,25 @@
     if (evicted === undefined) return;
     this.tellClosed(CloseReason.TooManyConnections, this.limits.connections);
     this.callerConnections.delete(evicted.socket);
-    evicted.evict();
+    evicted.evict(EndReason.TooManyConnections);
+  }
+
+  /** Whether no request that has arrived completely would be lost with a connection. */
+  private mayClose(socket: Socket): boolean {
+    return this.callerConnections.get(socket)?.state !== ConnectionState.Answering;
+  }
+
+  /** Takes bytes of a connection, and closes the one whose bytes cost most while too many wait to be parsed. */
+  private receive(input: ConnectionInput): void {
+    const { scheduler, limits } = this;
+    scheduler.add(input);
+    while (scheduler.unreadBytes > limits.unreadBytes) {
+      const heaviest = scheduler.heaviest(({ socket }) => this.mayClose(socket));
+      if (heaviest === undefined) return;
+      this.tellClosed(CloseReason.TooMuchUnread, limits.unreadBytes);
+      scheduler.remove(heaviest);
+      this.callerConnections.get(heaviest.socket)?.evict(EndReason.TooMuchUnread);
+    }
   }
 
   /** Counts a request as under way; returns false if its connection is closed, as it carries too many. */
--- a/packages/response-ends/src/CloseReason.ts
+++ b/packages/response-ends/src/CloseReason.ts
@@ -6,6 +6,8 @@
   TooManyPipelined = 'too_many_pipelined',
   /** All connections together carry more requests than the limit, and this one more than one. */
   TooManyRequests = 'too_many_requests',
+  /** All connections together have sent more than is parsed in time; those whose bytes cost most were closed. */
+  TooMuchUnread = 'too_much_unread',
   /** Bytes came on a connection that was closed as idle: a request that crossed the close, and was not read. */
   CrossedClose = 'crossed_close',
 }
--- a/packages/response-ends/src/ConnectionLimits.ts
+++ b/packages/response-ends/src/ConnectionLimits.ts
@@ -5,6 +5,8 @@
   readonly requestsInConnection: number;
   /** Requests under way on all connections, beyond which none may carry more than one. */
   readonly requests: number;
+  /** Bytes of all connections that were read and not parsed. */
+  readonly unreadBytes: number;
 }
 
 export default ConnectionLimits;
--- a/packages/response-ends/src/EndReason.ts
+++ b/packages/response-ends/src/EndReason.ts
@@ -6,6 +6,8 @@
   TooManyPipelined = 'too_many_pipelined',
   /** All connections together carry more requests than the limit. */
   TooManyRequests = 'too_many_requests',
+  /** All connections together have sent more than is parsed in time. */
+  TooMuchUnread = 'too_much_unread',
   /** The request came behind a response that says that it is the last one of its connection. */
   BehindLastResponse = 'behind_last_response',
   /** The response is whole, but its request has not been received to the end. */
--- a/packages/response-ends/test/connectionLimits.test.ts
+++ b/packages/response-ends/test/connectionLimits.test.ts
@@ -71,7 +71,7 @@
 
   // Guards against silent connections that keep a new caller out.
   test('closes the oldest silent connection for a new one, which is served', async () => {
-    await start({ connections: 2, requestsInConnection: 9, requests: 9 });
+    await start({ connections: 2, requestsInConnection: 9, requests: 9, unreadBytes: Infinity });
     const [first] = [await open(), await open()];
     await Promise.all([once(first.socket, 'close'), open(GET)]);
     await server.handlePendingInput();
@@ -82,7 +82,7 @@
 
   // Guards against a refusal without a status, after which a client does not know that its request did not run.
   test('refuses a request whose body has not arrived as it closes its connection', async () => {
-    await start({ connections: 1, requestsInConnection: 9, requests: 9 });
+    await start({ connections: 1, requestsInConnection: 9, requests: 9, unreadBytes: Infinity });
     const receiving = await open(POST);
     await Promise.all([once(receiving.socket, 'close'), open(GET)]);
     expect(receiving.text()).toMatch(/^HTTP\/1\.1 503 /);
@@ -90,7 +90,7 @@
 
   // Guards against one connection whose requests fill the memory of the process.
   test('closes a connection that carries too many requests, and serves as many as are allowed', async () => {
-    await start({ connections: 9, requestsInConnection: 3, requests: 9 });
+    await start({ connections: 9, requestsInConnection: 3, requests: 9, unreadBytes: Infinity });
     const allowed = await open(GET.repeat(3));
     expect(handled).toHaveLength(3);
     const beyond = await open(GET.repeat(500));
@@ -102,7 +102,7 @@
 
   // Guards against many connections that each carry as many requests as one may.
   test('closes a connection that carries more than one request while all together carry too many', async () => {
-    await start({ connections: 9, requestsInConnection: 9, requests: 3 });
+    await start({ connections: 9, requestsInConnection: 9, requests: 3, unreadBytes: Infinity });
     await open(GET.repeat(2));
     await open(GET);
     const second = await open(GET);
@@ -117,7 +117,7 @@
     { what: 'serves a head within the limit', fieldBytes: HEAD_LIMIT_BYTES - 200, count: 1 },
     { what: 'refuses a head beyond it', fieldBytes: HEAD_LIMIT_BYTES + 1, count: 0 },
   ])('$what', async ({ fieldBytes, count }) => {
-    await start({ connections: 9, requestsInConnection: 9, requests: 9 });
+    await start({ connections: 9, requestsInConnection: 9, requests: 9, unreadBytes: Infinity });
     server.limitHeads(HEAD_LIMIT_BYTES);
     const { text } = await open(GET.replace('Host', `X: ${'x'.repeat(fieldBytes)}\r\nHost`));
     expect(handled).toHaveLength(count);
--- a/packages/response-ends/test/lastResponses.test.ts
+++ b/packages/response-ends/test/lastResponses.test.ts
@@ -123,7 +123,10 @@
   });
 
   test('closes such connections first for new ones', async () => {
-    server.limitUse({ connections: 1, requestsInConnection: 9, requests: 9 }, () => {});
+    server.limitUse(
+      { connections: 1, requestsInConnection: 9, requests: 9, unreadBytes: Infinity },
+      () => {},
+    );
     caller.write(GET);
     await once(caller, 'end');
     const { port } = server.address() as AddressInfo;
--- a/packages/response-ends/test/unanswered.test.ts
+++ b/packages/response-ends/test/unanswered.test.ts
@@ -9,7 +9,7 @@
 
 const HOST = '127.0.0.1';
 const PAUSE_MS = 50;
-const LIMITS = { connections: 9, requestsInConnection: 2, requests: 4 };
+const LIMITS = { connections: 9, requestsInConnection: 2, requests: 4, unreadBytes: Infinity };
 
 const get = (path: string) => `GET ${path} HTTP/1.1\r\nHost: a\r\n\r\n`;
 
