The bytes of a request's body end with its request, however that ends

What callers saw: a process far beyond its memory (1,712 MB of 160 with 12 clients whose bodies of 1.9 MB end in a malformed chunk), and one that is ended by its heap beside crowds whose connections are closed for others.

Cause: the bytes that had arrived belonged to the reading of the body, their count to the exchange. When Node.js gives a request up as unreadable, or its connection is closed for another, the response closes and the count is released, but the request itself neither ends nor closes: its blocks were left to the garbage collector, which heeds them late, and its listener at the signal of a stop kept the whole exchange for ever. With a caller that leaves, the request closes; so that way held.

Change: `ReceivedBody` owns the bytes and their count, and is dropped by the end of the exchange; whoever waits for it is told (`BodyReader`). All ways to end a body go through it: whole, too long, given way, unreadable, caller left, stop, connection closed for others. Package `body-memory`, as the own protocol needs it too.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -4,6 +4,7 @@
 const PACKAGE_ORDER = [
   'model',
   'byte-accumulator',
+  'body-memory',
   'response-ends',
   'suspects',
   'scheduling',
@@ -23,6 +24,7 @@
 const EDGE_ORDER = [
   'model',
   'byte-accumulator',
+  'body-memory',
   'response-ends',
   'suspects',
   'scheduling',
--- a/packages/edge/src/MemoryBudget.ts
+++ b/packages/body-memory/src/MemoryBudget.ts
@@ -1,4 +1,4 @@
-import type { EventLog } from '@wisteriapath/fleet';
+import type GivenUpBody from './GivenUpBody';
 import MemoryReservation from './MemoryReservation';
 
 /** Part of the limit that bodies that gave way may hold until they are collected. */
@@ -23,7 +23,7 @@
 
   constructor(
     private readonly limitBytes: number,
-    private readonly log: EventLog,
+    private readonly onGivenUp: (body: GivenUpBody) => void,
     /** Collects the memory of bodies that gave way. */
     private readonly collect: () => void = () => {},
   ) {}
@@ -52,7 +52,7 @@
 
   private end(holder: MemoryReservation): void {
     const { bytes } = holder;
-    this.log.event('memory_given_up', { bytes, held: this.sumBytes, limit: this.limitBytes });
+    this.onGivenUp({ bytes, heldBytes: this.sumBytes, limitBytes: this.limitBytes });
     this.holders.delete(holder);
     this.sumBytes -= bytes;
     holder.giveWay();
--- a/packages/edge/test/memoryBudget.test.ts
+++ b/packages/body-memory/test/memoryBudget.test.ts
@@ -4,7 +4,7 @@
 
 const LIMIT_BYTES = 100;
 
-const createBudget = () => new MemoryBudget(LIMIT_BYTES, { event: () => {} });
+const createBudget = () => new MemoryBudget(LIMIT_BYTES, () => {});
 
 describe('the memory for bodies', () => {
   test('the largest body gives way, the others go on', () => {
@@ -61,7 +61,7 @@
   const collect = () => {
     collections += 1;
   };
-  const budget = new MemoryBudget(LIMIT_BYTES, { event: () => {} }, collect);
+  const budget = new MemoryBudget(LIMIT_BYTES, () => {}, collect);
   const drop = (bytes: number) => {
     const others = budget.reserve();
     others.hold(LIMIT_BYTES - 1);
--- a/packages/edge/src/CallerExchange.ts
+++ b/packages/edge/src/CallerExchange.ts
@@ -1,9 +1,9 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { ReceivedBody } from '@wisteriapath/body-memory';
 import { ByteAccumulator } from '@wisteriapath/byte-accumulator';
 import { ErrorKind, responseTo, ServeError } from '@wisteriapath/model';
 import { EndReason } from '@wisteriapath/response-ends';
 import type Dialect from './Dialect';
-import type MemoryReservation from './MemoryReservation';
 import RequestStep from './RequestStep';
 import mediaTypeOf from './mediaTypeOf';
 
@@ -57,11 +57,11 @@
     private readonly response: ServerResponse,
     private readonly dialect: Dialect,
     private readonly connection: Connection,
-    /** What the body of the request holds, until the exchange has ended. */
-    readonly bodyMemory: MemoryReservation,
+    /** The body of the request, which is held until the exchange has ended. */
+    readonly body: ReceivedBody,
   ) {
     response.on('close', () => {
-      this.bodyMemory.release();
+      this.body.drop();
       if (!response.writableFinished) this.disconnected.abort();
     });
   }
@@ -142,7 +142,8 @@
 
   /** Responds with an error of this system; if the response has started, aborts it. */
   sendError(error: ServeError, attemptId: string): void {
-    if (this.disconnectSignal.aborted) return;
+    // The server answers by itself what it cannot read.
+    if (this.disconnectSignal.aborted || this.response.writableEnded) return;
     if (this.hasStarted) {
       this.abort(EndReason.AnswerBroken, error.message);
       return;
--- a/packages/edge/src/CallerListener.ts
+++ b/packages/edge/src/CallerListener.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
+import { ReceivedBody } from '@wisteriapath/body-memory';
 import type { CallerLimits } from '@wisteriapath/fleet';
 import { EndReason } from '@wisteriapath/response-ends';
 import CallerExchange from './CallerExchange';
@@ -71,7 +72,7 @@
             shouldClose: () => deps.isStopping() && this.isLastRequest(request, response),
             onEnd: (reason, detail) => this.noteEnd(request, reason, detail),
           },
-          deps.memory.reserve(),
+          new ReceivedBody(deps.memory.reserve()),
         );
         this.active.set(request, caller);
         response.on('close', () => {
--- a/packages/edge/src/Edge.ts
+++ b/packages/edge/src/Edge.ts
@@ -1,3 +1,4 @@
+import { createBodyMemory } from '@wisteriapath/body-memory';
 import type { Clock } from '@wisteriapath/model';
 import type { SuspectRegistry } from '@wisteriapath/suspects';
 import {
@@ -37,7 +38,6 @@
 import WorkspaceLimits from './WorkspaceLimits';
 import candidateRank from './candidateRank';
 import type createHeartbeatContent from './createHeartbeatContent';
-import createMemoryBudget from './createMemoryBudget';
 import createPeerHandlers from './createPeerHandlers';
 import createPeers from './createPeers';
 import createPlacer from './createPlacer';
@@ -211,7 +211,11 @@
       }),
       limits: this.limits,
       retryBudgets: new PoolRetryBudgets(options.sharedLimits, instances),
-      memory: createMemoryBudget(options.memoryLimitBytes, log),
+      memory: createBodyMemory(
+        options.memoryLimitBytes,
+        ({ bytes, heldBytes: held, limitBytes: limit }) =>
+          log.event('memory_given_up', { bytes, held, limit }),
+      ),
       suspects: this.suspects,
       probe: new TargetProbe(ports.engineControl, clock),
       connections,
--- a/packages/edge/src/EdgeDependencies.ts
+++ b/packages/edge/src/EdgeDependencies.ts
@@ -1,10 +1,10 @@
+import type { MemoryBudget } from '@wisteriapath/body-memory';
 import type { Clock } from '@wisteriapath/model';
 import type { SuspectRegistry } from '@wisteriapath/suspects';
 import type { DesiredState, EventLog, TargetTable, WaitingRequests } from '@wisteriapath/fleet';
 import type ColdTargetLimiter from './ColdTargetLimiter';
 import type Dialect from './Dialect';
 import type EdgeMetrics from './EdgeMetrics';
-import type MemoryBudget from './MemoryBudget';
 import type ModelRates from './ModelRates';
 import type PoolRetryBudgets from './PoolRetryBudgets';
 import type RequestDispatcher from './RequestDispatcher';
--- a/packages/edge/src/ResponseBody.ts
+++ b/packages/edge/src/ResponseBody.ts
@@ -1,3 +1,4 @@
+import type { MemoryReservation } from '@wisteriapath/body-memory';
 import { ByteAccumulator, reclaimReceived } from '@wisteriapath/byte-accumulator';
 import { EndReason } from '@wisteriapath/response-ends';
 import type AdmittedRequest from './AdmittedRequest';
@@ -6,7 +7,6 @@
 import type EdgeDependencies from './EdgeDependencies';
 import EventBoundaries from './EventBoundaries';
 import type EventFramer from './EventFramer';
-import type MemoryReservation from './MemoryReservation';
 import ResponseMode from './ResponseMode';
 import maxResponseBytes from './maxResponseBytes';
 
--- a/packages/edge/src/admit.ts
+++ b/packages/edge/src/admit.ts
@@ -1,4 +1,5 @@
 import { type Either, Left, Right } from 'purify-ts';
+import { readBody } from '@wisteriapath/body-memory';
 import { ErrorKind, ServeError } from '@wisteriapath/model';
 import type { WorkspaceSpec } from '@wisteriapath/fleet';
 import { EndReason } from '@wisteriapath/response-ends';
@@ -10,7 +11,6 @@
 import authorize from './authorize';
 import choosePool from './choosePool';
 import eventWaitMs from './eventWaitMs';
-import readBody from './readBody';
 import suspectError from './suspectError';
 import traitsOf from './traitsOf';
 import waitOrderOf from './waitOrderOf';
@@ -50,7 +50,7 @@
   if (stopRefusal !== undefined) return Left(stopRefusal);
   const read = await readBody(request, {
     limitBytes: state.limits.maxBodyBytes,
-    memory: exchange.bodyMemory,
+    body: exchange.body,
     stopSignal: deps.sendCutoffSignal,
     cut: () => exchange.abort(EndReason.BodyUnfinished),
   });
--- a/packages/edge/src/handleRequest.ts
+++ b/packages/edge/src/handleRequest.ts
@@ -44,7 +44,7 @@
  * Serves one request of a caller, and writes one log line about its result.
  *
  * @example
- * void handleRequest(deps, new CallerExchange(request, response, deps.dialect, connection, deps.memory.reserve()));
+ * void handleRequest(deps, new CallerExchange(request, response, deps.dialect, connection, body));
  */
 const handleRequest = async (deps: EdgeDependencies, caller: CallerExchange): Promise<void> => {
   const { clock, log, metrics, dialect } = deps;
