Beyond the limit of connections, new callers and callers that were served keep theirs

What callers saw: beside a crowd beyond the limit of connections that connects again at once, ordinary callers were reset before they had an answer (20 ordinary requests beside 300 clients at a limit of 112 connections: 19 or more without an answer).

Cause: the connection closed for a new one was the oldest on which no request had come, then the oldest idle one. In a crowd that writes its half body at once, the only connection without a request is often the ordinary caller's that was just accepted, a turn before it is read; kept connections came before the crowd's.

Change: a connection is `New` for 150 ms, a round trip between regions, and closed only when nothing else is left but requests that have arrived. Next to silent connections, those on which a first body has not arrived give way (`ReceivingFirst`, with 503), before idle ones that were served. `chooseEvicted` keeps its earlier cases.

--- a/packages/response-ends/src/CallerConnection.ts
+++ b/packages/response-ends/src/CallerConnection.ts
@@ -14,6 +14,8 @@
 const LINGER: Linger = { timeoutMs: 2_000, limitBytes: 1_048_576 };
 /** While the body of a request that was answered early is on its way. A body of 4 MB takes 6.4 s at 5 Mbit/s. */
 const BODY_LINGER: Linger = { timeoutMs: 10_000, limitBytes: 8_388_608 };
+/** Time for the first request on a connection that has just been accepted: a round trip between regions. */
+const FIRST_REQUEST_MS = 150;
 /** Status for a request that is given up for others before its body has arrived. */
 const SERVICE_UNAVAILABLE = 503;
 
@@ -40,6 +42,8 @@
 
   private detail = '';
 
+  private readonly acceptedAtMs = performance.now();
+
   /** Bytes that had been parsed when the last whole request had arrived; undefined if none has. */
   private requestBytes: number | undefined;
 
@@ -98,13 +102,15 @@
 
   /** How far the connection has come. */
   get state(): ConnectionState {
+    const hasServed = this.requestBytes !== undefined;
     if (this.underWay === 0) {
-      return this.requestBytes === undefined ? ConnectionState.Unused : ConnectionState.Idle;
+      if (hasServed) return ConnectionState.Idle;
+      const isNew = performance.now() - this.acceptedAtMs < FIRST_REQUEST_MS;
+      return isNew ? ConnectionState.New : ConnectionState.Unused;
     }
     const [only] = this.exchanges;
-    return this.underWay === 1 && !only.request.complete
-      ? ConnectionState.Receiving
-      : ConnectionState.Answering;
+    if (this.underWay > 1 || only.request.complete) return ConnectionState.Answering;
+    return hasServed ? ConnectionState.Receiving : ConnectionState.ReceivingFirst;
   }
 
   /** Whether nothing more is read from this connection. */
--- a/packages/response-ends/src/chooseEvicted.ts
+++ b/packages/response-ends/src/chooseEvicted.ts
@@ -5,12 +5,19 @@
 }
 
 /** The states in which a connection may be closed, that which loses least by it first. */
-const EVICTION_ORDER = [ConnectionState.Unused, ConnectionState.Idle, ConnectionState.Receiving];
+const EVICTION_ORDER = [
+  ConnectionState.Unused,
+  ConnectionState.ReceivingFirst,
+  ConnectionState.Idle,
+  ConnectionState.Receiving,
+  ConnectionState.New,
+];
 
 /**
  * Returns the connection to close when one more than the limit was accepted. It answers the load of clients that open connections and
- * send nothing, half a head or most of a body: the oldest of them gives way, so that a new caller is still served. No request that has
- * arrived completely is lost; if all others carry one, the newest connection is returned.
+ * send nothing, half a head or most of a body: the oldest of them gives way, so that a new caller is still served, and those that have
+ * been served before keep their connections. No request that has arrived completely is lost; if all others carry one, the newest
+ * connection is returned.
  *
  * @example
  * chooseEvicted(connections)?.evict();
--- a/packages/response-ends/test/connectionLimits.test.ts
+++ b/packages/response-ends/test/connectionLimits.test.ts
@@ -11,7 +11,7 @@
 const POST = 'POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n\r\nab';
 const HEAD_LIMIT_BYTES = 8_192;
 
-const { Unused, Idle, Receiving, Answering } = ConnectionState;
+const { New, Unused, Idle, ReceivingFirst, Receiving, Answering } = ConnectionState;
 
 describe('the connection that is closed for a new one', () => {
   // Guards against a crowd of connections without a request that keeps others out, and against the loss of requests that arrived.
@@ -19,6 +19,13 @@
     { states: [Answering, Receiving, Idle, Unused, Unused], chosen: 3, what: 'has no request' },
     { states: [Receiving, Answering, Idle, Idle, Unused], chosen: 2, what: 'was answered first' },
     { states: [Answering, Receiving, Receiving, Unused], chosen: 1, what: 'receives longest' },
+    {
+      states: [Idle, ReceivingFirst, ReceivingFirst, Unused],
+      chosen: 1,
+      what: 'receives its first request longest',
+    },
+    { states: [New, Receiving, Idle, New], chosen: 2, what: 'is idle, before one that is new' },
+    { states: [Answering, New, New, New], chosen: 1, what: 'is new, and the oldest of these' },
     { states: [Answering, Answering, Unused], chosen: 2, what: 'is new, if all others have work' },
   ])('$what', ({ states, chosen }) => {
     const connections = states.map((state) => ({ state }));
