The own protocol bounds the bodies, connections and unread bytes of its callers

What callers saw: 490 MB of 350 with 400 bodies of 900 kB that do not end, and no connection closed for it.

Cause: the limits were those of the entry instance for the users' platform only. The own protocol had no budget over all bodies and no limit of connections or requests.

Change: one implementation for both. `createBodyMemory` and `readBody` of `body-memory`, `callerConnectionLimits`, `readDescriptorLimit` and `ClosedConnectionSummary` (before: `ClosedCallers` of `edge`) in `response-ends` serve `daemon` too. New setting `instance.memory_mb`, 512 by default: 2,048 connections, more than `max_waiting`, and 102 MB of bodies. A body that gives way is refused with 503 `memory_exhausted`, not run; a refused body's connection ends with its response, so that the rest, which may have no end, is read for 10 s at most. Line `caller_connections_closed`, counter `wisteriapath_closed_connections_total`.

--- a/packages/config/src/settingsSchema.ts
+++ b/packages/config/src/settingsSchema.ts
@@ -14,6 +14,10 @@
 const instance = z.strictObject({
   name: rowName.describe('Name of this instance in the instance list.'),
   failure_domain: rowName.describe('Failure domain of this instance.'),
+  memory_mb: positiveInteger(
+    512,
+    'Memory that this process may use. A fifth of it is for the bodies of callers, a quarter for their connections at 64 kB each, a tenth for bytes that were received and not read.',
+  ),
 });
 
 const listen = z.strictObject({
--- a/packages/daemon/src/CallerApi.ts
+++ b/packages/daemon/src/CallerApi.ts
@@ -9,6 +9,7 @@
   type CheckedCall,
   type ConfigView,
 } from '@wisteriapath/admission';
+import type { MemoryBudget } from '@wisteriapath/body-memory';
 import { getRow, type Settings } from '@wisteriapath/config';
 import type { WorkspaceBudget } from '@wisteriapath/ledger';
 import {
@@ -45,6 +46,8 @@
   readonly isStopping: () => boolean;
   /** Number of requests that wait for a slot on a target. */
   readonly waitingCount: () => number;
+  /** Memory for the bodies of callers' requests. */
+  readonly bodyMemory: MemoryBudget;
   readonly budgetOf: (workspace: string) => WorkspaceBudget;
   readonly modelParts: ConstructorParameters<typeof ModelCall>[0];
   readonly serviceCall: ServiceCall;
@@ -139,7 +142,7 @@
     arrival: Arrival,
   ): Promise<Either<ServeError, string>> {
     const { requests } = this.parts.settings;
-    const body = await readBody(context, requests.max_body_bytes);
+    const body = await this.readBody(context);
     const parsed = body.chain((bytes) =>
       parseCompletion(context.path, bytes.toString('utf8'), requests.max_new_tokens),
     );
@@ -201,7 +204,7 @@
         ServeError.notExecuted(ErrorKind.UnknownRoute, `route ${routeName} is not a service`),
       );
     }
-    const body = await readBody(context, this.parts.settings.requests.max_body_bytes);
+    const body = await this.readBody(context);
     if (body.isLeft()) return body.map(() => '');
     const path = rest.join('');
     const http: HttpCall = {
@@ -214,6 +217,11 @@
     return ended.map(() => routeName);
   }
 
+  private readBody(context: Context): Promise<Either<ServeError, Buffer>> {
+    const { settings, bodyMemory: memory } = this.parts;
+    return readBody(context, { maxBytes: settings.requests.max_body_bytes, memory });
+  }
+
   /** Checks key and route, the number of waiting requests and the deadline header, in this order. */
   private createCallContext(
     context: Context,
--- a/packages/daemon/src/HttpListener.ts
+++ b/packages/daemon/src/HttpListener.ts
@@ -3,6 +3,8 @@
 import type { AddressInfo } from 'node:net';
 import {
   CallerServer,
+  type ClosedConnection,
+  type ConnectionLimits,
   type UnansweredRequest,
   type UnreadableBytes,
 } from '@wisteriapath/response-ends';
@@ -48,6 +50,11 @@
     this.server.watchUnanswered(onUnanswered);
   }
 
+  /** Sets what callers may use; `onClosed` is told of each connection that is closed for it. */
+  limitUse(limits: ConnectionLimits, onClosed: (closed: ClosedConnection) => void): void {
+    this.server.limitUse(limits, onClosed);
+  }
+
   /**
    * Stops accepting connections, once those that wait have been accepted, and resolves when the last request has been
    * answered. Closes connections that carry no request in the meantime, and refuses requests that are not received in time.
--- a/packages/daemon/src/InstanceComponents.ts
+++ b/packages/daemon/src/InstanceComponents.ts
@@ -1,5 +1,6 @@
 import type { Logger } from 'pino';
 import type { ConfigView } from '@wisteriapath/admission';
+import type { MemoryBudget } from '@wisteriapath/body-memory';
 import type { ConfigCheckpoints, ConfigState, Settings } from '@wisteriapath/config';
 import type {
   BudgetHome,
@@ -38,6 +39,8 @@
   readonly clock: Clock;
   readonly logger: Logger;
   readonly metrics: Metrics;
+  /** Memory for the bodies of callers' requests. */
+  readonly bodyMemory: MemoryBudget;
   readonly ids: RecordIds;
   /** This process as a possible holder of roles. */
   readonly self: RoleHolder;
--- a/packages/daemon/src/Metrics.ts
+++ b/packages/daemon/src/Metrics.ts
@@ -26,6 +26,13 @@
     registers: [this.registry],
   });
 
+  readonly closedConnections = new Counter({
+    name: 'wisteriapath_closed_connections_total',
+    help: 'Connections of callers that were closed because of a limit, by the limit',
+    labelNames: ['reason'],
+    registers: [this.registry],
+  });
+
   readonly placementDecisions = new Counter({
     name: 'wisteriapath_placement_decisions_total',
     help: 'Loads and unloads decided by this instance as a placer',
--- a/packages/daemon/src/OperatorApi.ts
+++ b/packages/daemon/src/OperatorApi.ts
@@ -1,6 +1,7 @@
 import Router from '@koa/router';
 import Koa, { type Context, type Next } from 'koa';
 import type { Logger } from 'pino';
+import type { MemoryBudget } from '@wisteriapath/body-memory';
 import { type Either, Left, Right } from 'purify-ts';
 import { bearerSecret } from '@wisteriapath/admission';
 import {
@@ -35,6 +36,8 @@
   readonly clock: Clock;
   readonly logger: Logger;
   readonly metrics: Metrics;
+  /** Memory for the bodies of requests. */
+  readonly bodyMemory: MemoryBudget;
   readonly log: LogPort;
   readonly ids: RecordIds;
   readonly config: StreamReplica<ConfigState>;
@@ -157,7 +160,10 @@
     const table = this.findTable(context);
     if (table === undefined) return;
     const { name } = context.params as { name: string };
-    const body = await readBody(context, MAX_ROW_BYTES);
+    const body = await readBody(context, {
+      maxBytes: MAX_ROW_BYTES,
+      memory: this.parts.bodyMemory,
+    });
     const edit = body
       .chain((bytes) => parseValue(table, name, bytes))
       .chain((value) =>
--- a/packages/daemon/src/registerServing.ts
+++ b/packages/daemon/src/registerServing.ts
@@ -1,4 +1,5 @@
 import { asFunction, type AwilixContainer } from 'awilix';
+import { createBodyMemory } from '@wisteriapath/body-memory';
 import { getRow } from '@wisteriapath/config';
 import { RetryBudget, RouteKind, TableName } from '@wisteriapath/model';
 import { placementDomains, RouteQueue } from '@wisteriapath/placement';
@@ -12,6 +13,7 @@
 } from '@wisteriapath/routing';
 import type InstanceComponents from './InstanceComponents';
 import RouteQueues from './RouteQueues';
+import memoryLimitBytes from './memoryLimitBytes';
 import shareSuspects from './shareSuspects';
 
 /** Part of a lease term that is left unused, as the clocks of placer and instance may drift apart. */
@@ -58,6 +60,11 @@
   const singleton = <T>(create: (components: InstanceComponents) => T) =>
     asFunction(create).singleton();
   container.register({
+    bodyMemory: singleton(({ settings, logger }) =>
+      createBodyMemory(memoryLimitBytes(settings), (body) =>
+        logger.warn({ ...body }, 'memory_given_up'),
+      ),
+    ),
     routeQueues: singleton(
       (components) => new RouteQueues((routeName) => createRouteQueue(components, routeName)),
     ),
--- a/packages/daemon/src/startInstance.ts
+++ b/packages/daemon/src/startInstance.ts
@@ -6,6 +6,7 @@
 import { appendUntilSettled, RecordIds, OutcomeKind } from '@wisteriapath/log-client';
 import { Deadline, systemClock } from '@wisteriapath/model';
 import { startPeerServer } from '@wisteriapath/peer';
+import { callerConnectionLimits, readDescriptorLimit } from '@wisteriapath/response-ends';
 import CallerApi from './CallerApi';
 import type InstanceComponents from './InstanceComponents';
 import InstancePeerHandlers from './InstancePeerHandlers';
@@ -15,6 +16,8 @@
 import type RunningInstance from './RunningInstance';
 import describeInstance from './describeInstance';
 import explainRoute from './explainRoute';
+import memoryLimitBytes from './memoryLimitBytes';
+import recordClosed from './recordClosed';
 import recordUnanswered from './recordUnanswered';
 import registerPlatform from './registerPlatform';
 import registerRoles from './registerRoles';
@@ -102,6 +105,7 @@
     isReady,
     isStopping,
     waitingCount: () => components.routeQueues.waitingCount,
+    bodyMemory: components.bodyMemory,
     budgetOf: (workspace) => components.workspaceBudgets.get(workspace),
     modelParts: {
       clock: components.clock,
@@ -120,6 +124,7 @@
     log: components.log,
     ids: components.ids,
     config: components.configReplica,
+    bodyMemory: components.bodyMemory,
     tokenSha256: components.settings.operators.token_sha256,
     status: () => describeInstance(components, isReady()),
     explain: (route) => explainRoute(components, route),
@@ -196,10 +201,15 @@
   const checkpointTask = new AbortController();
   void writeCheckpoints(components, checkpointTask.signal);
   const callerApi = createCallerApi(components, isReady, () => isStopping);
-  const listen = (address: string, handler: RequestListener) =>
-    HttpListener.open(address, handler, (bytes) =>
+  const limits = callerConnectionLimits(memoryLimitBytes(settings), readDescriptorLimit());
+  const onClosed = recordClosed(components);
+  const listen = async (address: string, handler: RequestListener) => {
+    const listener = await HttpListener.open(address, handler, (bytes) =>
       logger.info({ address, ...bytes }, 'caller_unreadable'),
     );
+    listener.limitUse(limits, onClosed);
+    return listener;
+  };
   const callers = await listen(settings.listen.callers, callerApi.app.callback());
   callers.watchUnanswered(recordUnanswered(components, () => isStopping));
   const operatorApi = createOperatorApi(components, isReady);
--- a/packages/edge/src/CallerListener.ts
+++ b/packages/edge/src/CallerListener.ts
@@ -1,17 +1,19 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { ReceivedBody } from '@wisteriapath/body-memory';
 import type { CallerLimits } from '@wisteriapath/fleet';
-import { EndReason } from '@wisteriapath/response-ends';
+import {
+  callerConnectionLimits,
+  ClosedConnectionSummary,
+  EndReason,
+  readDescriptorLimit,
+} from '@wisteriapath/response-ends';
 import CallerExchange from './CallerExchange';
 import type EdgeDependencies from './EdgeDependencies';
 import HttpListener from './HttpListener';
-import ClosedCallers from './ClosedCallers';
 import UnansweredLog from './UnansweredLog';
-import callerConnectionLimits from './callerConnectionLimits';
 import callerServerOptions from './callerServerOptions';
 import handleRequest from './handleRequest';
 import nameSome from './nameSome';
-import readDescriptorLimit from './readDescriptorLimit';
 
 /** Margin beyond the longest idle time after which callers reuse a connection. */
 const IDLE_MARGIN_MS = 2_000;
@@ -27,7 +29,7 @@
   /** The requests that were broken off at the end of a stop; undefined before. */
   private left: readonly string[] | undefined;
 
-  private readonly closed: ClosedCallers;
+  private readonly closed: ClosedConnectionSummary;
 
   private readonly unanswered: UnansweredLog;
 
@@ -35,7 +37,9 @@
     private readonly deps: EdgeDependencies,
     private readonly memoryLimitBytes: number,
   ) {
-    this.closed = new ClosedCallers(deps.log, deps.metrics);
+    this.closed = new ClosedConnectionSummary(({ reason, connections, limit }, count) => {
+      deps.log.event('caller_connections_closed', { reason, count, connections, limit });
+    });
     this.unanswered = new UnansweredLog(deps);
   }
 
@@ -89,7 +93,10 @@
     });
     listener.server.limitUse(
       callerConnectionLimits(this.memoryLimitBytes, readDescriptorLimit()),
-      (closed) => this.closed.record(closed),
+      (closed) => {
+        deps.metrics.closedConnections.inc({ reason: closed.reason });
+        this.closed.record(closed);
+      },
     );
     this.listener = listener;
     this.applyLimits();
--- a/packages/edge/src/callerConnectionLimits.ts
+++ b/packages/response-ends/src/callerConnectionLimits.ts
@@ -1,4 +1,4 @@
-import type { ConnectionLimits } from '@wisteriapath/response-ends';
+import type ConnectionLimits from './ConnectionLimits';
 
 /** Fraction of the process's memory for connections of callers and the heads of their requests. */
 const CONNECTION_MEMORY_FRACTION = 0.25;
--- a/packages/response-ends/src/index.ts
+++ b/packages/response-ends/src/index.ts
@@ -1,6 +1,7 @@
 export { default as CallerServer } from './CallerServer';
 export { default as CloseReason } from './CloseReason';
 export type { default as ClosedConnection } from './ClosedConnection';
+export { default as ClosedConnectionSummary } from './ClosedConnectionSummary';
 export type { default as ConnectionLimits } from './ConnectionLimits';
 export { default as ConnectionUse } from './ConnectionUse';
 export { default as EndReason } from './EndReason';
@@ -10,6 +11,8 @@
 export type { default as TrackedDispatchOptions } from './TrackedDispatchOptions';
 export type { default as UnansweredRequest } from './UnansweredRequest';
 export type { default as UnreadableBytes } from './UnreadableBytes';
+export { default as callerConnectionLimits } from './callerConnectionLimits';
 export { default as createTrackedAgent } from './createTrackedAgent';
 export { default as framingOf } from './framingOf';
 export { default as hasBody } from './hasBody';
+export { default as readDescriptorLimit } from './readDescriptorLimit';
