Connections whose bytes wait to be parsed are not forgotten

Cause: two ways to be forgotten. A turn that ended with a connection that had no more bytes scheduled no further one for those that still waited. And a connection whose request held more than its buffer takes, as its body came together with its head, was tried again at the request's `resume`, which Node.js emits just before it empties that buffer.

Change: a turn schedules the next one while any connection waits; the second try comes after the turn of `resume`.

Evidence: the state of the connections (trial output): 40 with 32,768 unread bytes each, ready, in no queue and no turn scheduled.

--- a/packages/response-ends/src/ConnectionInput.ts
+++ b/packages/response-ends/src/ConnectionInput.ts
@@ -61,7 +61,8 @@
   /** Takes note of a request whose body may follow. */
   begin(request: IncomingMessage): void {
     this.request = request;
-    request.on('resume', this.tell);
+    // What the request holds is taken just after this event.
+    request.on('resume', () => setImmediate(this.tell));
     request.once('close', this.tell);
   }
 
--- a/packages/response-ends/src/InputScheduler.ts
+++ b/packages/response-ends/src/InputScheduler.ts
@@ -104,6 +104,10 @@
     if (!input.isReady) return;
     const queued = input;
     queued.queue = this.classes[classOf(input)].add(input);
+    this.schedule();
+  }
+
+  private schedule(): void {
     if (this.isScheduled) return;
     this.isScheduled = true;
     setImmediate(() => this.beginTurn());
@@ -116,6 +120,7 @@
     this.hasArrival = false;
     this.parseWaiting(0, shareMs);
     this.parseWaiting(1, this.spentMs + shareMs);
+    if (this.classes.some(({ size }) => size > 0)) this.schedule();
   }
 
   /** Parses for connections of this class and those above it until this time has been spent in the turn. */
--- a/packages/response-ends/test/inputScheduler.test.ts
+++ b/packages/response-ends/test/inputScheduler.test.ts
@@ -8,6 +8,8 @@
 /** Time that the scheduler spends in one turn on connections that waited. */
 const TURN_MS = 2;
 const BLOCK_BYTES = 100;
+/** Turns in which all that wait in a test are parsed. */
+const TURNS = 40;
 
 describe('the parsing of connections', () => {
   let nowMs: number;
@@ -20,7 +22,10 @@
     scheduler = new InputScheduler();
     jest.spyOn(performance, 'now').mockImplementation(() => nowMs);
   });
-  afterEach(() => jest.restoreAllMocks());
+  afterEach(async () => {
+    for (let turn = 0; turn < TURNS; turn += 1) await passTurn();
+    jest.restoreAllMocks();
+  });
 
   /** A connection with blocks of bytes, each of which takes a share of a turn, or less. */
   const open = (name: string, blocks: number, { spentMs = 0, blockMs = SHARE_MS } = {}) => {
@@ -60,6 +65,17 @@
     expect(parsed.length).toBeGreaterThan(1);
   });
 
+  // Guards against connections that are forgotten where a turn ends with one that has no more bytes.
+  test('comes to all that wait, without a further one', async () => {
+    fill();
+    Array.from({ length: 40 }, (_, number) => open(`c${number}`, 1)).forEach((input) =>
+      scheduler.add(input),
+    );
+    for (let turn = 0; turn < TURNS; turn += 1) await passTurn();
+    expect(parsed).toHaveLength(41);
+    expect(scheduler.unreadBytes).toBe(0);
+  });
+
   // Guards against an ordinary request that waits for bodies whose bytes cost much.
   test('begins with those that have cost least', async () => {
     fill();
