--- a/packages/daemon/src/recordUnanswered.ts
+++ b/packages/daemon/src/recordUnanswered.ts
@@ -11,8 +11,7 @@
  */
 const recordUnanswered =
   ({ logger, metrics }: Parts, isStopping: () => boolean) =>
-  ({ request, reason, detail, hasBegun, tookMs, underWay }: UnansweredRequest): void => {
-    const got = hasBegun ? 'half' : 'nothing';
+  ({ request, reason, detail, got, tookMs, underWay }: UnansweredRequest): void => {
     metrics.unansweredRequests.inc({ reason, got });
     const { method, url = '', complete: bodyArrived } = request;
     const [path] = url.split('?');
--- a/packages/edge/src/RequestExecution.ts
+++ b/packages/edge/src/RequestExecution.ts
@@ -193,8 +193,9 @@
    * from its target goes on, whatever is expected of its rest: nothing but this instance has ended its run.
    */
   private stopError(): ServeError | undefined {
-    if (this.isTaken && this.deps.stopSignal.aborted) return finalErrors[AttemptOutcome.Stopped];
-    if (this.isTaken) return undefined;
+    if (this.isTaken) {
+      return this.deps.stopSignal.aborted ? finalErrors[AttemptOutcome.Stopped] : undefined;
+    }
     const { begunAtMs } = this;
     const mayHaveRun = this.executions > 0;
     this.stopRefusal ??= this.deps.stopGate.refusal(this.request, { begunAtMs, mayHaveRun });
--- a/packages/edge/src/UnansweredLog.ts
+++ b/packages/edge/src/UnansweredLog.ts
@@ -34,8 +34,8 @@
 
   /** Takes note of a request. */
   record(unanswered: UnansweredRequest, known: Known): void {
-    const { reason, hasBegun } = unanswered;
-    this.parts.metrics.unansweredRequests.inc({ reason, got: hasBegun ? 'half' : 'nothing' });
+    const { reason, got } = unanswered;
+    this.parts.metrics.unansweredRequests.inc({ reason, got });
     if (this.mayWrite()) this.write(unanswered, known);
     else this.untold += 1;
   }
@@ -51,14 +51,14 @@
   }
 
   private write(
-    { request, reason, detail, hasBegun, tookMs, underWay }: UnansweredRequest,
+    { request, reason, detail, got, tookMs, underWay }: UnansweredRequest,
     { id, step }: Known,
   ): void {
     this.parts.log.event('caller_unanswered', {
       request: id,
       reason,
       detail,
-      got: hasBegun ? 'half' : 'nothing',
+      got,
       step,
       body_arrived: request.complete,
       took_ms: Math.round(tookMs),
--- a/packages/edge/test/probeTargets.test.ts
+++ b/packages/edge/test/probeTargets.test.ts
@@ -1,12 +1,12 @@
 /** A request that is tried though it may crash its target does not end the only one that holds its model, as long as the trial can wait. */
 import VirtualClock from '@wisteriapath/virtual-clock';
-import { TargetTable, WaitingRequests } from '@wisteriapath/fleet';
+import { TargetTable } from '@wisteriapath/fleet';
 import { SuspectRegistry } from '@wisteriapath/suspects';
 import type AdmittedRequest from '../src/AdmittedRequest';
-import type EdgeDependencies from '../src/EdgeDependencies';
 import RequestProbe from '../src/RequestProbe';
 import TargetFinder from '../src/TargetFinder';
-import createTargetLoads from './support/createTargetLoads';
+import createFinderDeps from './support/createFinderDeps';
+import searchUntil from './support/searchUntil';
 import targetEntry from './support/targetEntry';
 
 const PATIENCE_MS = 2_000;
@@ -29,16 +29,7 @@
     announce: () => {},
     onQuarantineChanged: () => {},
   });
-  const deps = {
-    clock,
-    table,
-    waiting: new WaitingRequests(clock, () => {}),
-    sendCutoffAtMs: () => Infinity,
-    loads: createTargetLoads(clock, table),
-    coldTargetLimiter: { tryTake: () => true },
-    connectionLimit: (maxConnections: number) => maxConnections,
-    failureDomain: 'a',
-  } as unknown as EdgeDependencies;
+  const deps = createFinderDeps(clock, table);
   const request = {
     pool: { name: 'guides', engine: { models: new Map() }, maxConnections: 4, coldPerS: 0 },
     route: { latencyTargetMs: 600 },
@@ -52,11 +43,7 @@
   const find = async (traits: readonly string[]): Promise<string | undefined> => {
     const probe = new RequestProbe(suspects, traits);
     const found = new TargetFinder(deps).find(request, {
-      excluded: new Map(),
-      untilMs: clock.nowMs() + PATIENCE_MS,
-      leavesAtMs: clock.nowMs() + PATIENCE_MS,
-      hasBegun: false,
-      isOver: () => false,
+      ...searchUntil(clock.nowMs() + PATIENCE_MS),
       needsSpare: () => probe.needsSpareTarget,
     });
     await clock.advance(PATIENCE_MS + 1);
--- a/packages/edge/test/requestDispatcher.test.ts
+++ b/packages/edge/test/requestDispatcher.test.ts
@@ -1,13 +1,14 @@
 /** Guards that requests of deferring pools get the places at targets in order, at once when one is free, and that none is lost. */
 import VirtualClock from '@wisteriapath/virtual-clock';
-import { TargetTable, WaitingRequests } from '@wisteriapath/fleet';
+import { TargetTable } from '@wisteriapath/fleet';
 import type AdmittedRequest from '../src/AdmittedRequest';
 import type ChosenTarget from '../src/ChosenTarget';
-import type EdgeDependencies from '../src/EdgeDependencies';
 import EdgeMetrics from '../src/EdgeMetrics';
 import RequestDispatcher from '../src/RequestDispatcher';
 import TargetFinder from '../src/TargetFinder';
+import createFinderDeps from './support/createFinderDeps';
 import createTargetLoads from './support/createTargetLoads';
+import searchUntil from './support/searchUntil';
 import targetEntry from './support/targetEntry';
 
 interface Kind {
@@ -27,17 +28,8 @@
   const metrics = new EdgeMetrics();
   const dispatcher = new RequestDispatcher({ clock, log, metrics, table });
   const loads = createTargetLoads(clock, table);
-  const deps = {
-    clock,
-    table,
-    waiting: new WaitingRequests(clock, () => {}),
-    dispatcher,
-    sendCutoffAtMs: () => Infinity,
-    loads,
-    coldTargetLimiter: { tryTake: () => true },
-    connectionLimit: () => places,
-    failureDomain: 'a',
-  } as unknown as EdgeDependencies;
+  const connectionLimit = () => places;
+  const deps = createFinderDeps(clock, table, { dispatcher, loads, connectionLimit });
   const served: string[] = [];
   const ended: string[] = [];
   const chosen = new Map<string, ChosenTarget>();
@@ -56,13 +48,7 @@
       firstEventDeadlineAtMs,
       waitOrder: { priority, isDeferrable: priority > 0 },
     } as unknown as AdmittedRequest;
-    const search = {
-      excluded,
-      untilMs: firstEventDeadlineAtMs,
-      leavesAtMs: firstEventDeadlineAtMs,
-      hasBegun: false,
-      isOver,
-    };
+    const search = { ...searchUntil(firstEventDeadlineAtMs), excluded, isOver };
     return new TargetFinder(deps).find(request, search).then((found) => {
       ended.push(name);
       if (found === undefined) return;
--- a/packages/edge/test/targetFinder.test.ts
+++ b/packages/edge/test/targetFinder.test.ts
@@ -7,11 +7,11 @@
   WaitingRequests,
 } from '@wisteriapath/fleet';
 import type AdmittedRequest from '../src/AdmittedRequest';
-import type EdgeDependencies from '../src/EdgeDependencies';
 import EdgeMetrics from '../src/EdgeMetrics';
 import RequestDispatcher from '../src/RequestDispatcher';
 import TargetFinder from '../src/TargetFinder';
-import createTargetLoads from './support/createTargetLoads';
+import createFinderDeps from './support/createFinderDeps';
+import searchUntil from './support/searchUntil';
 import targetEntry from './support/targetEntry';
 
 const WAIT_MS = 1_000;
@@ -19,26 +19,16 @@
 test('the reported waiting time of a request grows until its search ends', async () => {
   const clock = new VirtualClock();
   const waiting = new WaitingRequests(clock, () => {});
-  const deps = {
-    clock,
+  const deps = createFinderDeps(clock, new TargetTable(clock), {
     waiting,
-    table: new TargetTable(clock),
-    sendCutoffAtMs: () => Infinity,
     loads: { isReachable: () => true },
-    connectionLimit: () => 1,
-  } as unknown as EdgeDependencies;
+  });
   const request = {
     pool: { name: 'guides', engine: { models: new Map() }, maxConnections: 1, coldPerS: 0 },
     route: { latencyTargetMs: 2_000 },
     fields: { model: 'm', adapter: null },
   } as unknown as AdmittedRequest;
-  const search = {
-    excluded: new Map(),
-    untilMs: WAIT_MS,
-    leavesAtMs: WAIT_MS,
-    hasBegun: false,
-    isOver: () => false,
-  };
+  const search = searchUntil(WAIT_MS);
   const found = new TargetFinder(deps).find(request, search);
   await clock.advance(WAIT_MS * 0.9);
   expect(waiting.demands.map(({ waitedMs }) => waitedMs)).toEqual([WAIT_MS * 0.9]);
@@ -50,28 +40,13 @@
 test('requests that are woken together open no more connections than the share of their instance', async () => {
   const clock = new VirtualClock();
   const table = new TargetTable(clock);
-  const deps = {
-    clock,
-    table,
-    waiting: new WaitingRequests(clock, () => {}),
-    sendCutoffAtMs: () => Infinity,
-    loads: createTargetLoads(clock, table),
-    coldTargetLimiter: { tryTake: () => true },
-    connectionLimit: (maxConnections: number) => maxConnections,
-    failureDomain: 'a',
-  } as unknown as EdgeDependencies;
+  const deps = createFinderDeps(clock, table);
   const request = {
     pool: { name: 'guides', engine: { models: new Map() }, maxConnections: 2, coldPerS: 0 },
     route: { latencyTargetMs: 2_000 },
     fields: { model: 'm', adapter: null, attemptId: 'one' },
   } as unknown as AdmittedRequest;
-  const search = {
-    excluded: new Map(),
-    untilMs: WAIT_MS,
-    leavesAtMs: WAIT_MS,
-    hasBegun: false,
-    isOver: () => false,
-  };
+  const search = searchUntil(WAIT_MS);
   const finder = new TargetFinder(deps);
   const found = Promise.all(Array.from({ length: 5 }, () => finder.find(request, search)));
   await clock.advance(WAIT_MS / 2);
@@ -91,16 +66,7 @@
     const target = { models: new Map([['other', new Set<string>()]]), ...entry };
     table.applyEntry(targetEntry(target));
     if (update !== undefined) table.applyPlacement(update);
-    const deps = {
-      clock,
-      table,
-      waiting,
-      sendCutoffAtMs: () => Infinity,
-      loads: createTargetLoads(clock, table),
-      coldTargetLimiter: { tryTake: () => true },
-      connectionLimit: (maxConnections: number) => maxConnections,
-      failureDomain: 'a',
-    } as unknown as EdgeDependencies;
+    const deps = createFinderDeps(clock, table, { waiting });
     const times = { storeLoadMs: STORE_LOAD_MS, diskLoadMs: 1_700, memoryLoadMs: 1_200 };
     const models = new Map([['m', { name: 'm', sizeMb: 1, adapterSizeMb: 0, ...times }]]);
     const request = {
@@ -111,13 +77,7 @@
     } as unknown as AdmittedRequest;
     const finder = new TargetFinder(deps);
     let outcome: string | undefined;
-    const search = {
-      excluded: new Map(),
-      untilMs: PATIENCE_MS,
-      leavesAtMs: PATIENCE_MS,
-      hasBegun: false,
-      isOver: () => false,
-    };
+    const search = searchUntil(PATIENCE_MS);
     const found = finder.find(request, search).then((chosen) => {
       outcome = chosen === undefined ? 'unserved' : 'served';
     });
@@ -186,19 +146,8 @@
     const log = { event: (name: string) => lines.push(name) };
     const metrics = new EdgeMetrics();
     const waiting = new WaitingRequests(clock, () => {});
-    const deps = {
-      clock,
-      table,
-      waiting,
-      log,
-      metrics,
-      dispatcher: new RequestDispatcher({ clock, log, metrics, table }),
-      sendCutoffAtMs: () => Infinity,
-      loads: createTargetLoads(clock, table),
-      coldTargetLimiter: { tryTake: () => true },
-      connectionLimit: (maxConnections: number) => maxConnections,
-      failureDomain: 'a',
-    } as unknown as EdgeDependencies;
+    const dispatcher = new RequestDispatcher({ clock, log, metrics, table });
+    const deps = createFinderDeps(clock, table, { waiting, log, metrics, dispatcher });
     const times = { storeLoadMs: 6_000, diskLoadMs: LOAD_MS, memoryLoadMs: LOAD_MS };
     const models = new Map([['m', { name: 'm', sizeMb: 1, adapterSizeMb: 0, ...times }]]);
     const request = {
@@ -212,13 +161,7 @@
     } as unknown as AdmittedRequest;
     const finder = new TargetFinder(deps);
     let hasEnded = false;
-    const search = {
-      excluded: new Map(),
-      untilMs: LEAVES_AFTER_MS,
-      leavesAtMs: LEAVES_AFTER_MS,
-      hasBegun: false,
-      isOver: () => false,
-    };
+    const search = searchUntil(LEAVES_AFTER_MS);
     void finder.find(request, search).then(() => {
       hasEnded = true;
     });
--- a/packages/response-ends/src/CallerServer.ts
+++ b/packages/response-ends/src/CallerServer.ts
@@ -10,6 +10,7 @@
 import EndReason from './EndReason';
 import HeldAnswers from './HeldAnswers';
 import InputScheduler from './InputScheduler';
+import ReceivedPart from './ReceivedPart';
 import type UnansweredRequest from './UnansweredRequest';
 import type UnreadableBytes from './UnreadableBytes';
 import chooseEvicted from './chooseEvicted';
@@ -299,7 +300,8 @@
       this.requestCount -= 1;
       if (response.writableFinished) return;
       const tookMs = performance.now() - startedMs;
-      this.tellUnanswered(connection, { request, hasBegun: response.headersSent, tookMs });
+      const got = response.headersSent ? ReceivedPart.Half : ReceivedPart.Nothing;
+      this.tellUnanswered(connection, { request, got, tookMs });
     });
     connection.track(request, response);
     this.requestCount += 1;
@@ -336,7 +338,7 @@
 
   private tellUnanswered(
     connection: CallerConnection,
-    exchange: Pick<UnansweredRequest, 'request' | 'hasBegun' | 'tookMs'>,
+    exchange: Pick<UnansweredRequest, 'request' | 'got' | 'tookMs'>,
   ): void {
     const { end, underWay } = connection;
     if (end === undefined || end.reason === EndReason.BodyUnfinished) return;
@@ -346,7 +348,8 @@
   /** Tells of a request that is not handled, as its connection ends. */
   private tellDropped(request: IncomingMessage, reason: EndReason): void {
     const underWay = this.callerConnections.get(request.socket)?.underWay ?? 0;
-    this.onUnanswered?.({ request, reason, detail: '', hasBegun: false, tookMs: 0, underWay });
+    const got = ReceivedPart.Nothing;
+    this.onUnanswered?.({ request, reason, detail: '', got, tookMs: 0, underWay });
   }
 
   private tellClosed(reason: CloseReason, limit: number): void {
--- a/packages/response-ends/src/UnansweredRequest.ts
+++ b/packages/response-ends/src/UnansweredRequest.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage } from 'node:http';
 import type EndReason from './EndReason';
+import type ReceivedPart from './ReceivedPart';
 
 /** A request that a server has read, and whose caller got no whole answer though it had not left. */
 interface UnansweredRequest {
@@ -7,8 +8,7 @@
   readonly reason: EndReason;
   /** What the place that ended the connection says of it; may be empty. */
   readonly detail: string;
-  /** Whether the response had begun. */
-  readonly hasBegun: boolean;
+  readonly got: ReceivedPart;
   /** Time since the head of the request was read. */
   readonly tookMs: number;
   /** Requests of the connection that were under way, this one too. */
