Only bytes that wait for their turn count towards the limit of unread bytes

Bytes of a connection that waits for its caller to take its answers counted, too, and such a connection is not closed: others that waited for their turn would have been closed for them. What such connections hold is bounded by the limits of connections and requests. A connection that has been destroyed gets no timeout any more.

--- a/packages/response-ends/src/CallerServer.ts
+++ b/packages/response-ends/src/CallerServer.ts
@@ -235,7 +235,7 @@
 
   /** Bytes that were no request have ended the timeout of an idle connection. */
   private limitSilence({ state, socket }: CallerConnection): void {
-    if (state === ConnectionState.Idle && socket.timeout === 0) {
+    if (!socket.destroyed && state === ConnectionState.Idle && socket.timeout === 0) {
       socket.setTimeout(this.keepAliveTimeout);
     }
   }
--- a/packages/response-ends/src/InputScheduler.ts
+++ b/packages/response-ends/src/InputScheduler.ts
@@ -16,12 +16,6 @@
 const classOf = ({ spentMs }: ConnectionInput): number =>
   Math.min(MAX_CLASS, Math.ceil(Math.log2(1 + spentMs / CLASS_MS)));
 
-const dequeue = (input: ConnectionInput): void => {
-  const removed = input;
-  removed.queue?.delete(input);
-  removed.queue = undefined;
-};
-
 /** Returns the connection with most unread bytes. */
 const largestOf = (inputs: readonly ConnectionInput[]): ConnectionInput | undefined =>
   inputs.reduce<ConnectionInput | undefined>(
@@ -57,7 +51,7 @@
 
   private unreadSumBytes = 0;
 
-  /** Bytes of all connections that were read and not parsed. */
+  /** Bytes that were read from the connections that wait, and not parsed. */
   get unreadBytes(): number {
     return this.unreadSumBytes;
   }
@@ -74,7 +68,7 @@
 
   /** Parses the bytes of a connection now, or once it has its turn. */
   add(input: ConnectionInput): void {
-    this.count(input);
+    if (input.queue !== undefined) this.count(input, input.unreadBytes);
     if (!input.isReady || input.queue !== undefined) return;
     const isFree = !this.isScheduled && !this.isSpent();
     if (isFree) this.parse(input);
@@ -83,8 +77,7 @@
 
   /** Forgets a connection that has closed, or whose bytes are no longer parsed. */
   remove(input: ConnectionInput): void {
-    dequeue(input);
-    this.count(input, 0);
+    this.dequeue(input);
   }
 
   /** The connection that has cost most of those that wait and may be closed; of several, the one with most bytes. */
@@ -104,9 +97,17 @@
     if (!input.isReady) return;
     const queued = input;
     queued.queue = this.classes[classOf(input)].add(input);
+    this.count(input, input.unreadBytes);
     this.schedule();
   }
 
+  private dequeue(input: ConnectionInput): void {
+    const removed = input;
+    removed.queue?.delete(input);
+    removed.queue = undefined;
+    this.count(input, 0);
+  }
+
   private schedule(): void {
     if (this.isScheduled) return;
     this.isScheduled = true;
@@ -129,7 +130,7 @@
       const waiting = this.classes.find(({ size }, number) => number >= lowestClass && size > 0);
       if (waiting === undefined || this.spentMs >= limitMs) return;
       const [input] = waiting;
-      dequeue(input);
+      this.dequeue(input);
       this.parse(input);
       this.enqueue(input);
     }
@@ -140,10 +141,9 @@
     input.parse(SHARE_MS);
     this.endedMs = performance.now();
     this.spentMs += this.endedMs - startedMs;
-    this.count(input);
   }
 
-  private count(input: ConnectionInput, bytes = input.unreadBytes): void {
+  private count(input: ConnectionInput, bytes: number): void {
     const counted = input;
     this.unreadSumBytes += bytes - input.countedBytes;
     counted.countedBytes = bytes;
--- a/packages/response-ends/test/inputScheduler.test.ts
+++ b/packages/response-ends/test/inputScheduler.test.ts
@@ -116,6 +116,14 @@
     expect(scheduler.unreadBytes).toBe(0);
   });
 
+  // Guards against connections that are closed for the bytes of others, which wait for their callers to take answers.
+  test('counts no bytes of a connection that cannot be parsed now', () => {
+    fill();
+    const held = Object.defineProperty(open('held', 9), 'isReady', { value: false });
+    scheduler.add(held);
+    expect(scheduler.unreadBytes).toBe(0);
+  });
+
   test('knows which one costs most, and of several that with most bytes', () => {
     fill();
     const dear = open('dear', 1, { spentMs: 50 });
