A connection leaves its parser at one place

From the last reading: two places detached the input and told the server of it, and the example of chooseEvicted lacked the reason. No behaviour is changed.

--- a/packages/response-ends/src/CallerConnection.ts
+++ b/packages/response-ends/src/CallerConnection.ts
@@ -198,8 +198,7 @@
       socket.destroy();
       return;
     }
-    this.input.detach();
-    this.onDetached();
+    this.stopParsing();
     const headers = { connection: 'close', 'content-length': '0' };
     only.response.writeHead(SERVICE_UNAVAILABLE, headers).end();
     Socket.prototype.destroySoon.call(socket);
@@ -236,12 +235,16 @@
     behind.forEach(({ response }) => response.emit('close'));
   }
 
+  private stopParsing(): void {
+    this.input.detach();
+    this.onDetached();
+  }
+
   /** Takes the connection from the parser, which would serve what still arrives. That is read, as a close beside unread bytes is a reset. */
   private discardInput({ limitBytes }: Linger): void {
     const { socket } = this;
     let leftBytes = limitBytes;
-    this.input.detach();
-    this.onDetached();
+    this.stopParsing();
     socket.removeAllListeners('data');
     socket.on('data', (bytes: Buffer) => {
       leftBytes -= bytes.length;
--- a/packages/response-ends/src/chooseEvicted.ts
+++ b/packages/response-ends/src/chooseEvicted.ts
@@ -20,7 +20,7 @@
  * connection is returned.
  *
  * @example
- * chooseEvicted(connections)?.evict();
+ * chooseEvicted(connections)?.evict(EndReason.TooManyConnections);
  */
 const chooseEvicted = <C extends Connection>(
   /** All connections, the oldest first. */
