--- a/review/9/case.mjs
+++ b/review/9/case.mjs
@@ -2,12 +2,12 @@
 import process from 'node:process';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { fileURLToPath, URL } from 'node:url';
-import call from '../standins-2/client.mjs';
-import startLink from '../standins-2/link.mjs';
-import startMachines from '../standins-2/machines.mjs';
-import startPlain from '../standins-2/plain.mjs';
-import openRecord from '../standins-2/record.mjs';
-import startStore from '../standins-2/store.mjs';
+import call from '../client-2.mjs';
+import startLink from '../link-2.mjs';
+import startMachines from '../machines-2.mjs';
+import startPlain from '../plain-2.mjs';
+import openRecord from '../record-2.mjs';
+import startStore from '../store-2.mjs';
 
 const HAS_TROUBLE = process.env.TROUBLE !== '0';
 const ZONES = ['khomas-a', 'khomas-b', 'khomas-c'];
--- a/review/standins-2/engine.mjs
+++ b/review/engine-2.mjs
@@ -12,7 +12,7 @@
 const HOST = '127.0.0.1';
 const HEARTBEAT_MS = 1_200;
 const REPORT_LAG_MS = 200;
-const ACCEPTOR = fileURLToPath(new URL('acceptor.mjs', import.meta.url));
+const ACCEPTOR = fileURLToPath(new URL('acceptor-2.mjs', import.meta.url));
 
 /** `planOf` tells how a request is run: events, the time between them, and behind which one it is preempted, and for how long. */
 const startEngine = async ({ id, service, zone, model, store, planOf, onWork }) => {
--- a/review/standins-2/machines.mjs
+++ b/review/machines-2.mjs
@@ -10,7 +10,7 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { fileURLToPath, URL } from 'node:url';
 
-const ROOT = fileURLToPath(new URL('../..', import.meta.url));
+const ROOT = fileURLToPath(new URL('..', import.meta.url));
 const PORTS = { frontend: 8221, readiness: 8224, control: 8229, peers: 7600, metrics: 7610 };
 const READY_LIMIT_MS = 25_000;
 
