--- a/packages/edge/src/Edge.ts
+++ b/packages/edge/src/Edge.ts
@@ -236,7 +236,8 @@
     registerInstanceGauges(this.metrics, {
       version: () => this.storeView.desired?.version ?? 0,
       targets: () => this.table.size,
-      targetsAgeMs: () => this.clock.nowMs() - this.storeView.confirmedAtMs(StoreTopic.Targets),
+      targetsAgeMs: () => this.storeView.ageMs(StoreTopic.Targets),
+      operatorAgeMs: () => this.storeView.ageMs(StoreTopic.Operator),
       storeEra: () => this.storeView.era,
       isLeaseHeld: () => this.lease.isHeld(),
       instances: () => this.peers.instanceCount(PEER_SPENDING_TIMEOUT_MS),
@@ -299,7 +300,7 @@
     this.log.event('stopped', this.leftFields);
   }
 
-  /** Whether this instance reads the targets' entries from the store and relays them to the peers. */
+  /** Whether this instance reads the store for all: it relays the targets' entries, and tells how old its view of the operator's records is. */
   private get isStoreReader(): boolean {
     const { name } = this.options.member;
     const reachesStore = this.follower?.isReachable ?? false;
--- a/packages/edge/src/EdgePorts.ts
+++ b/packages/edge/src/EdgePorts.ts
@@ -24,7 +24,7 @@
   readonly wallClock: WallClock;
   readonly decoder: RecordDecoder;
   /**
-   * Starts to read the store into a sink; `isSharedReader` tells whether this instance reads the targets for all peers.
+   * Starts to read the store into a sink; `isSharedReader` tells whether this instance reads for all peers.
    */
   readonly followStore: (sink: RecordSink, isSharedReader: () => boolean) => StoreFollower;
 }
--- a/packages/edge/src/StoreView.ts
+++ b/packages/edge/src/StoreView.ts
@@ -15,6 +15,7 @@
 } from '@wisteriapath/fleet';
 import DrainedDomains from './DrainedDomains';
 import StoreReturn from './StoreReturn';
+import TargetEntryLog from './TargetEntryLog';
 import subtractAge from './subtractAge';
 
 interface Dependencies {
@@ -63,6 +64,8 @@
 
   private readonly storeReturn: StoreReturn;
 
+  private readonly entryLog: TargetEntryLog;
+
   /** Deletions of known targets that are not final yet, by id. */
   private readonly pendingRemovals = new Map<string, PendingRemoval>();
 
@@ -73,6 +76,7 @@
     const createReplica = () => new TopicReplica(deps.clock);
     this.drained = new DrainedDomains(deps.clock, () => this.applyDrainedDomains(STORE));
     this.storeReturn = new StoreReturn(deps.clock, deps.recoveryMs);
+    this.entryLog = new TargetEntryLog(deps.log);
     this.replicas = {
       [StoreTopic.Operator]: createReplica(),
       [StoreTopic.Targets]: createReplica(),
@@ -102,6 +106,11 @@
     return this.replicas[topic].confirmedAtMs;
   }
 
+  /** Time since a topic was known to be complete; Infinity before its first list. */
+  ageMs(topic: StoreTopic): number {
+    return this.deps.clock.nowMs() - this.confirmedAtMs(topic);
+  }
+
   behindSinceMs(topic: StoreTopic): number | undefined {
     return this.replicas[topic].behindSinceMs;
   }
@@ -119,6 +128,11 @@
     this.replicas[topic].confirmEnd(beganMs);
   }
 
+  /** Notes that a peer, which knows a topic up to a position, knew `ageMs` ago that nothing came after it. */
+  confirmFromPeer(topic: StoreTopic, position: StorePosition, ageMs: number): void {
+    this.replicas[topic].confirmPosition(position, this.deps.clock.nowMs() - ageMs);
+  }
+
   forgetPositions(topic: StoreTopic): void {
     const { end } = this.replicas[topic];
     const lost = { era: end?.era ?? 0, offset: end?.offset ?? 0 };
@@ -297,48 +311,15 @@
     const isColder = table.hasLongerColdTime(entry);
     if (!table.applyEntry(entry)) {
       this.ignoredKeys.add(entry.id);
-      this.logIgnored(entry, record, source);
+      this.entryLog.ignored(entry, record, source);
       return;
     }
     this.ignoredKeys.delete(entry.id);
     this.pendingRemovals.delete(entry.id);
     const isNewState =
       known?.isLeaving !== entry.isLeaving || typeof known.remainingMs !== typeof entry.remainingMs;
-    if (isNewState) this.logTarget(entry, record, source);
-    if (isColder) this.logCold(entry);
-  }
-
-  private logIgnored(
-    { id, pool, failureDomain, entryNumber, bornMs }: RegisteredTarget,
-    { position: { offset } }: KeyedRecord,
-    source: string,
-  ): void {
-    const said = { pool, zone: failureDomain, entry: entryNumber, born_ms: bornMs };
-    this.deps.log.event('target_entry_ignored', { target: id, ...said, offset, source });
-  }
-
-  private logTarget(
-    { id, pool, address, isLeaving, remainingMs, coldLeftMs, entryNumber }: RegisteredTarget,
-    { position: { offset }, ageMs }: KeyedRecord,
-    source: string,
-  ): void {
-    this.deps.log.event('target_seen', {
-      target: id,
-      pool,
-      address,
-      leaving: isLeaving,
-      ...(remainingMs !== undefined && { gone_in_ms: remainingMs ?? 'unusable' }),
-      cold_ms: coldLeftMs,
-      entry: entryNumber,
-      source,
-      offset,
-      age_ms: Math.round(ageMs),
-    });
-  }
-
-  private logCold({ id, coldLeftMs, entryNumber, bornMs }: RegisteredTarget): void {
-    const fields = { target: id, cold_ms: coldLeftMs, entry: entryNumber, born_ms: bornMs };
-    this.deps.log.event('target_cold', fields);
+    if (isNewState) this.entryLog.seen(entry, record, source);
+    if (isColder) this.entryLog.cold(entry);
   }
 
   /** Removes a target as soon as the deletion of its entry is final. */
--- a/packages/edge/src/createHeartbeatContent.ts
+++ b/packages/edge/src/createHeartbeatContent.ts
@@ -5,6 +5,7 @@
   type MemberRecord,
   packHeartbeatEnds,
   type StoreFollower,
+  StoreTopic,
   type TargetTable,
 } from '@wisteriapath/fleet';
 import type { SuspectRegistry } from '@wisteriapath/suspects';
@@ -40,9 +41,11 @@
   if (kind === HeartbeatKind.Own) limits.recordReport(usage);
   const held = lease.isCurrent ? lease.position : undefined;
   const usageDuty = duty?.content;
+  const operatorAgeMs = storeView.ageMs(StoreTopic.Operator);
   return {
     member,
     ...packHeartbeatEnds((topic) => storeView.end(topic)),
+    ...(Number.isFinite(operatorAgeMs) && { operatorAgeMs: Math.ceil(operatorAgeMs) }),
     reachesStore: follower?.isReachable ?? false,
     leavingTargets: table.selfDeclaredLeaving,
     suspects: repeatedSuspects(suspects),
--- a/packages/edge/src/createPeerHandlers.ts
+++ b/packages/edge/src/createPeerHandlers.ts
@@ -4,6 +4,7 @@
   type PeerHandlers,
   type Peers,
   type Placer,
+  heartbeatEnds,
   heartbeatLease,
   StoreTopic,
   suspectUpdateCodec,
@@ -34,6 +35,9 @@
   readonly peers: () => Peers;
 }
 
+/** Age of records that are relayed as soon as they are read. */
+const JUST_READ_MS = 0;
+
 /**
  * Creates the handlers of what peers send.
  *
@@ -49,6 +53,11 @@
     const claimed = isSameDomain ? heartbeatLease(heartbeat) : undefined;
     if (claimed !== undefined) lease.observeHolder(claimed);
     deps.usage()?.observeHeartbeat(heartbeat);
+    const { operatorAgeMs } = heartbeat;
+    if (operatorAgeMs !== undefined) {
+      const { operator } = heartbeatEnds(heartbeat);
+      deps.storeView.confirmFromPeer(StoreTopic.Operator, operator, operatorAgeMs);
+    }
     deps.catchUp.observe(heartbeat);
     // Instances of an earlier build do not say.
     deps.signals.recordFromPeer(heartbeat.leavingTargets ?? []);
@@ -63,7 +72,10 @@
     deps.demand.record(report);
     if (report.waiting.length > 0) deps.placer().schedulePlanning();
   },
-  targets: (span, sender) => deps.storeView.mergeFromPeer(StoreTopic.Targets, span, sender),
+  targets: (span, sender) => {
+    deps.storeView.mergeFromPeer(StoreTopic.Targets, span, sender);
+    deps.storeView.confirmFromPeer(StoreTopic.Targets, span.to, JUST_READ_MS);
+  },
   leavingTargets: (targets) => deps.signals.recordFromPeer(targets),
   forecast: (forecast) => deps.table.forecasts.record(forecast),
   placement: (updates) => updates.forEach((update) => deps.table.applyPlacement(update)),
--- a/packages/edge/src/createScaler.ts
+++ b/packages/edge/src/createScaler.ts
@@ -19,7 +19,7 @@
   readonly ports: EdgePorts;
   readonly authority: Authority;
   readonly metrics: EdgeMetrics;
-  readonly storeView: Pick<StoreView, 'desired' | 'confirmedAtMs'>;
+  readonly storeView: Pick<StoreView, 'desired' | 'ageMs'>;
   readonly isStoreReachable: () => boolean;
   readonly peers: Peers;
 }
@@ -51,7 +51,7 @@
       ...deps,
       api,
       desired: () => storeView.desired,
-      viewAgeMs: () => deps.clock.nowMs() - storeView.confirmedAtMs(StoreTopic.Targets),
+      viewAgeMs: () => storeView.ageMs(StoreTopic.Targets),
       instances: () => peers.instanceCount(INSTANCE_TIMEOUT_MS),
       onAnswer: (pool, answer) => metrics.scaleOrders.inc({ pool, answer }),
     },
--- a/packages/edge/src/registerInstanceGauges.ts
+++ b/packages/edge/src/registerInstanceGauges.ts
@@ -7,6 +7,8 @@
   readonly targets: () => number;
   /** Time since the list of targets was known to be complete. */
   readonly targetsAgeMs: () => number;
+  /** Time since the operator's records were known to be complete. */
+  readonly operatorAgeMs: () => number;
   /** The oldest era of the store in which a topic is known. */
   readonly storeEra: () => number;
   readonly isLeaseHeld: () => boolean;
@@ -21,7 +23,7 @@
  * Registers gauges for the state of an instance.
  *
  * @example
- * registerInstanceGauges(metrics, { version: () => 3, targets, targetsAgeMs, storeEra, isLeaseHeld, instances, quarantinedTraits, slowTargets });
+ * registerInstanceGauges(metrics, { version: () => 3, targets, targetsAgeMs, operatorAgeMs, storeEra, isLeaseHeld, instances, quarantinedTraits, slowTargets });
  */
 const registerInstanceGauges = (metrics: EdgeMetrics, state: InstanceState): void => {
   metrics.gauge('desired_version', 'Version of the desired state in force', state.version);
@@ -31,6 +33,11 @@
     'Time since the list of targets was known to be complete',
     () => state.targetsAgeMs() / MS_PER_S,
   );
+  metrics.gauge(
+    'operator_records_age_seconds',
+    "Time since the operator's records, such as the desired state, were known to be complete",
+    () => state.operatorAgeMs() / MS_PER_S,
+  );
   metrics.gauge(
     'store_era',
     'Era of the store in which its records are known; rises each time it comes back from an older copy',
--- a/packages/fleet/src/Heartbeat.ts
+++ b/packages/fleet/src/Heartbeat.ts
@@ -11,6 +11,11 @@
   readonly operatorOffset: number;
   /** Era of the store to which that offset belongs; absent from heartbeats of an earlier build. */
   readonly operatorEra?: number;
+  /**
+   * Time since the latest moment at which these are known to have been all; absent before the first list, and from
+   * heartbeats of an earlier build.
+   */
+  readonly operatorAgeMs?: number;
   /** Store offset up to which the sender knows the targets' records. Read it by `heartbeatEnds`. */
   readonly targetsOffset: number;
   /** Era of the store to which that offset belongs; absent from heartbeats of an earlier build. */
--- a/packages/fleet/src/RecordSink.ts
+++ b/packages/fleet/src/RecordSink.ts
@@ -6,7 +6,7 @@
 interface RecordSink {
   /** Position up to which all records of a topic are known; undefined before its first list of all keys. */
   end(topic: StoreTopic): StorePosition | undefined;
-  /** When a topic was last known to be complete, on the monotonic clock; -Infinity before its first list. */
+  /** Latest time at which a topic is known to have been complete, on the monotonic clock; -Infinity before its first list. */
   confirmedAtMs(topic: StoreTopic): number;
   /** Since when records of a topic are known to be missing, on the monotonic clock; undefined if none are. */
   behindSinceMs(topic: StoreTopic): number | undefined;
--- a/packages/fleet/src/TopicReplica.ts
+++ b/packages/fleet/src/TopicReplica.ts
@@ -57,7 +57,7 @@
     return this.next;
   }
 
-  /** When the replica was last known to be complete, on the monotonic clock; -Infinity before the first list. */
+  /** Latest time at which the replica is known to have been complete, on the monotonic clock; -Infinity before the first list. */
   get confirmedAtMs(): number {
     return this.confirmedMs;
   }
@@ -86,11 +86,21 @@
    * replica. What another instance was said to have read further before it began is not so.
    */
   confirmEnd(beganMs: number): void {
+    this.confirmedMs = Math.max(this.confirmedMs, beganMs);
     if (this.furthest === undefined || this.furthest.heardAtMs >= beganMs) return;
     this.furthest = undefined;
     this.behindSince = undefined;
   }
 
+  /**
+   * Notes that another instance, which has read up to a position, knew at `atMs` on the monotonic clock that nothing came
+   * after it. That says something of this replica only if it ends there, too.
+   */
+  confirmPosition(position: StorePosition, atMs: number): void {
+    if (this.next === undefined || comparePositions(position, this.next) !== 0) return;
+    this.confirmedMs = Math.max(this.confirmedMs, atMs);
+  }
+
   /** Forgets all positions, but no content, so that the next list of all keys counts as newer than what is known. */
   forgetPositions(): void {
     if (this.next === undefined) return;
@@ -205,7 +215,6 @@
     if (order < 0) return;
     if (span.from === null && order > 0) this.forgottenBefore = span.to;
     this.next = span.to;
-    this.confirmedMs = this.clock.nowMs();
     if (this.furthest !== undefined && isBefore(this.next, this.furthest.position)) return;
     this.furthest = undefined;
     this.behindSince = undefined;
--- a/packages/fleet/src/readHeartbeat.ts
+++ b/packages/fleet/src/readHeartbeat.ts
@@ -15,7 +15,12 @@
   'counted',
 ];
 /** Present since a later build. */
-const OPTIONAL_INTEGERS: readonly (keyof Heartbeat)[] = ['operatorEra', 'targetsEra', 'leaseEra'];
+const OPTIONAL_INTEGERS: readonly (keyof Heartbeat)[] = [
+  'operatorEra',
+  'operatorAgeMs',
+  'targetsEra',
+  'leaseEra',
+];
 /** More instances than a fleet can have. */
 const MAX_COUNTED = 1_000_000;
 const LISTS: readonly (keyof Heartbeat)[] = ['holderHeard', 'placers'];
@@ -31,6 +36,7 @@
     isMember(heartbeat?.member) &&
     INTEGERS.every((key) => Number.isSafeInteger(heartbeat?.[key])) &&
     OPTIONAL_INTEGERS.every((key) => Number.isSafeInteger(heartbeat[key] ?? 0)) &&
+    (heartbeat.operatorAgeMs ?? 0) >= 0 &&
     heartbeat.counted >= 0 &&
     heartbeat.counted <= MAX_COUNTED &&
     LISTS.every((key) => Array.isArray(heartbeat?.[key])) &&
--- a/packages/fleet/test/topicReplica.test.ts
+++ b/packages/fleet/test/topicReplica.test.ts
@@ -228,3 +228,21 @@
   replica.merge(topic.list(), () => false);
   expect([replica.end, contentOf(instance.since(null))]).toEqual([at(2), ['a=ready', 'b=ready']]);
 });
+
+test('a replica is known to be complete by a read to its end, or by an instance that ends at the same position', async () => {
+  const clock = new VirtualClock();
+  const replica = new TopicReplica(clock);
+  const topic = new FakeTopic();
+  topic.write('a', 'ready');
+  await clock.advance(100);
+  replica.merge(topic.list(), () => false);
+  expect(replica.confirmedAtMs).toBe(-Infinity);
+  replica.confirmEnd(90);
+  expect(replica.confirmedAtMs).toBe(90);
+  [at(0), at(2), at(1, 2)].forEach((position) => replica.confirmPosition(position, 95));
+  expect(replica.confirmedAtMs).toBe(90);
+  replica.confirmPosition(at(1), 95);
+  expect(replica.confirmedAtMs).toBe(95);
+  replica.confirmPosition(at(1), 80);
+  expect(replica.confirmedAtMs).toBe(95);
+});
