Own protocol: who waits for a record is not held up by a read on a silent connection

Callers saw: a call that may run once was refused at its deadline (503, the log cannot be reached), and a repeat of one was told that the first had not ended, for up to 12 s after the connection on which an instance reads claims had gone silent; the log was up and took the claim. Cause: the same as of the operator's records: one read waits up to 10 s for the next claim, with 2 s more as its time limit, and nothing else shows that its connection lives. "Nothing depends on the age of a claims stream" left out the callers who wait for their own record. Change: while somebody waits for a replica, its reads wait at most 1 s, a longer one that began before is ended after 300 ms, and one that is not answered 1 s after its wait is over is begun anew. A replica that nobody waits for reads as seldom as before. Evidence: claimOnSilentRead failed in 2 of 3 rows before (refused after 4 s; the outcome not seen), passes after; its third row guards the number of reads (passed before and after). 125 tests of log-client, routing, daemon, config, ledger and cli (claims, whole path) passed.

--- a/packages/daemon/src/registerPlatform.ts
+++ b/packages/daemon/src/registerPlatform.ts
@@ -14,7 +14,7 @@
 import RoleDirectory from './RoleDirectory';
 
 const SECOND_MS = 1_000;
-/** A long poll may be long here: nothing depends on the age of a claims stream, only on its records. */
+/** A long poll may be long here: the age of a claims stream matters only to those who wait for a record, and they shorten it. */
 const CLAIMS_LONG_POLL_MS = 10_000;
 
 /**
--- a/packages/log-client/src/StreamReplica.ts
+++ b/packages/log-client/src/StreamReplica.ts
@@ -1,6 +1,8 @@
+import type { Maybe } from 'purify-ts';
 import type { Clock, Deadline } from '@wisteriapath/model';
 import type Fold from './Fold';
 import type FoldedStream from './FoldedStream';
+import type LogBatch from './LogBatch';
 import type LogPort from './LogPort';
 import type LogRecord from './LogRecord';
 import type RecordVerdict from './RecordVerdict';
@@ -14,19 +16,31 @@
 const RETRY_BASE_MS = 50;
 const RETRY_MAX_MS = 1_000;
 const MAX_RELAY_WINDOW_RECORDS = 1_024;
+/** Time in which a record that is waited for usually arrives, by the read in progress. */
+const USUAL_ARRIVAL_MS = 300;
+/** Time beyond its wait after which a read is not answered any more. */
+const READ_OVERDUE_MS = 1_000;
 
 interface Options<S> {
   /** Returns a state at a later offset, if one is available, to skip records that have expired. */
   readonly recover?: () => Promise<FoldedStream<S> | undefined>;
   /**
-   * How long one read waits for a record. The replica's view of the end of the log may be as old as
-   * this.
+   * How long one read waits for a record while nobody waits for the replica. Its view of the end of the log may be as
+   * old as this, and older where a connection has gone silent.
    */
   readonly longPollMs?: number;
   /** Serializes the state for peers that lack the records to build it themselves. */
   readonly codec?: SnapshotCodec<S>;
 }
 
+/** The read in progress. */
+interface Reading {
+  readonly beganMs: number;
+  readonly waitMs: number;
+  /** Ends it, so that the next read begins. */
+  readonly end: () => void;
+}
+
 /**
  * A local replica of the state of a stream. It follows the log and also accepts records of peers.
  */
@@ -54,6 +68,11 @@
 
   private tailTask: Promise<void> | undefined;
 
+  private reading: Reading | undefined;
+
+  /** Number of callers that wait for a change. */
+  private waiters = 0;
+
   constructor(
     private readonly log: LogPort,
     readonly stream: string,
@@ -112,13 +131,19 @@
     return () => this.listeners.delete(listener);
   }
 
-  /** Resolves to true once `condition` holds, or to false if the deadline passes first. */
+  /**
+   * Resolves to true once `condition` holds, or to false if the deadline passes first. Meanwhile reads that may be on a
+   * silent connection are begun anew.
+   */
   async waitUntil(condition: () => boolean, deadline: Deadline): Promise<boolean> {
     if (condition()) return true;
     return new Promise((resolve) => {
       const timeout = new AbortController();
       let remove = () => {};
+      this.waiters += 1;
+      void this.renewReads(timeout.signal);
       const finish = (isConditionMet: boolean) => {
+        if (!timeout.signal.aborted) this.waiters -= 1;
         remove();
         timeout.abort();
         resolve(isConditionMet);
@@ -188,6 +213,7 @@
   /** Stops following the log and waits for the read in progress. */
   async stop(): Promise<void> {
     this.stopController.abort();
+    this.reading?.end();
     await this.tailTask;
   }
 
@@ -195,18 +221,49 @@
     const { signal } = this.stopController;
     let failures = 0;
     while (!signal.aborted) {
-      const read = await this.readOnce(signal);
+      const read = await this.readOnce();
       failures = read ? 0 : failures + 1;
       if (!read) await this.clock.sleep(backoffMs(failures, RETRY_BASE_MS, RETRY_MAX_MS), signal);
     }
   }
 
+  /**
+   * Ends reads that would be answered late or never, until `signal` is aborted: one that began to wait for long before
+   * somebody waited, as it cannot be told whether its connection is silent, and one whose wait is over.
+   */
+  private async renewReads(signal: AbortSignal): Promise<void> {
+    for (;;) {
+      await this.clock.sleep(USUAL_ARRIVAL_MS, signal);
+      if (signal.aborted) return;
+      const { reading } = this;
+      const ageMs = this.clock.nowMs() - (reading?.beganMs ?? Infinity);
+      const hasLongWait = (reading?.waitMs ?? 0) > DEFAULT_LONG_POLL_MS;
+      if (hasLongWait || ageMs > (reading?.waitMs ?? 0) + READ_OVERDUE_MS) reading?.end();
+    }
+  }
+
+  /** How long the next read waits for a record; not long while somebody waits for the replica. */
+  private get nextWaitMs(): number {
+    const { longPollMs = DEFAULT_LONG_POLL_MS } = this.options;
+    if (!this.isCaughtUp) return 0;
+    return this.waiters > 0 ? Math.min(DEFAULT_LONG_POLL_MS, longPollMs) : longPollMs;
+  }
+
+  /** Reads a batch; the read can be ended by `reading.end`. */
+  private async readBatch(from: number): Promise<Maybe<LogBatch>> {
+    const waitMs = this.nextWaitMs;
+    const renewal = new AbortController();
+    this.reading = { beganMs: this.clock.nowMs(), waitMs, end: () => renewal.abort() };
+    const read = await this.log.read(this.stream, from, waitMs, renewal.signal);
+    this.reading = undefined;
+    return read;
+  }
+
   /** Reads and folds one batch. Returns false if the log was unreachable or a gap remains. */
-  private async readOnce(signal: AbortSignal): Promise<boolean> {
+  private async readOnce(): Promise<boolean> {
     const from = this.folded.nextOffset;
     const startedMs = this.clock.nowMs();
-    const waitMs = this.isCaughtUp ? (this.options.longPollMs ?? DEFAULT_LONG_POLL_MS) : 0;
-    const read = await this.log.read(this.stream, from, waitMs, signal);
+    const read = await this.readBatch(from);
     if (read.isNothing()) return false;
     const batch = read.unsafeCoerce();
     if (batch.firstOffset > this.folded.nextOffset && !(await this.recoverGap(batch.firstOffset))) {
