A restarted lease holder no longer counts acknowledgements of its former life

Cause: a heartbeat states which holder its sender heard last, by name and number. Numbers begin anew at a restart and the name stays, so the old number of a former life counted as an acknowledgement as soon as the new life had sent a heartbeat with that number, whoever heard it; that moment then stood for the last contact, which gives authority. Change: what was heard is bound to the incarnation (HeardHeartbeat); one without is of an earlier build and gives no contact. Ruled out on reading, as their counts are bound to an incarnation, a stamp or an age: usage of workspaces, placement, demand reports, forecasts, usage duty. The files of Peers had grown: createPeer and the test's fixtures are modules of their own. A row for an age below 0 joins the malformed heartbeats.

--- a/packages/fleet/src/Heartbeat.ts
+++ b/packages/fleet/src/Heartbeat.ts
@@ -1,3 +1,4 @@
+import type HeardHeartbeat from './HeardHeartbeat';
 import type HeartbeatKind from './HeartbeatKind';
 import type MemberRecord from './MemberRecord';
 import type SuspectMessage from './SuspectMessage';
@@ -40,11 +41,8 @@
   readonly isReady?: boolean;
   /** Sequence number. Increases with each heartbeat of one incarnation. */
   readonly number: number;
-  /**
-   * Name of the last lease holder that the sender received a heartbeat from, and the number of that
-   * heartbeat.
-   */
-  readonly holderHeard: readonly [string, number];
+  /** The last heartbeat of a lease holder that the sender received. */
+  readonly holderHeard: HeardHeartbeat;
   /** Which instances' usage the heartbeat reports. */
   readonly kind: HeartbeatKind;
   /**
--- a/packages/fleet/src/Peers.ts
+++ b/packages/fleet/src/Peers.ts
@@ -1,6 +1,7 @@
 import { createSocket, type Socket } from 'node:dgram';
 import { decode, encode } from '@msgpack/msgpack';
 import type { Clock } from '@wisteriapath/model';
+import type HeardHeartbeat from './HeardHeartbeat';
 import type Heartbeat from './Heartbeat';
 import type HeartbeatContent from './HeartbeatContent';
 import HeartbeatKind from './HeartbeatKind';
@@ -17,6 +18,7 @@
 import type PlacementUpdate from './PlacementUpdate';
 import type UsageMessage from './UsageMessage';
 import type WallClock from './WallClock';
+import createPeer from './createPeer';
 import createMessageReaders from './createMessageReaders';
 import FULL_MESH_MAX_INSTANCES from './fullMeshMaxInstances';
 import heartbeatRecipients from './heartbeatRecipients';
@@ -30,6 +32,8 @@
 
 interface Options {
   readonly name: string;
+  /** Differs at each start of the process. */
+  readonly incarnation: string;
   readonly failureDomain: string;
   readonly host: string;
   /** UDP port, the same on all instances. */
@@ -87,8 +91,8 @@
 
   private heartbeatNumber = 0;
 
-  /** Name of the last lease holder that sent a heartbeat, and the number of that heartbeat. */
-  private holderHeard: readonly [string, number] = ['', 0];
+  /** The last heartbeat of a lease holder that was received. */
+  private holderHeard: HeardHeartbeat = ['', 0];
 
   constructor(
     private readonly options: Options,
@@ -380,9 +384,10 @@
     peer.lease = heartbeatLease(heartbeat);
     peer.counted = heartbeat.counted;
     const isLocalHolder = this.isLocal(member) && peer.lease !== undefined;
-    if (isLocalHolder) this.holderHeard = [member.name, heartbeat.number];
-    const [holder, number] = heartbeat.holderHeard;
-    if (holder === this.options.name) peer.ackedNumber = Math.max(peer.ackedNumber, number);
+    if (isLocalHolder) this.holderHeard = [member.name, heartbeat.number, member.incarnation];
+    const [holder, number, incarnation] = heartbeat.holderHeard;
+    const isOwn = holder === this.options.name && incarnation === this.options.incarnation;
+    if (isOwn) peer.ackedNumber = Math.max(peer.ackedNumber, number);
     this.announceToPlacers(heartbeat.placers);
     this.parts.handlers.heartbeat(heartbeat);
   }
@@ -400,18 +405,10 @@
   }
 
   private addPeer(member: MemberRecord, lastHeartbeatMs: number): Peer {
-    const peer = {
-      member,
+    const peer = createPeer(member, {
       lastHeartbeatMs,
       lastHeartbeatWallMs: this.parts.wallClock(),
-      newestNumber: 0,
-      isStopping: false,
-      isReady: false,
-      reachesStore: false,
-      lease: undefined,
-      counted: 0,
-      ackedNumber: 0,
-    };
+    });
     this.peers.set(member.name, peer);
     this.contact.notePeer(member);
     const { name, host, incarnation } = member;
--- a/packages/fleet/test/peers.test.ts
+++ b/packages/fleet/test/peers.test.ts
@@ -2,107 +2,19 @@
 import { createSocket } from 'node:dgram';
 import { encode } from '@msgpack/msgpack';
 import { systemClock } from '@wisteriapath/model';
-import {
-  DemandAggregator,
-  type DigestRow,
-  type Heartbeat,
-  type HeartbeatContent,
-  HeartbeatKind,
-  type MemberRecord,
-  type PeerHandlers,
-  PeerMessageKind,
-  Peers,
-} from '../src';
+import { DemandAggregator, type DigestRow, PeerMessageKind, type Peers } from '../src';
+import loopbackPeers from './support/loopbackPeers';
 
-const DOMAINS = ['a', 'b'];
-const INSTANCES_PER_DOMAIN = 10;
+const {
+  DOMAINS,
+  INSTANCES_PER_DOMAIN,
+  HEARTBEAT_INTERVAL_MS,
+  MEMBERS,
+  freePort,
+  heartbeatOf,
+  startPeers,
+} = loopbackPeers;
 const LONG_MS = 10_000;
-const HEARTBEAT_INTERVAL_MS = 40;
-
-const freePort = (): Promise<number> =>
-  new Promise((resolve) => {
-    const socket = createSocket('udp4');
-    socket.bind(0, '127.0.0.1', () => {
-      const { port } = socket.address();
-      socket.close(() => resolve(port));
-    });
-  });
-
-const MEMBERS: readonly MemberRecord[] = DOMAINS.flatMap((failureDomain, domain) =>
-  Array.from({ length: INSTANCES_PER_DOMAIN }, (_, index) => ({
-    name: `${failureDomain}${index}`,
-    incarnation: '1',
-    failureDomain,
-    host: `127.0.${domain + 1}.${index + 1}`,
-    cores: 1,
-  })),
-);
-
-const heartbeatOf = (member: MemberRecord, number: number): Heartbeat => ({
-  member,
-  operatorOffset: 0,
-  targetsOffset: 0,
-  reachesStore: true,
-  leavingTargets: [],
-  suspects: null,
-  leaseOffset: -1,
-  isStopping: false,
-  usage: [],
-  number,
-  holderHeard: ['', 0],
-  kind: HeartbeatKind.Own,
-  placers: [],
-  counted: 1,
-});
-
-const startPeers = async (
-  member: MemberRecord,
-  port: number,
-  handlers: Partial<PeerHandlers> = {},
-  isStopping = () => false,
-): Promise<Peers> => {
-  const isPlacer = member.name.endsWith('0');
-  const content: HeartbeatContent = {
-    member,
-    operatorOffset: 0,
-    targetsOffset: 0,
-    reachesStore: true,
-    leavingTargets: [],
-    suspects: null,
-    leaseOffset: isPlacer ? 1 : -1,
-    isStopping: false,
-    usage: [],
-  };
-  const peers = new Peers(
-    {
-      name: member.name,
-      failureDomain: member.failureDomain,
-      host: member.host,
-      port,
-      heartbeatIntervalMs: HEARTBEAT_INTERVAL_MS,
-      seedHosts: [],
-    },
-    {
-      clock: systemClock,
-      wallClock: Date.now,
-      log: { event: () => {} },
-      heartbeatContent: () => ({ ...content, isStopping: isStopping(), isReady: !isStopping() }),
-      handlers: {
-        heartbeat: () => {},
-        demand: () => {},
-        placement: () => {},
-        forecast: () => {},
-        targets: () => {},
-        suspects: () => {},
-        leavingTargets: () => {},
-        targetDigest: () => {},
-        ...handlers,
-      },
-    },
-  );
-  await peers.start();
-  return peers;
-};
 
 test('a heartbeat that arrives after a newer one of the same run is ignored', async () => {
   const port = await freePort();
@@ -136,6 +48,7 @@
   { what: 'an era of the lease that is none', more: { leaseEra: 'x' } },
   { what: 'an era of the operator that is none', more: { operatorEra: 'x' } },
   { what: 'an era of the targets that is none', more: { targetsEra: 0.5 } },
+  { what: 'an age of the operator below 0', more: { operatorAgeMs: -1 } },
   { what: 'no placers', more: { placers: null } },
   { what: 'a placer without a host', more: { placers: [{ name: 'b0' }] } },
 ])('a heartbeat with $what leaves the sending and counting of others as it was', async (bad) => {
