An engine that opens no new connections, but works over open ones, is not taken for out of reach

Cause: questions about runs go over new connections; three that do not open within 0.3 s each count as an engine out of reach, whose runs are over. An engine whose queue of new connections is full looks the same, though its open connections carry bytes all the while. Change: an engine from which bytes came over any connection while the new ones failed is reached, and has only not answered (RunQuestions.confirm, TargetLoads.lastByteAtMs, bound to the engine's life). Both users of the questions, stalled streams and broken runs, go through it. Open: an engine with a single stream, which is preempted, sends nothing over any connection, and cannot be told from one that is cut off; its stream still moves.

--- a/packages/edge/src/Edge.ts
+++ b/packages/edge/src/Edge.ts
@@ -217,7 +217,7 @@
           log.event('memory_given_up', { bytes, held, limit }),
       ),
       suspects: this.suspects,
-      probe: new TargetProbe(ports.engineControl, clock),
+      probe: new TargetProbe(ports.engineControl, clock, (one) => this.loads.lastByteAtMs(one)),
       connections,
       signals: this.signals,
       connectionLimit: (maxConnections) => connectionShare(maxConnections, instances()),
--- a/packages/edge/src/RunQuestions.ts
+++ b/packages/edge/src/RunQuestions.ts
@@ -12,6 +12,8 @@
   readonly clock: Clock;
   readonly control: Pick<EngineControl, 'runs'>;
   readonly open: typeof probeConnection;
+  /** When the last byte arrived from an engine over any connection, on the monotonic clock. */
+  readonly lastByteAtMs: (engine: RegisteredTarget) => number;
 }
 
 interface Question {
@@ -67,19 +69,29 @@
     const answer = this.parts.control.runs(engine).finally(() => answered.abort());
     const first = await Promise.race([answer, this.findOutOfReach(engine, answered.signal)]);
     const runs = first ?? (await answer);
-    const contact = await confirmContact(runs.contact, engine.address, this.parts.open);
-    return { ...runs, contact };
+    return { ...runs, contact: await this.confirm(runs.contact, engine) };
+  }
+
+  /**
+   * Finds out whether an engine that did not answer is out of reach. One that opens no new connections may still work over those that are
+   * open: if bytes came over one of them meanwhile, it is reached, and has only not answered.
+   */
+  private async confirm(contact: EngineContact, engine: RegisteredTarget): Promise<EngineContact> {
+    const { clock, open, lastByteAtMs } = this.parts;
+    const beganMs = clock.nowMs();
+    const confirmed = await confirmContact(contact, engine.address, open);
+    const isReached = lastByteAtMs(engine) >= beganMs;
+    return confirmed === EngineContact.Unreachable && isReached ? EngineContact.Silent : confirmed;
   }
 
   /** Resolves to nothing if the engine answers soon, or can be reached. */
   private async findOutOfReach(
-    { address }: RegisteredTarget,
+    engine: RegisteredTarget,
     answered: AbortSignal,
   ): Promise<EngineRuns | undefined> {
-    const { clock, open } = this.parts;
-    await clock.sleep(QUIET_MS, answered);
+    await this.parts.clock.sleep(QUIET_MS, answered);
     if (answered.aborted) return undefined;
-    const contact = await confirmContact(EngineContact.Silent, address, open);
+    const contact = await this.confirm(EngineContact.Silent, engine);
     return FINAL.has(contact) ? { contact, unlisted: 0 } : undefined;
   }
 }
--- a/packages/edge/src/TargetLoads.ts
+++ b/packages/edge/src/TargetLoads.ts
@@ -197,6 +197,12 @@
     return this.table.get(id)?.entry.failureDomain ?? '';
   }
 
+  /** When the last byte arrived from a target in the life of an entry, on the monotonic clock; -Infinity if none has. */
+  lastByteAtMs({ id, bornMs }: Pick<RegisteredTarget, 'id' | 'bornMs'>): number {
+    const load = this.loads.get(id);
+    return load?.bornMs === bornMs ? load.lastByteAtMs : -Infinity;
+  }
+
   /** The requests in progress, as `[target, model, adapter or '', count]`. */
   get running(): readonly (readonly [string, string, string, number])[] {
     return this.current.flatMap(([id, { running }]) =>
@@ -247,7 +253,7 @@
       unanswered: new Set(),
       othersLoad: 0,
       reportedAtMs: 0,
-      lastByteAtMs: 0,
+      lastByteAtMs: -Infinity,
       unreachableUntilMs: 0,
       silentUntilMs: 0,
       silences: 0,
--- a/packages/edge/src/TargetProbe.ts
+++ b/packages/edge/src/TargetProbe.ts
@@ -16,8 +16,13 @@
 
   private readonly runQuestions: RunQuestions;
 
-  constructor(control: EngineControl, clock: Clock) {
-    this.runQuestions = new RunQuestions({ clock, control, open: probeConnection });
+  constructor(
+    control: EngineControl,
+    clock: Clock,
+    /** When the last byte arrived from an engine, on the monotonic clock. */
+    lastByteAtMs: (engine: RegisteredTarget) => number,
+  ) {
+    this.runQuestions = new RunQuestions({ clock, control, open: probeConnection, lastByteAtMs });
   }
 
   /** Asks an engine which requests it works on. Never rejects. */
--- a/packages/edge/test/runQuestions.test.ts
+++ b/packages/edge/test/runQuestions.test.ts
@@ -35,8 +35,11 @@
 
 const neverOpens = () => Promise.resolve<ConnectionProbe>(EngineContact.Unopened);
 
-const questionsTo = (control: Parts['control'], open: Parts['open'] = neverOpens) =>
-  new RunQuestions({ clock: systemClock, control, open });
+const questionsTo = (
+  control: Parts['control'],
+  open: Parts['open'] = neverOpens,
+  lastByteAtMs: Parts['lastByteAtMs'] = () => -Infinity,
+) => new RunQuestions({ clock: systemClock, control, open, lastByteAtMs });
 
 describe('questions to an engine', () => {
   test('those who ask while one is open share the next', async () => {
@@ -65,6 +68,20 @@
     },
   );
 
+  // Guards that a run is not taken for over because its engine accepts no new connections: it went on at two engines (review/7, TWICE).
+  test.each([
+    ['meanwhile', () => systemClock.nowMs(), EngineContact.Silent],
+    ['before', () => 0, EngineContact.Unreachable],
+  ])(
+    'an engine that opens no connection, from which bytes came over another one %s',
+    async (_, lastByteAtMs, contact) => {
+      const engine = createEngine();
+      const runs = questionsTo(engine.control, neverOpens, lastByteAtMs).ask(ENGINE);
+      await engine.answer(EngineContact.Unopened, 0);
+      expect(await runs).toMatchObject({ contact });
+    },
+  );
+
   test('a late answer counts while connections open', async () => {
     const engine = createEngine();
     const opens = () => Promise.resolve<ConnectionProbe>(EngineContact.Silent);
