Own protocol: a silent connection between instances is noticed within 3 s

Callers could see: budgets and slots of a holder behind a connection that had gone silent were out of reach for up to 7 s, and calls that need them waited or were refused. Change: it is tried after 1 s without bytes; the time limit of 2 s stays, so that a busy process is not taken for a silent one more often.

--- a/packages/peer/src/PeerClients.ts
+++ b/packages/peer/src/PeerClients.ts
@@ -1,11 +1,16 @@
 import { credentials } from '@grpc/grpc-js';
 import { PeerClient } from './generated/peer';
 
+/** Time without bytes after which a connection is tried, while calls are open. */
+const KEEP_ALIVE_INTERVAL_MS = 1_000;
+/** Time without an answer to that after which a connection counts as silent and is replaced. */
+const KEEP_ALIVE_TIMEOUT_MS = 2_000;
+
 const CHANNEL_OPTIONS = {
   'grpc.initial_reconnect_backoff_ms': 100,
   'grpc.max_reconnect_backoff_ms': 1_000,
-  'grpc.keepalive_time_ms': 5_000,
-  'grpc.keepalive_timeout_ms': 2_000,
+  'grpc.keepalive_time_ms': KEEP_ALIVE_INTERVAL_MS,
+  'grpc.keepalive_timeout_ms': KEEP_ALIVE_TIMEOUT_MS,
   'grpc.max_receive_message_length': 64 * 1_024 * 1_024,
 };
 
