Connections of callers are limited by the heap of the process, too

Cause: the limit of connections followed the machine's memory (2,408 there), but what they take is the heap, which is 160 MB on every machine. Change: the limit is the least of memory, descriptors and heap, less what the process itself needs (ProcessLimits, read in one place). Machines of up to 350 MB keep theirs: 1,400.

--- a/packages/daemon/src/startInstance.ts
+++ b/packages/daemon/src/startInstance.ts
@@ -6,7 +6,7 @@
 import { appendUntilSettled, RecordIds, OutcomeKind } from '@wisteriapath/log-client';
 import { Deadline, systemClock } from '@wisteriapath/model';
 import { startPeerServer } from '@wisteriapath/peer';
-import { callerConnectionLimits, readDescriptorLimit } from '@wisteriapath/response-ends';
+import { callerConnectionLimits, readProcessLimits } from '@wisteriapath/response-ends';
 import CallerApi from './CallerApi';
 import type InstanceComponents from './InstanceComponents';
 import InstancePeerHandlers from './InstancePeerHandlers';
@@ -201,7 +201,7 @@
   const checkpointTask = new AbortController();
   void writeCheckpoints(components, checkpointTask.signal);
   const callerApi = createCallerApi(components, isReady, () => isStopping);
-  const limits = callerConnectionLimits(memoryLimitBytes(settings), readDescriptorLimit());
+  const limits = callerConnectionLimits(readProcessLimits(memoryLimitBytes(settings)));
   const onClosed = recordClosed(components);
   const listen = async (address: string, handler: RequestListener) => {
     const listener = await HttpListener.open(address, handler, (bytes) =>
--- a/packages/edge/src/CallerListener.ts
+++ b/packages/edge/src/CallerListener.ts
@@ -5,7 +5,7 @@
   callerConnectionLimits,
   ClosedConnectionSummary,
   EndReason,
-  readDescriptorLimit,
+  readProcessLimits,
 } from '@wisteriapath/response-ends';
 import CallerExchange from './CallerExchange';
 import type EdgeDependencies from './EdgeDependencies';
@@ -92,7 +92,7 @@
       this.unanswered.record(unanswered, { id: this.idOf(request), step });
     });
     listener.server.limitUse(
-      callerConnectionLimits(this.memoryLimitBytes, readDescriptorLimit()),
+      callerConnectionLimits(readProcessLimits(this.memoryLimitBytes)),
       (closed) => {
         deps.metrics.closedConnections.inc({ reason: closed.reason });
         this.closed.record(closed);
--- a/packages/response-ends/src/callerConnectionLimits.ts
+++ b/packages/response-ends/src/callerConnectionLimits.ts
@@ -1,7 +1,11 @@
 import type ConnectionLimits from './ConnectionLimits';
+import type ProcessLimits from './ProcessLimits';
 
 /** Fraction of the process's memory for connections of callers and the heads of their requests. */
 const CONNECTION_MEMORY_FRACTION = 0.25;
+/** The same of its heap, which does not grow with the memory of the machine, beyond what the process itself needs. */
+const CONNECTION_HEAP_FRACTION = 0.65;
+const OWN_HEAP_BYTES = 24 * 1_048_576;
 /** A connection with a head of 8 kB in many small lines takes about 60 kB of the heap. */
 const CONNECTION_BYTES = 65_536;
 /** Fraction of the process's memory for bytes that were read from connections and not parsed. A connection holds up to 80 kB of them. */
@@ -20,23 +24,25 @@
  * without end; a client that sends one request on one connection does not come near.
  *
  * @example
- * callerConnectionLimits(367_001_600, 20_000); // { connections: 1400, requests: 2800, ... }
+ * callerConnectionLimits({ memoryBytes: 367_001_600, heapBytes: 173_015_040, descriptors: 20_000 }); // { connections: 1400, requests: 2800, ... }
  */
-const callerConnectionLimits = (
-  memoryLimitBytes: number,
-  descriptorLimit: number,
-): ConnectionLimits => {
-  const byMemory = (memoryLimitBytes * CONNECTION_MEMORY_FRACTION) / CONNECTION_BYTES;
+const callerConnectionLimits = ({
+  memoryBytes,
+  heapBytes,
+  descriptors,
+}: ProcessLimits): ConnectionLimits => {
+  const byMemory = (memoryBytes * CONNECTION_MEMORY_FRACTION) / CONNECTION_BYTES;
+  const byHeap = ((heapBytes - OWN_HEAP_BYTES) * CONNECTION_HEAP_FRACTION) / CONNECTION_BYTES;
   const byDescriptors = Math.min(
-    descriptorLimit * CONNECTION_DESCRIPTOR_FRACTION,
-    descriptorLimit - OWN_DESCRIPTORS,
+    descriptors * CONNECTION_DESCRIPTOR_FRACTION,
+    descriptors - OWN_DESCRIPTORS,
   );
-  const connections = Math.max(1, Math.floor(Math.min(byMemory, byDescriptors)));
+  const connections = Math.max(1, Math.floor(Math.min(byMemory, byHeap, byDescriptors)));
   return {
     connections,
     requestsInConnection: REQUESTS_IN_CONNECTION,
     requests: REQUESTS_PER_CONNECTION * connections,
-    unreadBytes: Math.floor(memoryLimitBytes * UNREAD_MEMORY_FRACTION),
+    unreadBytes: Math.floor(memoryBytes * UNREAD_MEMORY_FRACTION),
   };
 };
 
--- a/packages/response-ends/src/index.ts
+++ b/packages/response-ends/src/index.ts
@@ -15,4 +15,4 @@
 export { default as createTrackedAgent } from './createTrackedAgent';
 export { default as framingOf } from './framingOf';
 export { default as hasBody } from './hasBody';
-export { default as readDescriptorLimit } from './readDescriptorLimit';
+export { default as readProcessLimits } from './readProcessLimits';
--- a/packages/response-ends/test/callerConnectionLimits.test.ts
+++ b/packages/response-ends/test/callerConnectionLimits.test.ts
@@ -12,10 +12,16 @@
     { memoryMb: 350, descriptors: 160, connections: 112 },
     { memoryMb: 350, descriptors: 64, connections: 16 },
     { memoryMb: 0.01, descriptors: 1, connections: 1 },
+    { memoryMb: 350, descriptors: Infinity, heapMb: 165, connections: 1_400 },
+    { memoryMb: 602, descriptors: Infinity, heapMb: 165, connections: 1_466 },
   ])(
     '$connections with $memoryMb MB and $descriptors',
-    ({ memoryMb, descriptors, connections }) => {
-      const limits = callerConnectionLimits(memoryMb * MB, descriptors);
+    ({ memoryMb, descriptors, heapMb = Infinity, connections }) => {
+      const limits = callerConnectionLimits({
+        memoryBytes: memoryMb * MB,
+        heapBytes: heapMb * MB,
+        descriptors,
+      });
       expect(limits).toEqual({
         connections,
         requestsInConnection: 64,
