Heartbeats state the age of the sender's own read, not of what it was told

Callers could see: a change of the operator later than the bound when the instance that reads for all is gone and heartbeats are late. An instance stated the age of its view, from whomever it had that. Each hop from instance to instance makes an age younger by the time of a heartbeat, which nobody counts; in a full mesh of 16 there are up to 80 hops a second, so that views that nobody confirmed hardly aged. Change: a replica keeps apart when this instance itself read to the end (readToEndAtMs), and only that is told (operatorReadAgeMs). A placer's heartbeats reach all instances, so that one hop is enough; where there is none, instances read by themselves. The positions of a heartbeat are read once, in PeerCatchUp, which compares them already.

--- a/packages/edge/src/PeerCatchUp.ts
+++ b/packages/edge/src/PeerCatchUp.ts
@@ -50,10 +50,15 @@
     private readonly deps: Dependencies,
   ) {}
 
-  /** Compares a peer's positions with this instance's, and reads from the peer what is missing. */
+  /** Compares a peer's positions with this instance's: equal ones are as new as the peer's, and what is missing is read from it. */
   observe(heartbeat: Heartbeat): void {
     const ends = heartbeatEnds(heartbeat);
-    const { host, name } = heartbeat.member;
+    const { operatorReadAgeMs, member } = heartbeat;
+    const { host, name } = member;
+    if (operatorReadAgeMs !== undefined) {
+      const { view } = this.deps;
+      view.confirmFromPeer(StoreTopic.Operator, ends[StoreTopic.Operator], operatorReadAgeMs);
+    }
     Object.values(StoreTopic).forEach((topic) => {
       void this.catchUp(topic, ends[topic], host, name);
     });
--- a/packages/edge/src/StoreView.ts
+++ b/packages/edge/src/StoreView.ts
@@ -111,6 +111,11 @@
     return this.deps.clock.nowMs() - this.confirmedAtMs(topic);
   }
 
+  /** Time since this instance itself read a topic to its end; Infinity if it has not. */
+  readAgeMs(topic: StoreTopic): number {
+    return this.deps.clock.nowMs() - this.replicas[topic].readToEndAtMs;
+  }
+
   behindSinceMs(topic: StoreTopic): number | undefined {
     return this.replicas[topic].behindSinceMs;
   }
@@ -128,7 +133,7 @@
     this.replicas[topic].confirmEnd(beganMs);
   }
 
-  /** Notes that a peer, which knows a topic up to a position, knew `ageMs` ago that nothing came after it. */
+  /** Notes that a peer, which knows a topic up to a position, read `ageMs` ago that nothing came after it. */
   confirmFromPeer(topic: StoreTopic, position: StorePosition, ageMs: number): void {
     this.replicas[topic].confirmPosition(position, this.deps.clock.nowMs() - ageMs);
   }
--- a/packages/edge/src/createHeartbeatContent.ts
+++ b/packages/edge/src/createHeartbeatContent.ts
@@ -41,11 +41,11 @@
   if (kind === HeartbeatKind.Own) limits.recordReport(usage);
   const held = lease.isCurrent ? lease.position : undefined;
   const usageDuty = duty?.content;
-  const operatorAgeMs = storeView.ageMs(StoreTopic.Operator);
+  const operatorReadAgeMs = storeView.readAgeMs(StoreTopic.Operator);
   return {
     member,
     ...packHeartbeatEnds((topic) => storeView.end(topic)),
-    ...(Number.isFinite(operatorAgeMs) && { operatorAgeMs: Math.ceil(operatorAgeMs) }),
+    ...(Number.isFinite(operatorReadAgeMs) && { operatorReadAgeMs: Math.ceil(operatorReadAgeMs) }),
     reachesStore: follower?.isReachable ?? false,
     leavingTargets: table.selfDeclaredLeaving,
     suspects: repeatedSuspects(suspects),
--- a/packages/edge/src/createPeerHandlers.ts
+++ b/packages/edge/src/createPeerHandlers.ts
@@ -4,7 +4,6 @@
   type PeerHandlers,
   type Peers,
   type Placer,
-  heartbeatEnds,
   heartbeatLease,
   StoreTopic,
   suspectUpdateCodec,
@@ -53,11 +52,6 @@
     const claimed = isSameDomain ? heartbeatLease(heartbeat) : undefined;
     if (claimed !== undefined) lease.observeHolder(claimed);
     deps.usage()?.observeHeartbeat(heartbeat);
-    const { operatorAgeMs } = heartbeat;
-    if (operatorAgeMs !== undefined) {
-      const { operator } = heartbeatEnds(heartbeat);
-      deps.storeView.confirmFromPeer(StoreTopic.Operator, operator, operatorAgeMs);
-    }
     deps.catchUp.observe(heartbeat);
     // Instances of an earlier build do not say.
     deps.signals.recordFromPeer(heartbeat.leavingTargets ?? []);
--- a/packages/fleet/src/Heartbeat.ts
+++ b/packages/fleet/src/Heartbeat.ts
@@ -13,10 +13,10 @@
   /** Era of the store to which that offset belongs; absent from heartbeats of an earlier build. */
   readonly operatorEra?: number;
   /**
-   * Time since the latest moment at which these are known to have been all; absent before the first list, and from
-   * heartbeats of an earlier build.
+   * Time since the sender itself last began a read of the store that found nothing after these; absent before the first, and
+   * from heartbeats of an earlier build.
    */
-  readonly operatorAgeMs?: number;
+  readonly operatorReadAgeMs?: number;
   /** Store offset up to which the sender knows the targets' records. Read it by `heartbeatEnds`. */
   readonly targetsOffset: number;
   /** Era of the store to which that offset belongs; absent from heartbeats of an earlier build. */
--- a/packages/fleet/src/TopicReplica.ts
+++ b/packages/fleet/src/TopicReplica.ts
@@ -42,6 +42,8 @@
 
   private confirmedMs = -Infinity;
 
+  private readToEndMs = -Infinity;
+
   /** The furthest position up to which another instance is said to have read; undefined if this one has, too. */
   private furthest: Claim | undefined;
 
@@ -62,6 +64,14 @@
     return this.confirmedMs;
   }
 
+  /**
+   * When this instance last began a read of the store that reached the end, on the monotonic clock; -Infinity if none has.
+   * Other instances are told of this time alone: one that was told on would grow younger on its way.
+   */
+  get readToEndAtMs(): number {
+    return this.readToEndMs;
+  }
+
   /** Since when records are known to be missing, on the monotonic clock; undefined if none are. */
   get behindSinceMs(): number | undefined {
     return this.behindSince;
@@ -86,6 +96,7 @@
    * replica. What another instance was said to have read further before it began is not so.
    */
   confirmEnd(beganMs: number): void {
+    this.readToEndMs = Math.max(this.readToEndMs, beganMs);
     this.confirmedMs = Math.max(this.confirmedMs, beganMs);
     if (this.furthest === undefined || this.furthest.heardAtMs >= beganMs) return;
     this.furthest = undefined;
@@ -93,7 +104,7 @@
   }
 
   /**
-   * Notes that another instance, which has read up to a position, knew at `atMs` on the monotonic clock that nothing came
+   * Notes that another instance, which knows all up to a position, read at `atMs` on the monotonic clock that nothing came
    * after it. That says something of this replica only if it ends there, too.
    */
   confirmPosition(position: StorePosition, atMs: number): void {
--- a/packages/fleet/src/readHeartbeat.ts
+++ b/packages/fleet/src/readHeartbeat.ts
@@ -17,7 +17,7 @@
 /** Present since a later build. */
 const OPTIONAL_INTEGERS: readonly (keyof Heartbeat)[] = [
   'operatorEra',
-  'operatorAgeMs',
+  'operatorReadAgeMs',
   'targetsEra',
   'leaseEra',
 ];
@@ -36,7 +36,7 @@
     isMember(heartbeat?.member) &&
     INTEGERS.every((key) => Number.isSafeInteger(heartbeat?.[key])) &&
     OPTIONAL_INTEGERS.every((key) => Number.isSafeInteger(heartbeat[key] ?? 0)) &&
-    (heartbeat.operatorAgeMs ?? 0) >= 0 &&
+    (heartbeat.operatorReadAgeMs ?? 0) >= 0 &&
     heartbeat.counted >= 0 &&
     heartbeat.counted <= MAX_COUNTED &&
     LISTS.every((key) => Array.isArray(heartbeat?.[key])) &&
--- a/packages/fleet/test/peers.test.ts
+++ b/packages/fleet/test/peers.test.ts
@@ -48,7 +48,7 @@
   { what: 'an era of the lease that is none', more: { leaseEra: 'x' } },
   { what: 'an era of the operator that is none', more: { operatorEra: 'x' } },
   { what: 'an era of the targets that is none', more: { targetsEra: 0.5 } },
-  { what: 'an age of the operator below 0', more: { operatorAgeMs: -1 } },
+  { what: 'an age of the operator below 0', more: { operatorReadAgeMs: -1 } },
   { what: 'no placers', more: { placers: null } },
   { what: 'a placer without a host', more: { placers: [{ name: 'b0' }] } },
 ])('a heartbeat with $what leaves the sending and counting of others as it was', async (bad) => {
--- a/packages/fleet/test/topicReplica.test.ts
+++ b/packages/fleet/test/topicReplica.test.ts
@@ -245,4 +245,6 @@
   expect(replica.confirmedAtMs).toBe(95);
   replica.confirmPosition(at(1), 80);
   expect(replica.confirmedAtMs).toBe(95);
+  // What others read is not told on.
+  expect(replica.readToEndAtMs).toBe(90);
 });
