--- a/packages/edge/src/isStoreReader.ts
+++ b/packages/edge/src/isStoreReader.ts
@@ -10,7 +10,7 @@
 }
 
 /**
- * Returns whether an instance is the one that reads the targets from the store for all and relays the changes: one of
+ * Returns whether an instance is the one that reads the store for all, relays changes of targets and states how far it read: one of
  * those that the store answers, a placer if possible. Instances that disagree only read more than needed.
  *
  * @example
--- a/packages/edge/src/readsStoreForAll.ts
+++ b/packages/edge/src/readsStoreForAll.ts
@@ -2,8 +2,7 @@
 import isStoreReader from './isStoreReader';
 
 /**
- * Returns whether an instance is the one that reads the targets' entries from the store for all, among the peers that it
- * hears.
+ * Returns whether an instance is the one that reads the store for all, among the peers that it hears.
  *
  * @example
  * readsStoreForAll({ name: 'a-1', reachesStore: true, isPlacer: false }, peers);
