--- a/packages/fleet/test/support/loopbackPeers.ts
+++ b/packages/fleet/test/support/loopbackPeers.ts
@@ -32,7 +32,7 @@
   })),
 );
 
-const heartbeatOf = (member: MemberRecord, number: number): Heartbeat => ({
+const contentOf = (member: MemberRecord): HeartbeatContent => ({
   member,
   operatorOffset: 0,
   targetsOffset: 0,
@@ -42,6 +42,10 @@
   leaseOffset: -1,
   isStopping: false,
   usage: [],
+});
+
+const heartbeatOf = (member: MemberRecord, number: number): Heartbeat => ({
+  ...contentOf(member),
   number,
   holderHeard: ['', 0],
   kind: HeartbeatKind.Own,
@@ -56,17 +60,7 @@
   isStopping = () => false,
 ): Promise<Peers> => {
   const isPlacer = member.name.endsWith('0');
-  const content: HeartbeatContent = {
-    member,
-    operatorOffset: 0,
-    targetsOffset: 0,
-    reachesStore: true,
-    leavingTargets: [],
-    suspects: null,
-    leaseOffset: isPlacer ? 1 : -1,
-    isStopping: false,
-    usage: [],
-  };
+  const content = { ...contentOf(member), leaseOffset: isPlacer ? 1 : -1 };
   const peers = new Peers(
     {
       name: member.name,
--- a/packages/log-client/src/StreamReplica.ts
+++ b/packages/log-client/src/StreamReplica.ts
@@ -236,12 +236,15 @@
       await this.clock.sleep(USUAL_ARRIVAL_MS, signal);
       if (signal.aborted) return;
       const { reading } = this;
-      const ageMs = this.clock.nowMs() - (reading?.beganMs ?? Infinity);
-      const hasLongWait = (reading?.waitMs ?? 0) > DEFAULT_LONG_POLL_MS;
-      if (hasLongWait || ageMs > (reading?.waitMs ?? 0) + READ_OVERDUE_MS) reading?.end();
+      if (reading !== undefined && this.mayBeSilent(reading)) reading.end();
     }
   }
 
+  private mayBeSilent({ beganMs, waitMs }: Reading): boolean {
+    const hasLongWait = waitMs > DEFAULT_LONG_POLL_MS;
+    return hasLongWait || this.clock.nowMs() > beganMs + waitMs + READ_OVERDUE_MS;
+  }
+
   /** How long the next read waits for a record; not long while somebody waits for the replica. */
   private get nextWaitMs(): number {
     const { longPollMs = DEFAULT_LONG_POLL_MS } = this.options;
